--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# the front door: make demo, make test
+GOLANGCI_VERSION = v2.15.0
+PROTOC_GEN_GO_VERSION = v1.36.12
+PROTOC_GEN_TWIRP_VERSION = v8.1.3+incompatible
+TOOLS = $(CURDIR)/.tools/bin
+
+.PHONY: all build test lint fmt generate demo clean
+
+all: build
+
+build:
+	go build -o bin/galenastair ./cmd/galenastair
+	go build -o bin/galenastair-standin ./cmd/galenastair-standin
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $@
+
+lint: $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+	@test -z "$$(gofmt -l $$(git ls-files -c -o --exclude-standard '*.go'))" || { gofmt -l .; echo "not formatted: run 'make fmt'"; exit 1; }
+	go vet ./...
+	$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION) run ./...
+
+fmt: $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+	$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION) fmt ./...
+
+test: lint
+	go test -race -timeout 8m ./...
+
+# needs protoc (Debian: protobuf-compiler); what it writes is committed
+generate:
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	GOBIN=$(TOOLS) go install github.com/twitchtv/twirp/protoc-gen-twirp@$(PROTOC_GEN_TWIRP_VERSION)
+	for f in peer/*pb/*.proto; do \
+		PATH="$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=galenastair \
+			--twirp_out=. --twirp_opt=module=galenastair $$f || exit 1; \
+	done
+
+demo: build
+	bash scenario/demo.sh
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/cmd/galenastair/main.go
@@ -0,0 +1,4 @@
+// Command galenastair serves many models on fewer accelerators.
+package main
+
+func main() {}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,110 @@
+package galenastair
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Sentinel causes of a refusal or cut answer; callers test them with errors.Is.
+var (
+	ErrKeyMissing         = eris.New("no key came with the request")
+	ErrKeyUnknown         = eris.New("the key is not known")
+	ErrKeyWithdrawn       = eris.New("the key has been withdrawn")
+	ErrNotPermitted       = eris.New("the contract does not permit this model or service")
+	ErrNotFound           = eris.New("no such model, service or path")
+	ErrBadRequest         = eris.New("the request cannot be read")
+	ErrTooLarge           = eris.New("the request is larger than the limit")
+	ErrRateExceeded       = eris.New("the organisation is over its rate and burst")
+	ErrOverBurst          = eris.New("the request alone is larger than the burst")
+	ErrRateUnavailable    = eris.New("no holder of the organisation's rate can answer")
+	ErrOverloaded         = eris.New("the request cannot be served in time")
+	ErrNoBackendServer    = eris.New("no backend server is ready for this model or service")
+	ErrNotMember          = eris.New("this instance holds no lease")
+	ErrStopping           = eris.New("this instance is stopping")
+	ErrDuplicate          = eris.New("a request with this idempotency key was already sent")
+	ErrDuplicateUnsettled = eris.New("a request with this idempotency key is still running")
+	ErrClaimUnavailable   = eris.New("the claim for this idempotency key cannot be kept now")
+	ErrPoison             = eris.New("this request stopped the backend servers that ran it")
+	ErrBackendServer      = eris.New("the backend server failed")
+	ErrAnswerCut          = eris.New("the answer was cut before its end")
+	ErrTimeout            = eris.New("the request ran out of time")
+	ErrConfiguration      = eris.New("no configuration is in force yet")
+)
+
+// Code is the stable name of a cause, for callers to test.
+type Code string
+
+type causeInfo struct {
+	cause  error
+	code   Code
+	status int
+}
+
+// causes gives each sentinel its stable code and HTTP status.
+var causes = []causeInfo{
+	{ErrKeyMissing, "KeyMissing", http.StatusUnauthorized},
+	{ErrKeyUnknown, "KeyUnknown", http.StatusUnauthorized},
+	{ErrKeyWithdrawn, "KeyWithdrawn", http.StatusUnauthorized},
+	{ErrNotPermitted, "NotPermitted", http.StatusForbidden},
+	{ErrNotFound, "NotFound", http.StatusNotFound},
+	{ErrBadRequest, "BadRequest", http.StatusBadRequest},
+	{ErrTooLarge, "TooLarge", http.StatusRequestEntityTooLarge},
+	{ErrRateExceeded, "RateExceeded", http.StatusTooManyRequests},
+	{ErrOverBurst, "OverBurst", http.StatusBadRequest},
+	{ErrRateUnavailable, "RateUnavailable", http.StatusServiceUnavailable},
+	{ErrOverloaded, "Overloaded", http.StatusServiceUnavailable},
+	{ErrNoBackendServer, "NoBackendServer", http.StatusServiceUnavailable},
+	{ErrNotMember, "NotMember", http.StatusServiceUnavailable},
+	{ErrStopping, "Stopping", http.StatusServiceUnavailable},
+	{ErrDuplicate, "Duplicate", http.StatusConflict},
+	{ErrDuplicateUnsettled, "DuplicateUnsettled", http.StatusConflict},
+	{ErrClaimUnavailable, "ClaimUnavailable", http.StatusServiceUnavailable},
+	{ErrPoison, "Poison", http.StatusUnprocessableEntity},
+	{ErrBackendServer, "BackendServer", http.StatusBadGateway},
+	{ErrAnswerCut, "AnswerCut", http.StatusBadGateway},
+	{ErrTimeout, "Timeout", http.StatusGatewayTimeout},
+	{ErrConfiguration, "NoConfiguration", http.StatusServiceUnavailable},
+}
+
+// Refusal is the error that a caller is shown: its cause, whether the request ran, and when to come back.
+type Refusal struct {
+	Cause      error
+	Outcome    Outcome
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// Refuse returns a refusal of a request that has not run.
+func Refuse(cause error, retryAfter time.Duration, detail string) *Refusal {
+	return &Refusal{Cause: cause, Outcome: NotRun, RetryAfter: retryAfter, Detail: detail}
+}
+
+// Error returns the cause and its detail.
+func (r *Refusal) Error() string {
+	if r.Detail == "" {
+		return r.Cause.Error()
+	}
+	return fmt.Sprintf("%s: %s", r.Cause, r.Detail)
+}
+
+// Unwrap returns the sentinel cause.
+func (r *Refusal) Unwrap() error { return r.Cause }
+
+// Code returns the stable code of the cause.
+func (r *Refusal) Code() Code { return r.info().code }
+
+// Status returns the HTTP status of the cause.
+func (r *Refusal) Status() int { return r.info().status }
+
+func (r *Refusal) info() causeInfo {
+	for _, info := range causes {
+		if errors.Is(r.Cause, info.cause) {
+			return info
+		}
+	}
+	return causeInfo{r.Cause, "Internal", http.StatusInternalServerError}
+}
