--- a/control/loop.go
+++ b/control/loop.go
@@ -40,6 +40,11 @@
 
 // Post queues work and does not wait for it to run.
 func (l *Loop) Post(ctx context.Context, f func()) error {
+	select {
+	case <-l.stopped:
+		return ErrStopped
+	default:
+	}
 	select {
 	case l.work <- f:
 		return nil
