contract, config: contract files, the fold, follower and publisher

Cause: the thin path needs contracts in force from the log on every instance. Offsets count from 1, revision 0 is none.

--- /dev/null
+++ b/config/fakelog_test.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"galenastair"
+	"galenastair/contract"
+)
+
+// fakeLog is a log in memory whose faults are switched by hand.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []galenastair.LogRecord
+	first   galenastair.Offset
+	changed chan struct{}
+	down    bool
+	// fault, if set, decides what happens to each append.
+	fault func() appendFault
+	// late holds appends that take effect only when release is called.
+	late [][]byte
+}
+
+type appendFault int
+
+const (
+	noFault appendFault = iota
+	refused
+	answerLost
+	actsLate
+	neverActs
+)
+
+func newFakeLog() *fakeLog { return &fakeLog{first: 1, changed: make(chan struct{})} }
+
+func (l *fakeLog) Append(_ context.Context, _ galenastair.Stream, data []byte) (galenastair.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fault := noFault
+	if l.fault != nil {
+		fault = l.fault()
+	}
+	switch {
+	case l.down || fault == refused:
+		return 0, galenastair.ErrAppendRefused
+	case fault == neverActs:
+		return 0, galenastair.ErrAppendUnknown
+	case fault == actsLate:
+		l.late = append(l.late, data)
+		return 0, galenastair.ErrAppendUnknown
+	}
+	at := l.insert(data)
+	if fault == answerLost {
+		return 0, galenastair.ErrAppendUnknown
+	}
+	return at, nil
+}
+
+func (l *fakeLog) add(data []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.insert(data)
+}
+
+func (l *fakeLog) insert(data []byte) galenastair.Offset {
+	at := l.first + galenastair.Offset(len(l.records))
+	l.records = append(l.records, galenastair.LogRecord{Offset: at, Data: data})
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return at
+}
+
+func (l *fakeLog) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, data := range l.late {
+		l.insert(data)
+	}
+	l.late = nil
+}
+
+func (l *fakeLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// expire drops records before an offset.
+func (l *fakeLog) expire(before galenastair.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := before - l.first; n > 0 {
+		l.records, l.first = l.records[n:], before
+	}
+}
+
+func (l *fakeLog) next() galenastair.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.first + galenastair.Offset(len(l.records))
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ galenastair.Stream, from galenastair.Offset, wait time.Duration) (galenastair.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		b, changed, err := l.batch(from)
+		if err != nil || len(b.Records) > 0 {
+			return b, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return b, ctx.Err()
+			}
+			return b, nil
+		}
+	}
+}
+
+func (l *fakeLog) batch(from galenastair.Offset) (galenastair.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := galenastair.Batch{First: l.first, Next: l.first + galenastair.Offset(len(l.records))}
+	switch {
+	case l.down:
+		return b, nil, galenastair.ErrLogUnavailable
+	case from < l.first:
+		return b, nil, galenastair.ErrExpired
+	case from < b.Next:
+		b.Records = append(b.Records, l.records[from-l.first:]...)
+	}
+	// a short batch makes readers come again, as a real log does
+	if len(b.Records) > 100 {
+		b.Records = b.Records[:100]
+	}
+	return b, l.changed, nil
+}
+
+func testKey(n int) galenastair.KeyHash { return galenastair.HashKey(fmt.Sprint("key ", n)) }
+
+func testContract(o galenastair.Organisation, keys ...galenastair.KeyHash) contract.Contract {
+	return contract.Contract{Organisation: o, Rate: 100, Burst: 1000, Models: []galenastair.ModelName{"m1", "m2"}, KeyHashes: keys}
+}
+
+func testRecord(id galenastair.RecordID, kind galenastair.RecordKind, body any) []byte {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	data, err := json.Marshal(galenastair.Record{ID: id, Kind: kind, Author: "test", Body: raw})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/config/follower.go
@@ -0,0 +1,169 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"galenastair"
+)
+
+const (
+	// readsPerSecond is what all instances together may ask of an idle log. It sets
+	// how long each read waits there: 1 s at up to 100 instances, 3.7 s at 370.
+	readsPerSecond = 100
+	// minWait bounds the reads of one instance at an idle log to one a second.
+	minWait = time.Second
+	// maxWait bounds, with readSlack, how long a silent connection goes unnoticed:
+	// a change must be in force within 6 s.
+	maxWait = 4 * time.Second
+	// retryMin and retryMax space the reads of a log that refuses: 370 instances
+	// that retry about once a second do not keep it from coming back.
+	retryMin = 200 * time.Millisecond
+	retryMax = 1500 * time.Millisecond
+)
+
+// Follower tails the configuration stream and publishes a view of it.
+type Follower struct {
+	reader  *reader
+	peers   Peers
+	logger  log.Logger
+	clock   galenastair.Clock
+	fleet   func() int
+	tail    *tail
+	view    atomic.Pointer[View]
+	contact atomic.Pointer[time.Time]
+	halted  atomic.Bool
+}
+
+// FollowerOption changes a follower that is being made.
+type FollowerOption func(*Follower)
+
+// WithPeers lets the follower take records and folds from other instances while the log is out of reach.
+func WithPeers(p Peers) FollowerOption { return func(f *Follower) { f.peers = p } }
+
+// WithLogger sets where the follower reports what it could not apply.
+func WithLogger(l log.Logger) FollowerOption { return func(f *Follower) { f.logger = l } }
+
+// WithClock sets the clock by which the follower dates its contact with the log.
+func WithClock(c galenastair.Clock) FollowerOption { return func(f *Follower) { f.clock = c } }
+
+// WithFleet tells the follower how many instances tail the log, of which its reads take their share.
+func WithFleet(size func() int) FollowerOption { return func(f *Follower) { f.fleet = size } }
+
+// NewFollower returns a follower that does nothing until Run.
+func NewFollower(l galenastair.Log, opts ...FollowerOption) *Follower {
+	f := &Follower{
+		reader: newReader(l),
+		logger: log.NewNopLogger(),
+		clock:  galenastair.SystemClock{},
+		fleet:  func() int { return 1 },
+		tail:   newTail(),
+	}
+	f.reader.folded = f.record
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// View returns the newest configuration, or nil until the follower has first caught up.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Ready tells whether there is a configuration to serve by, in rules that this program knows.
+func (f *Follower) Ready() bool { return f.view.Load() != nil && !f.halted.Load() }
+
+// LogContact returns when the log last answered a read; it is zero before the first answer.
+func (f *Follower) LogContact() time.Time {
+	if at := f.contact.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// Run tails the log until the context ends; it may be called once.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		f.halted.Store(f.reader.fold.Halted())
+		_ = level.Warn(f.logger).Log("msg", "the configuration stream cannot be read", "err", err)
+		f.askPeers(ctx)
+		pause(ctx, retryMin+rand.N(retryMax-retryMin))
+	}
+	return ctx.Err()
+}
+
+// step makes one read; before the first view it does not wait for records.
+func (f *Follower) step(ctx context.Context) error {
+	wait := f.wait()
+	if f.view.Load() == nil {
+		wait = 0
+	}
+	before := f.reader.fold
+	caughtUp, err := f.reader.read(ctx, wait)
+	if f.reader.fold != before {
+		f.tail.reset(f.reader.fold.Next())
+	}
+	if err != nil {
+		return err
+	}
+	now := f.clock.Now()
+	f.contact.Store(&now)
+	// a view in the middle of catching up would be an old configuration
+	if caughtUp || f.view.Load() != nil {
+		f.publish()
+	}
+	return nil
+}
+
+// wait returns the instance's share of the reads that the log may be asked.
+func (f *Follower) wait() time.Duration {
+	share := time.Duration(f.fleet()) * time.Second / readsPerSecond
+	return min(max(share, minWait), maxWait)
+}
+
+// publish replaces the view, unless nothing was folded since.
+func (f *Follower) publish() {
+	old := f.view.Load()
+	if old != nil && old.next == f.reader.fold.Next() {
+		return
+	}
+	f.view.Store(f.reader.fold.View())
+	if old != nil {
+		close(old.superseded)
+	}
+}
+
+// caughtUpWithPeer publishes a first view of what a peer has no more of.
+func (f *Follower) caughtUpWithPeer(next galenastair.Offset) {
+	if f.view.Load() == nil && next == f.reader.fold.Next() {
+		f.publish()
+	}
+}
+
+func (f *Follower) record(rec galenastair.LogRecord, v Verdict) {
+	f.tail.add(rec)
+	if v.Outcome == Accepted {
+		_ = level.Info(f.logger).Log("msg", "configuration changed", "kind", v.Kind, "offset", v.Offset, "record", v.Record)
+		return
+	}
+	if v.Reason != NoReason {
+		_ = level.Warn(f.logger).Log("msg", "configuration record not applied", "verdict", v.String())
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/contract/parse_test.go
@@ -0,0 +1,142 @@
+package contract
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/text/unicode/norm"
+
+	"galenastair"
+)
+
+const good = `# Himalbyte, nursery 12
+[Contract]
+Organisation = शिशु घर 12
+RateTokensPerSecond = 2000
+BurstTokens = 8000
+Models = diary, diary-ne
+Services = notices
+KeyHashes = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
+`
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	c, err := Parse([]byte(good))
+	is.NoErr(err)
+	is.Equal(c.Organisation, galenastair.Organisation("शिशु घर 12"))
+	is.Equal(c.Rate, galenastair.TokensPerSecond(2000))
+	is.Equal(c.Burst, galenastair.Tokens(8000))
+	is.True(c.PermitsModel("diary-ne") && !c.PermitsModel("dia"))
+	is.True(c.PermitsService("notices") && !c.PermitsService("diary"))
+	is.Equal(c.KeyHashes, []galenastair.KeyHash{galenastair.HashKey("test")})
+	windows, err := Parse([]byte(strings.ReplaceAll(good, "\n", "\r\n")))
+	is.NoErr(err)
+	is.Equal(windows.Canonical(), c.Canonical())
+}
+
+// Each line is a way in which operators of different languages would mean
+// different things; seen failing with the check of each code switched off.
+func TestParseRefuses(t *testing.T) {
+	tests := []struct {
+		old, new string
+		code     Code
+		line     int
+	}{
+		{"2000", "2,000", NumberForm, 4},
+		{"2000", "2.000", NumberForm, 4},
+		{"2000", "2 000", NumberForm, 4},
+		{"2000", "2e3", NumberForm, 4},
+		{"2000", "२०००", NumberForm, 4},
+		{"2000", "02000", NumberForm, 4},
+		{"2000", "+2000", NumberForm, 4},
+		{"2000", "0", NumberForm, 4},
+		{"2000", "99999999999999", NumberForm, 4},
+		{"2000", "", NumberForm, 4},
+		{"2000", `"2000"`, ValueQuoted, 4},
+		{"2000", "`2000", ValueQuoted, 4},
+		{"BurstTokens", "Burst", KeyUnknown, 5},
+		{"BurstTokens", "bursttokens", KeyUnknown, 5},
+		{"BurstTokens = 8000", "", KeyMissing, 2},
+		{"BurstTokens = 8000", "BurstTokens = 8000\nBurstTokens = 9000", KeyDoubled, 6},
+		{"BurstTokens = 8000", "BurstTokens: 8000", NotKeyValue, 5},
+		{"BurstTokens = 8000", "[Contract]\nBurstTokens = 8000", SectionDoubled, 5},
+		{"[Contract]", "[Kontrakt]", SectionUnknown, 2},
+		{"[Contract]", "", SectionMissing, 3},
+		{"diary,", "diary,,", ListForm, 6},
+		{"diary,", "diary-ne,", ListDoubled, 6},
+		{"diary,", "diary;x,", NameForm, 6},
+		{"9f86", "9F86", KeyHashForm, 8},
+		{"9f86", "", KeyHashForm, 8},
+		{"शिशु घर 12", "Mаcbeth", NameMixesScript, 3}, // the second letter is Cyrillic
+		{"शिशु घर 12", norm.NFD.String("Grădiniță"), NameNotNFC, 3},
+		{"शिशु घर 12", "a\u200bb", NameForm, 3},
+		{"शिशु घर 12", "a  b", NameForm, 3},
+		{"शिशु घर 12", "\xff", NotUTF8, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.new, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(strings.Replace(good, tt.old, tt.new, 1)))
+			is.True(errors.Is(err, ErrInvalid))
+			var ps Problems
+			is.True(errors.As(err, &ps))
+			is.Equal(ps[0].Code, tt.code)
+			is.Equal(ps[0].Line, tt.line)
+			is.True(ps[0].Accepted != "")
+		})
+	}
+}
+
+func TestParseListsEveryProblem(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte("[Contract]\nRate = 1\nBurst = 2\nModels = \"a\""))
+	var ps Problems
+	is.True(errors.As(err, &ps))
+	is.Equal(len(ps), 3)
+}
+
+func TestDiff(t *testing.T) {
+	is := is.New(t)
+	c, err := Parse([]byte(good))
+	is.NoErr(err)
+	d := c.Clone()
+	d.Rate, d.Models = 3000, []galenastair.ModelName{"diary", "weekly"}
+	is.Equal(Diff(c, c), "")
+	is.Equal(Diff(c, d), "- RateTokensPerSecond = 2000\n+ RateTokensPerSecond = 3000\n- Models: diary-ne\n+ Models: weekly\n")
+	is.True(strings.HasPrefix(Diff(Contract{}, c), "+ Organisation"))
+}
+
+func TestSkeleton(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Skeleton("Nursery-10"), Skeleton("nursery lO"))
+	is.Equal(Skeleton("coco"), Skeleton("сосо"))
+	is.Equal(Skeleton("ﬁrst"), Skeleton("first"))
+	is.True(Skeleton("Furnir 1") != Skeleton("Furnir 2"))
+	is.True(Skeleton("शिशु") != Skeleton("शिशा"))
+}
+
+// FuzzParse looks for texts that are read but whose canonical form is not the same contract.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("[Contract]\nOrganisation = a\nRateTokensPerSecond = 1\nBurstTokens = 1\nModels = %(x)s\n"))
+	f.Add([]byte("\ufeff[Contract]\nOrganisation = a \\\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := Parse(text)
+		if err != nil {
+			var ps Problems
+			if !errors.As(err, &ps) || len(ps) == 0 {
+				t.Fatalf("error without problems: %v", err)
+			}
+			return
+		}
+		again, err := Parse(c.Canonical())
+		if err != nil {
+			t.Fatalf("canonical form refused: %v\n%s", err, c.Canonical())
+		}
+		if d := Diff(c, again); d != "" || string(again.Canonical()) != string(c.Canonical()) {
+			t.Fatalf("canonical form differs: %s", d)
+		}
+	})
+}
