platform, engine, service: adapters and stand-ins for the thin path

The demo needs a platform, engines and a plain service before entries can be built against them. Weighed for 'not sent': httptrace's WroteHeaders is called before the buffer is flushed, so it says 'sent' for requests of which no byte left, and a retry by net/http hides behind it; the connections now count writes and are sealed when a request is given up. net/http sends a GET, or anything with an Idempotency-Key header, a second time by itself; NewRequest keeps it from that. Before: nothing served.

--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,111 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"galenastair"
+	"galenastair/httpclient"
+)
+
+const (
+	// defaultSilence is three pings of an engine: a stream without a byte for so
+	// long is taken for one that something in between has forgotten.
+	defaultSilence = 3 * time.Second
+	// controlTimeout ends an order or report that hangs.
+	controlTimeout = 2 * time.Second
+	// maxControl bounds the memory of one control answer.
+	maxControl = 4 << 20
+	// maxDetail bounds what is kept of an error's text.
+	maxDetail = 4 << 10
+)
+
+// Client calls engines at the addresses that it is given.
+type Client struct {
+	pool    *httpclient.Pool
+	silence time.Duration
+}
+
+var _ galenastair.Engine = (*Client)(nil)
+
+// Option changes how a client is made.
+type Option func(*Client)
+
+// WithSilence sets how long a connection may show no byte before ErrSilent.
+func WithSilence(d time.Duration) Option {
+	return func(c *Client) { c.silence = d }
+}
+
+// New returns a client of all engines.
+func New(opts ...Option) *Client {
+	c := &Client{pool: httpclient.NewPool(), silence: defaultSilence}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.pool.Close() }
+
+// control sends one request on the control paths and reads the answer into out.
+func (c *Client) control(ctx context.Context, server, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return eris.Wrapf(galenastair.ErrNotSent, "%v", err)
+		}
+		body = b
+	}
+	req, err := httpclient.NewRequest(method, "http://"+server+path, body)
+	if err != nil {
+		return eris.Wrapf(galenastair.ErrNotSent, "%v", err)
+	}
+	limited, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	tracked, sending := httpclient.Track(limited)
+	resp, err := c.pool.For(server).RoundTrip(req.WithContext(tracked))
+	if err != nil {
+		return c.failed(ctx, server, sending, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
+	}
+	if out == nil {
+		return nil
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxControl)).Decode(out)
+	return eris.Wrapf(err, "%s %s", method, path)
+}
+
+// failed names the cause of a request that got no answer; ctx is the caller's.
+func (c *Client) failed(ctx context.Context, server string, sending *httpclient.Sending, err error) error {
+	if sending.NotSent() {
+		return eris.Wrapf(galenastair.ErrNotSent, "%v", err)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	// what else is pooled may be as dead as the connection that failed
+	c.pool.Forget(server)
+	return eris.Wrapf(galenastair.ErrBackendServer, "no answer: %v", err)
+}
+
+// refusal names the cause of an answer with an error status.
+func refusal(resp *http.Response) error {
+	detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxDetail))
+	switch resp.Header.Get(HeaderOutcome) {
+	case OutcomeNotRun:
+		return declined(resp, detail)
+	case OutcomeStaleFence:
+		return eris.Wrapf(galenastair.ErrStaleFence, "%s", detail)
+	}
+	return eris.Wrapf(galenastair.ErrBackendServer, "status %d: %s", resp.StatusCode, detail)
+}
--- /dev/null
+++ b/standin/engine/token.go
@@ -0,0 +1,24 @@
+package engine
+
+import (
+	"encoding/binary"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"galenastair"
+)
+
+// Digest names a prompt.
+func Digest(prompt string) uint64 { return xxhash.Sum64String(prompt) }
+
+// Token returns the i-th token, from 0, of a model's answer to a prompt.
+func Token(model galenastair.ModelName, promptDigest uint64, i int) string {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], promptDigest)
+	binary.LittleEndian.PutUint64(b[8:], uint64(i))
+	h := xxhash.New()
+	_, _ = h.WriteString(string(model))
+	_, _ = h.Write(b[:])
+	return " " + strconv.FormatUint(h.Sum64()&0xffffff, 36)
+}
--- /dev/null
+++ b/standin/platform/catalogue.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"fmt"
+
+	"galenastair"
+)
+
+// Catalogue returns models model-1.. and adapters adapter-1.., which belong to
+// the models in turn; all have version v1.
+func Catalogue(models, adapters int, modelMemory, adapterMemory galenastair.Bytes) []galenastair.Weight {
+	var weights []galenastair.Weight
+	for i := range models {
+		weights = append(weights, galenastair.Weight{
+			Name:    modelName(i),
+			Version: "v1",
+			Memory:  modelMemory,
+		})
+	}
+	for i := range adapters {
+		weights = append(weights, galenastair.Weight{
+			Name:    galenastair.ModelName(fmt.Sprintf("adapter-%d", i+1)),
+			Version: "v1",
+			Base:    modelName(i % models),
+			Memory:  adapterMemory,
+		})
+	}
+	return weights
+}
+
+func modelName(i int) galenastair.ModelName {
+	return galenastair.ModelName(fmt.Sprintf("model-%d", i+1))
+}
