config: a change names its revision in the field Offset

Cause: the assembly reads Latest(o).Offset; one word for one thing. Before, the field was called Revision beside Verdict.Offset. No behaviour changed; the tests of the package pass unchanged but for the name (go test -race ./config).

--- a/config/fold.go
+++ b/config/fold.go
@@ -84,10 +84,10 @@
 	}
 	v.Record, v.Kind = r.ID, r.Kind
 	if first, found := f.recent.get(r.ID); found {
-		v.Outcome, v.Winner = Duplicate, Change{Revision: first.Offset, Record: r.ID, Author: r.Author}
+		v.Outcome, v.Winner = Duplicate, Change{Offset: first.Offset, Record: r.ID, Author: r.Author}
 		return v
 	}
-	c := Change{Revision: rec.Offset, Record: r.ID, Author: r.Author}
+	c := Change{Offset: rec.Offset, Record: r.ID, Author: r.Author}
 	v = f.dispatch(r, c, v)
 	if !f.halted && (v.Outcome == Accepted || v.Outcome == Rejected) {
 		f.remember(applied{Record: r.ID, Offset: rec.Offset, Outcome: v.Outcome})
--- a/config/recovery_test.go
+++ b/config/recovery_test.go
@@ -151,7 +151,7 @@
 	v, err = p.Publish(ctx, rival)
 	is.NoErr(err)
 	is.Equal(v.Reason, Conflict)
-	is.Equal(v.Winner, Change{Revision: 1, Record: r.ID, Author: "ana"})
+	is.Equal(v.Winner, Change{Offset: 1, Record: r.ID, Author: "ana"})
 }
 
 // The log took the append in but writes it minutes later. A command that said
--- a/config/rules.go
+++ b/config/rules.go
@@ -103,7 +103,7 @@
 	if !found && base == NoRevision {
 		return rejection{}
 	}
-	if found && base == old.Change.Revision {
+	if found && base == old.Change.Offset {
 		return rejection{}
 	}
 	no := rejection{reason: Conflict, detail: fmt.Sprintf("made from revision %d", base)}
--- a/config/rules_test.go
+++ b/config/rules_test.go
@@ -112,7 +112,7 @@
 	digest := f.Digest()
 	v := f.Apply(galenastair.LogRecord{Offset: 2, Data: data})
 	is.Equal(v.Outcome, Duplicate)
-	is.Equal(v.Winner.Revision, galenastair.Offset(1))
+	is.Equal(v.Winner.Offset, galenastair.Offset(1))
 	is.Equal(f.Digest(), digest)
 	is.Equal(f.Apply(galenastair.LogRecord{Offset: 1, Data: data}).Reason, OldOffset)
 }
--- a/config/verdict.go
+++ b/config/verdict.go
@@ -42,9 +42,9 @@
 
 // Change names the record that brought an organisation's configuration to a revision.
 type Change struct {
-	Revision galenastair.Offset
-	Record   galenastair.RecordID
-	Author   string
+	Offset galenastair.Offset
+	Record galenastair.RecordID
+	Author string
 }
 
 // Verdict is what the fold made of one record; every instance comes to the same one.
@@ -66,7 +66,7 @@
 		s += fmt.Sprintf(": %s: %s", v.Reason, v.Detail)
 	}
 	if v.Winner.Record != "" {
-		s += fmt.Sprintf(" (in force: revision %d by %s, record %s)", v.Winner.Revision, v.Winner.Author, v.Winner.Record)
+		s += fmt.Sprintf(" (in force: revision %d by %s, record %s)", v.Winner.Offset, v.Winner.Author, v.Winner.Record)
 	}
 	return s
 }
--- a/config/view.go
+++ b/config/view.go
@@ -60,7 +60,7 @@
 func (v *View) Latest(name galenastair.Organisation) Change {
 	o, found := v.organisations.get(name)
 	if !found {
-		return Change{Revision: NoRevision}
+		return Change{Offset: NoRevision}
 	}
 	return o.Change
 }
