--- a/config/follower.go
+++ b/config/follower.go
@@ -29,15 +29,18 @@
 
 // Follower tails the configuration stream and publishes a view of it.
 type Follower struct {
-	reader  *reader
-	peers   Peers
-	logger  log.Logger
-	clock   galenastair.Clock
-	fleet   func() int
-	tail    *tail
-	view    atomic.Pointer[View]
-	contact atomic.Pointer[time.Time]
-	halted  atomic.Bool
+	reader   *reader
+	peers    Peers
+	logger   log.Logger
+	clock    galenastair.Clock
+	fleet    func() int
+	tail     *tail
+	reach    reach
+	view     atomic.Pointer[View]
+	contact  atomic.Pointer[time.Time]
+	standing atomic.Pointer[Standing]
+	snapshot atomic.Pointer[time.Time]
+	halted   atomic.Bool
 }
 
 // FollowerOption changes a follower that is being made.
@@ -59,10 +62,12 @@
 func NewFollower(l galenastair.Log, opts ...FollowerOption) *Follower {
 	f := &Follower{
 		reader: newReader(l),
+		peers:  noPeers{},
 		logger: log.NewNopLogger(),
 		clock:  galenastair.SystemClock{},
 		fleet:  func() int { return 1 },
 		tail:   newTail(),
+		reach:  newReach(),
 	}
 	f.reader.folded = f.record
 	for _, opt := range opts {
@@ -74,8 +79,18 @@
 // View returns the newest configuration, or nil until the follower has first caught up.
 func (f *Follower) View() *View { return f.view.Load() }
 
-// Ready tells whether there is a configuration to serve by, in rules that this program knows.
-func (f *Follower) Ready() bool { return f.view.Load() != nil && !f.halted.Load() }
+// Ready tells whether the view may be served by: it has caught up once, in rules that this program knows, and is not cut off.
+func (f *Follower) Ready() bool {
+	return f.view.Load() != nil && !f.halted.Load() && f.Standing() != CutOff
+}
+
+// Standing returns what is known of the log now.
+func (f *Follower) Standing() Standing {
+	if s := f.standing.Load(); s != nil {
+		return *s
+	}
+	return InTouch
+}
 
 // LogContact returns when the log last answered a read; it is zero before the first answer.
 func (f *Follower) LogContact() time.Time {
@@ -92,9 +107,9 @@
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
-		f.halted.Store(f.reader.fold.Halted())
 		_ = level.Warn(f.logger).Log("msg", "the configuration stream cannot be read", "err", err)
 		f.askPeers(ctx)
+		f.judge()
 		pause(ctx, retryMin+rand.N(retryMax-retryMin))
 	}
 	return ctx.Err()
@@ -108,6 +123,7 @@
 	}
 	before := f.reader.fold
 	caughtUp, err := f.reader.read(ctx, wait)
+	f.halted.Store(f.reader.fold.Halted())
 	if f.reader.fold != before {
 		f.tail.reset(f.reader.fold.Next())
 	}
@@ -116,6 +132,8 @@
 	}
 	now := f.clock.Now()
 	f.contact.Store(&now)
+	f.reach.reset()
+	f.judge()
 	// a view in the middle of catching up would be an old configuration
 	if caughtUp || f.view.Load() != nil {
 		f.publish()
@@ -129,6 +147,16 @@
 	return min(max(share, minWait), maxWait)
 }
 
+// judge decides anew whether the instance may serve by its view.
+func (f *Follower) judge() {
+	limit := f.wait() + readSlack + retryMax
+	s := f.reach.judge(f.clock.Now(), f.LogContact(), limit, f.peers.Members())
+	if old := f.Standing(); old != s {
+		_ = level.Warn(f.logger).Log("msg", "standing towards the log changed", "old", old, "new", s)
+	}
+	f.standing.Store(&s)
+}
+
 // publish replaces the view, unless nothing was folded since.
 func (f *Follower) publish() {
 	old := f.view.Load()
@@ -141,15 +169,9 @@
 	}
 }
 
-// caughtUpWithPeer publishes a first view of what a peer has no more of.
-func (f *Follower) caughtUpWithPeer(next galenastair.Offset) {
-	if f.view.Load() == nil && next == f.reader.fold.Next() {
-		f.publish()
-	}
-}
-
 func (f *Follower) record(rec galenastair.LogRecord, v Verdict) {
 	f.tail.add(rec)
+	f.noteSnapshot(rec, v)
 	if v.Outcome == Accepted {
 		_ = level.Info(f.logger).Log("msg", "configuration changed", "kind", v.Kind, "offset", v.Offset, "record", v.Record)
 		return
--- a/config/peers.go
+++ b/config/peers.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
@@ -17,33 +17,39 @@
 	ErrNoView = eris.New("no configuration is in force here yet")
 )
 
-// Peers reaches other instances for what they have folded; the highest offset wins.
+// askTimeout bounds one question to a peer: a dead one must not hold up the round.
+const askTimeout = time.Second
+
+// Answer is what one peer gave of a stream.
+type Answer struct {
+	Peer  Peer
+	Batch galenastair.Batch
+	// LogAge is how long ago the log answered the peer; it is negative if it never did.
+	LogAge time.Duration
+}
+
+// Peers reaches the other instances of the last known epoch.
 type Peers interface {
-	// ReadRecords returns the records from an offset on that some peer still holds.
-	ReadRecords(ctx context.Context, s galenastair.Stream, from galenastair.Offset) (galenastair.Batch, error)
-	// FetchFold returns the snapshot of some peer's fold.
-	FetchFold(ctx context.Context, s galenastair.Stream) ([]byte, error)
+	// Members lists them, without this one.
+	Members() []Peer
+	// ReadRecords asks some members of each availability zone for records from an
+	// offset on, and returns the answers that came in time.
+	ReadRecords(ctx context.Context, s galenastair.Stream, from galenastair.Offset) []Answer
+	// FetchFold asks one member for the snapshot of its fold.
+	FetchFold(ctx context.Context, s galenastair.Stream, p Peer) ([]byte, error)
 }
 
-// ReadRecords returns the last folded records from an offset on, for a peer.
-//
-// Failure: all instances start anew while the log is down. It would show as
-// entries that call every key unknown. The guard holds since an instance
-// without a view answers nobody, and so none takes an empty fold for the truth.
-func (f *Follower) ReadRecords(from galenastair.Offset) (galenastair.Batch, error) {
-	if f.view.Load() == nil {
-		return galenastair.Batch{}, ErrNoView
-	}
-	return f.tail.read(from), nil
+// noPeers is what an instance has that was told of none.
+type noPeers struct{}
+
+func (noPeers) Members() []Peer { return nil }
+
+func (noPeers) ReadRecords(context.Context, galenastair.Stream, galenastair.Offset) []Answer {
+	return nil
 }
 
-// FetchFold returns a snapshot of the newest view, for a peer.
-func (f *Follower) FetchFold() ([]byte, error) {
-	v := f.view.Load()
-	if v == nil {
-		return nil, ErrNoView
-	}
-	return v.Snapshot(), nil
+func (noPeers) FetchFold(context.Context, galenastair.Stream, Peer) ([]byte, error) {
+	return nil, ErrNoPeer
 }
 
 // askPeers takes from other instances what the log does not give now.
@@ -53,40 +59,42 @@
 // or that lets a withdrawn key in for as long as the outage lasts. The guard
 // holds since peers hold what they read before it, and only higher offsets are taken.
 func (f *Follower) askPeers(ctx context.Context) {
-	if f.peers == nil {
-		return
+	f.reach.ask(f.clock.Now())
+	answers := f.peers.ReadRecords(ctx, galenastair.ConfigurationStream, f.reader.fold.Next())
+	now := f.clock.Now()
+	var best *Answer
+	for i := range answers {
+		a := &answers[i]
+		f.reach.hear(now, a.Peer.AvailabilityZone, a.LogAge, a.LogAge >= 0)
+		if best == nil || a.Batch.Next > best.Batch.Next {
+			best = a
+		}
 	}
-	err := f.recordsFromPeers(ctx)
-	if errors.Is(err, galenastair.ErrExpired) {
-		err = f.foldFromPeers(ctx)
+	if best == nil {
+		return
 	}
-	if err != nil {
-		_ = level.Debug(f.logger).Log("msg", "no configuration from other instances", "err", err)
+	if err := f.take(ctx, best); err != nil {
+		_ = level.Warn(f.logger).Log("msg", "the configuration of another instance was not taken", "peer", best.Peer.ID, "err", err)
 	}
 }
 
-func (f *Follower) recordsFromPeers(ctx context.Context) error {
-	from := f.reader.fold.Next()
-	batch, err := f.peers.ReadRecords(ctx, galenastair.ConfigurationStream, from)
-	if err != nil {
-		return err
-	}
-	if batch.Next <= from {
-		f.caughtUpWithPeer(batch.Next)
+func (f *Follower) take(ctx context.Context, a *Answer) error {
+	next := f.reader.fold.Next()
+	switch {
+	case a.Batch.Next < next:
 		return nil
+	case a.Batch.Next > next && a.Batch.First > next:
+		return f.takeFold(ctx, a.Peer)
 	}
-	if batch.First > from {
-		return galenastair.ErrExpired
-	}
-	if err := f.reader.apply(batch.Records); err != nil {
+	if err := f.reader.apply(a.Batch.Records); err != nil {
 		return err
 	}
 	f.publish()
 	return nil
 }
 
-func (f *Follower) foldFromPeers(ctx context.Context) error {
-	data, err := f.peers.FetchFold(ctx, galenastair.ConfigurationStream)
+func (f *Follower) takeFold(ctx context.Context, p Peer) error {
+	data, err := f.peers.FetchFold(ctx, galenastair.ConfigurationStream, p)
 	if err != nil {
 		return err
 	}
--- a/config/recovery_test.go
+++ b/config/recovery_test.go
@@ -15,11 +15,17 @@
 // fakePeers answers as another follower would.
 type fakePeers struct{ of *Follower }
 
-func (p fakePeers) ReadRecords(_ context.Context, _ galenastair.Stream, from galenastair.Offset) (galenastair.Batch, error) {
-	return p.of.ReadRecords(from)
+func (p fakePeers) Members() []Peer { return []Peer{{ID: "other", AvailabilityZone: "z1"}} }
+
+func (p fakePeers) ReadRecords(_ context.Context, _ galenastair.Stream, from galenastair.Offset) []Answer {
+	b, err := p.of.ReadRecords(from)
+	if err != nil {
+		return nil
+	}
+	return []Answer{{Peer: p.Members()[0], Batch: b, LogAge: p.of.LogAge()}}
 }
 
-func (p fakePeers) FetchFold(context.Context, galenastair.Stream) ([]byte, error) {
+func (p fakePeers) FetchFold(context.Context, galenastair.Stream, Peer) ([]byte, error) {
 	return p.of.FetchFold()
 }
 
@@ -41,9 +47,9 @@
 	fill(l, 500)
 	old := NewFollower(l)
 	start(t, old)
-	is.NoErr(Republish(ctx, l, until(t, old, 501), "leader"))
+	is.NoErr(appendSnapshot(ctx, l, until(t, old, 501), "leader"))
 	l.add(testRecord("w", KindKeyWithdrawn, KeyWithdrawn{KeyHash: testKey(7)}))
-	is.NoErr(Republish(ctx, l, until(t, old, l.next()), "leader"))
+	is.NoErr(appendSnapshot(ctx, l, until(t, old, l.next()), "leader"))
 	l.add(testRecord("x", KindKeyWithdrawn, KeyWithdrawn{KeyHash: testKey(8)}))
 	l.expire(502)
 	want := until(t, old, l.next())
--- a/config/snapshots.go
+++ b/config/republish.go
@@ -32,11 +32,11 @@
 	return records, nil
 }
 
-// Republish appends a snapshot of the view; the leader calls it when SnapshotDue says so.
+// appendSnapshot appends a snapshot of the view.
 //
 // A lost append answer needs no care: a snapshot changes no fold, a second one
 // of the offset is identical, and an incomplete one is not used.
-func Republish(ctx context.Context, l galenastair.Log, v *View, author string) error {
+func appendSnapshot(ctx context.Context, l galenastair.Log, v *View, author string) error {
 	records, err := snapshotRecords(v, author)
 	if err != nil {
 		return err
--- /dev/null
+++ b/peer/record/record_test.go
@@ -0,0 +1,66 @@
+package record
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/config"
+)
+
+type fakeSource struct{ view bool }
+
+func (s fakeSource) ReadRecords(from galenastair.Offset) (galenastair.Batch, error) {
+	if !s.view {
+		return galenastair.Batch{}, config.ErrNoView
+	}
+	rec := galenastair.LogRecord{Offset: from, Data: []byte("data")}
+	return galenastair.Batch{Records: []galenastair.LogRecord{rec}, First: 3, Next: from + 1}, nil
+}
+
+func (s fakeSource) FetchFold() ([]byte, error) { return []byte("fold"), nil }
+
+func (s fakeSource) LogAge() time.Duration { return 5 * time.Second }
+
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// One peer has started and knows nothing, one is dead; the third must be enough.
+// Seen failing with perZone one, and with the age left out of the reply.
+func TestClientTakesWhoeverAnswers(t *testing.T) {
+	is := is.New(t)
+	source := func(view bool) http.Handler {
+		return NewServer(map[galenastair.Stream]Source{galenastair.ConfigurationStream: fakeSource{view}})
+	}
+	members := []config.Peer{
+		{ID: "a", AvailabilityZone: "z1", Address: serve(t, source(true))},
+		{ID: "b", AvailabilityZone: "z1", Address: "127.0.0.1:1"},
+		{ID: "c", AvailabilityZone: "z2", Address: serve(t, source(false))},
+	}
+	c := NewClient(func() []config.Peer { return members })
+	answers := c.ReadRecords(context.Background(), galenastair.ConfigurationStream, 7)
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Peer, members[0])
+	is.Equal(answers[0].LogAge, 5*time.Second)
+	is.Equal(answers[0].Batch, galenastair.Batch{
+		Records: []galenastair.LogRecord{{Offset: 7, Data: []byte("data")}}, First: 3, Next: 8,
+	})
+	fold, err := c.FetchFold(context.Background(), galenastair.ConfigurationStream, members[0])
+	is.NoErr(err)
+	is.Equal(string(fold), "fold")
+	is.Equal(len(c.ReadRecords(context.Background(), "other", 1)), 0)
+}
+
+func TestAge(t *testing.T) {
+	is := is.New(t)
+	is.True(decodeAge(encodeAge(-1)) < 0)
+	is.Equal(decodeAge(encodeAge(0)), time.Duration(0))
+}
--- /dev/null
+++ b/peer/recordpb/doc.go
@@ -0,0 +1,2 @@
+// Package recordpb holds the generated messages and twirp service Records.
+package recordpb
