The thin whole path: callers, entry, engines, services, as separate processes

Cause: nothing served a request yet. Callers' HTTP form, the life of a request (key, lease, permission, charge, claim, dispatch, answer), settings, operators' port, the assembly of an entry with membership, and make demo. Seen failing first: a key withdrawn in mid-answer was told NotRun although it had run (TestWithdrawnKeyEndsStream); a second server that was never reached counted as stopped by the request, so it was refused as poison (TestWholeAnswerAndTruthfulOutcome). Both fixed in the outcome rules. Ruled out: asking engines for plain answers, since a plain answer can neither show progress nor be resumed.

--- /dev/null
+++ b/caller/service.go
@@ -0,0 +1,124 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"galenastair"
+	"galenastair/request"
+)
+
+// connectionHeaders concern one connection alone and are not passed on; nor is
+// the key, which no backend server may see.
+var connectionHeaders = []string{
+	"Authorization", "Connection", "Cookie", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func passedHeaders(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		out.Del(strings.TrimSpace(name))
+	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+func (h *Handler) readServiceCall(w http.ResponseWriter, r *http.Request) (request.ServiceCall, error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return request.ServiceCall{}, err
+	}
+	idempotency, err := idempotencyKey(r)
+	if err != nil {
+		return request.ServiceCall{}, err
+	}
+	body, err := h.readBody(w, r)
+	if err != nil {
+		return request.ServiceCall{}, err
+	}
+	name := mux.Vars(r)["name"]
+	return request.ServiceCall{
+		ServiceCall: galenastair.ServiceCall{
+			ID:     contextID(r.Context()),
+			Method: r.Method,
+			Path:   strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+name),
+			Query:  r.URL.RawQuery,
+			Header: passedHeaders(r.Header),
+			Body:   body,
+		},
+		Service:        galenastair.ServiceName(name),
+		Key:            key,
+		IdempotencyKey: idempotency,
+		Deadline:       time.Now().Add(h.limits.Request),
+	}, nil
+}
+
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
+	call, err := h.readServiceCall(w, r)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	defer cancel()
+	answer, err := h.server.CallService(ctx, call)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	defer answer.Body.Close()
+	copyAnswer(w, answer)
+}
+
+// copyAnswer passes on a service's answer; if it is cut half way the connection
+// is broken, so that it does not look whole.
+func copyAnswer(w http.ResponseWriter, answer galenastair.ServiceAnswer) {
+	for name, values := range passedHeaders(answer.Header) {
+		if name == headerRequestID {
+			continue
+		}
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	n, err := io.Copy(w, answer.Body)
+	if err != nil || (answer.Length >= 0 && n != answer.Length) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// modelList is the form of GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID     galenastair.ModelName `json:"id"`
+	Object string                `json:"object"`
+}
+
+func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
+	key, err := keyOf(r)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	names, err := h.server.Models(key)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, n := range names {
+		list.Data = append(list.Data, modelItem{n, "model"})
+	}
+	writeJSON(w, list)
+}
--- /dev/null
+++ b/cmd/galenastair/cmd_contract.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+
+	"galenastair"
+	"galenastair/config"
+	"galenastair/contract"
+)
+
+var cmdContract = command{
+	name:    "contract",
+	summary: "publish, compare, list, show or withdraw contracts",
+	usage:   "publish|diff|list|show|withdraw (-settings FILE | -log ADDRESS) [FILE | ORGANISATION]",
+	run:     runContract,
+}
+
+func runContract(ctx context.Context, args []string, out, errOut io.Writer) error {
+	c := contractCommand{ctx: ctx, out: out, errOut: errOut}
+	return subcommand("contract", args, map[string]func([]string) error{
+		"publish":  c.publish,
+		"diff":     c.diff,
+		"list":     c.list,
+		"show":     c.show,
+		"withdraw": c.withdraw,
+	}, "publish, diff, list, show, withdraw")
+}
+
+// contractCommand is one run of galenastair contract.
+type contractCommand struct {
+	ctx    context.Context
+	out    io.Writer
+	errOut io.Writer
+	flags  *logFlags
+	base   int64
+	words  []string
+}
+
+// parse reads the flags and checks that the given number of words follows them.
+func (c *contractCommand) parse(name string, args []string, words int, what string) error {
+	f := flag.NewFlagSet("contract "+name, flag.ContinueOnError)
+	f.SetOutput(c.errOut)
+	c.flags = addLogFlags(f)
+	f.Int64Var(&c.base, "base", -1, "the revision that the change was made from; the present one if not given")
+	if err := parseFlags(f, args); err != nil {
+		return err
+	}
+	c.words = f.Args()
+	if len(c.words) != words {
+		return usageError("contract", "%s needs %s behind its flags", name, what)
+	}
+	return nil
+}
+
+// open reads the configuration; the returned function ends the time allowed.
+func (c *contractCommand) open() (*config.Publisher, *config.View, context.CancelFunc, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.flags.timeout)
+	p, v, err := c.flags.open(ctx, "contract")
+	if err != nil {
+		cancel()
+		return nil, nil, nil, err
+	}
+	c.ctx = ctx
+	return p, v, cancel, nil
+}
+
+func (c *contractCommand) publish(args []string) error {
+	if err := c.parse("publish", args, 1, "one FILE"); err != nil {
+		return err
+	}
+	next, err := readContract(c.words[0])
+	if err != nil {
+		return err
+	}
+	p, v, cancel, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if same, err := c.compare(v, next); err != nil || same {
+		return err
+	}
+	body := config.ContractPublished{Base: c.revision(v, next.Organisation), Contract: next}
+	return c.flags.change(c.ctx, p, config.KindContractPublished, body, c.out)
+}
+
+func (c *contractCommand) diff(args []string) error {
+	if err := c.parse("diff", args, 1, "one FILE"); err != nil {
+		return err
+	}
+	next, err := readContract(c.words[0])
+	if err != nil {
+		return err
+	}
+	_, v, cancel, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	_, err = c.compare(v, next)
+	return err
+}
+
+// compare shows the canonical form and the difference, and tells whether there is none.
+func (c *contractCommand) compare(v *config.View, next contract.Contract) (bool, error) {
+	var old contract.Contract
+	if present, found := v.Contract(next.Organisation); found {
+		old = *present
+	}
+	if len(next.KeyHashes) == 0 {
+		// a contract that lists no keys leaves them as they are
+		next.KeyHashes = old.KeyHashes
+	}
+	difference := contract.Diff(old, next)
+	latest := v.Latest(next.Organisation)
+	fmt.Fprintf(c.out, "%s# difference to revision %d\n", next.Canonical(), latest.Offset)
+	if difference == "" {
+		_, err := fmt.Fprintln(c.out, "# none: the contract is in force already")
+		return true, err
+	}
+	_, err := fmt.Fprint(c.out, difference)
+	return false, err
+}
+
+func (c *contractCommand) revision(v *config.View, o galenastair.Organisation) galenastair.Offset {
+	if c.base >= 0 {
+		return galenastair.Offset(c.base)
+	}
+	return v.Latest(o).Offset
+}
+
+func (c *contractCommand) list(args []string) error {
+	if err := c.parse("list", args, 0, "no words"); err != nil {
+		return err
+	}
+	_, v, cancel, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ORGANISATION\tREVISION\tAUTHOR\tRATE TOKENS PER SECOND\tBURST TOKENS\tKEYS\tMODELS\tSERVICES")
+	for _, o := range v.Organisations() {
+		k, _ := v.Contract(o)
+		latest := v.Latest(o)
+		fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\n", o, latest.Offset, latest.Author,
+			k.Rate, k.Burst, len(k.KeyHashes), len(k.Models), len(k.Services))
+	}
+	return w.Flush()
+}
+
+func (c *contractCommand) show(args []string) error {
+	if err := c.parse("show", args, 1, "one ORGANISATION"); err != nil {
+		return err
+	}
+	_, v, cancel, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	o := galenastair.Organisation(c.words[0])
+	latest := v.Latest(o)
+	k, found := v.Contract(o)
+	if !found {
+		return eris.Errorf("%q has no contract (last revision %d)", o, latest.Offset)
+	}
+	_, err = fmt.Fprintf(c.out, "# revision %d by %s\n%s", latest.Offset, latest.Author, k.Canonical())
+	return err
+}
+
+func (c *contractCommand) withdraw(args []string) error {
+	if err := c.parse("withdraw", args, 1, "one ORGANISATION"); err != nil {
+		return err
+	}
+	p, v, cancel, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	o := galenastair.Organisation(c.words[0])
+	k, found := v.Contract(o)
+	if !found {
+		return eris.Errorf("%q has no contract", o)
+	}
+	fmt.Fprintf(c.out, "# withdrawn with the contract, for good: %d keys\n%s", len(k.KeyHashes), contract.Diff(*k, contract.Contract{}))
+	body := config.ContractWithdrawn{Base: c.revision(v, o), Organisation: o}
+	return c.flags.change(c.ctx, p, config.KindContractWithdrawn, body, c.out)
+}
+
+func readContract(path string) (contract.Contract, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return contract.Contract{}, err
+	}
+	c, err := contract.Parse(text)
+	if err != nil {
+		return contract.Contract{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/cmd/galenastair/cmd_help.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+const helpName = "help"
+
+var cmdHelp = command{
+	name:    helpName,
+	summary: "list the commands, or show one",
+	usage:   "[COMMAND]",
+	run:     runHelp,
+}
+
+func runHelp(ctx context.Context, args []string, out, errOut io.Writer) error {
+	if len(args) == 0 {
+		writeHelp(out)
+		return nil
+	}
+	c, ok := find(args[0])
+	if !ok {
+		return usageError("", "no command %q", args[0])
+	}
+	fmt.Fprintf(out, "usage: galenastair %s %s\n\n%s\n", c.name, c.usage, c.summary)
+	if c.usage == "" || c.name == helpName {
+		return nil
+	}
+	// a command's flags are known to the command alone
+	fmt.Fprintln(out)
+	return c.run(ctx, []string{"-h"}, out, errOut)
+}
+
+func writeHelp(out io.Writer) {
+	fmt.Fprintln(out, "usage: galenastair COMMAND [ARGUMENTS]")
+	fmt.Fprintln(out)
+	for _, c := range commands {
+		fmt.Fprintf(out, "  %-10s %s\n", c.name, c.summary)
+	}
+	fmt.Fprintln(out, "\nrun 'galenastair help COMMAND' for the arguments of one")
+}
--- /dev/null
+++ b/cmd/galenastair/cmd_version.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+)
+
+// version is the release that CHANGELOG.md describes.
+const version = "0.1.0"
+
+var cmdVersion = command{
+	name:    "version",
+	summary: "print the version",
+	run:     runVersion,
+}
+
+func runVersion(_ context.Context, _ []string, out, _ io.Writer) error {
+	_, err := fmt.Fprintf(out, "galenastair %s (%s)\n", version, runtime.Version())
+	return err
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
+
+	"galenastair"
+	"galenastair/claim"
+	"galenastair/config"
+	"galenastair/control"
+	"galenastair/dispatch"
+	"galenastair/engine"
+	"galenastair/member"
+	"galenastair/operator"
+	"galenastair/platform"
+	"galenastair/rate"
+	"galenastair/request"
+	"galenastair/service"
+	"galenastair/settings"
+)
+
+// Entry is one instance of the system.
+type Entry struct {
+	settings   settings.Settings
+	logger     log.Logger
+	log        galenastair.Log
+	list       *platform.Client
+	loop       *control.Loop
+	follower   *config.Follower
+	members    *member.Runtime
+	dispatcher *dispatch.Dispatcher
+	services   *request.ServiceList
+	limiter    *rate.Limiter
+	claims     *claim.Keeper
+	engine     *engine.Client
+	server     *request.Server
+	metrics    *operator.Metrics
+	callers    *http.Server
+	fleet      fleet
+	stopping   stopping
+}
+
+// Option changes how an entry is made.
+type Option func(*Entry)
+
+// WithLogger says where decisions and events are logged.
+func WithLogger(l log.Logger) Option { return func(e *Entry) { e.logger = l } }
+
+// New returns an entry that does nothing until Run.
+func New(s settings.Settings, opts ...Option) *Entry {
+	e := &Entry{settings: s, logger: log.NewNopLogger(), metrics: operator.NewMetrics(), loop: control.NewLoop()}
+	for _, o := range opts {
+		o(e)
+	}
+	e.log = platform.New(s.Platform.LogAddress)
+	e.list = platform.New(s.Platform.InstanceListAddress)
+	e.engine = engine.New(engine.WithSilence(s.Engines.Progress))
+	e.follower = config.NewFollower(e.log, config.WithLogger(e.logger), config.WithFleet(e.fleet.entries))
+	e.members = member.New(e.log,
+		member.WithInstance(s.Instance.ID, s.Instance.AvailabilityZone, s.Instance.PeerAddress),
+		member.WithRegion(s.Instance.Region),
+		member.WithLoop(e.loop),
+		member.WithInstanceList(e.list),
+		member.WithLogger(e.logger),
+		member.WithRegisterer(e.metrics.Registry()),
+		member.WithConfigurationOffset(e.configurationOffset),
+	)
+	e.dispatcher = dispatch.New()
+	e.services = request.NewServiceList(s.Instance.AvailabilityZone)
+	e.limiter = rate.New(e.rateDuties, e.rateContracts)
+	e.claims = claim.New(claimDuties{e.members})
+	e.server = request.NewServer(request.Ports{
+		Configuration: e.follower,
+		Lease:         e,
+		Limiter:       limiter{e.limiter},
+		Claims:        claims{e.claims},
+		Dispatcher:    e.dispatcher,
+		Services:      e.services,
+		Poison:        claim.NewPoison(nil),
+		Retries:       e.dispatcher,
+		Engine:        e.engine,
+		Service:       service.New(),
+	}, request.WithLogger(e.logger), request.WithRecorder(e.metrics))
+	return e
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (e *Entry) Run(ctx context.Context) error {
+	var g run.Group
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	e.add(&g, work, "control", e.loop.Run)
+	e.add(&g, work, "membership", e.members.Run)
+	e.add(&g, work, "configuration", e.follower.Run)
+	e.add(&g, work, "withdrawals", e.endWithdrawn)
+	e.add(&g, work, "instances", e.followList)
+	e.add(&g, work, "reports", e.followReports)
+	e.add(&g, work, "rate", e.limiter.Run)
+	e.add(&g, work, "claims", e.claims.Run)
+	e.add(&g, work, "registration", e.register)
+	if err := e.listen(&g); err != nil {
+		return err
+	}
+	// the one actor that sees the signal: it stops serving in order, then the
+	// others end because it has
+	g.Add(func() error { return e.stopOn(ctx) }, func(error) { stopWork() })
+	return g.Run()
+}
+
+// add runs one part of the instance in the group; it ends with the group.
+func (e *Entry) add(g *run.Group, ctx context.Context, name string, part func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error {
+		err := part(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		e.logger.Log("event", "ended", "part", name, "err", err)
+		return err
+	}, func(error) { cancel() })
+}
+
+func (e *Entry) configurationOffset() galenastair.Offset {
+	if v := e.follower.View(); v != nil {
+		return v.Offset()
+	}
+	return 0
+}
+
+// endWithdrawn ends the requests of withdrawn keys at each change of configuration.
+func (e *Entry) endWithdrawn(ctx context.Context) error {
+	return e.server.Active().Follow(ctx, e.follower)
+}
+
+// register shows the platform that this instance lives, or is leaving.
+func (e *Entry) register(ctx context.Context) error {
+	err := e.list.Register(ctx, e.listed, func(err error) {
+		e.logger.Log("event", "register", "err", err)
+	})
+	withdraw, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if err := e.list.Withdraw(withdraw, string(e.settings.Instance.ID)); err != nil {
+		e.logger.Log("event", "withdraw", "err", err)
+	}
+	return err
+}
+
+func (e *Entry) listed() galenastair.ListedInstance {
+	return galenastair.ListedInstance{
+		ID:               string(e.settings.Instance.ID),
+		Role:             galenastair.RoleEntry,
+		Address:          e.settings.Instance.PeerAddress,
+		AvailabilityZone: e.settings.Instance.AvailabilityZone,
+		Leaving:          e.stopping.begun(),
+	}
+}
--- /dev/null
+++ b/entry/listen.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"galenastair/caller"
+	"galenastair/operator"
+)
+
+// listener is one of the instance's ports.
+type listener struct {
+	name   string
+	server *http.Server
+	net    net.Listener
+}
+
+func (e *Entry) listenOn(name, address string, h http.Handler) (*listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s port: is %s in use, or not an address of this machine?", name, address)
+	}
+	server := &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    e.settings.Callers.HeaderBytes,
+		ReadHeaderTimeout: e.settings.Callers.ReadHeader,
+		// a connection that a caller has lost track of frees its memory in the end
+		IdleTimeout: 2 * e.settings.Callers.Request,
+	}
+	return &listener{name, server, l}, nil
+}
+
+func (l *listener) serve() error {
+	err := l.server.Serve(l.net)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (e *Entry) listen(g *run.Group) error {
+	callers, err := e.listenOn("callers'", e.settings.Instance.CallerAddress, e.count(caller.NewHandler(e.server, caller.WithLimits(e.settings.Callers))))
+	if err != nil {
+		return err
+	}
+	peers, err := e.listenOn("peers'", e.settings.Instance.PeerAddress, e.peerHandler())
+	if err != nil {
+		return err
+	}
+	operators, err := e.listenOn("operators'", e.settings.Instance.OperatorAddress, operator.NewHandler(e, e.metrics))
+	if err != nil {
+		return err
+	}
+	e.callers = callers.server
+	e.serve(g, callers)
+	e.serve(g, peers)
+	e.serve(g, operators)
+	e.logger.Log("event", "listening", "callers", e.settings.Instance.CallerAddress, "peers", e.settings.Instance.PeerAddress, "operators", e.settings.Instance.OperatorAddress)
+	return nil
+}
+
+// serve adds a port to the group. Its goroutine waits for the group's end after
+// a graceful Shutdown too: else the callers' port, which closes first, would
+// stop the group while the last requests still run.
+func (e *Entry) serve(g *run.Group, l *listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		err := l.serve()
+		if err != nil {
+			return err
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		close(ended)
+		_ = l.server.Close()
+	})
+}
+
+// stopOn waits for the signal to stop, then stops in order: tell the platform,
+// so that the balancer sends no more; go on serving meanwhile; let the requests
+// under way end; only then leave.
+func (e *Entry) stopOn(ctx context.Context) error {
+	<-ctx.Done()
+	e.stopping.begin()
+	s := e.settings.Stop
+	e.logger.Log("event", "stopping", "notice", s.Notice, "timeout", s.Timeout, "requests", e.server.Active().Len())
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Notice+s.Timeout)
+	defer cancel()
+	e.stopping.notice(ctx, s.Notice)
+	// keep-alive connections get "Connection: close" with their next answer
+	e.callers.SetKeepAlivesEnabled(false)
+	err := e.callers.Shutdown(ctx)
+	// only now: requests under way needed the lease to their end
+	if err := e.members.Leave(ctx); err != nil {
+		e.logger.Log("event", "leave", "err", err)
+	}
+	e.logger.Log("event", "stopped", "requests", e.server.Active().Len(), "err", err)
+	return err
+}
--- /dev/null
+++ b/operator/metrics.go
@@ -0,0 +1,79 @@
+package operator
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenastair/request"
+)
+
+// the latency that users aim at for 95 of 100 requests.
+const (
+	aimFirstToken   = 1800 * time.Millisecond
+	aimBetweenToken = 64 * time.Millisecond
+)
+
+// Metrics counts how requests end.
+type Metrics struct {
+	registry     *prometheus.Registry
+	requests     *prometheus.CounterVec
+	attained     *prometheus.CounterVec
+	tokens       *prometheus.CounterVec
+	retries      prometheus.Counter
+	queued       prometheus.Histogram
+	firstToken   prometheus.Histogram
+	betweenToken prometheus.Histogram
+}
+
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_requests_total", Help: "Requests by how they ended; code is empty for a whole answer.",
+		}, []string{"organisation", "code", "outcome"}),
+		attained: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_requests_attained_total", Help: "Whole answers with the first token within 1.8 s and 64 ms between tokens.",
+		}, []string{"organisation"}),
+		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_tokens_total", Help: "Tokens that organisations were charged in the end.",
+		}, []string{"organisation"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenastair_retries_total", Help: "Attempts beyond the first of a request.",
+		}),
+		queued:       histogram("galenastair_queued_seconds", "Time from a request's arrival to its being sent."),
+		firstToken:   histogram("galenastair_first_token_seconds", "Time from a request's arrival to its first token."),
+		betweenToken: histogram("galenastair_between_token_seconds", "Mean time between the tokens of an answer."),
+	}
+	m.registry.MustRegister(m.requests, m.attained, m.tokens, m.retries, m.queued, m.firstToken, m.betweenToken)
+	return m
+}
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+	})
+}
+
+// Registry returns the registry, for others to add their metrics to.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+// RequestEnded counts one request.
+func (m *Metrics) RequestEnded(e request.Ending) {
+	organisation := string(e.Organisation)
+	m.requests.WithLabelValues(organisation, string(e.Code), string(e.Outcome)).Inc()
+	m.tokens.WithLabelValues(organisation).Add(float64(e.Used))
+	if e.Attempts > 1 {
+		m.retries.Add(float64(e.Attempts - 1))
+	}
+	if e.FirstToken == 0 {
+		return
+	}
+	m.queued.Observe(e.Queued.Seconds())
+	m.firstToken.Observe(e.FirstToken.Seconds())
+	m.betweenToken.Observe(e.BetweenToken.Seconds())
+	if e.Code == "" && e.FirstToken <= aimFirstToken && e.BetweenToken <= aimBetweenToken {
+		m.attained.WithLabelValues(organisation).Inc()
+	}
+}
--- a/refusal.go
+++ b/refusal.go
@@ -83,6 +83,18 @@
 	return &Refusal{Cause: cause, Outcome: NotRun, RetryAfter: retryAfter, Detail: detail}
 }
 
+// After returns the refusal as it must be told once the request has reached an
+// outcome: a key withdrawn in mid-answer refuses a request that has run, and
+// "not run" would make its caller send it again.
+func (r *Refusal) After(o Outcome) *Refusal {
+	if r.Outcome != NotRun || o == NotRun {
+		return r
+	}
+	told := *r
+	told.Outcome = o
+	return &told
+}
+
 // Error returns the cause and its detail.
 func (r *Refusal) Error() string {
 	if r.Detail == "" {
--- /dev/null
+++ b/request/fake_test.go
@@ -0,0 +1,239 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/claim"
+	"galenastair/config"
+	"galenastair/contract"
+	"galenastair/dispatch"
+)
+
+const testKey = "furnir-key"
+
+// fakeConfiguration holds a fold that the test appends to.
+type fakeConfiguration struct {
+	t    *testing.T
+	fold *config.Fold
+	view *config.View
+}
+
+func newConfiguration(t *testing.T) *fakeConfiguration {
+	f := &fakeConfiguration{t: t, fold: config.NewFold()}
+	f.apply(config.KindContractPublished, config.ContractPublished{Contract: contract.Contract{
+		Organisation: "Furnir", Rate: 1000, Burst: 10000,
+		Models: []galenastair.ModelName{"m"}, Services: []galenastair.ServiceName{"bids"},
+	}})
+	f.apply(config.KindKeyGiven, config.KeyGiven{Organisation: "Furnir", KeyHash: galenastair.HashKey(testKey)})
+	return f
+}
+
+func (f *fakeConfiguration) apply(kind galenastair.RecordKind, body any) {
+	is := is.New(f.t)
+	r, err := config.NewRecord(kind, "test", body)
+	is.NoErr(err)
+	data, err := json.Marshal(r)
+	is.NoErr(err)
+	v := f.fold.Apply(galenastair.LogRecord{Offset: f.fold.Next(), Data: data})
+	is.Equal(v.Outcome, config.Accepted)
+	f.view = f.fold.View()
+}
+
+func (f *fakeConfiguration) View() *config.View { return f.view }
+
+type fakeLease struct{ lapsed bool }
+
+func (l *fakeLease) Holds(time.Time) bool { return !l.lapsed }
+
+type fakeLimiter struct{ charged, used galenastair.Tokens }
+
+func (l *fakeLimiter) Charge(_ context.Context, _ galenastair.Organisation, t galenastair.Tokens, _ galenastair.RequestID) (Charge, error) {
+	l.charged += t
+	return l, nil
+}
+
+func (l *fakeLimiter) Settle(t galenastair.Tokens) { l.used += t }
+
+type fakeClaims struct {
+	held     map[galenastair.IdempotencyKey]bool
+	finished []galenastair.Outcome
+}
+
+func (c *fakeClaims) Begin(_ context.Context, _ galenastair.Organisation, key galenastair.IdempotencyKey, _ claim.Digest, _ galenastair.RequestID) (Claim, error) {
+	if c.held[key] {
+		return nil, &galenastair.Refusal{Cause: galenastair.ErrDuplicate, Outcome: galenastair.Ran}
+	}
+	c.held[key] = true
+	return c, nil
+}
+
+func (c *fakeClaims) Finish(o galenastair.Outcome) { c.finished = append(c.finished, o) }
+
+type yesBudget struct{}
+
+func (yesBudget) MayRetry() bool { return true }
+
+// attempt is what an engine does with one connection.
+type attempt struct {
+	refuse error
+	chunks int
+	// cut is the error after the chunks; nil ends the answer whole.
+	cut error
+	// before runs ahead of each chunk.
+	before func(sequence int64)
+}
+
+// fakeEngine plays one attempt for each connection, in order.
+type fakeEngine struct {
+	mu       sync.Mutex
+	attempts []attempt
+	servers  []string
+	resumed  []int64
+	canceled int
+	galenastair.Engine
+}
+
+func (e *fakeEngine) next(ctx context.Context, server string, after int64) (galenastair.AnswerStream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.attempts) == 0 {
+		return nil, errors.New("no attempt left")
+	}
+	a := e.attempts[0]
+	e.attempts = e.attempts[1:]
+	e.servers = append(e.servers, server)
+	if a.refuse != nil {
+		return nil, a.refuse
+	}
+	return &fakeStream{ctx: ctx, attempt: a, at: after}, nil
+}
+
+func (e *fakeEngine) Complete(ctx context.Context, server string, _ galenastair.Completion) (galenastair.AnswerStream, error) {
+	return e.next(ctx, server, 0)
+}
+
+func (e *fakeEngine) Resume(ctx context.Context, server string, _ galenastair.RequestID, after int64) (galenastair.AnswerStream, error) {
+	e.resumed = append(e.resumed, after)
+	return e.next(ctx, server, after)
+}
+
+func (e *fakeEngine) Cancel(context.Context, string, galenastair.RequestID) error {
+	e.canceled++
+	return nil
+}
+
+type fakeStream struct {
+	ctx context.Context
+	attempt
+	at    int64
+	given int
+	ended bool
+}
+
+func (s *fakeStream) Next() (galenastair.Chunk, error) {
+	if err := s.ctx.Err(); err != nil {
+		return galenastair.Chunk{}, err
+	}
+	if s.given < s.chunks {
+		s.given++
+		s.at++
+		if s.before != nil {
+			s.before(s.at)
+		}
+		return galenastair.Chunk{Sequence: s.at, Data: fmt.Appendf(nil, "%d", s.at)}, nil
+	}
+	if s.cut != nil {
+		return galenastair.Chunk{}, s.cut
+	}
+	if s.ended {
+		return galenastair.Chunk{}, io.EOF
+	}
+	s.ended = true
+	return galenastair.Chunk{Sequence: s.at + 1, End: true}, nil
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+// textSink keeps what a caller would read.
+type textSink struct {
+	text  string
+	ended bool
+}
+
+func (s *textSink) Chunk(c galenastair.Chunk) error {
+	s.text += string(c.Data)
+	s.ended = s.ended || c.End
+	return nil
+}
+
+// bench is a server over fakes, with two engines that have the model ready.
+type bench struct {
+	configuration *fakeConfiguration
+	lease         *fakeLease
+	limiter       *fakeLimiter
+	claims        *fakeClaims
+	engine        *fakeEngine
+	service       *fakeService
+	server        *Server
+}
+
+func newBench(t *testing.T, attempts ...attempt) *bench {
+	b := &bench{
+		configuration: newConfiguration(t),
+		lease:         &fakeLease{},
+		limiter:       &fakeLimiter{},
+		claims:        &fakeClaims{held: map[galenastair.IdempotencyKey]bool{}},
+		engine:        &fakeEngine{attempts: attempts},
+		service:       &fakeService{},
+	}
+	d := dispatch.New()
+	d.SetServers([]dispatch.Server{{ID: "e1", Address: "e1"}, {ID: "e2", Address: "e2"}})
+	for _, id := range []galenastair.BackendServerID{"e1", "e2"} {
+		d.Report(galenastair.EngineReport{BackendServer: id, Loaded: []galenastair.LoadedWeight{
+			{Weight: galenastair.Weight{Name: "m"}, State: galenastair.Ready},
+		}})
+	}
+	services := NewServiceList("zone-a")
+	services.Set([]galenastair.ListedInstance{{ID: "s1", Service: "bids"}, {ID: "s2", Service: "bids"}})
+	b.server = NewServer(Ports{
+		Configuration: b.configuration,
+		Lease:         b.lease,
+		Limiter:       b.limiter,
+		Claims:        b.claims,
+		Dispatcher:    d,
+		Services:      services,
+		Poison:        claim.NewPoison(nil),
+		Retries:       yesBudget{},
+		Engine:        b.engine,
+		Service:       b.service,
+	})
+	return b
+}
+
+func (b *bench) call() Call {
+	return Call{
+		ID: "r", Key: galenastair.HashKey(testKey), Model: "m", Body: []byte(`{"model":"m"}`),
+		PromptTokens: 10, OutputTokens: 90, Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+type fakeService struct{ errs []error }
+
+func (s *fakeService) Call(context.Context, string, galenastair.ServiceCall) (galenastair.ServiceAnswer, error) {
+	if len(s.errs) == 0 {
+		return galenastair.ServiceAnswer{Status: 200, Body: io.NopCloser(nil)}, nil
+	}
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	return galenastair.ServiceAnswer{}, err
+}
