--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,15 +93,15 @@
 	var g run.Group
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	e.add(&g, work, "control", e.loop.Run)
-	e.add(&g, work, "membership", e.members.Run)
-	e.add(&g, work, "configuration", e.follower.Run)
-	e.add(&g, work, "withdrawals", e.endWithdrawn)
-	e.add(&g, work, "instances", e.followList)
-	e.add(&g, work, "reports", e.followReports)
-	e.add(&g, work, "rate", e.limiter.Run)
-	e.add(&g, work, "claims", e.claims.Run)
-	e.add(&g, work, "registration", e.register)
+	e.add(work, &g, "control", e.loop.Run)
+	e.add(work, &g, "membership", e.members.Run)
+	e.add(work, &g, "configuration", e.follower.Run)
+	e.add(work, &g, "withdrawals", e.endWithdrawn)
+	e.add(work, &g, "instances", e.followList)
+	e.add(work, &g, "reports", e.followReports)
+	e.add(work, &g, "rate", e.limiter.Run)
+	e.add(work, &g, "claims", e.claims.Run)
+	e.add(work, &g, "registration", e.register)
 	if err := e.listen(&g); err != nil {
 		return err
 	}
@@ -112,15 +112,15 @@
 }
 
 // add runs one part of the instance in the group; it ends with the group.
-func (e *Entry) add(g *run.Group, ctx context.Context, name string, part func(context.Context) error) {
+func (e *Entry) add(ctx context.Context, g *run.Group, name string, part func(context.Context) error) {
 	ctx, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		err := part(ctx)
-		if ctx.Err() != nil {
-			return nil
+		if ctx.Err() == nil {
+			e.logger.Log("event", "ended", "part", name, "err", err)
+			return err
 		}
-		e.logger.Log("event", "ended", "part", name, "err", err)
-		return err
+		return nil
 	}, func(error) { cancel() })
 }
 
