queue, route, dispatch: fair queueing, routing with affinity and peer comparison

The thin path's dispatcher was first come, least in flight. Requests now wait in a queue for each model, fair by organisation and weighted by contract rate (start-time fair queueing); what can't be served by its deadline is refused when it comes. Each backend server is shared between its models by a second tag (turn), since queues fair by themselves still let a flood of one model take the slots of another. Weighed: one virtual time for the whole entry (an uncontended model's traffic pushes it past another model's backlog), virtual clock by real rate (an entry sees only its part of an organisation's traffic). Routing: prefix affinity bounded by load, better of two, AIMD window on what an entry has in flight, slow and silent backend servers taken out by comparison, at most a third of them.

--- /dev/null
+++ b/dispatch/core_test.go
@@ -0,0 +1,211 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func newCore(servers int, models ...galenastair.ModelName) *Core {
+	c := NewCore(rand.New(rand.NewPCG(1, 2)))
+	c.SetServers(start, list(servers))
+	for i := range servers {
+		c.Report(start, report(i, models...))
+	}
+	return c
+}
+
+func list(n int) []Server {
+	var out []Server
+	for i := range n {
+		out = append(out, Server{ID: galenastair.BackendServerID(fmt.Sprint(i)), Address: fmt.Sprint("10.0.0.", i)})
+	}
+	return out
+}
+
+func report(i int, models ...galenastair.ModelName) galenastair.EngineReport {
+	r := galenastair.EngineReport{BackendServer: galenastair.BackendServerID(fmt.Sprint(i))}
+	for _, m := range models {
+		r.Loaded = append(r.Loaded, galenastair.LoadedWeight{Weight: galenastair.Weight{Name: m}, State: galenastair.Ready})
+	}
+	return r
+}
+
+func request(o string, m galenastair.ModelName) Request {
+	return Request{Organisation: galenastair.Organisation(o), Weight: 100, Model: m, PromptTokens: 50, OutputTokens: 50}
+}
+
+// Two organisations call different models on the same accelerator; one sends five
+// times as much. Both queues are fair by themselves, yet the other's callers wait
+// behind the flood, since slots went to whichever queue was looked at first. Seen
+// failing with turn.charge doing nothing.
+func TestModelsOnOneBackendServerShareIt(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, "a", "b")
+	var running []*Ticket
+	served := map[galenastair.ModelName]int{}
+	collect := func() {
+		for _, d := range c.Poll() {
+			is.Equal(d.Err, nil)
+			running = append(running, d.Ticket)
+			served[d.Ticket.Request.Model]++
+		}
+	}
+	for range 100 {
+		c.Submit(start, request("flood", "a"))
+	}
+	for range 20 {
+		c.Submit(start, request("calm", "b"))
+	}
+	for range 40 {
+		collect()
+		c.Done(start, running[0], Result{OutputTokens: 50})
+		running = running[1:]
+	}
+	is.Equal(served["b"], 20)
+}
+
+// A caller whose first backend server failed is tried elsewhere; the request that
+// may go to no other copy must not hold up those behind it. Seen failing with the
+// case of len(q.Exclude) > 0 left out of drainModel.
+func TestExcludedRequestHoldsUpNobody(t *testing.T) {
+	is := is.New(t)
+	c := newCore(2, "m")
+	var tickets []*Ticket
+	for {
+		c.Submit(start, request("a", "m"))
+		ds := c.Poll()
+		if len(ds) == 0 {
+			break // both windows are full and one request waits
+		}
+		tickets = append(tickets, ds[0].Ticket)
+	}
+	again := request("a", "m")
+	again.Exclude = []galenastair.BackendServerID{"0"}
+	again.Weight = 100_000 // its turn comes first
+	again.Organisation = "b"
+	c.Submit(start, again)
+	for _, tk := range tickets {
+		if tk.server == "0" {
+			c.Done(start, tk, Result{})
+			break
+		}
+	}
+	ds := c.Poll()
+	is.Equal(len(ds), 1)
+	is.Equal(ds[0].Choice.Reason, route.SlotFreed)
+	is.Equal(ds[0].Choice.Server, galenastair.BackendServerID("0"))
+	for _, tk := range tickets {
+		if tk.server == "0" && tk.state == running {
+			c.Done(start, tk, Result{})
+			break
+		}
+	}
+	is.Equal(len(c.Poll()), 0) // only the excluded one waits
+	c.Submit(start, request("a", "m"))
+	is.Equal(len(c.Poll()), 1) // and the next goes past it
+	again.Exclude = []galenastair.BackendServerID{"0", "1"}
+	c.Submit(start, again)
+	ds = c.Poll()
+	is.True(errors.Is(ds[0].Err, galenastair.ErrNoBackendServer))
+}
+
+// The only copy moves and is out of sight for a moment: callers wait a little and
+// are answered; if none appears they are refused, truthfully not run.
+func TestWaitsForACopyOutOfSight(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1)
+	c.Submit(start, request("a", "m"))
+	is.Equal(len(c.Poll()), 0)
+	c.Report(start.Add(time.Second), report(0, "m"))
+	ds := c.Poll()
+	is.Equal(len(ds), 1)
+	is.Equal(ds[0].Err, nil)
+	c.Submit(start, request("a", "n"))
+	c.Expire(start.Add(copyGrace), "n")
+	ds = c.Poll()
+	is.True(errors.Is(ds[0].Err, galenastair.ErrNoBackendServer))
+	is.Equal(ds[0].Err.Outcome, galenastair.NotRun)
+	is.Equal(c.Waiting(), 0)
+}
+
+// Entries must not die of a flood: what waits is bounded over all models together.
+func TestWaitingIsBounded(t *testing.T) {
+	is := is.New(t)
+	models := []galenastair.ModelName{"a", "b", "c", "d", "e", "f"}
+	c := newCore(1, models...)
+	for i := range 4000 {
+		c.Submit(start, request("flood", models[i%len(models)]))
+		is.True(c.Waiting() <= maxWaiting)
+	}
+}
+
+// When every backend server fails, tries beyond the first are a part of the
+// traffic. Seen failing with Spend always true.
+func TestRetriesStayAPartOfTheTraffic(t *testing.T) {
+	is := is.New(t)
+	b := NewRetryBudget()
+	retries := 0
+	for range 1000 {
+		b.Earn()
+		for b.Spend() {
+			retries++
+		}
+	}
+	is.True(retries <= retryReserve+1000*retryShare)
+	is.True(retries >= 1000*retryShare)
+}
+
+// A caller hangs up while its request waits, or in the moment of its grant: the
+// room must come back, else the backend server's window shrinks for good. Seen
+// failing without Cancel, without the release in giveUp, and with Done counted twice.
+func TestGivingUpLosesNoRoom(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.SetServers(list(1))
+	d.Report(report(0, "m"))
+	var grants []*Grant
+	for range 4 {
+		g, err := d.Acquire(context.Background(), request("a", "m"))
+		is.NoErr(err)
+		grants = append(grants, g)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := make(chan error, 10)
+	for range cap(gone) {
+		go func() {
+			_, err := d.Acquire(ctx, request("a", "m"))
+			gone <- err
+		}()
+	}
+	for d.Waiting() < cap(gone) {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	for i := range cap(gone) {
+		if i < len(grants) {
+			grants[i].Release(Result{})
+			grants[i].Release(Result{}) // a second release frees nothing more
+		}
+		is.True(errors.Is(<-gone, context.Canceled))
+	}
+	is.Equal(d.Waiting(), 0)
+	for range 4 {
+		_, err := d.Acquire(context.Background(), request("a", "m"))
+		is.NoErr(err)
+	}
+	late := request("a", "m")
+	late.Deadline = time.Now().Add(20 * time.Millisecond)
+	_, err := d.Acquire(context.Background(), late)
+	is.True(errors.Is(err, galenastair.ErrOverloaded))
+}
--- /dev/null
+++ b/queue/flow.go
@@ -0,0 +1,57 @@
+package queue
+
+import (
+	"slices"
+
+	"galenastair"
+)
+
+// flow is one organisation's part of a queue. Tags count seconds of the
+// organisation's own contract rate, so tags of small and large ones compare.
+type flow struct {
+	organisation galenastair.Organisation
+	weight       float64
+	// start is the tag of the first waiting item.
+	start float64
+	// finish is the tag at which the item taken last ends.
+	finish float64
+	items  []*Item
+	cost   float64
+}
+
+func newFlow(it *Item) *flow {
+	return &flow{organisation: it.Organisation}
+}
+
+// setWeight follows changes of the contract; a rate of nothing still gets a trickle.
+func (f *flow) setWeight(w galenastair.TokensPerSecond) {
+	f.weight = max(1, float64(w))
+}
+
+// insert keeps the items of one organisation in order of deadline, and those of
+// one deadline in order of arrival.
+func (f *flow) insert(it *Item) {
+	i := len(f.items)
+	for i > 0 && sooner(it, f.items[i-1]) {
+		i--
+	}
+	f.items = slices.Insert(f.items, i, it)
+	f.cost += float64(it.Cost)
+}
+
+func sooner(a, b *Item) bool {
+	if a.Deadline.IsZero() {
+		return false
+	}
+	return b.Deadline.IsZero() || a.Deadline.Before(b.Deadline)
+}
+
+func (f *flow) remove(i int) *Item {
+	it := f.items[i]
+	f.items = slices.Delete(f.items, i, i+1)
+	f.cost -= float64(it.Cost)
+	return it
+}
+
+// excess is how many seconds of its own rate the organisation has waiting.
+func (f *flow) excess() float64 { return f.cost / f.weight }
--- /dev/null
+++ b/queue/item.go
@@ -0,0 +1,25 @@
+package queue
+
+import (
+	"time"
+
+	"galenastair"
+)
+
+// Item is one waiting request.
+type Item struct {
+	ID           galenastair.RequestID
+	Organisation galenastair.Organisation
+	// Weight is the contract's rate.
+	Weight galenastair.TokensPerSecond
+	// Cost is what the request takes of its organisation's share.
+	Cost galenastair.Tokens
+	// Deadline is when the first token is no longer of use; zero for none.
+	Deadline time.Time
+}
+
+// Refused is an item that leaves the queue unserved.
+type Refused struct {
+	Item *Item
+	Err  *galenastair.Refusal
+}
--- a/route/reason.go
+++ b/route/reason.go
@@ -9,10 +9,12 @@
 	OnlyCopy Reason = "OnlyCopy"
 	// PrefixAffinity says that the prompt's prefix is probably cached there.
 	PrefixAffinity Reason = "PrefixAffinity"
-	// BetterOfTwo says that it was the less loaded of two drawn at random.
+	// BetterOfTwo says that it was the less loaded of two.
 	BetterOfTwo Reason = "BetterOfTwo"
 	// SlotFreed says that the request waited until this backend server had room.
 	SlotFreed Reason = "SlotFreed"
 	// Probe says that a backend server taken out earlier is tried again.
 	Probe Reason = "Probe"
+	// NoneHealthy says that every copy is on a backend server that was taken out.
+	NoneHealthy Reason = "NoneHealthy"
 )
--- /dev/null
+++ b/route/review.go
@@ -0,0 +1,99 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// reviewPeriod is how often peers are compared. A slow backend server is seen
+// after a few answers, about a second; comparing at each request would cost more
+// than the choice itself at 270 replicas.
+const reviewPeriod = 250 * time.Millisecond
+
+// Review compares all backend servers and takes out the slow, failing and silent
+// ones. It is made for one that hangs or limps while its peers are well: without
+// it a share of all callers would meet it again and again, and since it holds its
+// requests longest, least-in-flight alone reacts only once its window is full.
+func (r *Router) Review(now time.Time) {
+	if now.Sub(r.reviewed) < reviewPeriod {
+		return
+	}
+	r.reviewed = now
+	usual := r.usual(now)
+	out := 0
+	for _, s := range r.list {
+		if s.health.out {
+			out++
+		}
+	}
+	for _, s := range r.list {
+		if s.health.out || float64(out+1) > max(1, largestShareOut*float64(len(r.list))) {
+			continue
+		}
+		if usual.exceeded(now, s) {
+			s.health.takeOut(now)
+			s.window.cut()
+			out++
+		}
+	}
+}
+
+// peers holds the medians that a backend server is compared with.
+type peers struct {
+	slowness  float64
+	first     time.Duration
+	reportAge time.Duration
+	failing   int
+	compared  int
+}
+
+func (r *Router) usual(now time.Time) peers {
+	slow := r.scratch[:0]
+	firsts := make([]time.Duration, 0, len(r.list))
+	ages := make([]time.Duration, 0, len(r.list))
+	p := peers{compared: len(r.list)}
+	for _, s := range r.list {
+		if s.health.samples > 0 {
+			slow = append(slow, s.health.slowness)
+			firsts = append(firsts, s.health.first)
+		}
+		if s.health.failures > 0 {
+			p.failing++
+		}
+		ages = append(ages, now.Sub(s.reported))
+	}
+	p.slowness = median(slow)
+	p.first = median(firsts)
+	p.reportAge = median(ages)
+	r.scratch = slow
+	return p
+}
+
+func (p peers) exceeded(now time.Time, s *server) bool {
+	h := &s.health
+	if p.compared < 2 {
+		return false
+	}
+	if h.failures >= failuresOut && 2*p.failing <= p.compared {
+		return true
+	}
+	if h.samples >= slowSamples && h.slowness > slowFactor*p.slowness {
+		return true
+	}
+	silence := max(silentFloor, silentFactor*p.first)
+	if h.waiting > 0 && now.Sub(h.since) > silence {
+		return true
+	}
+	age := now.Sub(s.reported)
+	return age > reportSilence && age > 2*p.reportAge
+}
+
+// median is the lower one of two in the middle: of two backend servers, the slow
+// one must not be the measure that it is compared with.
+func median[T float64 | time.Duration](xs []T) T {
+	if len(xs) == 0 {
+		return 0
+	}
+	slices.Sort(xs)
+	return xs[(len(xs)-1)/2]
+}
--- /dev/null
+++ b/route/window.go
@@ -0,0 +1,71 @@
+package route
+
+import (
+	"time"
+
+	"galenastair"
+)
+
+const (
+	// firstWindow is what an entry has in flight at a backend server that it
+	// knows nothing of: with 9 entries it fills a batch of some 32 together.
+	firstWindow = 4
+	// largestWindow bounds the window of a backend server that never reports a
+	// queue, beyond any batch that a present engine runs.
+	largestWindow = 512
+	// windowStep is the additive growth for a report that shows no queue.
+	windowStep = 1
+	// windowCut is the multiplicative cut for one that does. Entries share each
+	// backend server without knowing of one another; adding and multiplying is
+	// what makes their windows meet at equal shares.
+	windowCut = 0.8
+	// queueTolerance is how much of the running batch may wait in the engine: a
+	// few keep it busy between two reports, more would wait in an order that no
+	// entry's fair queue has a say in.
+	queueTolerance = 0.1
+)
+
+// gapTarget is the time between tokens above which a window is cut. The callers
+// are promised 64 ms; an engine's step grows with its batch, so the batch stops
+// growing a little before.
+const gapTarget = 58 * time.Millisecond
+
+// window bounds an entry's own requests at one backend server. It is made for
+// several entries sending more than an engine can batch: what is beyond waits in
+// the entries, where it can be ordered fairly, refused and moved, and not in the
+// engine, where it can't.
+type window struct {
+	limit float64
+	used  bool
+}
+
+func (w *window) size() int { return max(1, int(w.limit)) }
+
+// note tells the window that a request was sent with so many in flight.
+func (w *window) note(inFlight int) {
+	if inFlight >= w.size()-1 {
+		w.used = true
+	}
+}
+
+// follow adapts the window to a report. It grows only when it was used, else an
+// idle hour would leave it wide open for the next burst.
+func (w *window) follow(r galenastair.EngineReport) {
+	tolerated := 1 + queueTolerance*float64(r.Running)
+	switch {
+	case float64(r.Waiting) > tolerated:
+		w.cut()
+	case w.used:
+		w.limit = min(largestWindow, w.limit+windowStep)
+	}
+	w.used = false
+}
+
+// gap adapts the window to the time between the tokens of one answer.
+func (w *window) gap(between time.Duration) {
+	if between > gapTarget {
+		w.limit = max(1, w.limit-windowStep)
+	}
+}
+
+func (w *window) cut() { w.limit = max(1, w.limit*windowCut) }
