--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROTOC_GEN_TWIRP_VERSION = v8.1.3+incompatible
 TOOLS = $(CURDIR)/.tools/bin
 
-.PHONY: all build test lint fmt generate demo clean
+.PHONY: all build test lint fmt generate demo clean proof
 
 all: build
 
@@ -41,3 +41,12 @@
 
 clean:
 	rm -rf bin out
+
+# make proof SEED=n repeats one run; the default runs several seeds
+SEEDS ?= 1 2 3 4 5 6
+PROOF_LENGTH ?= 100s
+PROOF_PACE ?= 2s
+proof: build
+	@failed=0; for seed in $(if $(SEED),$(SEED),$(SEEDS)); do \
+		bash scenario/proof.sh $$seed $(PROOF_LENGTH) $(PROOF_PACE) || failed=1; \
+	done; exit $$failed
--- a/caller/ask.go
+++ b/caller/ask.go
@@ -16,10 +16,14 @@
 
 // Question is one request as the command line and the tests send it.
 type Question struct {
-	Entry          string
-	Key            string
-	Model          galenastair.ModelName
-	Service        string
+	Entry   string
+	Key     string
+	Model   galenastair.ModelName
+	Service string
+	// Method is POST unless given; it counts for services alone.
+	Method string
+	// Prompt asks for the completion of Text instead of a chat about it.
+	Prompt         bool
 	Text           string
 	MaxTokens      galenastair.Tokens
 	Stream         bool
@@ -36,15 +40,31 @@
 	// Whole says that the answer came with its end mark, or was not streamed.
 	Whole bool
 	Text  string
+	Usage Usage
 	// RetryAfter is the header of that name, in seconds; empty if there was none.
 	RetryAfter string
 }
 
+// Usage is what an engine counted.
+type Usage struct {
+	PromptTokens     galenastair.Tokens `json:"prompt_tokens"`
+	CompletionTokens galenastair.Tokens `json:"completion_tokens"`
+}
+
+type promptBody struct {
+	Model         galenastair.ModelName `json:"model"`
+	Stream        bool                  `json:"stream"`
+	StreamOptions *streamOptions        `json:"stream_options,omitempty"`
+	MaxTokens     galenastair.Tokens    `json:"max_tokens"`
+	Prompt        string                `json:"prompt"`
+}
+
 type questionBody struct {
-	Model     galenastair.ModelName `json:"model"`
-	Stream    bool                  `json:"stream"`
-	MaxTokens galenastair.Tokens    `json:"max_tokens"`
-	Messages  []questionMessage     `json:"messages"`
+	Model         galenastair.ModelName `json:"model"`
+	Stream        bool                  `json:"stream"`
+	StreamOptions *streamOptions        `json:"stream_options,omitempty"`
+	MaxTokens     galenastair.Tokens    `json:"max_tokens"`
+	Messages      []questionMessage     `json:"messages"`
 }
 
 type questionMessage struct {
@@ -84,17 +104,33 @@
 	return r, nil
 }
 
-func (q Question) request(ctx context.Context) (*http.Request, error) {
-	path, body := "/services/"+q.Service, []byte(q.Text)
-	if q.Service == "" {
-		path = "/v1/chat/completions"
-		var err error
-		body, err = json.Marshal(questionBody{q.Model, q.Stream, q.MaxTokens, []questionMessage{{"user", q.Text}}})
-		if err != nil {
-			return nil, err
+// target returns where the question goes and what it says.
+func (q Question) target() (method, path string, body []byte, err error) {
+	if q.Service != "" {
+		method = http.MethodPost
+		if q.Method != "" {
+			method = q.Method
 		}
+		return method, "/services/" + q.Service, []byte(q.Text), nil
+	}
+	var options *streamOptions
+	if q.Stream {
+		options = &streamOptions{IncludeUsage: true}
+	}
+	if q.Prompt {
+		body, err = json.Marshal(promptBody{q.Model, q.Stream, options, q.MaxTokens, q.Text})
+		return http.MethodPost, "/v1/completions", body, err
+	}
+	body, err = json.Marshal(questionBody{q.Model, q.Stream, options, q.MaxTokens, []questionMessage{{"user", q.Text}}})
+	return http.MethodPost, "/v1/chat/completions", body, err
+}
+
+func (q Question) request(ctx context.Context) (*http.Request, error) {
+	method, path, body, err := q.target()
+	if err != nil {
+		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.Entry+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+q.Entry+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -137,11 +173,18 @@
 
 func (r *Reply) readPlain(body io.Reader) {
 	var a answerBody
-	if err := json.NewDecoder(body).Decode(&a); err != nil || len(a.Choices) == 0 || a.Choices[0].Message == nil {
+	if err := json.NewDecoder(body).Decode(&a); err != nil || len(a.Choices) == 0 {
 		r.Outcome = galenastair.Unknown
 		return
 	}
-	r.Text, r.Whole = a.Choices[0].Message.Content, true
+	_ = json.Unmarshal(a.Usage, &r.Usage)
+	choice := a.Choices[0]
+	switch {
+	case choice.Message != nil:
+		r.Text, r.Whole = choice.Message.Content, true
+	case choice.Text != nil:
+		r.Text, r.Whole = *choice.Text, true
+	}
 }
 
 func (r *Reply) readStream(body io.Reader) {
@@ -158,10 +201,12 @@
 			break
 		}
 		if err := r.readEvent(data, &text); err != nil {
-			return
+			break
 		}
 	}
-	r.Text = text.String()
+	if r.Code == "" {
+		r.Text = text.String()
+	}
 }
 
 var errEvent = eris.New("the answer was cut by an error event")
@@ -173,7 +218,11 @@
 		return errEvent
 	}
 	for _, c := range b.Choices {
+		text.WriteString(c.Text)
 		text.WriteString(c.Delta.Content)
 	}
+	if len(b.Usage) > 0 {
+		_ = json.Unmarshal(b.Usage, &r.Usage)
+	}
 	return nil
 }
--- a/cmd/galenastair-standin/cmd_engine.go
+++ b/cmd/galenastair-standin/cmd_engine.go
@@ -13,6 +13,7 @@
 	"galenastair"
 	client "galenastair/platform"
 	"galenastair/standin/engine"
+	"galenastair/standin/journal"
 )
 
 var errUnknownWeight = eris.New("the catalogue has no such weight")
@@ -21,6 +22,8 @@
 	s := engine.DefaultSettings()
 	f := flag.NewFlagSet("engine", flag.ContinueOnError)
 	address := f.String("listen", "127.0.0.1:0", "address to listen on")
+	advertise := f.String("advertise", "", "address in the instance list; the listening one by default")
+	journalPath := f.String("journal", "", "file to which each run is appended")
 	platformAddress := f.String("platform", "", "address of the platform; empty to run alone")
 	id := f.String("id", "engine-"+uuid.NewString()[:8], "id in the instance list")
 	zone := f.String("zone", "zone-1", "availability zone")
@@ -46,6 +49,10 @@
 	if *platformAddress != "" {
 		s.Load = client.New(*platformAddress).Load
 	}
+	var err error
+	if s.Journal, err = journal.Open(*journalPath, *id); err != nil {
+		return err
+	}
 	e := engine.New(galenastair.BackendServerID(*id), s)
 	weights, err := findWeights(ctx, *platformAddress, *preload)
 	if err != nil {
@@ -62,7 +69,7 @@
 	r := register(*platformAddress, galenastair.ListedInstance{
 		ID:               *id,
 		Role:             galenastair.RoleEngine,
-		Address:          l.Addr().String(),
+		Address:          advertised(*advertise, l),
 		AvailabilityZone: galenastair.AvailabilityZone(*zone),
 	})
 	err = serve(ctx, l, e.Handler(), func() {
--- a/cmd/galenastair-standin/cmd_service.go
+++ b/cmd/galenastair-standin/cmd_service.go
@@ -7,12 +7,15 @@
 	"github.com/google/uuid"
 
 	"galenastair"
+	"galenastair/standin/journal"
 	"galenastair/standin/service"
 )
 
 func runService(ctx context.Context, args []string) error {
 	f := flag.NewFlagSet("service", flag.ContinueOnError)
 	address := f.String("listen", "127.0.0.1:0", "address to listen on")
+	advertise := f.String("advertise", "", "address in the instance list; the listening one by default")
+	journalPath := f.String("journal", "", "file to which each run is appended")
 	platformAddress := f.String("platform", "", "address of the platform; empty to run alone")
 	id := f.String("id", "service-"+uuid.NewString()[:8], "id in the instance list")
 	name := f.String("name", "bids", "name of the plain service")
@@ -22,7 +25,11 @@
 	if err := f.Parse(args); err != nil {
 		return err
 	}
-	s := service.New()
+	j, err := journal.Open(*journalPath, *id)
+	if err != nil {
+		return err
+	}
+	s := service.New(service.WithJournal(j))
 	s.Switch(func(now *service.Switches) { *now = sw })
 	l, err := listen(*address)
 	if err != nil {
@@ -31,7 +38,7 @@
 	r := register(*platformAddress, galenastair.ListedInstance{
 		ID:               *id,
 		Role:             galenastair.RoleService,
-		Address:          l.Addr().String(),
+		Address:          advertised(*advertise, l),
 		AvailabilityZone: galenastair.AvailabilityZone(*zone),
 		Service:          galenastair.ServiceName(*name),
 	})
--- a/cmd/galenastair-standin/serve.go
+++ b/cmd/galenastair-standin/serve.go
@@ -28,6 +28,14 @@
 	return l, nil
 }
 
+// advertised is where others reach the listener: through a relay, in proofs.
+func advertised(address string, l net.Listener) string {
+	if address != "" {
+		return address
+	}
+	return l.Addr().String()
+}
+
 // server returns a server that keeps open requests alive past the context.
 func server(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,8 +14,10 @@
 	"galenastair/control"
 	"galenastair/dispatch"
 	"galenastair/engine"
+	"galenastair/httpclient"
 	"galenastair/member"
 	"galenastair/operator"
+	"galenastair/peer/record"
 	"galenastair/platform"
 	"galenastair/rate"
 	"galenastair/request"
@@ -59,7 +61,8 @@
 	e.log = platform.New(s.Platform.LogAddress)
 	e.list = platform.New(s.Platform.InstanceListAddress)
 	e.engine = engine.New(engine.WithSilence(s.Engines.Progress))
-	e.follower = config.NewFollower(e.log, config.WithLogger(e.logger), config.WithFleet(e.fleet.entries))
+	e.follower = config.NewFollower(e.log, config.WithLogger(e.logger), config.WithFleet(e.fleet.entries),
+		config.WithPeers(record.NewClient(e.otherMembers)))
 	e.members = member.New(e.log,
 		member.WithInstance(s.Instance.ID, s.Instance.AvailabilityZone, s.Instance.PeerAddress),
 		member.WithRegion(s.Instance.Region),
@@ -71,7 +74,8 @@
 	)
 	e.dispatcher = dispatch.New()
 	e.services = request.NewServiceList(s.Instance.AvailabilityZone)
-	e.limiter = rate.New(e.rateDuties, e.rateContracts)
+	e.limiter = rate.New(e.rateDuties, e.rateContracts,
+		rate.WithHTTPClient(&http.Client{Transport: httpclient.NewTransport()}), rate.WithMetrics(e.metrics.Registry()))
 	e.claims = claim.New(claimDuties{e.members})
 	e.server = request.NewServer(request.Ports{
 		Configuration: e.follower,
@@ -80,7 +84,7 @@
 		Claims:        claims{e.claims},
 		Dispatcher:    e.dispatcher,
 		Services:      e.services,
-		Poison:        claim.NewPoison(nil),
+		Poison:        poison{claim.NewPoison(nil), e.members},
 		Retries:       e.dispatcher,
 		Engine:        e.engine,
 		Service:       service.New(),
@@ -96,6 +100,7 @@
 	e.add(work, &g, "control", e.loop.Run)
 	e.add(work, &g, "membership", e.members.Run)
 	e.add(work, &g, "configuration", e.follower.Run)
+	e.add(work, &g, "snapshots", e.republish)
 	e.add(work, &g, "withdrawals", e.endWithdrawn)
 	e.add(work, &g, "instances", e.followList)
 	e.add(work, &g, "reports", e.followReports)
@@ -131,6 +136,12 @@
 	return 0
 }
 
+// republish keeps a snapshot of the configuration in the log while this instance leads.
+func (e *Entry) republish(ctx context.Context) error {
+	leads := func() bool { return e.members.Status().Leads(time.Now()) }
+	return e.follower.Republish(ctx, e.settings.Platform.Retention, string(e.settings.Instance.ID), leads)
+}
+
 // endWithdrawn ends the requests of withdrawn keys at each change of configuration.
 func (e *Entry) endWithdrawn(ctx context.Context) error {
 	return e.server.Active().Follow(ctx, e.follower)
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := e.listenOn("peers'", e.settings.Instance.PeerAddress, e.peerHandler())
+	peers, err := e.listenOn("peers'", e.settings.Instance.PeerListenAddress, e.peerHandler())
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,7 @@
 	e.serve(g, callers)
 	e.serve(g, peers)
 	e.serve(g, operators)
-	e.logger.Log("event", "listening", "callers", e.settings.Instance.CallerAddress, "peers", e.settings.Instance.PeerAddress, "operators", e.settings.Instance.OperatorAddress)
+	e.logger.Log("event", "listening", "callers", e.settings.Instance.CallerAddress, "peers", e.settings.Instance.PeerListenAddress, "operators", e.settings.Instance.OperatorAddress)
 	return nil
 }
 
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -5,12 +5,41 @@
 
 	"github.com/gorilla/mux"
 
+	"galenastair"
+	"galenastair/config"
 	"galenastair/member"
+	"galenastair/peer/ratepb"
+	"galenastair/peer/record"
 )
 
 // peerHandler serves the other instances.
 func (e *Entry) peerHandler() http.Handler {
 	r := mux.NewRouter()
 	r.PathPrefix(member.PathPrefix).Handler(e.members.Handler())
+	r.PathPrefix(record.PathPrefix).Handler(record.NewServer(map[galenastair.Stream]record.Source{
+		galenastair.ConfigurationStream: e.follower,
+	}))
+	r.PathPrefix(ratepb.RatePathPrefix).Handler(e.limiter.Handler())
 	return r
 }
+
+// otherMembers lists the other instances of the last known epoch, for asking
+// them what the log does not give.
+func (e *Entry) otherMembers() []config.Peer {
+	s := e.members.Status()
+	listed := map[string]bool{}
+	for _, l := range e.fleet.role(galenastair.RoleEntry) {
+		listed[l.ID] = true
+	}
+	var peers []config.Peer
+	for _, m := range s.View.Ring {
+		if m.ID == e.settings.Instance.ID {
+			continue
+		}
+		peers = append(peers, config.Peer{
+			ID: m.ID, Address: m.PeerAddress, AvailabilityZone: m.AvailabilityZone,
+			Gone: len(listed) > 0 && !listed[string(m.ID)],
+		})
+	}
+	return peers
+}
--- /dev/null
+++ b/proof/run.go
@@ -0,0 +1,136 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"galenastair"
+	"galenastair/standin/journal"
+)
+
+// Plan is one run to make.
+type Plan struct {
+	Seed   uint64
+	Length time.Duration
+	// Pace is the mean time between faults.
+	Pace time.Duration
+}
+
+// startWithin bounds the start of a fleet: every entry ready, every model answering.
+const startWithin = 60 * time.Second
+
+var errStart = eris.New("the fleet has not come up")
+
+// Run drives a fleet through a plan and returns what was recorded.
+func Run(ctx context.Context, f *Fleet, p Plan, say func(string)) (*History, map[galenastair.Organisation]Limit, error) {
+	links, err := startRelays(f)
+	defer links.close()
+	if err != nil {
+		return nil, nil, err
+	}
+	record := &recorder{}
+	sights := newObserver(f, record)
+	b := newBalancer(f)
+	t := &traffic{fleet: f, record: record, client: newClient(), balancer: b, seed: p.Seed}
+	customers := newCustomers()
+	ops := newOperators(f, record)
+	if err := start(ctx, f, b, t, ops, customers, say); err != nil {
+		return nil, nil, err
+	}
+	in := &injector{fleet: f, relays: links, record: record, sights: sights, operators: ops, traffic: t, customers: customers}
+	err = drive(ctx, p, in, b, t, sights, customers, say)
+	record.h.Runs, _ = readJournals(f)
+	return &record.h, limits(customers), err
+}
+
+// start publishes the contracts and waits until all that they promise is there.
+func start(ctx context.Context, f *Fleet, b *balancer, t *traffic, ops *operators, customers []*customer, say func(string)) error {
+	ctx, cancel := context.WithTimeout(ctx, startWithin)
+	defer cancel()
+	for _, c := range customers {
+		if !ops.contract(ctx, c).Accepted {
+			return eris.Wrapf(errStart, "the contract of %s was not accepted", c.name)
+		}
+		ops.giveKey(ctx, c)
+	}
+	say("contracts published")
+	looking, stop := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- b.follow(looking) }()
+	defer func() {
+		stop()
+		<-ended
+	}()
+	for b.count() < len(f.Entries) {
+		if ctx.Err() != nil {
+			return eris.Wrapf(errStart, "%d of %d entries are ready", b.count(), len(f.Entries))
+		}
+		sleep(ctx, balancerPeriod)
+	}
+	say("entries ready")
+	return awaitModels(ctx, t, customers)
+}
+
+func awaitModels(ctx context.Context, t *traffic, customers []*customer) error {
+	for _, c := range customers {
+		for _, m := range c.models {
+			for !t.probe(c, m) {
+				if ctx.Err() != nil {
+					return eris.Wrapf(errStart, "%s does not answer %s", m, c.name)
+				}
+				sleep(ctx, balancerPeriod)
+			}
+		}
+	}
+	return nil
+}
+
+// drive plays callers, observers and faults at once. Callers go on for a while
+// after the last fault, and observers after the callers.
+func drive(ctx context.Context, p Plan, in *injector, b *balancer, t *traffic, sights *observer, customers []*customer, say func(string)) error {
+	calling, stopCalls := context.WithTimeout(ctx, p.Length)
+	defer stopCalls()
+	looking, stopLooks := context.WithCancel(ctx)
+	defer stopLooks()
+	var looks, calls errgroup.Group
+	looks.Go(func() error { return b.follow(looking) })
+	looks.Go(func() error { return sights.follow(looking) })
+	for n, c := range customers {
+		calls.Go(func() error { return t.play(calling, c, n) })
+	}
+	plan := schedule(p.Seed, p.Length, p.Pace)
+	say(fmt.Sprintf("seed %d: %d faults in %s", p.Seed, len(plan), p.Length))
+	err := in.run(calling, plan)
+	say("faults over")
+	err = errors.Join(err, calls.Wait())
+	stopLooks()
+	return errors.Join(err, looks.Wait())
+}
+
+// readJournals reads what all backend servers wrote down.
+func readJournals(f *Fleet) ([]journal.Entry, error) {
+	files, err := os.ReadDir(f.dir)
+	if err != nil {
+		return nil, err
+	}
+	var all []journal.Entry
+	for _, file := range files {
+		if !strings.HasSuffix(file.Name(), ".journal") {
+			continue
+		}
+		entries, err := journal.Read(filepath.Join(f.dir, file.Name()))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, entries...)
+	}
+	return all, nil
+}
--- a/settings/field.go
+++ b/settings/field.go
@@ -37,6 +37,7 @@
 		address("Instance", "CallerAddress", &in.CallerAddress),
 		address("Instance", "OperatorAddress", &in.OperatorAddress),
 		address("Instance", "PeerAddress", &in.PeerAddress),
+		optional(address("Instance", "PeerListenAddress", &in.PeerListenAddress)),
 		text("Instance", "History", &in.History),
 		address("Platform", "LogAddress", &pl.LogAddress),
 		address("Platform", "InstanceListAddress", &pl.InstanceListAddress),
@@ -140,6 +141,11 @@
 	}}
 }
 
+func optional(f field) field {
+	f.required = false
+	return f
+}
+
 func address(section, key string, to *string) field {
 	return field{section, key, true, "an IP number, a colon and a port, such as 127.0.0.1:8080", func(s string) error {
 		host, port, err := net.SplitHostPort(s)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,7 +31,10 @@
 	AvailabilityZone galenastair.AvailabilityZone
 	CallerAddress    string
 	OperatorAddress  string
-	PeerAddress      string
+	// PeerAddress is where the other instances reach this one.
+	PeerAddress string
+	// PeerListenAddress is where it listens for them, if that is another address.
+	PeerListenAddress string
 	// History is a file to which each grant and ending is written for checking; empty for none.
 	History string
 }
@@ -105,5 +108,8 @@
 	if err := fields.set(file); err != nil {
 		return Settings{}, err
 	}
+	if s.Instance.PeerListenAddress == "" {
+		s.Instance.PeerListenAddress = s.Instance.PeerAddress
+	}
 	return s, nil
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -39,8 +39,8 @@
 		wake:     make(chan struct{}, 1),
 		changed:  make(chan struct{}),
 		cache:    newCache(s),
-		weights:  weights{total: s.Memory},
-		runs:     newRuns(),
+		weights:  weights{total: s.Memory, journal: s.Journal},
+		runs:     newRuns(s.Journal),
 		byID:     map[galenastair.RequestID]*sequence{},
 	}
 }
--- a/standin/engine/runs.go
+++ b/standin/engine/runs.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"galenastair"
+	wire "galenastair/engine"
+	"galenastair/standin/journal"
 )
 
 // maxRuns bounds the requests whose runs are counted one by one.
@@ -33,13 +35,16 @@
 	total int
 	keys  int
 	over  bool
+	// journal outlives the process.
+	journal *journal.Journal
 }
 
-func newRuns() runs {
-	return runs{mu: &sync.Mutex{}, byID: map[galenastair.RequestID]int{}}
+func newRuns(j *journal.Journal) runs {
+	return runs{mu: &sync.Mutex{}, byID: map[galenastair.RequestID]int{}, journal: j}
 }
 
 func (r *runs) count(id galenastair.RequestID) {
+	r.journal.Write(journal.Entry{Request: id})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.total++
@@ -55,6 +60,8 @@
 	if req.Header.Get("Authorization") == "" {
 		return
 	}
+	id := galenastair.RequestID(req.Header.Get(wire.HeaderRequestID))
+	r.journal.Write(journal.Entry{Request: id, KeySeen: true})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.keys++
--- a/standin/engine/settings.go
+++ b/standin/engine/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/standin/journal"
 )
 
 // Settings are what an engine is started with.
@@ -34,6 +35,8 @@
 	ResumeFor time.Duration
 	// Ping is how often a waiting stream shows that it lives.
 	Ping time.Duration
+	// Journal is where runs are written down; nil is nowhere.
+	Journal *journal.Journal
 	// Load fetches a weight from the platform's store.
 	Load func(context.Context, galenastair.Weight) error
 	// Exit ends the process.
--- a/standin/engine/weights.go
+++ b/standin/engine/weights.go
@@ -6,6 +6,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/standin/journal"
 )
 
 var (
@@ -31,6 +32,7 @@
 	loaded     []galenastair.LoadedWeight
 	finished   []galenastair.OrderID
 	violations []Violation
+	journal    *journal.Journal
 	most       galenastair.Bytes
 }
 
@@ -85,6 +87,7 @@
 	w.most = max(w.most, used)
 	if used > w.total {
 		w.violations = append(w.violations, Violation{Order: id, Used: used, Total: w.total})
+		w.journal.Write(journal.Entry{Overcommitted: used - w.total})
 	}
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"galenastair"
+	"galenastair/standin/journal"
 )
 
 // maxBody bounds a call.
@@ -48,7 +51,8 @@
 
 // Service is the stand-in.
 type Service struct {
-	exit func()
+	exit    func()
+	journal *journal.Journal
 
 	mu        sync.Mutex
 	switches  Switches
@@ -61,6 +65,9 @@
 // Option changes how a service is made.
 type Option func(*Service)
 
+// WithJournal says where runs are written down.
+func WithJournal(j *journal.Journal) Option { return func(s *Service) { s.journal = j } }
+
 // WithExit replaces what ends the process.
 func WithExit(exit func()) Option { return func(s *Service) { s.exit = exit } }
 
@@ -151,16 +158,18 @@
 func (s *Service) run(r *http.Request, body []byte) int {
 	var n named
 	_ = json.Unmarshal(body, &n)
+	id := r.Header.Get("X-Request-Id")
+	keySeen := r.Header.Get("Authorization") != ""
+	s.journal.Write(journal.Entry{Request: galenastair.RequestID(id), Call: n.Call, KeySeen: keySeen})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.total++
-	if r.Header.Get("Authorization") != "" {
+	if keySeen {
 		s.keys++
 	}
 	if n.Call != "" {
 		s.byCall[n.Call]++
 	}
-	id := r.Header.Get("X-Request-Id")
 	s.byRequest[id]++
 	return s.byRequest[id]
 }
