--- a/config/assembly.go
+++ b/config/assembly.go
@@ -29,10 +29,6 @@
 	if err := decode(r.Body, &b); err != nil || !b.sound() {
 		return
 	}
-	// parts of an older snapshot, appended late, do not displace a newer one
-	if b.Covers < a.name.Covers {
-		return
-	}
 	if name := (snapshotName{b.Covers, b.Digest, b.Parts}); name != a.name {
 		a.name, a.parts = name, make([][]byte, b.Parts)
 	}
@@ -44,6 +40,11 @@
 	return b.Parts >= 1 && b.Parts <= maxParts && b.Part >= 0 && b.Part < b.Parts && len(b.Data) > 0
 }
 
+// finish takes a whole snapshot up.
+//
+// Failure: the parts hold another fold than their records name. It would show
+// as a mismatch that no running instance reports, since those compare only what
+// is named. The guard holds since the data itself is summed up here.
 func (a *assembly) finish() {
 	var data []byte
 	for _, part := range a.parts {
@@ -56,5 +57,7 @@
 	if err != nil || f.Next() != a.name.Covers || f.Digest() != a.name.Digest {
 		return
 	}
-	a.newest = f
+	if a.newest == nil || f.Next() > a.newest.Next() {
+		a.newest = f
+	}
 }
--- a/config/pace.go
+++ b/config/pace.go
@@ -27,7 +27,7 @@
 // that starts later.
 // A snapshot is due also if nothing changed, since it expires itself.
 func snapshotDue(now, last time.Time, retention time.Duration) bool {
-	return last.IsZero() || now.Sub(last) >= retention/snapshotsKept
+	return now.Sub(last) >= retention/snapshotsKept
 }
 
 // Republish appends a snapshot of the view whenever one is due and this instance leads.
@@ -36,19 +36,31 @@
 func (f *Follower) Republish(ctx context.Context, retention time.Duration, author string, leads func() bool) error {
 	tick := time.NewTicker(retention / snapshotsKept / checksPerSnapshot)
 	defer tick.Stop()
+	// own is when this instance last appended one, which it may not have read back yet
+	var own time.Time
 	for {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		v := f.view.Load()
-		if v == nil || !leads() || !snapshotDue(f.clock.Now(), f.snapshotSeen(), retention) {
+		v, now := f.view.Load(), f.clock.Now()
+		if v == nil || !leads() || !snapshotDue(now, later(own, f.snapshotSeen()), retention) {
 			continue
 		}
 		err := appendSnapshot(ctx, f.reader.log, v, author)
 		_ = level.Info(f.logger).Log("msg", "fold republished", "offset", v.next, "err", err)
+		if err == nil {
+			own = now
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 func (f *Follower) snapshotSeen() time.Time {
--- a/config/record.go
+++ b/config/record.go
@@ -65,8 +65,11 @@
 // ErrMalformed says that a record or snapshot cannot be read.
 var ErrMalformed = eris.New("the record cannot be read")
 
-// maxID bounds the id of a record; ids are kept in the fold.
-const maxID = 64
+// maxID and maxAuthor bound what every fold keeps of a record.
+const (
+	maxID     = 64
+	maxAuthor = 128
+)
 
 // NewRecord returns a record of the given kind with a fresh id.
 func NewRecord(kind galenastair.RecordKind, author string, body any) (galenastair.Record, error) {
@@ -86,6 +89,9 @@
 	if r.ID == "" || len(r.ID) > maxID {
 		return r, eris.Wrap(ErrMalformed, "record id")
 	}
+	if len(r.Author) > maxAuthor {
+		return r, eris.Wrap(ErrMalformed, "author")
+	}
 	return r, nil
 }
 
