--- a/relay/link.go
+++ b/relay/link.go
@@ -24,6 +24,7 @@
 		n, err := from.Read(buf)
 		if n > 0 && !l.silent.Load() {
 			time.Sleep(l.relay.currentDelay())
+			l.relay.bytes.Add(int64(n))
 			if _, err := to.Write(buf[:n]); err != nil {
 				break
 			}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -14,6 +15,7 @@
 	target  string
 	address string
 	ended   errgroup.Group
+	bytes   atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -103,6 +105,9 @@
 	return r.accepted
 }
 
+// Bytes returns how many bytes have been forwarded so far, both ways together.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // Delay makes each piece of data wait before it is forwarded.
 func (r *Relay) Delay(d time.Duration) {
 	r.mu.Lock()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -116,6 +118,12 @@
 func (e *Engine) hangWhileFrozen(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.runs.see(r)
+		// net/http notices that a client has gone only once the body is read
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		for {
 			sw, changed := e.board()
 			if !sw.Frozen {
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -28,7 +28,7 @@
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) { e.serve(w, r, false) }
 
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request, chat bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
