--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROTOC_GEN_TWIRP_VERSION = v8.1.3+incompatible
 TOOLS = $(CURDIR)/.tools/bin
 
-.PHONY: all build test lint fmt generate demo clean proof
+.PHONY: all build test lint fmt generate demo clean proof capacity
 
 all: build
 
@@ -50,3 +50,6 @@
 	@failed=0; for seed in $(if $(SEED),$(SEED),$(SEEDS)); do \
 		bash scenario/proof.sh $$seed $(PROOF_LENGTH) $(PROOF_PACE) || failed=1; \
 	done; exit $$failed
+
+capacity: build
+	bash scenario/capacity.sh
--- a/proof/balancer.go
+++ b/proof/balancer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // balancer stands in for the platform's: it sends callers to entries that were
@@ -27,20 +29,38 @@
 // follow looks at every entry each period until the context ends.
 func (b *balancer) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
-		var ready []string
-		for _, e := range b.fleet.Entries {
-			if b.isReady(ctx, e) {
-				ready = append(ready, e.Caller)
-			}
-		}
-		b.mu.Lock()
-		b.ready = ready
-		b.mu.Unlock()
+		b.look(ctx)
 		sleep(ctx, balancerPeriod)
 	}
 	return nil
 }
 
+func (b *balancer) look(ctx context.Context) {
+	var ready []string
+	for _, e := range b.fleet.Entries {
+		if b.isReady(ctx, e) {
+			ready = append(ready, e.Caller)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+// awaitAll waits until every entry is ready.
+func (b *balancer) awaitAll(ctx context.Context) error {
+	for {
+		b.look(ctx)
+		if b.count() == len(b.fleet.Entries) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return eris.Wrapf(errStart, "%d of %d entries are ready", b.count(), len(b.fleet.Entries))
+		}
+		sleep(ctx, balancerPeriod)
+	}
+}
+
 func (b *balancer) isReady(ctx context.Context, e Entry) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Operator+"/readyz", nil)
 	if err != nil {
--- a/proof/fleet.go
+++ b/proof/fleet.go
@@ -63,8 +63,8 @@
 	return f, nil
 }
 
-// pid reads the process id that the script last wrote for a name.
-func (f *Fleet) pid(name string) (int, error) {
+// Pid reads the process id that the script last wrote for a name.
+func (f *Fleet) Pid(name string) (int, error) {
 	data, err := os.ReadFile(filepath.Join(f.dir, name+".pid"))
 	if err != nil {
 		return 0, err
@@ -74,7 +74,7 @@
 
 // signal sends a signal to the process that bears a name now and returns its id.
 func (f *Fleet) signal(name string, s syscall.Signal) (int, error) {
-	pid, err := f.pid(name)
+	pid, err := f.Pid(name)
 	if err != nil {
 		return 0, err
 	}
--- a/proof/inject.go
+++ b/proof/inject.go
@@ -25,10 +25,10 @@
 // injector does to a fleet what a schedule says.
 type injector struct {
 	fleet     *Fleet
-	relays    *relays
+	relays    *Relays
 	record    *recorder
 	sights    *observer
-	operators *operators
+	operators *Operators
 	traffic   *traffic
 	customers []*customer
 }
--- a/proof/operate.go
+++ b/proof/operate.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"galenastair"
 	"galenastair/config"
 	"galenastair/contract"
@@ -14,18 +16,34 @@
 // publishTimeout bounds an operator's patience; an outage may be longer.
 const publishTimeout = 20 * time.Second
 
-// operators plays those who publish contracts and keys.
-type operators struct {
+// Operators plays those who publish contracts and keys.
+type Operators struct {
 	log    galenastair.Log
 	record *recorder
 }
 
-func newOperators(f *Fleet, r *recorder) *operators {
-	return &operators{log: platform.New(f.Platform), record: r}
+func newOperators(f *Fleet, r *recorder) *Operators {
+	return &Operators{log: platform.New(f.Platform), record: r}
+}
+
+// NewOperators returns operators whose changes nobody records.
+func NewOperators(f *Fleet) *Operators { return newOperators(f, &recorder{}) }
+
+var errRejected = eris.New("the contract was not accepted")
+
+// Publish puts a contract in force in place of the present one.
+func (o *Operators) Publish(ctx context.Context, next contract.Contract) error {
+	done := o.change(ctx, config.KindContractPublished, Change{Organisation: next.Organisation}, func(v *config.View) any {
+		return config.ContractPublished{Base: v.Latest(next.Organisation).Offset, Contract: next}
+	})
+	if !done.Accepted {
+		return eris.Wrap(errRejected, string(next.Organisation))
+	}
+	return nil
 }
 
 // change publishes one record and writes down what became of it.
-func (o *operators) change(ctx context.Context, kind galenastair.RecordKind, c Change, body func(*config.View) any) Change {
+func (o *Operators) change(ctx context.Context, kind galenastair.RecordKind, c Change, body func(*config.View) any) Change {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	c.Kind, c.Start, c.Unsure = kind, time.Now(), true
@@ -40,7 +58,7 @@
 	return c
 }
 
-func (o *operators) publish(ctx context.Context, p *config.Publisher, kind galenastair.RecordKind, c Change, body any) Change {
+func (o *Operators) publish(ctx context.Context, p *config.Publisher, kind galenastair.RecordKind, c Change, body any) Change {
 	r, err := config.NewRecord(kind, "operator", body)
 	if err != nil {
 		return c
@@ -54,7 +72,7 @@
 }
 
 // contract puts a customer's contract in force.
-func (o *operators) contract(ctx context.Context, c *customer) Change {
+func (o *Operators) contract(ctx context.Context, c *customer) Change {
 	return o.change(ctx, config.KindContractPublished, Change{Organisation: c.name}, func(v *config.View) any {
 		next := contract.Contract{Organisation: c.name, Rate: c.rate, Burst: c.burst, Models: c.models, Services: c.services}
 		if old, ok := v.Contract(c.name); ok {
@@ -65,7 +83,7 @@
 }
 
 // giveKey gives a customer a new key, which its callers use from then on.
-func (o *operators) giveKey(ctx context.Context, c *customer) string {
+func (o *Operators) giveKey(ctx context.Context, c *customer) string {
 	key := rand.Text()
 	hash := galenastair.HashKey(key)
 	done := o.change(ctx, config.KindKeyGiven, Change{Organisation: c.name, Key: hash}, func(*config.View) any {
@@ -77,7 +95,7 @@
 	return key
 }
 
-func (o *operators) withdrawKey(ctx context.Context, c *customer, key string) Change {
+func (o *Operators) withdrawKey(ctx context.Context, c *customer, key string) Change {
 	hash := galenastair.HashKey(key)
 	return o.change(ctx, config.KindKeyWithdrawn, Change{Organisation: c.name, Key: hash}, func(*config.View) any {
 		return config.KeyWithdrawn{KeyHash: hash}
--- a/proof/run.go
+++ b/proof/run.go
@@ -31,18 +31,18 @@
 
 // Run drives a fleet through a plan and returns what was recorded.
 func Run(ctx context.Context, f *Fleet, p Plan, say func(string)) (*History, map[galenastair.Organisation]Limit, error) {
-	links, err := startRelays(f)
-	defer links.close()
+	links, err := StartRelays(f)
 	if err != nil {
 		return nil, nil, err
 	}
+	defer links.Close()
 	record := &recorder{}
 	sights := newObserver(f, record)
 	b := newBalancer(f)
 	t := &traffic{fleet: f, record: record, client: newClient(), balancer: b, seed: p.Seed}
 	customers := newCustomers()
 	ops := newOperators(f, record)
-	if err := start(ctx, f, b, t, ops, customers, say); err != nil {
+	if err := start(ctx, b, t, ops, customers, say); err != nil {
 		return nil, nil, err
 	}
 	in := &injector{fleet: f, relays: links, record: record, sights: sights, operators: ops, traffic: t, customers: customers}
@@ -52,7 +52,7 @@
 }
 
 // start publishes the contracts and waits until all that they promise is there.
-func start(ctx context.Context, f *Fleet, b *balancer, t *traffic, ops *operators, customers []*customer, say func(string)) error {
+func start(ctx context.Context, b *balancer, t *traffic, ops *Operators, customers []*customer, say func(string)) error {
 	ctx, cancel := context.WithTimeout(ctx, startWithin)
 	defer cancel()
 	for _, c := range customers {
@@ -62,23 +62,20 @@
 		ops.giveKey(ctx, c)
 	}
 	say("contracts published")
-	looking, stop := context.WithCancel(ctx)
-	ended := make(chan error, 1)
-	go func() { ended <- b.follow(looking) }()
-	defer func() {
-		stop()
-		<-ended
-	}()
-	for b.count() < len(f.Entries) {
-		if ctx.Err() != nil {
-			return eris.Wrapf(errStart, "%d of %d entries are ready", b.count(), len(f.Entries))
-		}
-		sleep(ctx, balancerPeriod)
+	if err := b.awaitAll(ctx); err != nil {
+		return err
 	}
 	say("entries ready")
 	return awaitModels(ctx, t, customers)
 }
 
+// AwaitReady waits until every entry of a fleet takes requests.
+func AwaitReady(ctx context.Context, f *Fleet) error {
+	ctx, cancel := context.WithTimeout(ctx, startWithin)
+	defer cancel()
+	return newBalancer(f).awaitAll(ctx)
+}
+
 func awaitModels(ctx context.Context, t *traffic, customers []*customer) error {
 	for _, c := range customers {
 		for _, m := range c.models {
