--- /dev/null
+++ b/member/peers.go
@@ -0,0 +1,111 @@
+package member
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"galenastair/peer/memberpb"
+)
+
+// idleTimeout lets connections to members outside the ring order go soon.
+const idleTimeout = 5 * time.Second
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1,
+		IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+}
+
+// peers keeps one client and its connections for each peer address.
+type peers struct {
+	transport func() *http.Transport
+	dial      func(address string) memberpb.Member
+	mu        sync.Mutex
+	clients   map[string]*peerClient
+}
+
+type peerClient struct {
+	memberpb.Member
+	transport *http.Transport
+}
+
+func newPeers(transport func() *http.Transport, dial func(string) memberpb.Member) *peers {
+	return &peers{transport: transport, dial: dial, clients: make(map[string]*peerClient)}
+}
+
+func (p *peers) client(address string) *peerClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[address]
+	if !ok {
+		c = p.connect(address)
+		p.clients[address] = c
+	}
+	return c
+}
+
+func (p *peers) connect(address string) *peerClient {
+	if p.dial != nil {
+		return &peerClient{Member: p.dial(address)}
+	}
+	t := p.transport()
+	return &peerClient{memberpb.NewMemberProtobufClient("http://"+address, &http.Client{Transport: t}), t}
+}
+
+// drop forgets a client, so that the next call opens a connection of its own.
+//
+// Failure: something between two instances loses track of a connection. It shows
+// as calls that time out for good while new connections work. Since every failed
+// call drops all connections to the peer, the next heartbeat, a second later and
+// within the lease, starts on a new one.
+func (p *peers) drop(address string, c *peerClient) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[address] == c {
+		delete(p.clients, address)
+	}
+	c.close()
+}
+
+// keep forgets the clients of all who are not in the ring.
+func (p *peers) keep(ring []Member) {
+	present := make(map[string]bool, len(ring))
+	for _, m := range ring {
+		present[m.PeerAddress] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.clients {
+		if !present[address] {
+			c.close()
+			delete(p.clients, address)
+		}
+	}
+}
+
+func (p *peers) close() { p.keep(nil) }
+
+func (c *peerClient) close() {
+	if c.transport != nil {
+		c.transport.CloseIdleConnections()
+	}
+}
+
+// call makes one call with a timeout and gives up the connections of a peer that fails it.
+func call[Q, A any](ctx context.Context, r *Runtime, to Member, req Q,
+	method func(memberpb.Member, context.Context, Q) (A, error),
+) (A, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.timing.Timeout)
+	defer cancel()
+	c := r.peers.client(to.PeerAddress)
+	reply, err := method(c.Member, ctx, req)
+	if err != nil {
+		r.peers.drop(to.PeerAddress, c)
+	}
+	return reply, err
+}
