member: a caller that gives up shares no reply with the control loop

Ruled out: copying under a lock, which would let a caller wait for a loop that has stopped. Now results come over a buffered channel.

--- a/member/runtime.go
+++ b/member/runtime.go
@@ -141,6 +141,22 @@
 	r.after()
 }
 
+// onLoop computes something on the control loop and carries out what follows from
+// it. A caller that gives up leaves the loop at work, so the result comes over a
+// channel rather than in a variable that both would touch.
+func onLoop[T any](ctx context.Context, r *Runtime, f func() T) (T, error) {
+	results := make(chan T, 1)
+	err := r.loop.Do(ctx, func() {
+		results <- f()
+		r.after()
+	})
+	if err != nil {
+		var none T
+		return none, err
+	}
+	return <-results, nil
+}
+
 func (r *Runtime) tick() {
 	now := r.clock.Now()
 	r.node.Configured(now, r.configuration())
--- a/member/runtime_follow.go
+++ b/member/runtime_follow.go
@@ -89,15 +89,14 @@
 // unread. An instance that has folded some of them waits for a snapshot instead:
 // a fold over a gap would differ from that of the others.
 func (r *Runtime) startWithoutHistory(ctx context.Context, first galenastair.Offset) error {
-	var failed error
-	err := r.loop.Do(ctx, func() {
+	failed, err := onLoop(ctx, r, func() error {
 		if r.node.State().Offset > 0 {
-			failed = galenastair.ErrExpired
-			return
+			return galenastair.ErrExpired
 		}
 		r.node.HistoryLost(r.clock.Now())
-		failed = r.restoreFolds(first, nil)
+		err := r.restoreFolds(first, nil)
 		r.snapshots = snapshots{}
+		return err
 	})
 	return errors.Join(err, failed)
 }
@@ -136,11 +135,7 @@
 
 // restore puts all folds at an offset; without a snapshot they begin empty.
 func (r *Runtime) restore(ctx context.Context, covers galenastair.Offset, snap *Snapshot) error {
-	var failed error
-	err := r.loop.Do(ctx, func() {
-		failed = r.restoreFolds(covers, snap)
-		r.after()
-	})
+	failed, err := onLoop(ctx, r, func() error { return r.restoreFolds(covers, snap) })
 	return errors.Join(err, failed)
 }
 
--- a/member/server.go
+++ b/member/server.go
@@ -13,37 +13,31 @@
 // server answers the peers on the control loop.
 type server struct{ r *Runtime }
 
-func (s *server) do(ctx context.Context, f func(now time.Time)) error {
-	err := s.r.loop.Do(ctx, func() {
-		f(s.r.clock.Now())
-		s.r.after()
-	})
+func answer[T any](ctx context.Context, r *Runtime, f func(now time.Time) T) (T, error) {
+	reply, err := onLoop(ctx, r, func() T { return f(r.clock.Now()) })
 	if err != nil {
-		return twirp.WrapError(twirp.NewError(twirp.Unavailable, "the control loop does not answer"), err)
+		return reply, twirp.WrapError(twirp.NewError(twirp.Unavailable, "the control loop does not answer"), err)
 	}
-	return nil
+	return reply, nil
 }
 
 // Heartbeat answers a member that asks for a promise.
 func (s *server) Heartbeat(ctx context.Context, req *memberpb.HeartbeatRequest) (*memberpb.HeartbeatReply, error) {
-	reply := &memberpb.HeartbeatReply{}
-	err := s.do(ctx, func(now time.Time) {
-		s.r.node.Hear(now, decodeNews(req.News))
-		mine := Incarnation(req.To) == s.r.node.self.Incarnation
-		reply.Promised = mine && s.r.node.Promise(now, Incarnation(req.From))
-		reply.News = encodeNews(s.r.node.News(now, req.Fresh))
+	return answer(ctx, s.r, func(now time.Time) *memberpb.HeartbeatReply {
+		n := s.r.node
+		n.Hear(now, decodeNews(req.News))
+		mine := Incarnation(req.To) == n.self.Incarnation
+		promised := mine && n.Promise(now, Incarnation(req.From))
+		return &memberpb.HeartbeatReply{Promised: promised, News: encodeNews(n.News(now, req.Fresh))}
 	})
-	return reply, err
 }
 
 // Tell exchanges news.
 func (s *server) Tell(ctx context.Context, req *memberpb.News) (*memberpb.News, error) {
-	var reply *memberpb.News
-	err := s.do(ctx, func(now time.Time) {
+	return answer(ctx, s.r, func(now time.Time) *memberpb.News {
 		s.r.node.Hear(now, decodeNews(req))
-		reply = encodeNews(s.r.node.News(now, false))
+		return encodeNews(s.r.node.News(now, false))
 	})
-	return reply, err
 }
 
 // Admit answers an instance that wants to join.
@@ -55,12 +49,10 @@
 	if joiner.ID == "" || joiner.PeerAddress == "" || joiner.Token == "" {
 		return nil, twirp.RequiredArgumentError("id, peer_address, token")
 	}
-	reply := &memberpb.AdmitReply{}
-	err := s.do(ctx, func(now time.Time) {
-		reply.Admission = string(s.r.node.Admit(now, joiner))
-		reply.News = encodeNews(s.r.node.News(now, true))
+	return answer(ctx, s.r, func(now time.Time) *memberpb.AdmitReply {
+		admission := s.r.node.Admit(now, joiner)
+		return &memberpb.AdmitReply{Admission: string(admission), News: encodeNews(s.r.node.News(now, true))}
 	})
-	return reply, err
 }
 
 // Probe tells which process answers here; it needs no control loop.
