--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,100 @@
+package load_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/load"
+	"galenastair/standin/engine"
+)
+
+func startEngine(t *testing.T) (*engine.Engine, string) {
+	s := engine.DefaultSettings()
+	s.BaseStep = time.Millisecond
+	e := engine.New("e1", s)
+	e.Preload(galenastair.Weight{Name: "model-1"}, galenastair.Weight{Name: "model-2"})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-ended
+	})
+	return e, server.Listener.Addr().String()
+}
+
+func config(address string) load.Config {
+	models := []galenastair.ModelName{"model-1", "model-2"}
+	return load.Config{
+		Targets:  []string{address},
+		Duration: 500 * time.Millisecond,
+		Timeout:  5 * time.Second,
+		Seed:     1,
+		Want: func(q load.Question) string {
+			return engine.Expected(q.Model, q.Prompt, q.Chat, q.Tokens)
+		},
+		Sources: []load.Source{
+			{Organisation: "nursery", Models: models, Rate: 100, PromptBytes: 400, Tokens: 5, Chat: true, Stream: true},
+			{Organisation: "mill", Models: models, Rate: 100, PromptBytes: 10, Tokens: 5},
+		},
+	}
+}
+
+func TestRunVerifiesWholeAnswers(t *testing.T) {
+	is := is.New(t)
+	_, address := startEngine(t)
+	r, err := load.Run(context.Background(), config(address))
+	is.NoErr(err)
+	is.True(r.All.Requests > 50)
+	is.Equal(r.All.Whole(), r.All.Requests)
+	is.Equal(len(r.Organisations), 2)
+	is.Equal(r.Organisations[0].BetweenTokens.Count, int64(4*r.Organisations[0].Requests))
+	is.True(r.All.FirstToken.P50 > 0)
+	var text strings.Builder
+	is.NoErr(r.WriteText(&text))
+	is.True(strings.Contains(text.String(), "nursery"))
+}
+
+// A load that calls every answer whole hides that callers read cut or foreign
+// words. Answers are cut, or differ from what must come. Seen failing with the
+// end of the body taken for the end mark, and with the comparison taken out.
+func TestRunTellsCutAndWrongAnswers(t *testing.T) {
+	is := is.New(t)
+	e, address := startEngine(t)
+	c := config(address)
+	c.Sources = c.Sources[:1]
+	e.Switch(func(s *engine.Switches) { s.CutAfter = 2 })
+	r, err := load.Run(context.Background(), c)
+	is.NoErr(err)
+	is.Equal(r.All.Whole(), 0)
+	is.Equal(r.All.Count("CutUntold"), r.All.Requests)
+	e.Switch(func(s *engine.Switches) { s.CutAfter = 0 })
+	c.Want = func(load.Question) string { return "other" }
+	r, err = load.Run(context.Background(), c)
+	is.NoErr(err)
+	is.Equal(r.All.Count("WrongAnswer"), r.All.Requests)
+}
+
+func TestRunIsBounded(t *testing.T) {
+	is := is.New(t)
+	e, address := startEngine(t)
+	e.Switch(func(s *engine.Switches) { s.Frozen = true })
+	c := config(address)
+	c.MaxOpen = 3
+	c.MaxRequests = 20
+	c.Timeout = 100 * time.Millisecond
+	c.Duration = time.Minute
+	r, err := load.Run(context.Background(), c)
+	is.NoErr(err)
+	is.Equal(r.All.Requests, 20)
+	is.True(r.All.Count("ClientTimeout") >= 3)
+	is.True(r.All.Count("Dropped") > 0)
+}
--- a/standin/engine/render.go
+++ b/standin/engine/render.go
@@ -41,16 +41,17 @@
 	return append(b, "\n\n"...)
 }
 
-func (s *sequence) renderHead(b []byte, id galenastair.RequestID) []byte {
+// renderHead renders the fields that all events of an answer share.
+func renderHead(chat bool, id galenastair.RequestID, model galenastair.ModelName) []byte {
 	object := "text_completion"
-	if s.chat {
+	if chat {
 		object = "chat.completion.chunk"
 	}
-	return fmt.Appendf(b, `{"id":%s,"object":%q,"created":0,"model":%s,"choices":[`, quote(string(id)), object, quote(string(s.request.Model)))
+	return fmt.Appendf(nil, `{"id":%s,"object":%q,"created":0,"model":%s,"choices":[`, quote(string(id)), object, quote(string(model)))
 }
 
 func (s *sequence) renderToken(b []byte, i int, id galenastair.RequestID) []byte {
-	b = s.renderHead(b, id)
+	b = append(b, s.headFor(id)...)
 	finish := "null"
 	if i == s.limit-1 {
 		finish = `"length"`
@@ -63,11 +64,19 @@
 }
 
 func (s *sequence) renderUsage(b []byte, id galenastair.RequestID) []byte {
-	b = s.renderHead(b, id)
+	b = append(b, s.headFor(id)...)
 	u, _ := json.Marshal(usage{s.prompt, galenastair.Tokens(s.limit), s.tokens()})
 	return fmt.Appendf(b, `],"usage":%s}`, u)
 }
 
+// headFor returns the head of the sequence's own events, or of another's that it is crossed with.
+func (s *sequence) headFor(id galenastair.RequestID) []byte {
+	if id == s.id {
+		return s.head
+	}
+	return renderHead(s.chat, id, s.request.Model)
+}
+
 func quote(s string) []byte {
 	b, _ := json.Marshal(s)
 	return b
--- a/standin/engine/sequence.go
+++ b/standin/engine/sequence.go
@@ -16,6 +16,7 @@
 	prompt  galenastair.Tokens
 	limit   int
 	arrival int64
+	head    []byte
 
 	mu        sync.Mutex
 	produced  int
@@ -40,6 +41,7 @@
 		digest:  Digest(r.Prompt),
 		prompt:  PromptTokens(r.Prompt),
 		limit:   limit,
+		head:    renderHead(chat, id, r.Model),
 		grown:   make(chan struct{}),
 	}
 }
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -138,3 +138,11 @@
 	}
 	return text.String()
 }
+
+// Expected returns the whole answer that an engine gives to a text asked by one user message or prompt.
+func Expected(model galenastair.ModelName, text string, chat bool, tokens int) string {
+	if chat {
+		text = chatPrompt([]message{{"user", text}})
+	}
+	return Answer(Request{Model: model, Prompt: text, MaxTokens: tokens})
+}
