claim: claims on idempotency keys at two instances, given once

Cause: a request that may not be repeated (a bid, an acknowledgement) must run at most once over all instances while homes of keys move. The sender records its attempt before it looks up the key's home; a new home asks every member of exactly its epoch before it gives anything, starting after its predecessor has stopped. Weighed: claims in the platform's log, at two appends a claim (a region of the target with one request in twenty so marked would append 270 a second, and none could be claimed in an outage); asking only the former home (lost with it). Before: Begin let everything pass.

--- /dev/null
+++ b/claim/message.go
@@ -0,0 +1,67 @@
+package claim
+
+import (
+	"time"
+
+	"galenastair"
+	"galenastair/peer/claimpb"
+)
+
+// fromAttempt sends an age, since clocks are not compared between instances.
+func fromAttempt(a Attempt, now time.Time) *claimpb.Attempt {
+	m := &claimpb.Attempt{
+		Key:             string(a.Key),
+		Sender:          string(a.ID.Sender),
+		Request:         string(a.ID.Request),
+		Digest:          string(a.Digest),
+		State:           string(a.State),
+		AgeMilliseconds: now.Sub(a.Began).Milliseconds(),
+	}
+	for _, c := range a.Copies {
+		m.Copies = append(m.Copies, string(c))
+	}
+	return m
+}
+
+func toAttempt(m *claimpb.Attempt, now time.Time) Attempt {
+	if m == nil {
+		return Attempt{}
+	}
+	a := Attempt{
+		Key:    Key(m.Key),
+		ID:     AttemptID{galenastair.InstanceID(m.Sender), galenastair.RequestID(m.Request)},
+		Digest: Digest(m.Digest),
+		State:  toState(m.State),
+		Began:  now.Add(-time.Duration(m.AgeMilliseconds) * time.Millisecond),
+	}
+	for _, c := range m.Copies {
+		a.Copies = append(a.Copies, galenastair.InstanceID(c))
+	}
+	return a
+}
+
+// toState takes what it does not know for an attempt that may have run.
+func toState(s string) galenastair.Outcome {
+	switch o := galenastair.Outcome(s); o {
+	case Open, galenastair.NotRun, galenastair.Ran:
+		return o
+	default:
+		return galenastair.Unknown
+	}
+}
+
+func fromAttempts(list []Attempt, now time.Time) []*claimpb.Attempt {
+	out := make([]*claimpb.Attempt, 0, len(list))
+	for _, a := range list {
+		out = append(out, fromAttempt(a, now))
+	}
+	return out
+}
+
+func toAttempts(list []*claimpb.Attempt, now time.Time) []Attempt {
+	out := make([]Attempt, 0, len(list))
+	for _, m := range list {
+		out = append(out, toAttempt(m, now))
+	}
+	return out
+}
