--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -123,6 +123,12 @@
 	return out
 }
 
+// Open says whether an order is recorded and not settled.
+func (l *Ledger) Open(id galenastair.OrderID) bool {
+	e := l.orders[id]
+	return e != nil && e.settled.IsZero()
+}
+
 // Settleable returns the former leaders' orders that can be settled now, and why.
 func (l *Ledger) Settleable(now time.Time) []Settled {
 	var out []Settled
--- /dev/null
+++ b/place/board.go
@@ -0,0 +1,186 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"galenastair"
+)
+
+// board is the state of one round: what is where, and how the load would spread.
+type board struct {
+	servers []*boardServer
+	models  []*boardModel
+	byName  map[galenastair.ModelName]*boardModel
+}
+
+type boardServer struct {
+	Server
+	load float64
+	// swap says that a swap owns this backend server's memory.
+	swap bool
+}
+
+type boardModel struct {
+	weight   galenastair.Weight
+	work     float64
+	adapters []*boardModel
+	base     *boardModel
+	copies   []*boardCopy
+}
+
+type boardCopy struct {
+	server *boardServer
+	state  CopyState
+	share  float64
+}
+
+func newBoard(in Input) *board {
+	b := &board{byName: map[galenastair.ModelName]*boardModel{}}
+	for _, w := range in.Catalogue {
+		m := &boardModel{weight: w, work: in.Work(w.Name)}
+		b.models = append(b.models, m)
+		b.byName[w.Name] = m
+	}
+	for _, m := range b.models {
+		if m.base = b.byName[m.weight.Base]; m.base != nil {
+			m.base.adapters = append(m.base.adapters, m)
+		}
+	}
+	for _, s := range in.Servers {
+		bs := &boardServer{Server: s}
+		b.servers = append(b.servers, bs)
+		for _, c := range s.Copies {
+			m := b.byName[c.Weight.Name]
+			if m != nil && m.weight.Version == c.Weight.Version {
+				m.copies = append(m.copies, &boardCopy{server: bs, state: c.State})
+			}
+		}
+	}
+	b.spread()
+	return b
+}
+
+// bundle is the memory of a model with its adapters, which are packed with it.
+func (m *boardModel) bundle() galenastair.Bytes {
+	sum := m.weight.Memory
+	for _, a := range m.adapters {
+		sum += a.weight.Memory
+	}
+	return sum
+}
+
+// need is the memory that a model with its adapters takes beyond what s keeps for it.
+func (m *boardModel) need(s *boardServer) galenastair.Bytes {
+	need := m.bundle()
+	for _, w := range s.Reserved {
+		if w.Name == m.weight.Name && w.Version == m.weight.Version {
+			need -= w.Memory
+		}
+	}
+	return need
+}
+
+// demand is the work of a model and its adapters, done where the model is.
+func (m *boardModel) demand() float64 {
+	sum := m.work
+	for _, a := range m.adapters {
+		sum += a.work
+	}
+	return sum
+}
+
+func (m *boardModel) on(s *boardServer) *boardCopy {
+	for _, c := range m.copies {
+		if c.server == s {
+			return c
+		}
+	}
+	return nil
+}
+
+// lasting says whether a copy will be there for new work.
+func (c *boardCopy) lasting() bool { return c.state != Going && !c.server.Leaving }
+
+func (m *boardModel) lasting() int {
+	n := 0
+	for _, c := range m.copies {
+		if c.lasting() {
+			n++
+		}
+	}
+	return n
+}
+
+// readyBeside says whether another copy answers if the one on s goes.
+func (m *boardModel) readyBeside(s *boardServer) bool {
+	for _, c := range m.copies {
+		if c.server != s && c.lasting() && c.state == Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// spreadParts is in how many parts a model's work is dealt to its copies; eighths
+// are finer than the least gain that counts.
+const spreadParts = 8
+
+// spread deals the work of each model to its copies as the routers would: to the
+// less loaded ones, those with few copies to choose from first.
+func (b *board) spread() {
+	for _, s := range b.servers {
+		s.load = 0
+	}
+	order := slices.Clone(b.bases())
+	slices.SortStableFunc(order, func(x, y *boardModel) int {
+		return cmp.Or(cmp.Compare(x.lasting(), y.lasting()), cmp.Compare(y.demand(), x.demand()))
+	})
+	for _, m := range order {
+		m.deal()
+	}
+}
+
+func (m *boardModel) deal() {
+	for _, c := range m.copies {
+		c.share = 0
+	}
+	part := m.demand() / spreadParts
+	for range spreadParts {
+		var least *boardCopy
+		for _, c := range m.copies {
+			if c.lasting() && (least == nil || c.server.load < least.server.load) {
+				least = c
+			}
+		}
+		if least == nil {
+			return
+		}
+		least.share += part
+		least.server.load += part
+	}
+}
+
+// bases returns the models that are no adapters, or whose base is not known.
+func (b *board) bases() []*boardModel {
+	var out []*boardModel
+	for _, m := range b.models {
+		if m.base == nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// count returns how many models, or adapters, are coming.
+func (b *board) coming(adapters bool) int {
+	n := 0
+	for _, m := range b.models {
+		for _, c := range m.copies {
+			if c.state == Coming && (m.weight.Base != "") == adapters {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/place/relief.go
@@ -0,0 +1,81 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+)
+
+// relieve adds a copy of a model on the busiest backend server elsewhere, if that
+// takes enough load off it.
+//
+// It is made for demand that moves between models: their callers wait at one backend
+// server while others idle. It does nothing below Busy, for gains below Gain, and
+// for a model that was moved within Calm: each move takes a turn at the weight store
+// and cools caches, and the demand may be back before it has paid off.
+func (p *Planner) relieve() {
+	if !p.mayLoad() {
+		return
+	}
+	order := slices.Clone(p.board.servers)
+	slices.SortStableFunc(order, func(x, y *boardServer) int { return cmp.Compare(y.load, x.load) })
+	for _, hot := range order {
+		if hot.load < p.settings.Busy*p.settings.ServerWork {
+			return
+		}
+		if !hot.Leaving && p.relieveServer(hot, order) {
+			p.board.spread()
+			return
+		}
+	}
+}
+
+func (p *Planner) relieveServer(hot *boardServer, order []*boardServer) bool {
+	var models []*boardModel
+	for _, m := range p.board.bases() {
+		c := m.on(hot)
+		if c == nil || c.share < p.settings.Gain*hot.load || p.wanted(m) {
+			continue
+		}
+		if at, ok := p.moved[m.weight.Name]; ok && p.now.Sub(at) < p.settings.Calm {
+			continue
+		}
+		models = append(models, m)
+	}
+	slices.SortStableFunc(models, func(x, y *boardModel) int {
+		return cmp.Compare(y.on(hot).share, x.on(hot).share)
+	})
+	for _, m := range models {
+		if p.copyTo(m, hot, order) {
+			p.moved[m.weight.Name] = p.now
+			return true
+		}
+	}
+	return false
+}
+
+// copyTo loads a model on the least loaded backend server that gains enough.
+func (p *Planner) copyTo(m *boardModel, hot *boardServer, order []*boardServer) bool {
+	for i := len(order) - 1; i >= 0; i-- {
+		s := order[i]
+		// the load that evens the two out, or all there is of the model
+		taken := min(m.on(hot).share, (hot.load-s.load)/2)
+		if taken < p.settings.Gain*hot.load {
+			return false
+		}
+		if s.Leaving || s.swap || m.on(s) != nil {
+			continue
+		}
+		if s.Free >= m.need(s) {
+			p.load(m, s, Relief)
+			return true
+		}
+		evict, lost, ok := p.evictable(s, m, Relief)
+		// what goes is served by its other copies, which must not become the next
+		// busiest; so a copy that is used as much as the new one stays
+		if ok && lost < taken/2 {
+			p.begin(m, s, evict, Relief)
+			return true
+		}
+	}
+	return false
+}
