--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,11 +13,11 @@
 	"galenastair/config"
 	"galenastair/control"
 	"galenastair/dispatch"
-	"galenastair/engine"
 	"galenastair/httpclient"
 	"galenastair/member"
 	"galenastair/operator"
 	"galenastair/peer/record"
+	"galenastair/place"
 	"galenastair/platform"
 	"galenastair/rate"
 	"galenastair/request"
@@ -38,7 +38,8 @@
 	services   *request.ServiceList
 	limiter    *rate.Limiter
 	claims     *claim.Keeper
-	engine     *engine.Client
+	engine     engines
+	leader     *place.Leader
 	server     *request.Server
 	metrics    *operator.Metrics
 	callers    *http.Server
@@ -60,7 +61,8 @@
 	}
 	e.log = platform.New(s.Platform.LogAddress)
 	e.list = platform.New(s.Platform.InstanceListAddress)
-	e.engine = engine.New(engine.WithSilence(s.Engines.Progress))
+	e.engine = newEngines(s.Engines, e.fleet.engineName)
+	e.leader = e.newLeader(e.loop)
 	e.follower = config.NewFollower(e.log, config.WithLogger(e.logger), config.WithFleet(e.fleet.entries),
 		config.WithPeers(record.NewClient(e.otherMembers)))
 	e.members = member.New(e.log,
@@ -71,6 +73,7 @@
 		member.WithLogger(e.logger),
 		member.WithRegisterer(e.metrics.Registry()),
 		member.WithConfigurationOffset(e.configurationOffset),
+		member.WithFold(e.leader),
 	)
 	e.dispatcher = dispatch.New()
 	e.services = request.NewServiceList(s.Instance.AvailabilityZone)
@@ -123,6 +126,8 @@
 	e.add(work, &g, "withdrawals", e.endWithdrawn)
 	e.add(work, &g, "instances", e.followList)
 	e.add(work, &g, "reports", e.followReports)
+	e.add(work, &g, "placement", e.leader.Run)
+	e.add(work, &g, "demand", e.tellDemand)
 	e.add(work, &g, "rate", e.limiter.Run)
 	e.add(work, &g, "claims", e.claims.Run)
 	e.add(work, &g, "registration", e.register)
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -94,5 +94,8 @@
 		})
 	}
 	e.dispatcher.SetServers(servers)
+	if err := e.leader.SetServers(ctx, servers); err != nil {
+		return
+	}
 	e.services.Set(e.fleet.role(galenastair.RoleService))
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -9,6 +9,7 @@
 	"galenastair/config"
 	"galenastair/member"
 	"galenastair/peer/claimpb"
+	"galenastair/peer/demand"
 	"galenastair/peer/ratepb"
 	"galenastair/peer/record"
 )
@@ -21,6 +22,7 @@
 		galenastair.ConfigurationStream: e.follower,
 	}))
 	r.PathPrefix(ratepb.RatePathPrefix).Handler(e.limiter.Handler())
+	r.PathPrefix(demand.PathPrefix).Handler(demand.NewServer(e.modelNames, e.leader.Demand))
 	r.PathPrefix(claimpb.ClaimPathPrefix).Handler(e.claims.Handler())
 	return r
 }
--- a/entry/report.go
+++ b/entry/report.go
@@ -48,4 +48,5 @@
 	r.BackendServer = galenastair.BackendServerID(l.ID)
 	e.fleet.report(r, time.Now())
 	e.dispatcher.Report(r)
+	_ = e.leader.Report(ctx, r)
 }
--- a/scenario/demo.sh
+++ b/scenario/demo.sh
@@ -7,10 +7,10 @@
 . scenario/lib.sh
 
 start_platform -models 6 -adapters 2 -model-load 200ms
-start_engine engine-1 zone-a -preload model-1,model-2
-start_engine engine-2 zone-a -preload model-3,model-4
-start_engine engine-3 zone-b -preload model-5,model-6
-start_engine engine-4 zone-b -preload model-1,model-4
+start_engine engine-1 zone-a
+start_engine engine-2 zone-a
+start_engine engine-3 zone-b
+start_engine engine-4 zone-b
 start_service service-1 zone-a bids
 start_entry entry-1 zone-a
 start_entry entry-2 zone-b
