dispatch: a backend server's turn goes by organisation, not by model

The turn now goes by organisation over all models there; among one organisation's requests the longest waiting goes.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -150,27 +150,33 @@
 	}
 }
 
-// turnOf picks the model whose turn it is on a backend server, and its next request.
+// turnOf picks the organisation whose turn it is on a backend server, and the one of
+// its requests there that has waited longest.
 func (c *Core) turnOf(id galenastair.BackendServerID) (galenastair.ModelName, *queue.Item) {
 	tn := c.turn(id)
 	fit := func(it *queue.Item) bool { return !c.excludes(it, id) }
 	var best galenastair.ModelName
 	var next *queue.Item
+	var start float64
 	for _, name := range c.router.Loaded(id) {
 		m := c.models[name]
 		if m == nil || m.queue.Len() == 0 {
 			continue
 		}
-		if next != nil && tn.start(name) >= tn.start(best) {
-			continue
-		}
-		if it := m.queue.Next(fit); it != nil {
-			best, next = name, it
-		}
+		m.queue.Heads(fit, func(it *queue.Item) {
+			tag := tn.start(it.Organisation)
+			if next == nil || tag < start || tag == start && c.before(it, next) {
+				best, next, start = name, it, tag
+			}
+		})
 	}
 	return best, next
 }
 
+func (c *Core) before(a, b *queue.Item) bool {
+	return c.tickets[a].submitted.Before(c.tickets[b].submitted)
+}
+
 func (c *Core) excludes(it *queue.Item, id galenastair.BackendServerID) bool {
 	for _, e := range c.tickets[it].Request.Exclude {
 		if e == id {
@@ -191,7 +197,7 @@
 
 func (c *Core) grant(now time.Time, m *model, it *queue.Item, d route.Decision) {
 	t := c.tickets[it]
-	c.turn(d.Server).charge(t.Request.Model, float64(it.Cost), m.queue.Weight())
+	c.turn(d.Server).charge(it.Organisation, float64(it.Cost), float64(it.Weight))
 	m.queue.Take(now, it)
 	delete(c.tickets, it)
 	t.state, t.granted, t.server = running, now, d.Server
--- a/dispatch/flight.go
+++ b/dispatch/flight.go
@@ -87,9 +87,7 @@
 
 // Report takes in what an engine said about itself, and uses the room it shows.
 func (c *Core) Report(now time.Time, r galenastair.EngineReport) {
-	if c.router.Report(now, r) {
-		c.turn(r.BackendServer).keep(c.router.Loaded(r.BackendServer))
-	}
+	c.router.Report(now, r)
 	c.router.Review(now)
 	c.drainServer(now, r.BackendServer)
 }
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -2,34 +2,42 @@
 
 import "galenastair"
 
-// turn shares one backend server between the models loaded on it, each in
-// proportion to the contract rates of those that wait for it. Each model's queue
-// is fair by itself; without this, an organisation flooding one model would take
-// the slots of those that wait for another model on the same accelerator.
+// turnFlows is how many organisations a turn remembers before those that owe
+// nothing are forgotten.
+const turnFlows = 256
+
+// turn shares one backend server between organisations, whichever of its models they
+// ask for, in proportion to their contract rates. Each model's queue is fair by
+// itself; but with a dozen models and adapters on an accelerator, an organisation
+// flooding all of them is first in each queue in turn, and one that asks for a
+// single model waits for a dozen slots.
 type turn struct {
 	virtual float64
-	finish  map[galenastair.ModelName]float64
+	finish  map[galenastair.Organisation]float64
 }
 
-func newTurn() *turn { return &turn{finish: map[galenastair.ModelName]float64{}} }
+func newTurn() *turn { return &turn{finish: map[galenastair.Organisation]float64{}} }
 
-func (t *turn) start(m galenastair.ModelName) float64 {
-	return max(t.virtual, t.finish[m])
+func (t *turn) start(o galenastair.Organisation) float64 {
+	return max(t.virtual, t.finish[o])
 }
 
-func (t *turn) charge(m galenastair.ModelName, cost, weight float64) {
-	start := t.start(m)
+func (t *turn) charge(o galenastair.Organisation, cost, weight float64) {
+	start := t.start(o)
 	t.virtual = max(t.virtual, start)
-	t.finish[m] = start + cost/max(1, weight)
+	t.finish[o] = start + cost/max(1, weight)
+	if len(t.finish) > turnFlows {
+		t.forget()
+	}
 }
 
-// keep forgets the models that are no longer loaded.
-func (t *turn) keep(loaded []galenastair.ModelName) {
-	kept := make(map[galenastair.ModelName]float64, len(loaded))
-	for _, m := range loaded {
-		if f, ok := t.finish[m]; ok {
-			kept[m] = f
+func (t *turn) forget() {
+	for o, f := range t.finish {
+		if f <= t.virtual {
+			delete(t.finish, o)
 		}
 	}
-	t.finish = kept
+	if len(t.finish) > 2*turnFlows {
+		clear(t.finish)
+	}
 }
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -36,7 +36,6 @@
 	active  []*flow
 	virtual float64
 	length  int
-	weight  float64
 	drain   drain
 }
 
@@ -48,9 +47,6 @@
 // Len returns the number of waiting items.
 func (q *Fair) Len() int { return q.length }
 
-// Weight returns the sum of the contract rates of the organisations that wait.
-func (q *Fair) Weight() float64 { return q.weight }
-
 // Push adds an item, or refuses it or one that stands less fairly than it.
 //
 // Refusing at arrival what would run out of time in the queue spares its caller
@@ -86,6 +82,15 @@
 	return found
 }
 
+// Heads yields for each organisation the first of its waiting items that fits.
+func (q *Fair) Heads(fit func(*Item) bool, yield func(*Item)) {
+	for _, f := range q.active {
+		if i := slices.IndexFunc(f.items, fit); i >= 0 {
+			yield(f.items[i])
+		}
+	}
+}
+
 // Take removes an item that now gets its service, and charges its organisation.
 func (q *Fair) Take(now time.Time, it *Item) {
 	f := q.flows[it.Organisation]
--- a/queue/share.go
+++ b/queue/share.go
@@ -19,9 +19,7 @@
 		q.flows[it.Organisation] = f
 	}
 	if len(f.items) > 0 {
-		q.weight -= f.weight
 		f.setWeight(it.Weight)
-		q.weight += f.weight
 		return f
 	}
 	f.setWeight(it.Weight)
@@ -59,7 +57,6 @@
 func (q *Fair) add(f *flow, it *Item) {
 	if len(f.items) == 0 {
 		q.active = append(q.active, f)
-		q.weight += f.weight
 	}
 	f.insert(it)
 	q.length++
@@ -69,7 +66,6 @@
 	it := f.remove(i)
 	q.length--
 	if len(f.items) == 0 {
-		q.weight -= f.weight
 		q.active = slices.Delete(q.active, slices.Index(q.active, f), slices.Index(q.active, f)+1)
 	}
 	return it
--- a/route/router.go
+++ b/route/router.go
@@ -56,11 +56,11 @@
 	r.list = slices.DeleteFunc(r.list, func(o *server) bool { return o == s })
 }
 
-// Report takes in what an engine said about itself; it returns whether its set of ready models changed.
-func (r *Router) Report(now time.Time, rep galenastair.EngineReport) bool {
+// Report takes in what an engine said about itself.
+func (r *Router) Report(now time.Time, rep galenastair.EngineReport) {
 	s := r.servers[rep.BackendServer]
 	if s == nil {
-		return false
+		return
 	}
 	s.others = max(0, float64(rep.Running+rep.Waiting-s.inFlight))
 	s.reported = now.Add(-rep.Age)
@@ -73,11 +73,9 @@
 	}
 	slices.Sort(ready)
 	ready = slices.Compact(ready)
-	if slices.Equal(ready, s.loaded) {
-		return false
+	if !slices.Equal(ready, s.loaded) {
+		r.setLoaded(s, ready)
 	}
-	r.setLoaded(s, ready)
-	return true
 }
 
 func (r *Router) setLoaded(s *server, ready []galenastair.ModelName) {
