claim: a copy counts as kept only once it has said so

Cause: the home noted an instance as copy before handing it a claim, so that the outcome would reach it, and took the note for the copy itself when the message was lost; with the sender dead and the home dying next, the key was given again. Now Copies are to be told and Kept have confirmed. Also out: a check that the predecessor had stopped when the members were asked, whose removal no history could see, since each member answers in that very epoch only.

--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -34,8 +34,11 @@
 	Digest Digest
 	// State is Open, or the outcome.
 	State galenastair.Outcome
-	// Copies are the instances that keep the attempt besides its sender and the key's home.
+	// Copies are the instances that may keep the attempt besides its sender and
+	// the key's home, and must hear its outcome.
 	Copies []galenastair.InstanceID
+	// Kept are those of them that said so; a copy whose answer was lost does not count.
+	Kept []galenastair.InstanceID
 	// Began is when this instance would have recorded it, by its own clock.
 	Began time.Time
 }
--- a/claim/begin.go
+++ b/claim/begin.go
@@ -129,21 +129,36 @@
 func (k *Keeper) copyElsewhere(ctx context.Context, a Attempt) error {
 	candidates := k.candidates(a.Key)
 	for _, p := range candidates[:min(copyTries, len(candidates))] {
-		a.Copies = []galenastair.InstanceID{p.ID}
-		k.noteCopy(a)
-		kept, err := k.hand(ctx, p, []Attempt{a})
-		if err == nil && kept[0] != notKept {
+		if err := k.copyTo(ctx, p, []Attempt{a}); err == nil {
 			return nil
 		}
 	}
 	return unavailable("no second instance keeps the claim")
 }
 
-// noteCopy remembers who may have a copy before it is sent, so that the outcome reaches it.
-func (k *Keeper) noteCopy(a Attempt) {
+// copyTo gives attempts to another instance and notes first that it may have
+// them, so that their outcomes reach it, and then that it has.
+func (k *Keeper) copyTo(ctx context.Context, p Peer, list []Attempt) error {
+	copies := []galenastair.InstanceID{p.ID}
+	k.note(list, func(a *Attempt) { a.Copies = copies })
+	kept, err := k.hand(ctx, p, list)
+	if err != nil {
+		return err
+	}
+	if slices.Contains(kept, notKept) {
+		return errUnreachable
+	}
+	k.note(list, func(a *Attempt) { a.Kept = copies })
+	return nil
+}
+
+func (k *Keeper) note(list []Attempt, change func(*Attempt)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.table.Merge(k.clock.Now(), a)
+	for _, a := range list {
+		change(&a)
+		k.table.Merge(k.clock.Now(), a)
+	}
 }
 
 // candidates ranks the instances that may keep a copy of what is kept here.
--- a/claim/home.go
+++ b/claim/home.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -16,24 +15,18 @@
 // errEpochMoved says that the members changed while a new home was asking them.
 var errEpochMoved = eris.New("the epoch changed meanwhile")
 
-// synced is the last epoch for which this instance has asked all members what they keep.
-type synced struct {
-	epoch galenastair.Epoch
-	// began is when it started to ask.
-	began time.Time
-}
-
 // grant decides as the home of a key whether an attempt may be sent.
 //
 // Failure: the home moves while claims are under way, and the new home gives a
 // key again that its predecessor gave a moment ago; a bid runs twice. The guard:
-// it answers only if it has asked every member of its epoch, starting at a
-// moment when its predecessor could no longer give anything.
+// it answers only once every member of its epoch has told what it keeps, which
+// each does in that epoch alone: the predecessor then gives nothing any more,
+// and senders no longer ask it.
 func (k *Keeper) grant(ctx context.Context, a Attempt) error {
 	if !k.duties.Serves(string(a.Key), k.clock.Now()) {
 		return unavailable("not the key's home now")
 	}
-	if err := k.cover(ctx, a.Key); err != nil {
+	if err := k.cover(ctx); err != nil {
 		return unavailable("the key's home is taking over")
 	}
 	if !k.present(a.ID.Sender) {
@@ -43,7 +36,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	if !k.covered(a.Key) || !k.duties.Serves(string(a.Key), now) {
+	if k.synced != k.duties.Epoch() || !k.duties.Serves(string(a.Key), now) {
 		return unavailable("the key's home moves")
 	}
 	if err := k.table.Open(now, a, k.present); err != nil {
@@ -52,17 +45,9 @@
 	return nil
 }
 
-// covered says whether the members were asked in this epoch, and after the
-// key's former home had stopped; the lock is held.
-func (k *Keeper) covered(key Key) bool {
-	return k.synced.epoch == k.duties.Epoch() &&
-		!k.synced.began.IsZero() &&
-		k.duties.Serves(string(key), k.synced.began)
-}
-
 // cover asks the members if that is still to be done; one call at a time.
-func (k *Keeper) cover(ctx context.Context, key Key) error {
-	if k.isCovered(key) {
+func (k *Keeper) cover(ctx context.Context) error {
+	if k.covered() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -73,21 +58,21 @@
 		return ctx.Err()
 	}
 	defer func() { <-k.syncing }()
-	if k.isCovered(key) {
+	if k.covered() {
 		return nil
 	}
 	return k.sync(ctx)
 }
 
-func (k *Keeper) isCovered(key Key) bool {
+func (k *Keeper) covered() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.covered(key)
+	return k.synced == k.duties.Epoch()
 }
 
 // sync learns what every member of the present epoch keeps for this home.
 func (k *Keeper) sync(ctx context.Context) error {
-	epoch, began := k.duties.Epoch(), k.clock.Now()
+	epoch := k.duties.Epoch()
 	self := k.duties.Self()
 	members := k.duties.Members()
 	if k.duties.Epoch() != epoch {
@@ -108,7 +93,7 @@
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	return k.adopt(epoch, began, lists)
+	return k.adopt(epoch, lists)
 }
 
 func (k *Keeper) askKept(ctx context.Context, p Peer, epoch galenastair.Epoch) ([]Attempt, error) {
@@ -120,7 +105,7 @@
 	return toAttempts(reply.Attempts, k.clock.Now()), nil
 }
 
-func (k *Keeper) adopt(epoch galenastair.Epoch, began time.Time, lists [][]Attempt) error {
+func (k *Keeper) adopt(epoch galenastair.Epoch, lists [][]Attempt) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, list := range lists {
@@ -130,7 +115,7 @@
 			}
 		}
 	}
-	k.synced = synced{epoch, began}
+	k.synced = epoch
 	return nil
 }
 
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -33,8 +33,9 @@
 	pending map[AttemptID]*told
 
 	syncing chan struct{}
-	synced  synced
-	homes   homes
+	// synced is the last epoch whose members have all told what they keep; epochs count from 1.
+	synced galenastair.Epoch
+	homes  homes
 	// whole is the last epoch in which no key of this home had lost its second copy.
 	whole galenastair.Epoch
 }
--- a/claim/message.go
+++ b/claim/message.go
@@ -17,27 +17,40 @@
 		State:           string(a.State),
 		AgeMilliseconds: now.Sub(a.Began).Milliseconds(),
 	}
-	for _, c := range a.Copies {
-		m.Copies = append(m.Copies, string(c))
-	}
+	m.Copies = fromIDs(a.Copies)
+	m.Kept = fromIDs(a.Kept)
 	return m
 }
 
+func fromIDs(ids []galenastair.InstanceID) []string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, string(id))
+	}
+	return out
+}
+
+func toIDs(ids []string) []galenastair.InstanceID {
+	var out []galenastair.InstanceID
+	for _, id := range ids {
+		out = append(out, galenastair.InstanceID(id))
+	}
+	return out
+}
+
 func toAttempt(m *claimpb.Attempt, now time.Time) Attempt {
 	if m == nil {
 		return Attempt{}
 	}
-	a := Attempt{
+	return Attempt{
 		Key:    Key(m.Key),
 		ID:     AttemptID{galenastair.InstanceID(m.Sender), galenastair.RequestID(m.Request)},
 		Digest: Digest(m.Digest),
 		State:  toState(m.State),
 		Began:  now.Add(-time.Duration(m.AgeMilliseconds) * time.Millisecond),
+		Copies: toIDs(m.Copies),
+		Kept:   toIDs(m.Kept),
 	}
-	for _, c := range m.Copies {
-		a.Copies = append(a.Copies, galenastair.InstanceID(c))
-	}
-	return a
 }
 
 // toState takes what it does not know for an attempt that may have run.
--- a/claim/table.go
+++ b/claim/table.go
@@ -117,12 +117,19 @@
 		return true
 	}
 	known.settle(now, a.State)
-	for _, c := range a.Copies {
-		if !slices.Contains(known.Copies, c) {
-			known.Copies = append(slices.Clip(known.Copies), c)
+	known.Copies = union(known.Copies, a.Copies)
+	known.Kept = union(known.Kept, a.Kept)
+	return true
+}
+
+// union returns a new list, since attempts that were listed share the old one.
+func union(a, b []galenastair.InstanceID) []galenastair.InstanceID {
+	for _, id := range b {
+		if !slices.Contains(a, id) {
+			a = append(slices.Clip(a), id)
 		}
 	}
-	return true
+	return a
 }
 
 // Settle records the outcome of an attempt and returns the attempt.
--- a/claim/tell.go
+++ b/claim/tell.go
@@ -163,7 +163,7 @@
 	}
 	for p, list := range k.lonely() {
 		for batch := range slices.Chunk(list, tellBatch) {
-			if _, err := k.hand(ctx, p, batch); err != nil {
+			if err := k.copyTo(ctx, p, batch); err != nil {
 				return
 			}
 		}
@@ -199,17 +199,14 @@
 			continue
 		}
 		if candidates := k.candidates(a.Key); len(candidates) > 0 {
-			p := candidates[0]
-			a.Copies = []galenastair.InstanceID{p.ID}
-			k.noteCopy(a)
-			batches[p] = append(batches[p], a)
+			batches[candidates[0]] = append(batches[candidates[0]], a)
 		}
 	}
 	return batches
 }
 
 func (k *Keeper) keptElsewhere(a Attempt) bool {
-	holders := append(slices.Clip(a.Copies), a.ID.Sender)
+	holders := append(slices.Clip(a.Kept), a.ID.Sender)
 	return slices.ContainsFunc(holders, func(id galenastair.InstanceID) bool {
 		p, ok := k.member(id)
 		return ok && k.apart(p)
