report: each engine is read by one instance, which tells the others

If 53 instances each read 270 engines, a node spends 80 times the budget. Weighed: direct messages to all (52 a round at 400 bytes of headers each: over the budget at any useful period), a square of two hops (13 a round), polling of readers (twice the messages). One message is about 400 bytes on the wire (TestReporterTellsOverHTTP).

--- /dev/null
+++ b/report/reporter_test.go
@@ -0,0 +1,122 @@
+package report
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"galenastair"
+)
+
+// countingListener counts the bytes of all its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+type pairDuties struct {
+	self    Peer
+	members []Peer
+}
+
+func (d pairDuties) Self() Peer               { return d.self }
+func (d pairDuties) Members() []Peer          { return d.members }
+func (d pairDuties) Epoch() galenastair.Epoch { return 1 }
+func (d pairDuties) Reader(galenastair.BackendServerID) (Peer, bool) {
+	return d.members[0], true
+}
+
+type busyEngine struct{ running atomic.Int64 }
+
+func (e *busyEngine) Report(context.Context, string) (galenastair.EngineReport, error) {
+	return galenastair.EngineReport{
+		BackendServer: "e1",
+		Running:       int(e.running.Add(10)),
+		Loaded:        []galenastair.LoadedWeight{loaded(1)},
+	}, nil
+}
+
+// deadEngine cannot be read from here.
+type deadEngine struct{}
+
+func (deadEngine) Report(context.Context, string) (galenastair.EngineReport, error) {
+	return galenastair.EngineReport{}, galenastair.ErrNotSent
+}
+
+// The reader tells the other instance over HTTP; the bytes of a message are the
+// messageBytes that the pace is worked out from.
+func TestReporterTellsOverHTTP(t *testing.T) {
+	is := is.New(t)
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	var bytes atomic.Int64
+	var handlers [2]atomic.Pointer[Reporter]
+	var peers []Peer
+	for i, id := range []galenastair.InstanceID{"i1", "i2"} {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handlers[i].Load().Handler().ServeHTTP(w, r)
+		}))
+		server.Listener = countingListener{server.Listener, &bytes}
+		server.Start()
+		defer server.Close()
+		peers = append(peers, Peer{ID: id, Address: server.Listener.Addr().String()})
+	}
+	delivered := make(chan galenastair.EngineReport, 1000)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	for i, engine := range []Reader{&busyEngine{}, deadEngine{}} {
+		r := New(Ports{
+			Engine:  engine,
+			Duties:  func() Duties { return pairDuties{peers[i], peers} },
+			Servers: func() []Server { return []Server{{ID: "e1"}} },
+			Deliver: func(rep galenastair.EngineReport) {
+				if i == 1 {
+					delivered <- rep
+				}
+			},
+		}, WithShortest(20*time.Millisecond))
+		handlers[i].Store(r)
+		go func() { ended <- r.Run(ctx) }()
+	}
+	const messages = 3
+	for range messages {
+		rep := <-delivered
+		is.Equal(rep.BackendServer, galenastair.BackendServerID("e1"))
+		is.Equal(len(rep.Loaded), 1)
+		is.True(rep.Running > 0)
+	}
+	each := bytes.Load() / messages
+	t.Logf("%d bytes a message", each)
+	is.True(each < messageBytes+200) // with the state in two of them
+	cancel()
+	<-ended
+	<-ended
+}
