queue: what can still be served well goes before what is late

An organisation's late requests now go after its fresh ones, and when the queue is too long for the deadline the oldest late one is refused in place of the new one.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -22,6 +22,10 @@
 // weight store takes about that long.
 const copyRetry = 2 * time.Second
 
+// freshFor is how long a request may wait and still be served well: callers are
+// promised a first token in 1.8 s, and a prefill in a full batch takes some 0.3 s.
+const freshFor = 1500 * time.Millisecond
+
 // model is the core's state of one model or adapter.
 type model struct {
 	queue *queue.Fair
@@ -68,6 +72,7 @@
 		Organisation: r.Organisation,
 		Weight:       r.Weight,
 		Cost:         r.cost(),
+		Fresh:        now.Add(freshFor),
 		Deadline:     r.Deadline,
 	}
 	c.tickets[it] = t
@@ -110,7 +115,7 @@
 func (c *Core) drainModel(now time.Time, m *model) {
 	fit := func(*queue.Item) bool { return true }
 	for m.queue.Len() > 0 {
-		it := m.queue.Next(fit)
+		it := m.queue.Next(now, fit)
 		if it == nil {
 			return
 		}
@@ -131,7 +136,7 @@
 // drainServer sends waiting requests to a backend server while it has room.
 func (c *Core) drainServer(now time.Time, id galenastair.BackendServerID) {
 	for c.router.HasRoom(id) {
-		name, it := c.turnOf(id)
+		name, it := c.turnOf(now, id)
 		if it == nil {
 			return
 		}
@@ -152,7 +157,7 @@
 
 // turnOf picks the organisation whose turn it is on a backend server, and the one of
 // its requests there that has waited longest.
-func (c *Core) turnOf(id galenastair.BackendServerID) (galenastair.ModelName, *queue.Item) {
+func (c *Core) turnOf(now time.Time, id galenastair.BackendServerID) (galenastair.ModelName, *queue.Item) {
 	tn := c.turn(id)
 	fit := func(it *queue.Item) bool { return !c.excludes(it, id) }
 	var best galenastair.ModelName
@@ -163,9 +168,9 @@
 		if m == nil || m.queue.Len() == 0 {
 			continue
 		}
-		m.queue.Heads(fit, func(it *queue.Item) {
+		m.queue.Heads(now, fit, func(it *queue.Item) {
 			tag := tn.start(it.Organisation)
-			if next == nil || tag < start || tag == start && c.before(it, next) {
+			if next == nil || tag < start || tag == start && c.before(now, it, next) {
 				best, next, start = name, it, tag
 			}
 		})
@@ -173,7 +178,11 @@
 	return best, next
 }
 
-func (c *Core) before(a, b *queue.Item) bool {
+// before orders the requests of one organisation on a backend server as its queues do.
+func (c *Core) before(now time.Time, a, b *queue.Item) bool {
+	if now.After(a.Fresh) != now.After(b.Fresh) {
+		return now.After(b.Fresh)
+	}
 	return c.tickets[a].submitted.Before(c.tickets[b].submitted)
 }
 
@@ -203,7 +212,7 @@
 	t.state, t.granted, t.server = running, now, d.Server
 	c.router.Sent(now, d.Server, t.Request.Prefix)
 	waited := now.Sub(t.submitted)
-	c.record(t, waited <= goodWait)
+	c.record(t, waited <= freshFor)
 	c.out = append(c.out, Decision{Ticket: t, Choice: Choice{
 		Decision: d,
 		Priority: m.queue.Priority(it.Organisation),
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -1,14 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"galenastair"
-)
-
-// goodWait is the longest wait in the queue that still counts as good service.
-// Callers are promised a first token in 1.8 s, of which a prefill takes up to one.
-const goodWait = 800 * time.Millisecond
+import "galenastair"
 
 // servedMemory is how many requests of an organisation the share of good service
 // looks back on.
--- a/measure/load.go
+++ b/measure/load.go
@@ -21,11 +21,11 @@
 	within       bool
 	attempts     int
 
+	granted    time.Time
 	firstToken time.Time
 	finished   time.Time
 	refused    bool
-	// repeats is how the seed decides draws that depend on the call alone
-	entry int
+	entry      int
 }
 
 // good says whether the caller got what it was promised.
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -52,30 +52,36 @@
 // Refusing at arrival what would run out of time in the queue spares its caller
 // the wait and the backend servers an answer that nobody reads any more.
 func (q *Fair) Push(now time.Time, it *Item) []Refused {
+	var out []Refused
 	f := q.flow(it)
 	if wait, ok := q.foretell(now, f, it); ok && late(now, wait, it.Deadline) {
-		late := wait - it.Deadline.Sub(now)
-		return []Refused{refuse(it, late, "the queue is too long for the deadline")}
+		over := wait - it.Deadline.Sub(now)
+		if !f.lateFirst(now) {
+			return []Refused{refuse(it, over, "the queue is too long for the deadline")}
+		}
+		// one that is late already is less likely to be served than the new one
+		old := q.drop(f, 0)
+		out = append(out, refuse(old, over, "the queue is too long for the deadline"))
 	}
 	if q.length == 0 {
 		q.drain.begin(now)
 	}
 	q.add(f, it)
-	if q.length <= q.bound {
-		return nil
+	if q.length > q.bound {
+		out = append(out, q.Shed(now))
 	}
-	return []Refused{q.Shed(now)}
+	return out
 }
 
 // Next returns the item whose turn it is among those that fit, without taking it.
-func (q *Fair) Next(fit func(*Item) bool) *Item {
+func (q *Fair) Next(now time.Time, fit func(*Item) bool) *Item {
 	var best *flow
 	var found *Item
 	for _, f := range q.active {
 		if best != nil && f.start >= best.start {
 			continue
 		}
-		if i := slices.IndexFunc(f.items, fit); i >= 0 {
+		if i := f.first(now, fit); i >= 0 {
 			best, found = f, f.items[i]
 		}
 	}
@@ -83,9 +89,9 @@
 }
 
 // Heads yields for each organisation the first of its waiting items that fits.
-func (q *Fair) Heads(fit func(*Item) bool, yield func(*Item)) {
+func (q *Fair) Heads(now time.Time, fit func(*Item) bool, yield func(*Item)) {
 	for _, f := range q.active {
-		if i := slices.IndexFunc(f.items, fit); i >= 0 {
+		if i := f.first(now, fit); i >= 0 {
 			yield(f.items[i])
 		}
 	}
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"galenastair"
 )
@@ -46,6 +47,28 @@
 	return b.Deadline.IsZero() || a.Deadline.Before(b.Deadline)
 }
 
+// first returns the place of the item to take: the first that can still be served
+// well, else the first at all; -1 if none fits.
+//
+// It is made for saturation. In order of arrival every request would wait just until
+// it is late, and the accelerators would serve nobody well; this way those who can
+// be served in time are, and the late ones follow when there is time for them.
+func (f *flow) first(now time.Time, fit func(*Item) bool) int {
+	late := -1
+	for i, it := range f.items {
+		if !fit(it) {
+			continue
+		}
+		if it.Fresh.IsZero() || !now.After(it.Fresh) {
+			return i
+		}
+		if late < 0 {
+			late = i
+		}
+	}
+	return late
+}
+
 func (f *flow) remove(i int) *Item {
 	it := f.items[i]
 	f.items = slices.Delete(f.items, i, i+1)
@@ -55,3 +78,8 @@
 
 // excess is how many seconds of its own rate the organisation has waiting.
 func (f *flow) excess() float64 { return f.cost / f.weight }
+
+// lateFirst says whether the item that waits longest can no longer be served well.
+func (f *flow) lateFirst(now time.Time) bool {
+	return len(f.items) > 0 && !f.items[0].Fresh.IsZero() && now.After(f.items[0].Fresh)
+}
--- a/queue/item.go
+++ b/queue/item.go
@@ -14,6 +14,8 @@
 	Weight galenastair.TokensPerSecond
 	// Cost is what the request takes of its organisation's share.
 	Cost galenastair.Tokens
+	// Fresh is until when the request can still be served well; zero for always.
+	Fresh time.Time
 	// Deadline is when the first token is no longer of use; zero for none.
 	Deadline time.Time
 }
