--- a/config/fold.go
+++ b/config/fold.go
@@ -47,9 +47,6 @@
 // Halted tells that the stream has moved to rules that this program does not know.
 func (f *Fold) Halted() bool { return f.halted }
 
-// Skipped returns how often records were rejected or skipped, by reason.
-func (f *Fold) Skipped(r Reason) int64 { return f.counts[r] }
-
 // Digest returns the sum over the fold's entries.
 func (f *Fold) Digest() Digest { return f.digest }
 
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -131,3 +131,23 @@
 	long := 3700 * time.Millisecond
 	is.Equal(l.waits, []time.Duration{0, long, long, 0, 0, long})
 }
+
+// A newer program has raised the rules and this one was forgotten in the
+// upgrade. It would obey another configuration than the rest.
+// Seen failing with Ready not looking at halted.
+func TestOlderProgramStopsAtNewerRules(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	fill(l, 1)
+	l.add(testRecord("junk", "Later", 1))
+	f := NewFollower(l)
+	is.NoErr(f.step(t.Context()))
+	is.Equal(f.View().Skipped(UnknownKind), int64(1))
+	l.add(testRecord("rules", KindRulesRaised, RulesRaised{Version: rulesVersion + 1}))
+	l.add(testRecord("x", KindKeyWithdrawn, KeyWithdrawn{KeyHash: testKey(1)}))
+	for range 2 {
+		is.True(errors.Is(f.step(t.Context()), ErrNewerRules))
+		is.True(!f.Ready())
+		is.Equal(f.View().Offset(), galenastair.Offset(3))
+	}
+}
--- a/config/history_test.go
+++ b/config/history_test.go
@@ -235,6 +235,51 @@
 	}
 }
 
+// witness follows the disturbed log and keeps the views that it was shown.
+type witness struct {
+	follower *Follower
+	views    []*View
+	ended    chan struct{}
+}
+
+func newWitness(ctx context.Context, t *testing.T, l *fakeLog) *witness {
+	w := &witness{follower: NewFollower(l), ended: make(chan struct{})}
+	start(t, w.follower)
+	first := until(t, w.follower, 1)
+	go func() {
+		defer close(w.ended)
+		for v := first; ; v = w.follower.View() {
+			w.views = append(w.views, v)
+			select {
+			case <-v.Superseded():
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return w
+}
+
+// check says what a caller would have seen go back.
+func (w *witness) check(t *testing.T, l *fakeLog) string {
+	t.Helper()
+	<-w.ended
+	last := until(t, w.follower, l.next())
+	w.views = append(w.views, last)
+	for i, v := range w.views[1:] {
+		old := w.views[i]
+		if v.Offset() < old.Offset() {
+			t.Errorf("view went back from %d to %d", old.Offset(), v.Offset())
+		}
+		for k := range 3 {
+			if keyState(old, testKey(k)) == withdrawnKey && keyState(v, testKey(k)) != withdrawnKey {
+				t.Errorf("key %d is back at offset %d", k, v.Offset())
+			}
+		}
+	}
+	return string(last.Snapshot())
+}
+
 // disturbed runs clients against a faulty log for a while and returns what they were told.
 func disturbed(t *testing.T, seed uint64) *recorder {
 	const clients, actions = 5, 30
@@ -254,6 +299,7 @@
 		defer close(ended)
 		disturb(ctx, l, rand.New(rand.NewPCG(seed, 1)))
 	}()
+	witnesses := []*witness{newWitness(ctx, t, l), newWitness(ctx, t, l)}
 	var group sync.WaitGroup
 	for id := range clients {
 		c := &client{id: id, random: rand.New(rand.NewPCG(seed, uint64(2+id))), publisher: NewPublisher(l), recorder: rec}
@@ -266,5 +312,8 @@
 	group.Wait()
 	cancel()
 	<-ended
+	if witnesses[0].check(t, l) != witnesses[1].check(t, l) {
+		t.Error("two instances hold different configurations")
+	}
 	return rec
 }
--- a/config/view.go
+++ b/config/view.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"maps"
 	"slices"
 
 	"galenastair"
@@ -13,6 +14,7 @@
 	rules         int
 	digest        Digest
 	recent        []applied
+	skipped       map[Reason]int64
 	organisations *table[galenastair.Organisation, *organisation]
 	keys          *table[keyID, galenastair.Organisation]
 	withdrawn     *table[keyID, struct{}]
@@ -26,6 +28,7 @@
 		rules:         f.rules,
 		digest:        f.digest,
 		recent:        f.recent.list,
+		skipped:       maps.Clone(f.counts),
 		organisations: f.organisations.freeze(),
 		keys:          f.keys.freeze(),
 		withdrawn:     f.withdrawn.freeze(),
@@ -83,5 +86,8 @@
 // Digest returns the sum over all that the view holds; equal views have equal digests.
 func (v *View) Digest() Digest { return v.digest }
 
+// Skipped returns how many records this instance has rejected or skipped for a reason since it started.
+func (v *View) Skipped(r Reason) int64 { return v.skipped[r] }
+
 // Superseded returns a channel that is closed when a newer view has taken this one's place.
 func (v *View) Superseded() <-chan struct{} { return v.superseded }
