--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -170,7 +170,7 @@
 		}
 		m.queue.Heads(now, fit, func(it *queue.Item) {
 			tag := tn.start(it.Organisation)
-			if next == nil || tag < start || tag == start && c.before(now, it, next) {
+			if next == nil || c.before(now, it, next, tag, start) {
 				best, next, start = name, it, tag
 			}
 		})
@@ -178,11 +178,15 @@
 	return best, next
 }
 
-// before orders the requests of one organisation on a backend server as its queues do.
-func (c *Core) before(now time.Time, a, b *queue.Item) bool {
+// before says whether a goes before b on a backend server: fresh ones before late
+// ones, then by the organisations' tags, then by arrival.
+func (c *Core) before(now time.Time, a, b *queue.Item, tagA, tagB float64) bool {
 	if now.After(a.Fresh) != now.After(b.Fresh) {
 		return now.After(b.Fresh)
 	}
+	if tagA != tagB {
+		return tagA < tagB
+	}
 	return c.tickets[a].submitted.Before(c.tickets[b].submitted)
 }
 
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -74,15 +74,26 @@
 }
 
 // Next returns the item whose turn it is among those that fit, without taking it.
+//
+// Late items of all organisations wait for fresh ones of any: their organisations'
+// tags stay behind meanwhile, so their next fresh items go first.
 func (q *Fair) Next(now time.Time, fit func(*Item) bool) *Item {
 	var best *flow
 	var found *Item
 	for _, f := range q.active {
-		if best != nil && f.start >= best.start {
+		i := f.first(now, fit)
+		if i < 0 {
 			continue
 		}
-		if i := f.first(now, fit); i >= 0 {
-			best, found = f, f.items[i]
+		it := f.items[i]
+		if best == nil || it.late(now) != found.late(now) {
+			if best == nil || found.late(now) {
+				best, found = f, it
+			}
+			continue
+		}
+		if f.start < best.start {
+			best, found = f, it
 		}
 	}
 	return found
--- a/queue/item.go
+++ b/queue/item.go
@@ -20,6 +20,11 @@
 	Deadline time.Time
 }
 
+// late says whether the item can no longer be served well.
+func (it *Item) late(now time.Time) bool {
+	return !it.Fresh.IsZero() && now.After(it.Fresh)
+}
+
 // Refused is an item that leaves the queue unserved.
 type Refused struct {
 	Item *Item
