--- a/config/doc.go
+++ b/config/doc.go
@@ -51,10 +51,11 @@
 // Whether it may serve on is decided by reach: see the rule there. In short, it
 // must hear an instance of each availability zone, since the log may still answer
 // a zone that is silent as a whole. A zone that the platform's list shows gone
-// does not count, nor one of a single instance. Not covered: such a zone, if it
-// is cut off together with the log and does not die; the others then serve on
-// the old configuration for as long as that lasts. Requests that run when an
-// instance finds itself cut off go on to their end.
+// does not count, nor one of a single instance. Not covered, so that an old
+// configuration is served by for as long as it lasts: a zone of one instance that
+// is cut off together with the log and does not die; a whole region that is cut
+// off from a log elsewhere, if the listed peers are of its own region alone.
+// Requests that run when an instance finds itself cut off go on to their end.
 //
 // # Size
 //
--- a/config/reader.go
+++ b/config/reader.go
@@ -14,6 +14,8 @@
 var (
 	// ErrNoSnapshot says that records are missing and no snapshot stands in for them.
 	ErrNoSnapshot = eris.New("the records have expired and the log holds no snapshot")
+	// ErrLogBehind says that the log ends before an offset that was folded already.
+	ErrLogBehind = eris.New("the log ends before what was read from it")
 	// ErrNewerRules says that the stream has moved to rules that this program does not know.
 	ErrNewerRules = eris.New("the configuration stream needs a newer program")
 )
@@ -49,6 +51,10 @@
 	if err != nil {
 		return false, err
 	}
+	// a log that was reset, or a lagging copy of it: its answer proves no contact
+	if batch.Next < r.fold.Next() {
+		return false, eris.Wrapf(ErrLogBehind, "at %d, folded up to %d", batch.Next, r.fold.Next())
+	}
 	if err := r.apply(batch.Records); err != nil {
 		return false, err
 	}
@@ -87,10 +93,10 @@
 	if err != nil {
 		return err
 	}
-	if found == nil {
+	// one that is not ahead does not bridge the gap, and would be read again and again
+	if found == nil || !r.adopt(found) {
 		return ErrNoSnapshot
 	}
-	r.adopt(found)
 	return nil
 }
 
--- a/config/recovery_test.go
+++ b/config/recovery_test.go
@@ -65,6 +65,26 @@
 	is.True(k.Withdrawn)
 }
 
+// Records have expired that no snapshot stands in for, or the log was reset.
+// The instance must say so, keep its view and not read the same again and again.
+// Seen failing with restart not looking at what adopt returns, and with read not
+// looking at where the log ends.
+func TestLogThatCannotBeFollowed(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	fill(l, 5)
+	f := NewFollower(l)
+	is.NoErr(f.step(t.Context()))
+	is.NoErr(appendSnapshot(t.Context(), l, f.View(), "leader"))
+	l.add(testRecord("x", KindKeyWithdrawn, KeyWithdrawn{KeyHash: testKey(1)}))
+	l.records, l.first = nil, 9
+	is.NoErr(appendSnapshot(t.Context(), l, f.View(), "leader"))
+	is.True(errors.Is(f.step(t.Context()), ErrNoSnapshot))
+	l.records, l.first = nil, 1
+	is.True(errors.Is(f.step(t.Context()), ErrLogBehind))
+	is.Equal(f.View().Offset(), galenastair.Offset(6))
+}
+
 // The log goes down right after a withdrawal that only one instance has read.
 // The key would go on working on the others for the whole outage, and a
 // replaced instance would never get ready.
