dispatch, route: room beyond the window for organisations within their share

Those within their rate lost 33.8 % of their requests to refusals beside one that sent five times its own: a slot in a window is held for a whole answer, some six seconds, so who was first in turn waited for one of the four slots that its entry had at the one or two copies. An organisation with less than half the mean backlog (in seconds of its own rate) may now send beyond the window, where the engine's priority puts it first; its requests count neither as late nor as foretold to be. What is left of the refusals: models whose only copy stands with other hot ones.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -42,6 +42,7 @@
 	turns   map[galenastair.BackendServerID]*turn
 	tickets map[*queue.Item]*Ticket
 	served  map[galenastair.Organisation]*served
+	backlog backlog
 	out     []Decision
 }
 
@@ -53,6 +54,7 @@
 		turns:   map[galenastair.BackendServerID]*turn{},
 		tickets: map[*queue.Item]*Ticket{},
 		served:  map[galenastair.Organisation]*served{},
+		backlog: backlog{waiting: map[galenastair.Organisation]*waitingShare{}},
 	}
 }
 
@@ -76,8 +78,13 @@
 		Deadline:     r.Deadline,
 	}
 	c.tickets[it] = t
+	c.backlog.add(it)
+	it.Entitled = c.backlog.entitles(it.Organisation)
 	c.refuseAll(now, m.queue.Push(now, it))
 	c.drainModel(now, m)
+	if t.state == waiting && it.Entitled {
+		c.sendEntitled(now, m, t)
+	}
 	if len(c.tickets) > maxWaiting {
 		c.shed(now)
 	}
@@ -133,6 +140,15 @@
 	}
 }
 
+// sendEntitled sends a request of an organisation within its share beyond the window.
+func (c *Core) sendEntitled(now time.Time, m *model, t *Ticket) {
+	q := t.Request.query()
+	q.Entitled = true
+	if d, ok := c.router.Choose(now, q); ok {
+		c.grant(now, m, &t.item, d)
+	}
+}
+
 // drainServer sends waiting requests to a backend server while it has room.
 func (c *Core) drainServer(now time.Time, id galenastair.BackendServerID) {
 	for c.router.HasRoom(id) {
@@ -181,8 +197,8 @@
 // before says whether a goes before b on a backend server: fresh ones before late
 // ones, then by the organisations' tags, then by arrival.
 func (c *Core) before(now time.Time, a, b *queue.Item, tagA, tagB float64) bool {
-	if now.After(a.Fresh) != now.After(b.Fresh) {
-		return now.After(b.Fresh)
+	if a.Late(now) != b.Late(now) {
+		return b.Late(now)
 	}
 	if tagA != tagB {
 		return tagA < tagB
@@ -212,7 +228,7 @@
 	t := c.tickets[it]
 	c.turn(d.Server).charge(it.Organisation, float64(it.Cost), float64(it.Weight))
 	m.queue.Take(now, it)
-	delete(c.tickets, it)
+	c.forget(it)
 	t.state, t.granted, t.server = running, now, d.Server
 	c.router.Sent(now, d.Server, t.Request.Prefix)
 	waited := now.Sub(t.submitted)
@@ -224,6 +240,11 @@
 	}})
 }
 
+func (c *Core) forget(it *queue.Item) {
+	delete(c.tickets, it)
+	c.backlog.remove(it)
+}
+
 func (c *Core) refuse(_ time.Time, t *Ticket, err *galenastair.Refusal) {
 	t.state = ended
 	c.model(t.Request.Model).demand.Refused++
@@ -234,7 +255,7 @@
 func (c *Core) refuseAll(now time.Time, refused []queue.Refused) {
 	for _, r := range refused {
 		t := c.tickets[r.Item]
-		delete(c.tickets, r.Item)
+		c.forget(r.Item)
 		c.refuse(now, t, r.Err)
 	}
 }
--- a/dispatch/flight.go
+++ b/dispatch/flight.go
@@ -13,7 +13,7 @@
 		return
 	}
 	c.model(t.Request.Model).queue.Remove(&t.item)
-	delete(c.tickets, &t.item)
+	c.forget(&t.item)
 	t.state = ended
 }
 
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -143,7 +143,6 @@
 }
 
 func (f *fleet) send(e *entry, c *call, d dispatch.Decision) {
-	c.granted = f.now
 	en := f.engine(d.Choice.Server)
 	s := &sequence{call: c, priority: d.Choice.Priority}
 	s.first = func() {
--- a/measure/load.go
+++ b/measure/load.go
@@ -21,7 +21,6 @@
 	within       bool
 	attempts     int
 
-	granted    time.Time
 	firstToken time.Time
 	finished   time.Time
 	refused    bool
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -86,8 +86,8 @@
 			continue
 		}
 		it := f.items[i]
-		if best == nil || it.late(now) != found.late(now) {
-			if best == nil || found.late(now) {
+		if best == nil || it.Late(now) != found.Late(now) {
+			if best == nil || found.Late(now) {
 				best, found = f, it
 			}
 			continue
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -59,7 +59,7 @@
 		if !fit(it) {
 			continue
 		}
-		if !it.late(now) {
+		if !it.Late(now) {
 			return i
 		}
 		if late < 0 {
@@ -81,5 +81,5 @@
 
 // lateFirst says whether the item that waits longest can no longer be served well.
 func (f *flow) lateFirst(now time.Time) bool {
-	return len(f.items) > 0 && f.items[0].late(now)
+	return len(f.items) > 0 && f.items[0].Late(now)
 }
--- a/queue/item.go
+++ b/queue/item.go
@@ -16,13 +16,16 @@
 	Cost galenastair.Tokens
 	// Fresh is until when the request can still be served well; zero for always.
 	Fresh time.Time
+	// Entitled says that its organisation is within its share, so that the item is
+	// neither late nor foretold to be: others' backlogs are not waited for.
+	Entitled bool
 	// Deadline is when the first token is no longer of use; zero for none.
 	Deadline time.Time
 }
 
-// late says whether the item can no longer be served well.
-func (it *Item) late(now time.Time) bool {
-	return !it.Fresh.IsZero() && now.After(it.Fresh)
+// Late says whether the item can no longer be served well.
+func (it *Item) Late(now time.Time) bool {
+	return !it.Entitled && !it.Fresh.IsZero() && now.After(it.Fresh)
 }
 
 // Refused is an item that leaves the queue unserved.
--- a/queue/share.go
+++ b/queue/share.go
@@ -100,7 +100,7 @@
 // organisation, and for those of others whose tags come before its own. Another
 // organisation's backlog beyond its share does not count, as it is not waited for.
 func (q *Fair) foretell(now time.Time, f *flow, it *Item) (time.Duration, bool) {
-	if it.Deadline.IsZero() || q.length == 0 {
+	if it.Deadline.IsZero() || it.Entitled || q.length == 0 {
 		return 0, false
 	}
 	tag := f.start + f.cost/f.weight
--- a/route/choose.go
+++ b/route/choose.go
@@ -20,6 +20,9 @@
 	Model   galenastair.ModelName
 	Prefix  []uint64
 	Exclude []galenastair.BackendServerID
+	// Entitled lets the request go beyond the window, into the part kept back for
+	// organisations within their share.
+	Entitled bool
 }
 
 // Decision is a chosen backend server and the reason for it.
@@ -53,7 +56,7 @@
 		}
 		sum += s.load(now)
 		n++
-		if s.room() {
+		if s.room(q.Entitled) {
 			r.fit = append(r.fit, s)
 		}
 	}
@@ -78,7 +81,7 @@
 // lastResort sends to a backend server that was taken out if no other has a copy:
 // a slow answer is better than none, and the comparison may be wrong.
 func (r *Router) lastResort(q Query, resting *server) (Decision, bool) {
-	if resting == nil || !resting.room() || r.healthyCopy(q) {
+	if resting == nil || !resting.room(q.Entitled) || r.healthyCopy(q) {
 		return Decision{}, false
 	}
 	return r.decide(resting, q, NoneHealthy), true
--- a/route/router.go
+++ b/route/router.go
@@ -118,7 +118,7 @@
 // HasRoom says whether a backend server may be sent one more request now.
 func (r *Router) HasRoom(id galenastair.BackendServerID) bool {
 	s := r.servers[id]
-	return s != nil && !s.Leaving && !s.health.out && s.room()
+	return s != nil && !s.Leaving && !s.health.out && s.room(false)
 }
 
 // Known says whether any backend server that may take new work has a ready copy of the model.
--- a/route/server.go
+++ b/route/server.go
@@ -38,4 +38,10 @@
 	return float64(s.inFlight) + s.others*math.Exp(-float64(age)/float64(reportMemory))
 }
 
-func (s *server) room() bool { return s.inFlight < s.window.size() }
+// room says whether one more request may go there; entitled ones may go beyond the window.
+func (s *server) room(entitled bool) bool {
+	if entitled {
+		return s.inFlight < s.window.size()+s.window.kept()
+	}
+	return s.inFlight < s.window.size()
+}
--- a/route/window.go
+++ b/route/window.go
@@ -41,6 +41,15 @@
 
 func (w *window) size() int { return max(1, int(w.limit)) }
 
+// keptShare is the part of the window that organisations within their share may use
+// beyond it. A slot in a window is held for a whole answer, seconds long: without
+// this a request that is first in turn waits for one of the few slots that its entry
+// has at the one or two copies of its model. In the engine it waits for the slots of
+// all entries together, and the engine's priority puts it first there.
+const keptShare = 0.5
+
+func (w *window) kept() int { return max(1, int(keptShare*w.limit)) }
+
 // note tells the window that a request was sent with so many in flight.
 func (w *window) note(inFlight int) {
 	if inFlight >= w.size()-1 {
