--- a/engine/event.go
+++ b/engine/event.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -35,9 +36,22 @@
 	long    []byte
 }
 
+// buffers are used again: at 10,000 short requests/s new ones would be 40 MB/s
+// of garbage on an instance that has 64 MB.
+var buffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+
 // newEventReader calls waiting before each read that may block.
 func newEventReader(r io.Reader, waiting func()) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, readBuffer), waiting: waiting}
+	buf := buffers.Get().(*bufio.Reader)
+	buf.Reset(r)
+	return &eventReader{r: buf, waiting: waiting}
+}
+
+// release gives the buffer back; the reader must not be used any more.
+func (e *eventReader) release() {
+	e.r.Reset(nil)
+	buffers.Put(e.r)
+	e.r = nil
 }
 
 // next returns the next event with data; an event that the end of the body cuts is none.
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -63,11 +63,13 @@
 	return eris.Wrapf(galenastair.ErrAnswerCut, "before event %d: %v", s.check.next, err)
 }
 
-// Close ends the stream; a connection whose answer was read whole is used again.
+// Close ends the stream; a connection whose answer was read whole is used again,
+// and its buffer too: only then can no Next still be reading.
 func (s *stream) Close() error {
 	s.timer.Stop()
-	if s.ended {
+	if s.ended && s.events.r != nil {
 		s.drain()
+		s.events.release()
 	}
 	err := s.body.Close()
 	s.cancel()
