--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -36,13 +36,13 @@
 func scenarios() []scenario {
 	span := 300 * time.Second
 	return []scenario{
-		{name: "steady", load: 0.7, span: span, below: true},
+		{name: "steady", load: 0.85, span: span, below: true},
 		{name: "bursts", load: 0.5, span: span, below: true, organisation: bursts},
-		{name: "moving skew", load: 0.6, span: 900 * time.Second, below: true, demand: movingSkew},
+		{name: "moving skew", load: 0.75, span: 900 * time.Second, below: true, demand: movingSkew},
 		{name: "tenfold and back", load: 0.5, span: 2400 * time.Second, below: true, demand: tenfold},
-		{name: "one slow", load: 0.6, span: span, below: true, slow: true},
-		{name: "one dying", load: 0.6, span: span, below: true, dies: true},
-		{name: "long and short", load: 0.6, span: span, below: true, long: 0.05},
+		{name: "one slow", load: 0.7, span: span, below: true, slow: true},
+		{name: "one dying", load: 0.7, span: span, below: true, dies: true},
+		{name: "long and short", load: 0.7, span: span, below: true, long: 0.05},
 		{name: "five times its rate", load: 0.6, span: span, unlimited: true, beyond: 2, organisation: fiveTimes},
 		{name: "saturation", load: 1.3, span: span, unlimited: true},
 		{name: "twice the capacity", load: 2, span: span, unlimited: true},
