--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -6,10 +6,11 @@
 // looks back on.
 const servedMemory = 64
 
-// poorFactor is how much more the demand of a badly served organisation counts.
-// At 4, a small one with all its requests late outweighs one five times its size
-// with none late, which is about the spread of today's contracts.
-const poorFactor = 4
+// poorFactor is how much more the demand of a badly served organisation counts. At
+// 1, requests of one whose requests are all late count twice. Much more distorts the
+// forecast of a model's load: at 4 a moving skew was served worse, for the worst
+// organisation too.
+const poorFactor = 1
 
 // maxServed bounds the organisations remembered on an entry.
 const maxServed = 4096
