entry, platform: engines read by one instance each, the list read by its tag

Each engine is now read by one member, which tells the others what changed (package report); the list is asked for with the tag of the last one and costs a few hundred bytes while it is unchanged. Ruled out: reading the list less often (a leaving server must get no new work after a few seconds); cache events from every engine (over the budget alone, so they are read by the engine's reader, and only up to 30 engines).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"galenastair/place"
 	"galenastair/platform"
 	"galenastair/rate"
+	"galenastair/report"
 	"galenastair/request"
 	"galenastair/service"
 	"galenastair/settings"
@@ -40,6 +41,7 @@
 	claims     *claim.Keeper
 	engine     engines
 	leader     *place.Leader
+	reporter   *report.Reporter
 	server     *request.Server
 	metrics    *operator.Metrics
 	callers    *http.Server
@@ -76,6 +78,7 @@
 		member.WithFold(e.leader),
 	)
 	e.dispatcher = dispatch.New()
+	e.reporter = e.newReporter()
 	e.services = request.NewServiceList(s.Instance.AvailabilityZone)
 	limiter, err := e.newLimiter()
 	if err != nil {
@@ -125,7 +128,8 @@
 	e.add(work, &g, "snapshots", e.republish)
 	e.add(work, &g, "withdrawals", e.endWithdrawn)
 	e.add(work, &g, "instances", e.followList)
-	e.add(work, &g, "reports", e.followReports)
+	e.add(work, &g, "reports", e.reporter.Run)
+	e.add(work, &g, "cache events", e.followCacheEvents)
 	e.add(work, &g, "placement", e.leader.Run)
 	e.add(work, &g, "demand", e.tellDemand)
 	e.add(work, &g, "rate", e.limiter.Run)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -12,6 +12,7 @@
 	"galenastair/peer/demand"
 	"galenastair/peer/ratepb"
 	"galenastair/peer/record"
+	"galenastair/report"
 )
 
 // peerHandler serves the other instances.
@@ -23,6 +24,7 @@
 	}))
 	r.PathPrefix(ratepb.RatePathPrefix).Handler(e.limiter.Handler())
 	r.PathPrefix(demand.PathPrefix).Handler(demand.NewServer(e.modelNames, e.leader.Demand))
+	r.PathPrefix(report.PathPrefix).Handler(e.reporter.Handler())
 	r.PathPrefix(claimpb.ClaimPathPrefix).Handler(e.claims.Handler())
 	return r
 }
--- a/entry/report.go
+++ b/entry/report.go
@@ -4,49 +4,109 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"galenastair"
+	"galenastair/member"
+	"galenastair/report"
 )
 
-// reportReads bounds the engines asked at once.
-const reportReads = 16
-
-// followReports reads each engine's report each period.
-func (e *Entry) followReports(ctx context.Context) error {
-	tick := time.NewTicker(e.settings.Engines.ReportPeriod)
-	defer tick.Stop()
-	for {
-		e.readReports(ctx)
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+const (
+	// eventsPeriod is how often cache events are read; they come late anyway.
+	eventsPeriod = time.Second
+	// eventsEngines is up to how many engines cache events are read at all. One
+	// event takes some 60 bytes and every prompt makes several: at the target they
+	// alone would be over the 6 KB/s of a node, and an entry's own sends tell most
+	// of what they do.
+	eventsEngines = 30
+	// eventsTimeout keeps a frozen engine from holding up the others for long.
+	eventsTimeout = 500 * time.Millisecond
+)
+
+// reportSlot is the slot of an engine's reader in the ranking of members.
+const reportSlot = 0
+
+func readerKey(id galenastair.BackendServerID) string { return "report:" + string(id) }
+
+// reportDuties tells which member reads which engine.
+type reportDuties struct{ s *member.Status }
+
+// Self returns this instance.
+func (d reportDuties) Self() report.Peer { return report.Peer(ratePeer(d.s.Self)) }
+
+// Members lists all instances of the present epoch.
+func (d reportDuties) Members() []report.Peer {
+	peers := make([]report.Peer, len(d.s.View.Ring))
+	for i, m := range d.s.View.Ring {
+		peers[i] = report.Peer(ratePeer(m))
 	}
+	return peers
+}
+
+// Epoch returns the present epoch.
+func (d reportDuties) Epoch() galenastair.Epoch { return d.s.View.Epoch }
+
+// Reader returns the member that reads an engine.
+func (d reportDuties) Reader(id galenastair.BackendServerID) (report.Peer, bool) {
+	m, ok := d.s.Owner(readerKey(id), reportSlot)
+	return report.Peer(ratePeer(m)), ok
+}
+
+func (e *Entry) newReporter() *report.Reporter {
+	return report.New(report.Ports{
+		Engine:  e.engine,
+		Duties:  func() report.Duties { return reportDuties{e.members.Status()} },
+		Servers: e.fleet.engines,
+		Deliver: e.deliver,
+	}, report.WithLogger(e.logger), report.WithShortest(e.settings.Engines.ReportPeriod))
 }
 
-func (e *Entry) readReports(ctx context.Context) {
-	var g errgroup.Group
-	g.SetLimit(reportReads)
-	for _, l := range e.fleet.role(galenastair.RoleEngine) {
-		g.Go(func() error {
-			e.readReport(ctx, l)
-			return nil
-		})
+// deliver hands a report to all that decide by it.
+func (e *Entry) deliver(r galenastair.EngineReport) {
+	e.fleet.report(r, time.Now())
+	e.dispatcher.Report(r)
+	// the loop has ended if it refuses, and the instance with it
+	_ = e.leader.Report(context.Background(), r)
+}
+
+// engines lists the engines as the reporter needs them.
+func (f *fleet) engines() []report.Server {
+	listed := f.role(galenastair.RoleEngine)
+	out := make([]report.Server, len(listed))
+	for i, l := range listed {
+		out[i] = report.Server{ID: galenastair.BackendServerID(l.ID), Address: l.Address}
+	}
+	return out
+}
+
+// followCacheEvents reads the cache events of the engines whose reader this is.
+func (e *Entry) followCacheEvents(ctx context.Context) error {
+	after := map[galenastair.BackendServerID]int64{}
+	for pause(ctx, eventsPeriod) {
+		servers := e.fleet.engines()
+		if len(servers) > eventsEngines {
+			continue
+		}
+		duties := reportDuties{e.members.Status()}
+		for _, s := range servers {
+			if reader, ok := duties.Reader(s.ID); ok && reader.ID == e.settings.Instance.ID {
+				after[s.ID] = e.readCacheEvents(ctx, s, after[s.ID])
+			}
+		}
 	}
-	_ = g.Wait()
+	return ctx.Err()
 }
 
-func (e *Entry) readReport(ctx context.Context, l galenastair.ListedInstance) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+// readCacheEvents returns the sequence number to go on from. An engine that does
+// not answer may have died, and a new process counts from the start.
+func (e *Entry) readCacheEvents(ctx context.Context, s report.Server, after int64) int64 {
+	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
 	defer cancel()
-	r, err := e.engine.Report(ctx, l.Address)
+	events, err := e.engine.CacheEvents(ctx, s.Address, after)
 	if err != nil {
-		return
+		return 0
 	}
-	r.BackendServer = galenastair.BackendServerID(l.ID)
-	e.fleet.report(r, time.Now())
-	e.dispatcher.Report(r)
-	_ = e.leader.Report(ctx, r)
+	e.dispatcher.CacheEvents(s.ID, events)
+	for _, ev := range events {
+		after = max(after, ev.Sequence)
+	}
+	return after
 }
--- a/standin/platform/list.go
+++ b/standin/platform/list.go
@@ -3,11 +3,14 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"galenastair"
@@ -117,10 +120,23 @@
 	writeJSON(w, struct{}{})
 }
 
-func (p *Platform) getInstances(w http.ResponseWriter, _ *http.Request) {
+// getInstances gives the list a tag, by which readers need not read it again.
+func (p *Platform) getInstances(w http.ResponseWriter, r *http.Request) {
 	if p.listOut(w) {
 		return
 	}
 	sw, _ := p.board.get()
-	writeJSON(w, wire.ListAnswer{Instances: p.list.view(time.Now(), sw)})
+	body, err := json.Marshal(wire.ListAnswer{Instances: p.list.view(time.Now(), sw)})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
 }
