standin: how long a leaving engine or service takes requests is a flag

Proofs that a leaving backend server gets no new work after 3 s need one that stays up longer than that after SIGTERM; it was fixed at 500 ms.

--- a/cmd/galenastair-standin/cmd_engine.go
+++ b/cmd/galenastair-standin/cmd_engine.go
@@ -41,6 +41,7 @@
 	f.BoolVar(&s.ChecksFence, "checks-fence", s.ChecksFence, "refuse orders with an old fencing number")
 	f.StringVar(&s.Poison, "poison", s.Poison, "word in a prompt that ends the process when it runs")
 	f.DurationVar(&s.ResumeFor, "resume-for", s.ResumeFor, "how long a request without a connection goes on")
+	notice := f.Duration("leave-notice", defaultNotice, "how long it takes requests after SIGTERM")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
@@ -73,7 +74,7 @@
 		AvailabilityZone: galenastair.AvailabilityZone(*zone),
 	})
 	err = serve(ctx, l, e.Handler(), func() {
-		r.leave(leaveNotice)
+		r.leave(*notice)
 		e.Drain()
 	})
 	r.withdraw()
--- a/cmd/galenastair-standin/cmd_service.go
+++ b/cmd/galenastair-standin/cmd_service.go
@@ -22,6 +22,7 @@
 	zone := f.String("zone", "zone-1", "availability zone")
 	var sw service.Switches
 	f.DurationVar(&sw.Delay, "delay", 0, "how long a call takes")
+	notice := f.Duration("leave-notice", defaultNotice, "how long it takes requests after SIGTERM")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
@@ -42,7 +43,7 @@
 		AvailabilityZone: galenastair.AvailabilityZone(*zone),
 		Service:          galenastair.ServiceName(*name),
 	})
-	err = serve(ctx, l, s.Handler(), func() { r.leave(leaveNotice) })
+	err = serve(ctx, l, s.Handler(), func() { r.leave(*notice) })
 	r.withdraw()
 	return err
 }
--- a/cmd/galenastair-standin/serve.go
+++ b/cmd/galenastair-standin/serve.go
@@ -99,9 +99,9 @@
 	return r
 }
 
-// leaveNotice is how long a leaving process goes on taking requests: the list
+// defaultNotice is how long a leaving process goes on taking requests: the list
 // shows the mark with a lag, and until then requests still come.
-const leaveNotice = 500 * time.Millisecond
+const defaultNotice = 500 * time.Millisecond
 
 // leave shows the leaving mark and waits until readers of the list can have seen it.
 func (r *registration) leave(notice time.Duration) {
