--- a/report/region_test.go
+++ b/report/region_test.go
@@ -101,11 +101,12 @@
 		return
 	}
 	req := encode(p.Told)
+	told := decode(req)
 	for _, to := range p.To {
 		r.bytes += messageBytes + proto.Size(req)
 		at := slices.IndexFunc(r.peers, func(o Peer) bool { return o.ID == to.ID })
 		if at != r.deaf {
-			r.cores[at].Heard(r.now, decode(req))
+			r.cores[at].Heard(r.now, told)
 		}
 	}
 }
