--- a/config/history_test.go
+++ b/config/history_test.go
@@ -137,14 +137,15 @@
 	recorder  *recorder
 }
 
-func (c *client) act(ctx context.Context) {
+// act tells whether the log let the client see the configuration, and so do anything.
+func (c *client) act(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer cancel()
 	key := testKey(c.random.IntN(3))
 	call := time.Since(c.recorder.start)
 	v, err := c.publisher.CatchUp(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	switch c.random.IntN(6) {
 	case 0:
@@ -163,6 +164,7 @@
 		next.Rate = galenastair.TokensPerSecond(1 + c.random.IntN(1000))
 		c.change(ctx, operation{kind: KindContractPublished, base: latest.Record}, ContractPublished{latest.Offset, next})
 	}
+	return true
 }
 
 func (c *client) change(ctx context.Context, op operation, body any) {
@@ -304,8 +306,12 @@
 	for id := range clients {
 		c := &client{id: id, random: rand.New(rand.NewPCG(seed, uint64(2+id))), publisher: NewPublisher(l), recorder: rec}
 		group.Go(func() {
-			for range actions {
-				c.act(ctx)
+			for done := 0; done < actions; {
+				if c.act(ctx) {
+					done++
+				} else {
+					pause(ctx, time.Millisecond)
+				}
 			}
 		})
 	}
