--- a/engine/client.go
+++ b/engine/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -78,11 +79,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
-	if out == nil {
-		return nil
+	// read to its end, as net/http closes the connection of a body that is not
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxControl))
+	if err != nil || out == nil {
+		return eris.Wrapf(err, "%s %s", method, path)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxControl)).Decode(out)
-	return eris.Wrapf(err, "%s %s", method, path)
+	return eris.Wrapf(json.Unmarshal(answer, out), "%s %s", method, path)
 }
 
 // failed names the cause of a request that got no answer; ctx is the caller's.
@@ -101,6 +103,9 @@
 // refusal names the cause of an answer with an error status.
 func refusal(resp *http.Response) error {
 	detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxDetail))
+	if resp.StatusCode == http.StatusNotFound && strings.HasPrefix(resp.Request.URL.Path, streamsPath) {
+		return eris.Wrap(galenastair.ErrStreamGone, resp.Request.URL.Path)
+	}
 	switch resp.Header.Get(HeaderOutcome) {
 	case OutcomeNotRun:
 		return declined(resp, detail)
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -119,7 +119,7 @@
 // although it certainly did not. Each failure is caused in turn. Seen failing
 // with a Sending that always, or never, says not sent.
 func TestCauseOfAFailureSaysWhetherItRan(t *testing.T) {
-	e, address := startEngine(t, func(s *standin.Settings) { s.MaxWaiting = 0 })
+	_, address := startEngine(t, func(s *standin.Settings) { s.MaxWaiting = 0 })
 	_, open := startEngine(t, nil)
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -164,7 +164,7 @@
 	is.Equal(d.RetryAfter, time.Second)
 	_, err = c.Resume(context.Background(), open, "r9", 0)
 	is.True(errors.Is(err, galenastair.ErrStreamGone))
-	e.Drain()
+	is.True(errors.Is(c.Cancel(context.Background(), open, "r9"), galenastair.ErrStreamGone))
 }
 
 func TestFaultsOfAnEngineNeverLookWhole(t *testing.T) {
--- a/engine/complete.go
+++ b/engine/complete.go
@@ -63,7 +63,7 @@
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
 		defer resp.Body.Close()
-		return nil, openRefusal(req, resp)
+		return nil, refusal(resp)
 	}
 	if got := resp.Header.Get(HeaderRequestID); got != string(id) {
 		cancel()
@@ -75,13 +75,6 @@
 	return s, nil
 }
 
-func openRefusal(req *http.Request, resp *http.Response) error {
-	if req.Method == http.MethodGet && resp.StatusCode == http.StatusNotFound {
-		return eris.Wrap(galenastair.ErrStreamGone, req.URL.Path)
-	}
-	return refusal(resp)
-}
-
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
 }
--- a/engine/control.go
+++ b/engine/control.go
@@ -41,6 +41,8 @@
 	return c.control(ctx, server, http.MethodDelete, streamPath(id), nil, nil)
 }
 
+const streamsPath = "/v1/streams/"
+
 func streamPath(id galenastair.RequestID) string {
-	return "/v1/streams/" + url.PathEscape(string(id))
+	return streamsPath + url.PathEscape(string(id))
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -12,7 +12,7 @@
 	"galenastair"
 )
 
-// stream is one answer on one connection.
+// stream is one answer on one connection, for one goroutine.
 type stream struct {
 	body    io.ReadCloser
 	events  *eventReader
@@ -22,6 +22,8 @@
 	timer   *time.Timer
 	silent  atomic.Bool
 	ended   bool
+	// failed is why the stream broke; nothing that comes after can be trusted.
+	failed error
 }
 
 // expire ends a connection that something between the two ends has lost track
@@ -40,17 +42,22 @@
 	if s.ended {
 		return galenastair.Chunk{}, io.EOF
 	}
+	if s.failed != nil {
+		return galenastair.Chunk{}, s.failed
+	}
+	chunk, err := s.read()
+	s.failed = err
+	s.ended = chunk.End
+	return chunk, err
+}
+
+func (s *stream) read() (galenastair.Chunk, error) {
 	ev, err := s.events.next()
 	s.timer.Stop()
 	if err != nil {
 		return galenastair.Chunk{}, s.cause(err)
 	}
-	chunk, err := s.check.check(ev)
-	if err != nil {
-		return galenastair.Chunk{}, err
-	}
-	s.ended = chunk.End
-	return chunk, nil
+	return s.check.check(ev)
 }
 
 func (s *stream) cause(err error) error {
@@ -76,9 +83,13 @@
 	return err
 }
 
+// drainTimeout is long for the few bytes that end a body after its end mark, and
+// short for a caller whose whole answer waits for them.
+const drainTimeout = 50 * time.Millisecond
+
 // drain reads the end of the body, without which net/http closes the connection.
 func (s *stream) drain() {
-	s.rearm()
+	s.timer.Reset(drainTimeout)
 	_, _ = io.CopyN(io.Discard, s.events.r, 1)
 	s.timer.Stop()
 }
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -81,6 +81,17 @@
 	}
 }
 
+// A caller goes on reading a stream after it broke and takes the rest for its
+// own. Seen failing with the failure not kept.
+func TestBrokenStreamStaysBroken(t *testing.T) {
+	is := is.New(t)
+	s := newTestStream("id: 1\ndata: {\"id\":\"r2\"}\n\nid: 2\ndata: {\"id\":\"r1\"}\n\nid: 3\ndata: [DONE]\n\n")
+	for range 4 {
+		_, err := s.Next()
+		is.True(errors.Is(err, galenastair.ErrCrossed))
+	}
+}
+
 func TestStreamCutAnywhereIsNotWhole(t *testing.T) {
 	is := is.New(t)
 	for cut := range len(wholeAnswer) {
