--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"galenastair"
+	"galenastair/route"
+)
+
+// size is the part of a fleet that one entry decides for.
+type size struct {
+	name                           string
+	servers, models, organisations int
+}
+
+var sizes = []size{
+	{"today", 9, 60, 5},
+	{"region", 270, 250, 2000},
+}
+
+func benchCore(s size) *Core {
+	c := NewCore(rand.New(rand.NewPCG(1, 2)))
+	c.SetServers(start, list(s.servers))
+	for i := range s.servers {
+		r := galenastair.EngineReport{BackendServer: galenastair.BackendServerID(fmt.Sprint(i))}
+		for j := range 6 {
+			m := galenastair.ModelName(fmt.Sprint("m", (i*6+j)%s.models))
+			r.Loaded = append(r.Loaded, galenastair.LoadedWeight{Weight: galenastair.Weight{Name: m}, State: galenastair.Ready})
+		}
+		c.Report(start, r)
+	}
+	return c
+}
+
+func (s size) request(i int, prompt []byte) Request {
+	m := galenastair.ModelName(fmt.Sprint("m", i%min(s.models, 6*s.servers)))
+	return Request{
+		Organisation: galenastair.Organisation(fmt.Sprint("o", i%s.organisations)),
+		Weight:       100,
+		Model:        m,
+		PromptTokens: 400,
+		OutputTokens: 120,
+		Prefix:       route.Prefix(m, prompt),
+	}
+}
+
+// BenchmarkAdmitAndRoute is one request from its arrival to its end, prompt hashed apart.
+func BenchmarkAdmitAndRoute(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.name, func(b *testing.B) {
+			c := benchCore(s)
+			var rs []Request
+			for i := range 4000 {
+				rs = append(rs, s.request(i, make([]byte, 1600)))
+			}
+			now := start
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now = now.Add(20 * time.Microsecond)
+				t := c.Submit(now, rs[i%len(rs)])
+				for _, d := range c.Poll() {
+					if d.Err != nil {
+						b.Fatal(d.Err)
+					}
+				}
+				c.FirstToken(now, t)
+				c.Done(now, t, Result{OutputTokens: 100})
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkSaturated is a request that must wait, and the end of another that lets
+// the next one go, with all queues full.
+func BenchmarkSaturated(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.name, func(b *testing.B) {
+			c := benchCore(s)
+			now := start
+			var running []*Ticket
+			collect := func() {
+				for _, d := range c.Poll() {
+					if d.Err == nil {
+						running = append(running, d.Ticket)
+					}
+				}
+			}
+			var rs []Request
+			for i := range 4000 {
+				rs = append(rs, s.request(i, nil))
+			}
+			for i := range 10_000 {
+				c.Submit(now, rs[i%len(rs)])
+				collect()
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now = now.Add(200 * time.Microsecond)
+				c.Submit(now, rs[i%len(rs)])
+				c.Done(now, running[i], Result{OutputTokens: 100})
+				collect()
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkPrefix is the hashing of a prompt of 8 KB.
+func BenchmarkPrefix(b *testing.B) {
+	prompt := make([]byte, 8192)
+	b.ReportAllocs()
+	for b.Loop() {
+		route.Prefix("m", prompt)
+	}
+}
