--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -113,7 +113,7 @@
 		Deadline:     c.arrived.Add(patience),
 		Exclude:      exclude,
 	}
-	if f.policy.firstCome {
+	if f.policy.oneFlow {
 		r.Organisation, r.Weight = "all", 1000
 	}
 	if exclude == nil {
