--- a/member/node.go
+++ b/member/node.go
@@ -94,7 +94,7 @@
 	n.tickLease(now)
 	n.tickWatch(now)
 	n.tickDoubts(now)
-	n.tickAbsence(now)
+	n.tickStuck(now)
 	n.tickGossip(now)
 }
 
@@ -141,11 +141,7 @@
 	n.takeUpWatch(now)
 	n.findWatcher(now)
 	n.lease.alone = n.alone()
-	for inc := range n.promised {
-		if n.state.index(inc) < 0 {
-			delete(n.promised, inc)
-		}
-	}
+	n.forgetGone()
 }
 
 // findSelf notes an own admission, known by the token, or the end of the own membership.
--- a/member/node_absence.go
+++ b/member/node_absence.go
@@ -1,27 +1,33 @@
 package member
 
 import (
+	"maps"
 	"time"
 
 	"galenastair"
 )
 
-// absence is the evidence that every other member of the ring is dead.
+// absence is the evidence that members are dead which nobody can declare.
 //
-// A watcher can declare only while it lives, and a declaration may wait for the
-// word of members further along the ring; if the whole ring dies, nobody can end
-// it by the rules of the ring. Then an instance that reads the log may start a
-// fresh ring, if each other member is either replaced (another process answers
-// at its address) or has been silent to it and absent from the platform's list
-// through Absence of fresh reads, and no renewal came through the log.
+// A watcher can declare only while it lives, and waits for the word of earlier
+// watchers, which are further along the ring. Two cases stay stuck: the whole
+// ring died; or it died right after it had admitted members, which now wait for
+// the word of the dead. A member counts as dead for these if it is replaced
+// (another process answers at its address), or if it has been silent to this
+// instance and absent from the platform's list through Absence of fresh reads.
+// Then, in the first case, a joiner starts a fresh ring by a record that any
+// renewal makes void; in the second, a watcher waits for that word no longer.
 //
 // Not covered: members that run on, cut off from the log, the list and this
 // instance alike, and that promise each other. The platform's list is what
-// speaks for them; it must not drop an instance that still runs.
+// speaks for them; it must not drop an instance that still runs, nor give its
+// address to another.
 type absence struct {
 	silent   map[Incarnation]span
 	unlisted map[Incarnation]span
 	replaced map[Incarnation]bool
+	// gone holds since when an earlier watcher is known to be dead.
+	gone     map[Incarnation]time.Time
 	probedAt time.Time
 	// lost is since when this instance knows that older records have expired unread.
 	lost time.Time
@@ -35,6 +41,7 @@
 		silent:   make(map[Incarnation]span),
 		unlisted: make(map[Incarnation]span),
 		replaced: make(map[Incarnation]bool),
+		gone:     make(map[Incarnation]time.Time),
 	}
 }
 
@@ -63,19 +70,22 @@
 	return !s.from.IsZero() && now.Sub(s.to) <= maxGap*t.Probe && s.to.Sub(s.from) >= t.Absence
 }
 
-// tickAbsence probes all other members while this instance gets neither an
-// admission nor a promise, and starts a fresh ring once all are known to be dead.
-func (n *Node) tickAbsence(now time.Time) {
-	if !n.cutFromRing(now) || !n.logFresh(now) {
-		return
-	}
+// probe asks who answers at the other members' addresses, and what the platform lists.
+func (n *Node) probe(now time.Time) {
 	if now.Sub(n.absence.probedAt) >= n.timing.Probe {
 		n.absence.probedAt = now
 		n.probeAll()
 	}
-	if n.allDead(now) {
-		n.found(now)
-	}
+}
+
+// forgetGone drops the evidence about members that have left the ring.
+func (n *Node) forgetGone() {
+	outside := func(inc Incarnation) bool { return n.state.index(inc) < 0 }
+	maps.DeleteFunc(n.absence.silent, func(inc Incarnation, _ span) bool { return outside(inc) })
+	maps.DeleteFunc(n.absence.unlisted, func(inc Incarnation, _ span) bool { return outside(inc) })
+	maps.DeleteFunc(n.absence.replaced, func(inc Incarnation, _ bool) bool { return outside(inc) })
+	maps.DeleteFunc(n.absence.gone, func(inc Incarnation, _ time.Time) bool { return outside(inc) })
+	maps.DeleteFunc(n.promised, func(inc Incarnation, _ time.Time) bool { return outside(inc) })
 }
 
 // HistoryLost notes that records have expired unread and that no snapshot covers
@@ -87,14 +97,6 @@
 	}
 }
 
-// cutFromRing says whether the ring gives this instance neither a promise nor an admission.
-func (n *Node) cutFromRing(now time.Time) bool {
-	if n.self.Incarnation == 0 {
-		return true
-	}
-	return len(n.state.Ring) > 1 && !n.stopping && now.Sub(n.promisedBy) > 2*n.timing.Promise
-}
-
 func (n *Node) probeAll() {
 	for _, m := range n.state.Ring {
 		if m.Incarnation != n.self.Incarnation && m.PeerAddress != n.self.PeerAddress {
@@ -124,6 +126,7 @@
 	case token == to.Token:
 		n.absence.answered(to.Incarnation)
 		delete(n.absence.replaced, to.Incarnation)
+		delete(n.absence.gone, to.Incarnation)
 	default:
 		n.absence.replaced[to.Incarnation] = true
 	}
@@ -140,6 +143,7 @@
 	for _, m := range n.state.Ring {
 		if present[string(m.ID)] {
 			delete(n.absence.unlisted, m.Incarnation)
+			delete(n.absence.gone, m.Incarnation)
 			continue
 		}
 		grow(n.absence.unlisted, m.Incarnation, now, maxGap*n.timing.Probe)
--- a/member/node_admit.go
+++ b/member/node_admit.go
@@ -116,7 +116,10 @@
 			n.admitYourself(order[n.attempt%len(order)])
 		}
 	}
-	n.tickAbsence(now)
+	n.probe(now)
+	if n.allDead(now) {
+		n.found(now)
+	}
 }
 
 // AdmissionAnswered takes the answer of a member that was asked; one that
--- a/member/node_lease.go
+++ b/member/node_lease.go
@@ -17,10 +17,6 @@
 	if now.Sub(n.beatAt) >= n.timing.Heartbeat {
 		n.heartbeat(now)
 	}
-	if n.allDead(now) {
-		// A renewal would make the record that starts a fresh ring void.
-		return
-	}
 	silent := now.Sub(n.promisedBy) >= n.timing.Renew
 	if silent && !n.lease.alone && now.Sub(n.renewedAt) >= n.timing.Heartbeat {
 		n.renew(now)
--- a/member/node_watch.go
+++ b/member/node_watch.go
@@ -84,10 +84,29 @@
 }
 
 func (n *Node) watchSettled(now time.Time) bool {
-	at, ok := n.settling.settled(watchDuty(n.watching.watched))
+	at, ok := n.settling.settledWithout(watchDuty(n.watching.watched), n.absence.gone)
 	return ok && !now.Before(at)
 }
 
+// tickStuck collects evidence when the watch waits for the word of an earlier
+// watcher that may be dead while its own watcher is dead too.
+func (n *Node) tickStuck(now time.Time) {
+	m, ok := n.state.Find(n.watching.watched)
+	if !ok || m.Incarnation == n.self.Incarnation || n.stopping || !n.logFresh(now) {
+		return
+	}
+	overdue := now.After(n.mayDeclare(m.Incarnation).Add(n.timing.Promise))
+	if !overdue || n.watchSettled(now) {
+		return
+	}
+	n.probe(now)
+	for _, m := range n.state.Ring {
+		if n.absence.dead(m.Incarnation, now, n.timing) && n.absence.gone[m.Incarnation].IsZero() {
+			n.absence.gone[m.Incarnation] = now
+		}
+	}
+}
+
 func (n *Node) doubtOf(m Member, kind galenastair.RecordKind, body any) *doubt {
 	return &doubt{
 		watched: m.Incarnation, epoch: m.WatchedSince, kind: kind, body: body,
--- a/member/rank.go
+++ b/member/rank.go
@@ -57,13 +57,83 @@
 	return out
 }
 
+// pick returns the member at a place of the ranking. Requests ask for the first
+// slots only, which have one zone each, so it neither sorts nor allocates there.
+func pick(members []Member, key string, slot int) (Member, bool) {
+	if slot >= len(members) {
+		return Member{}, false
+	}
+	var buf [maxPickZones]zoneScore
+	zones := buf[:0]
+	for i := range members {
+		zones = addZone(zones, key, members[i].AvailabilityZone)
+	}
+	if slot >= len(zones) || len(zones) > maxPickZones {
+		return Rank(members, key)[slot], true
+	}
+	zone := nthZone(zones, slot)
+	return bestOf(members, key, zone), true
+}
+
+// maxPickZones is above the zones of a region today (4) and in letter 1 (2).
+const maxPickZones = 8
+
+type zoneScore struct {
+	name  galenastair.AvailabilityZone
+	score uint64
+}
+
+func addZone(zones []zoneScore, key string, name galenastair.AvailabilityZone) []zoneScore {
+	for i := range zones {
+		if zones[i].name == name {
+			return zones
+		}
+	}
+	return append(zones, zoneScore{name, score(key, "zone", string(name))})
+}
+
+// nthZone reorders the zones only as far as it must.
+func nthZone(zones []zoneScore, n int) galenastair.AvailabilityZone {
+	for i := 0; ; i++ {
+		best := i
+		for j := i + 1; j < len(zones); j++ {
+			if before(zones[j].score, zones[best].score, string(zones[j].name), string(zones[best].name)) {
+				best = j
+			}
+		}
+		zones[i], zones[best] = zones[best], zones[i]
+		if i == n {
+			return zones[i].name
+		}
+	}
+}
+
+func bestOf(members []Member, key string, zone galenastair.AvailabilityZone) Member {
+	best, top := -1, uint64(0)
+	for i := range members {
+		if members[i].AvailabilityZone != zone {
+			continue
+		}
+		s := score(key, "member", string(members[i].ID))
+		if best < 0 || before(s, top, string(members[i].ID), string(members[best].ID)) {
+			best, top = i, s
+		}
+	}
+	return members[best]
+}
+
+// before orders by descending score, and by name where scores are equal.
+func before(a, b uint64, nameA, nameB string) bool {
+	return a > b || a == b && nameA < nameB
+}
+
 // score separates its parts by a zero byte, which no id contains.
 func score(key, kind, name string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range []string{key, kind, name} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
+	var buf [128]byte
+	b := append(buf[:0], key...)
+	b = append(b, 0)
+	b = append(b, kind...)
+	b = append(b, 0)
+	b = append(b, name...)
+	return xxhash.Sum64(b)
 }
--- a/member/settling.go
+++ b/member/settling.go
@@ -17,10 +17,7 @@
 // SlotDuty is the duty of the member at a place in the ranking for a key.
 func SlotDuty(key string, slot int) Duty {
 	return func(v View) (Member, bool) {
-		if slot >= len(v.Ring) {
-			return Member{}, false
-		}
-		return Rank(v.Ring, key)[slot], true
+		return pick(v.Ring, key, slot)
 	}
 }
 
@@ -77,6 +74,11 @@
 
 // settled returns since when this member may serve a duty that its ring gives it.
 func (s *settling) settled(d Duty) (time.Time, bool) {
+	return s.settledWithout(d, nil)
+}
+
+// settledWithout is settled without the word of members known to be dead since a moment.
+func (s *settling) settledWithout(d Duty, dead map[Incarnation]time.Time) (time.Time, bool) {
 	ready, ok := s.floorPassed()
 	if !ok {
 		return ready, false
@@ -91,6 +93,9 @@
 			continue
 		}
 		at, ok := s.released(owner.Incarnation, s.views[i+1])
+		if !ok {
+			at, ok = dead[owner.Incarnation]
+		}
 		if !ok {
 			return time.Time{}, false
 		}
