--- a/member/fake_test.go
+++ b/member/fake_test.go
@@ -102,3 +102,9 @@
 	}
 	return out
 }
+
+func (l *fakeLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
--- a/member/runtime_follow.go
+++ b/member/runtime_follow.go
@@ -28,14 +28,16 @@
 
 // follow folds the control stream until the context ends.
 func (r *Runtime) follow(ctx context.Context) error {
-	next, started := galenastair.Offset(0), false
+	next, started, wait := galenastair.Offset(0), false, time.Duration(0)
 	for ctx.Err() == nil {
 		var err error
 		if !started {
 			next, err = r.start(ctx)
-			started = err == nil
+			started, wait = err == nil, 0
 		} else {
-			next, err = r.readOn(ctx, next)
+			// The first read does not wait: it tells at once where the stream ends.
+			next, err = r.readOn(ctx, next, wait)
+			wait = followWait
 		}
 		if errors.Is(err, galenastair.ErrExpired) {
 			started = false
@@ -162,8 +164,8 @@
 	return nil
 }
 
-func (r *Runtime) readOn(ctx context.Context, from galenastair.Offset) (galenastair.Offset, error) {
-	batch, err := r.read(ctx, from, followWait)
+func (r *Runtime) readOn(ctx context.Context, from galenastair.Offset, wait time.Duration) (galenastair.Offset, error) {
+	batch, err := r.read(ctx, from, wait)
 	if err != nil {
 		return from, err
 	}
