route, place: what is slow is told from what is busy; placement moves what a slow one holds

The models whose only copy stood on the slow backend server were refused for as long as it was slow; placement now counts its copies as gone and loads others.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -172,6 +172,13 @@
 	return d.core.Demand()
 }
 
+// Slow returns the backend servers that stay slow, failing or silent.
+func (d *Dispatcher) Slow() []galenastair.BackendServerID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Slow()
+}
+
 // Waiting returns the number of requests that wait for a backend server.
 func (d *Dispatcher) Waiting() int {
 	d.mu.Lock()
--- a/dispatch/flight.go
+++ b/dispatch/flight.go
@@ -96,3 +96,7 @@
 func (c *Core) CacheEvents(id galenastair.BackendServerID, events []galenastair.CacheEvent) {
 	c.router.CacheEvents(id, events)
 }
+
+// Slow returns the backend servers that stay slow, failing or silent; placement puts
+// other copies of what they hold elsewhere.
+func (c *Core) Slow() []galenastair.BackendServerID { return c.router.Slow() }
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"galenastair"
@@ -315,7 +316,7 @@
 		if en.dead {
 			continue
 		}
-		sv := place.Server{ID: s.ID, AvailabilityZone: s.AvailabilityZone, Free: p.f.site.memory}
+		sv := place.Server{ID: s.ID, AvailabilityZone: s.AvailabilityZone, Free: p.f.site.memory, Slow: p.slow(s.ID)}
 		for _, l := range en.loaded {
 			sv.Free -= l.Weight.Memory
 			sv.Copies = append(sv.Copies, place.Copy{Weight: l.Weight, State: copyState(l.State)})
@@ -327,6 +328,12 @@
 	}
 }
 
+// slow asks the leader's own router, as the assembly does.
+func (p *placing) slow(id galenastair.BackendServerID) bool {
+	c, ok := p.f.entries[0].decider.(*dispatch.Core)
+	return ok && slices.Contains(c.Slow(), id)
+}
+
 func copyState(s galenastair.LoadState) place.CopyState {
 	switch s {
 	case galenastair.Ready:
--- a/place/board.go
+++ b/place/board.go
@@ -21,6 +21,9 @@
 	swap bool
 }
 
+// stays says whether new copies may go there and those there count.
+func (s *boardServer) stays() bool { return !s.Leaving && !s.Slow }
+
 type boardModel struct {
 	weight   galenastair.Weight
 	work     float64
@@ -100,7 +103,7 @@
 }
 
 // lasting says whether a copy will be there for new work.
-func (c *boardCopy) lasting() bool { return c.state != Going && !c.server.Leaving }
+func (c *boardCopy) lasting() bool { return c.state != Going && c.server.stays() }
 
 func (m *boardModel) lasting() int {
 	n := 0
--- a/place/input.go
+++ b/place/input.go
@@ -30,6 +30,8 @@
 	ID               galenastair.BackendServerID
 	AvailabilityZone galenastair.AvailabilityZone
 	Leaving          bool
+	// Slow says that the routers keep it out: its copies answer nobody in time.
+	Slow bool
 	// Free is the memory that no order can take any more.
 	Free   galenastair.Bytes
 	Copies []Copy
--- a/place/leader.go
+++ b/place/leader.go
@@ -75,6 +75,7 @@
 	orders    map[galenastair.OrderID]*ownOrder
 	seen      map[galenastair.OrderID]time.Time
 	looked    map[galenastair.BackendServerID]time.Time
+	slow      []galenastair.BackendServerID
 	counted   map[galenastair.InstanceID]map[galenastair.ModelName]float64
 }
 
@@ -161,6 +162,11 @@
 	})
 }
 
+// SetSlow replaces the backend servers that this instance's router keeps finding slow.
+func (l *Leader) SetSlow(ctx context.Context, ids []galenastair.BackendServerID) error {
+	return l.loop.Post(ctx, func() { l.slow = ids })
+}
+
 // Report takes in an engine's report, however it came here: it is only planned with,
 // and the engine is asked again before anything is ordered.
 func (l *Leader) Report(ctx context.Context, r galenastair.EngineReport) error {
--- a/place/order.go
+++ b/place/order.go
@@ -100,7 +100,7 @@
 	now := l.clock.Now()
 	for _, id := range l.known() {
 		v := l.server(now, id)
-		if id == s.Server || v.Leaving {
+		if id == s.Server || v.Leaving || v.Slow {
 			continue
 		}
 		for _, c := range v.Copies {
--- a/place/planner.go
+++ b/place/planner.go
@@ -123,7 +123,7 @@
 func (p *Planner) roomFor(m *boardModel) *boardServer {
 	var best *boardServer
 	for _, s := range p.board.servers {
-		if s.Leaving || s.swap || s.Free < m.need(s) || m.on(s) != nil {
+		if !s.stays() || s.swap || s.Free < m.need(s) || m.on(s) != nil {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(s.load, best.load), cmp.Compare(best.Free, s.Free)) < 0 {
@@ -148,7 +148,7 @@
 func (p *Planner) packAdapter(a *boardModel, first bool) {
 	for _, c := range a.base.copies {
 		s := c.server
-		if c.state != Ready || s.Leaving || s.swap || a.on(s) != nil || s.Free < a.weight.Memory {
+		if c.state != Ready || !s.stays() || s.swap || a.on(s) != nil || s.Free < a.weight.Memory {
 			continue
 		}
 		if p.small <= 0 {
@@ -187,7 +187,7 @@
 func (p *Planner) spareFor(m *boardModel) *boardServer {
 	var best *boardServer
 	for _, s := range p.board.servers {
-		if s.Leaving || s.swap || s.Free < m.need(s) || m.on(s) != nil {
+		if !s.stays() || s.swap || s.Free < m.need(s) || m.on(s) != nil {
 			continue
 		}
 		if best == nil || p.sameZone(m, s) < p.sameZone(m, best) ||
--- a/place/relief.go
+++ b/place/relief.go
@@ -22,7 +22,7 @@
 		if hot.load < p.settings.Busy*p.settings.ServerWork {
 			return
 		}
-		if !hot.Leaving && p.relieveServer(hot, order) {
+		if hot.stays() && p.relieveServer(hot, order) {
 			p.board.spread()
 			return
 		}
@@ -62,7 +62,7 @@
 		if taken < p.settings.Gain*hot.load {
 			return false
 		}
-		if s.Leaving || s.swap || m.on(s) != nil {
+		if !s.stays() || s.swap || m.on(s) != nil {
 			continue
 		}
 		if s.Free >= m.need(s) {
--- a/place/round.go
+++ b/place/round.go
@@ -129,7 +129,12 @@
 	for _, w := range r.Loaded {
 		v.add(w.Weight, stateOf(w.State))
 	}
-	out := Server{ID: id, AvailabilityZone: l.servers[id].AvailabilityZone, Leaving: l.servers[id].Leaving}
+	out := Server{
+		ID:               id,
+		AvailabilityZone: l.servers[id].AvailabilityZone,
+		Leaving:          l.servers[id].Leaving,
+		Slow:             slices.Contains(l.slow, id),
+	}
 	for _, o := range l.ledger.Pending(id) {
 		if o.Kind == galenastair.LoadModel && v.copies[key(o.Weight)] == nil && now.Sub(l.since(now, o.ID)) > orderPatience {
 			v.reserve(o.Weight)
--- a/route/flight.go
+++ b/route/flight.go
@@ -53,6 +53,7 @@
 		s.health.progress(now)
 	}
 	s.window.gap(e.Gap)
+	s.health.between(e.Gap)
 	if !e.Failed {
 		// a caller that gave up on a probe says nothing about the backend server
 		s.health.probing = false
--- a/route/review.go
+++ b/route/review.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"galenastair"
 )
 
 // reviewPeriod is how often peers are compared. A slow backend server is seen
@@ -25,6 +27,7 @@
 		if s.health.out {
 			out++
 		}
+		s.health.recover(now)
 	}
 	for _, s := range r.list {
 		if s.health.out || float64(out+1) > max(1, largestShareOut*float64(len(r.list))) {
@@ -42,6 +45,7 @@
 type peers struct {
 	slowness  float64
 	first     time.Duration
+	gap       time.Duration
 	reportAge time.Duration
 	failing   int
 	compared  int
@@ -50,6 +54,7 @@
 func (r *Router) usual(now time.Time) peers {
 	slow := r.scratch[:0]
 	firsts := make([]time.Duration, 0, len(r.list))
+	gaps := make([]time.Duration, 0, len(r.list))
 	ages := make([]time.Duration, 0, len(r.list))
 	p := peers{compared: len(r.list)}
 	for _, s := range r.list {
@@ -57,6 +62,9 @@
 			slow = append(slow, s.health.slowness)
 			firsts = append(firsts, s.health.first)
 		}
+		if s.health.gaps > 0 {
+			gaps = append(gaps, s.health.gap)
+		}
 		if s.health.failures > 0 {
 			p.failing++
 		}
@@ -64,6 +72,7 @@
 	}
 	p.slowness = median(slow)
 	p.first = median(firsts)
+	p.gap = median(gaps)
 	p.reportAge = median(ages)
 	r.scratch = slow
 	return p
@@ -77,14 +86,20 @@
 	if h.failures >= failuresOut && 2*p.failing <= p.compared {
 		return true
 	}
-	if h.samples >= slowSamples && h.slowness > slowFactor*p.slowness {
+	if h.samples >= slowSamples && h.first > slowFirst && h.slowness > slowFactor*p.slowness {
+		return true
+	}
+	if h.gaps >= slowSamples && h.gap > max(slowGap, gapFactor*p.gap) {
 		return true
 	}
+	age := now.Sub(s.reported)
 	silence := max(silentFloor, silentFactor*p.first)
+	if age < staleReport {
+		silence = max(aliveFloor, silence)
+	}
 	if h.waiting > 0 && now.Sub(h.since) > silence {
 		return true
 	}
-	age := now.Sub(s.reported)
 	return age > reportSilence && age > 2*p.reportAge
 }
 
@@ -97,3 +112,15 @@
 	slices.Sort(xs)
 	return xs[(len(xs)-1)/2]
 }
+
+// Slow returns the backend servers that were found slow, failing or silent again
+// right after they had been tried: those for which one bad moment is no explanation.
+func (r *Router) Slow() []galenastair.BackendServerID {
+	var ids []galenastair.BackendServerID
+	for _, s := range r.list {
+		if s.health.rest > firstRest {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -47,8 +47,9 @@
 		return d
 	}
 	r.Sent(now, d.Server, q.Prefix)
-	r.FirstToken(now, d.Server, took(d.Server), 100)
-	r.Done(now, d.Server, End{Answered: true})
+	first := took(d.Server)
+	r.FirstToken(now, d.Server, first, 100)
+	r.Done(now, d.Server, End{Answered: true, Gap: first / 4})
 	return d
 }
 
@@ -225,3 +226,29 @@
 	}
 	is.True(len(r.index.young)+len(r.index.old) <= 2*indexGeneration)
 }
+
+// A backend server reads long prompts while its peers idle: its first tokens take ten
+// times as long, its tokens come in time. Taking it out would throw its load on others
+// and serve everybody worse. Seen failing with slowFirst at a tenth.
+func TestBusyBackendServerStays(t *testing.T) {
+	is := is.New(t)
+	r := fleet(9, "m")
+	now := start
+	for i := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		for i := range 9 {
+			r.servers[id(i)].reported = now
+		}
+		r.Review(now)
+		is.Equal(len(r.Slow()), 0)
+		s := id(i % 9)
+		first := 80 * time.Millisecond
+		if s == id(3) {
+			first = 800 * time.Millisecond
+		}
+		r.Sent(now, s, nil)
+		r.FirstToken(now, s, first, 100)
+		r.Done(now, s, End{Answered: true, Gap: 50 * time.Millisecond})
+		is.True(!r.servers[id(3)].health.out)
+	}
+}
