--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -93,7 +93,7 @@
 
 // missing returns the refusal of a request for a model without a ready copy, if its time is over.
 func (c *Core) missing(now time.Time, m *model, r Request) *galenastair.Refusal {
-	if c.router.Known(r.Model, r.Exclude) {
+	if c.router.Known(now, r.Model, r.Exclude) {
 		m.missing = time.Time{}
 		return nil
 	}
--- a/dispatch/flight.go
+++ b/dispatch/flight.go
@@ -24,7 +24,7 @@
 		return
 	}
 	c.refuseAll(now, m.queue.Expire(now))
-	if m.missing.IsZero() || now.Sub(m.missing) < copyGrace || c.router.Known(name, nil) {
+	if m.missing.IsZero() || now.Sub(m.missing) < copyGrace || c.router.Known(now, name, nil) {
 		return
 	}
 	c.refuseAll(now, m.queue.Clear(galenastair.ErrNoBackendServer, copyRetry))
--- a/route/choose.go
+++ b/route/choose.go
@@ -40,9 +40,15 @@
 func (r *Router) Choose(now time.Time, q Query) (Decision, bool) {
 	r.fit = r.fit[:0]
 	var sum, n float64
-	var resting *server
+	var resting, leaving *server
 	for _, s := range r.copies[q.Model] {
-		if s.Leaving || excluded(q.Exclude, s.ID) {
+		if excluded(q.Exclude, s.ID) {
+			continue
+		}
+		if s.Leaving {
+			if s.mayServeLast(now) {
+				leaving = s
+			}
 			continue
 		}
 		if s.health.out {
@@ -61,6 +67,9 @@
 		}
 	}
 	if len(r.fit) == 0 {
+		if resting == nil {
+			resting = leaving
+		}
 		return r.lastResort(q, resting)
 	}
 	if len(r.fit) == 1 {
@@ -78,13 +87,18 @@
 	return r.decide(s, q, Probe), true
 }
 
-// lastResort sends to a backend server that was taken out if no other has a copy:
-// a slow answer is better than none, and the comparison may be wrong.
+// lastResort sends to a backend server that was taken out, or has just begun to
+// leave, if no other has a copy: a slow answer is better than none, and the comparison
+// may be wrong.
 func (r *Router) lastResort(q Query, resting *server) (Decision, bool) {
 	if resting == nil || !resting.room(q.Entitled) || r.healthyCopy(q) {
 		return Decision{}, false
 	}
-	return r.decide(resting, q, NoneHealthy), true
+	why := NoneHealthy
+	if resting.Leaving {
+		why = LastCopy
+	}
+	return r.decide(resting, q, why), true
 }
 
 func (r *Router) healthyCopy(q Query) bool {
--- a/route/flight.go
+++ b/route/flight.go
@@ -27,6 +27,7 @@
 		return
 	}
 	s.health.firstToken(now, took, int64(prompt))
+	s.window.firstToken(took, nominal(prompt), s.health.gap)
 	if s.health.probing {
 		s.health.putBack()
 	}
--- a/route/health.go
+++ b/route/health.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"galenastair"
 )
 
 const (
@@ -82,9 +84,8 @@
 
 func (h *health) firstToken(now time.Time, took time.Duration, promptTokens int64) {
 	h.progress(now)
-	nominal := nominalFirstToken + time.Duration(promptTokens)*nominalPerToken
 	h.samples++
-	h.slowness = smooth(h.slowness, float64(took)/float64(nominal), h.samples)
+	h.slowness = smooth(h.slowness, float64(took)/float64(nominal(galenastair.Tokens(promptTokens))), h.samples)
 	h.first = smooth(h.first, took, h.samples)
 	h.failures = 0
 }
@@ -96,6 +97,11 @@
 	}
 }
 
+// nominal is what the first token of a prompt takes an idle backend server.
+func nominal(prompt galenastair.Tokens) time.Duration {
+	return nominalFirstToken + time.Duration(prompt)*nominalPerToken
+}
+
 func (h *health) progress(now time.Time) {
 	h.waiting = max(0, h.waiting-1)
 	h.since = now
--- a/route/reason.go
+++ b/route/reason.go
@@ -17,4 +17,6 @@
 	Probe Reason = "Probe"
 	// NoneHealthy says that every copy is on a backend server that was taken out.
 	NoneHealthy Reason = "NoneHealthy"
+	// LastCopy says that only a backend server that has just begun to leave has a copy.
+	LastCopy Reason = "LastCopy"
 )
--- a/route/router.go
+++ b/route/router.go
@@ -41,6 +41,9 @@
 			r.servers[l.ID] = s
 			r.list = append(r.list, s)
 		}
+		if l.Leaving && !s.Leaving {
+			s.leaves = now
+		}
 		s.Server = l
 	}
 	for id, s := range r.servers {
@@ -122,9 +125,9 @@
 }
 
 // Known says whether any backend server that may take new work has a ready copy of the model.
-func (r *Router) Known(m galenastair.ModelName, exclude []galenastair.BackendServerID) bool {
+func (r *Router) Known(now time.Time, m galenastair.ModelName, exclude []galenastair.BackendServerID) bool {
 	for _, s := range r.copies[m] {
-		if !s.Leaving && !slices.Contains(exclude, s.ID) {
+		if (!s.Leaving || s.mayServeLast(now)) && !slices.Contains(exclude, s.ID) {
 			return true
 		}
 	}
--- a/route/server.go
+++ b/route/server.go
@@ -30,6 +30,19 @@
 	others   float64
 	reported time.Time
 	loaded   []galenastair.ModelName
+	// leaves is when the list first showed that it leaves.
+	leaves time.Time
+}
+
+// leavingGrace is how long a leaving backend server still gets new work for a model
+// that has no other copy: the leader needs some seconds to load one elsewhere, and
+// the requests that wait for it (dispatch.copyGrace) cover the rest. It stays below
+// the three seconds after which a leaving backend server may get nothing new.
+const leavingGrace = 2 * time.Second
+
+// mayServeLast says whether a leaving backend server may still get work for its only copies.
+func (s *server) mayServeLast(now time.Time) bool {
+	return s.Leaving && now.Sub(s.leaves) < leavingGrace
 }
 
 // load estimates the requests that a new one would share the backend server with.
--- a/route/window.go
+++ b/route/window.go
@@ -19,6 +19,9 @@
 	// backend server without knowing of one another; adding and multiplying is
 	// what makes their windows meet at equal shares.
 	windowCut = 0.8
+	// queueFactor is how many times the usual time of a first token still says
+	// that the request did not queue in the engine.
+	queueFactor = 2
 	// queueTolerance is how much of the running batch may wait in the engine: a
 	// few keep it busy between two reports, more would wait in an order that no
 	// entry's fair queue has a say in.
@@ -30,6 +33,9 @@
 // growing a little before.
 const gapTarget = 58 * time.Millisecond
 
+// gapEasy is the time between tokens below which a batch is far from too large.
+const gapEasy = 40 * time.Millisecond
+
 // window bounds an entry's own requests at one backend server. It is made for
 // several entries sending more than an engine can batch: what is beyond waits in
 // the entries, where it can be ordered fairly, refused and moved, and not in the
@@ -37,6 +43,10 @@
 type window struct {
 	limit float64
 	used  bool
+	// full says that the window was used up since the last first token.
+	full bool
+	// settled says that the window was cut once: it has been near its right size.
+	settled bool
 }
 
 func (w *window) size() int { return max(1, int(w.limit)) }
@@ -54,6 +64,7 @@
 func (w *window) note(inFlight int) {
 	if inFlight >= w.size()-1 {
 		w.used = true
+		w.full = true
 	}
 }
 
@@ -77,4 +88,30 @@
 	}
 }
 
-func (w *window) cut() { w.limit = max(1, w.limit*windowCut) }
+func (w *window) cut() {
+	w.settled = true
+	w.limit = max(1, w.limit*windowCut)
+}
+
+// firstToken opens a window that is used up when a first token came without a
+// queue in the engine.
+//
+// It is made for many short answers at one entry. Reports come each 2 s at today's
+// size and each 7 s at the target, as the budget for control allows: by them alone
+// a window opened by one slot in that time, and an entry that was sent 1,000
+// requests a second let most wait for 250 ms and refused one in eight beside an
+// idle engine (make bench). Before the first cut it doubles within the time of one
+// answer, afterwards it grows by one slot in that time. Near the time between
+// tokens that callers are promised only reports open it: a batch that is too large
+// shows in answers that end seconds later.
+func (w *window) firstToken(took, usual, gap time.Duration) {
+	if !w.full || took > queueFactor*usual || gap > gapEasy {
+		return
+	}
+	w.full = false
+	step := 1.0
+	if w.settled {
+		step = windowStep / w.limit
+	}
+	w.limit = min(largestWindow, w.limit+step)
+}
