--- a/route/window_test.go
+++ b/route/window_test.go
@@ -16,9 +16,9 @@
 func TestWindowOpensWithAnswersBetweenReports(t *testing.T) {
 	is := is.New(t)
 	w := window{limit: firstWindow}
-	for range 10 { // ten rounds of answers of 100 ms
-		for n := range w.size() {
-			w.note(n + 1)
+	for range 10 { // ten rounds of answers of 100 ms, each answer followed by a request
+		for range w.size() {
+			w.note(w.size())
 			w.firstToken(20*time.Millisecond, 60*time.Millisecond, 5*time.Millisecond)
 		}
 	}
@@ -40,7 +40,7 @@
 	}
 	is.Equal(w.size(), 16)
 	// once it is quick again the window grows by a slot in the time of an answer
-	for range 16 {
+	for range 18 {
 		w.note(w.size())
 		w.firstToken(20*time.Millisecond, 60*time.Millisecond, 20*time.Millisecond)
 	}
