request: an instance that is cut off serves nobody, also on open connections

Cause: mayServe looked at the configuration alone; an instance that its follower knows to be cut off from the log and the rest (standing CutOff) still admitted requests, and so keys withdrawn meanwhile; only /readyz turned red. Seen failing first: TestCutOffInstanceServesNobody, with the guard off.

--- a/request/complete_test.go
+++ b/request/complete_test.go
@@ -109,6 +109,18 @@
 	is.Equal(len(b.engine.servers), 0)
 }
 
+// An instance is cut off from the log and the other instances, where a key has
+// been withdrawn. A caller with an open connection to it never sees /readyz red,
+// and was served on the withdrawn key for as long as the cut lasted.
+func TestCutOffInstanceServesNobody(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, attempt{chunks: 1})
+	b.configuration.cutOff = true
+	err := b.server.Complete(context.Background(), b.call(), &textSink{})
+	is.True(errors.Is(err, galenastair.ErrConfiguration))
+	is.Equal(len(b.engine.servers), 0)
+}
+
 func TestUnusedChargeIsGivenBack(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, attempt{refuse: galenastair.ErrNotSent}, attempt{refuse: galenastair.ErrNotSent})
--- a/request/fake_test.go
+++ b/request/fake_test.go
@@ -26,6 +26,8 @@
 	t    *testing.T
 	fold *config.Fold
 	view *config.View
+	// cutOff says that the instance must not serve by what it has.
+	cutOff bool
 }
 
 func newConfiguration(t *testing.T) *fakeConfiguration {
@@ -51,6 +53,8 @@
 
 func (f *fakeConfiguration) View() *config.View { return f.view }
 
+func (f *fakeConfiguration) Ready() bool { return !f.cutOff }
+
 type fakeLease struct{ lapsed bool }
 
 func (l *fakeLease) Holds(time.Time) bool { return !l.lapsed }
--- a/request/port.go
+++ b/request/port.go
@@ -13,6 +13,9 @@
 // Configuration gives the configuration in force; View returns nil before the first.
 type Configuration interface {
 	View() *config.View
+	// Ready says whether this instance may serve by it: it is not cut off from the
+	// log and the rest, and knows the rules of all records.
+	Ready() bool
 }
 
 // Lease tells whether this instance may act for the system right now.
--- a/request/server.go
+++ b/request/server.go
@@ -121,6 +121,12 @@
 	if !s.lease.Holds(s.clock.Now()) {
 		return authority{}, galenastair.Refuse(galenastair.ErrNotMember, retryNotMember, "")
 	}
+	// Failure: a group of instances cut off from the log and the rest goes on with
+	// an old configuration, and lets a withdrawn key in; callers that hold a
+	// connection never ask /readyz.
+	if !s.configuration.Ready() {
+		return authority{}, galenastair.Refuse(galenastair.ErrConfiguration, retryNotMember, "")
+	}
 	return authorise(s.configuration.View(), key)
 }
 
