claim/history: the checker of claims, for tests and for runs of processes

Cause: the histories of real processes are to be checked by the same rules as those in memory, and the model stood in a test file. It now takes calls of Begin and Finish with their times. Also a test of two keepers over HTTP, which none of the in-memory ones touched.

--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -7,78 +7,34 @@
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
 	"galenastair"
+	"galenastair/claim/history"
 )
 
-type callInput struct {
-	key    string
-	finish galenastair.Outcome
-}
-
-// keyState is what a register of one key must look like: free, taken, or used up.
-type keyState int
-
-const (
-	keyFree keyState = iota
-	keyTaken
-	keyUsed
-)
-
-// keyModel lets a claim be given only while its key is free; a refusal is always allowed.
-var keyModel = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byKey := make(map[string][]porcupine.Operation)
-		for _, op := range history {
-			key := op.Input.(callInput).key
-			byKey[key] = append(byKey[key], op)
-		}
-		var parts [][]porcupine.Operation
-		for _, part := range byKey {
-			parts = append(parts, part)
-		}
-		return parts
-	},
-	Init: func() any { return keyFree },
-	Step: func(state, input, output any) (bool, any) {
-		in, given := input.(callInput), output.(bool)
-		switch {
-		case in.finish == galenastair.NotRun:
-			return state == keyTaken, keyFree
-		case in.finish != "":
-			return state == keyTaken, keyUsed
-		case given:
-			return state == keyFree, keyTaken
-		default:
-			return true, state
-		}
-	},
-}
-
 // run is one random history.
 type run struct {
 	world *world
 	mu    sync.Mutex
-	ops   []porcupine.Operation
+	calls []history.Call
 	given int
 	moves int
 }
 
-func (r *run) record(client int, in callInput, do func() bool) bool {
-	call := r.world.Now().UnixNano()
-	out := do()
-	end := r.world.Now().UnixNano()
+func (r *run) record(c history.Call, do func() bool) bool {
+	c.Start = r.world.Now()
+	ok := do()
+	c.End = r.world.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if out && in.finish == "" {
-		r.given++
+	if ok {
+		r.calls = append(r.calls, c)
 	}
-	if out || in.finish != "" {
-		r.ops = append(r.ops, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: end})
+	if ok && !c.Finished {
+		r.given++
 	}
-	return out
+	return ok
 }
 
 // send is one caller's request: claim, send, and tell the outcome unless the sender dies first.
@@ -86,20 +42,21 @@
 	nodes := r.world.alive()
 	n := nodes[r.world.pick(len(nodes))]
 	key := fmt.Sprint("bid-", r.world.pick(4), "-", i/12)
+	call := history.Call{Key: galenastair.IdempotencyKey(key), Caller: client}
 	var c *Claim
-	request := galenastair.RequestID(fmt.Sprint(client, "-", i))
-	given := r.record(client, callInput{key: key}, func() bool {
+	given := r.record(call, func() bool {
 		var err error
-		c, err = n.keeper.Begin(context.Background(), "Furnir", galenastair.IdempotencyKey(key), "d", request)
+		c, err = n.begin(key, "d", fmt.Sprint(client, "-", i))
 		return err == nil
 	})
 	r.idle(r.world.pick(8))
 	if !given || !n.Holds(time.Time{}) {
 		return
 	}
-	outcome := []galenastair.Outcome{galenastair.NotRun, galenastair.NotRun, galenastair.Ran, galenastair.Unknown}[r.world.pick(4)]
-	r.record(client, callInput{key, outcome}, func() bool {
-		c.Finish(outcome)
+	call.Finished = true
+	call.Outcome = []galenastair.Outcome{galenastair.NotRun, galenastair.NotRun, galenastair.Ran, galenastair.Unknown}[r.world.pick(4)]
+	r.record(call, func() bool {
+		c.Finish(call.Outcome)
 		return true
 	})
 }
@@ -183,8 +140,8 @@
 		r.all(4, 60)
 		given += r.given
 		moves += r.moves
-		if result := porcupine.CheckOperationsTimeout(keyModel, r.ops, 10*time.Second); result != porcupine.Ok {
-			t.Fatalf("seed %d: %s after %d operations", seed, result, len(r.ops))
+		if err := history.Check(r.calls, 10*time.Second); err != nil {
+			t.Fatalf("seed %d: %s, after %d calls", seed, err, len(r.calls))
 		}
 	}
 	t.Logf("%d runs, %d epochs, %d claims given", runs(), moves, given)
--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -211,3 +212,20 @@
 	}
 	is.True(len(here.stopped) <= poisonLimit)
 }
+
+// Two entries over HTTP: the second is told what the first one holds.
+func TestOverHTTP(t *testing.T) {
+	is := is.New(t)
+	w := quiet(2)
+	for _, n := range w.nodes {
+		server := httptest.NewServer(n.keeper.Handler())
+		defer server.Close()
+		n.peer.Address = server.Listener.Addr().String()
+		n.keeper.connect = n.keeper.overHTTP
+	}
+	_, err := w.nodes[0].begin("bid", "d", "1")
+	is.NoErr(err)
+	_, err = w.nodes[1].begin("bid", "d", "2")
+	is.True(errors.Is(err, galenastair.ErrDuplicateUnsettled))
+	is.Equal(refusalOf(t, err).RetryAfter, unsettledWait)
+}
