claim: a copy belongs to a process, not to an ID

Cause: an instance that is killed and started again under its old ID has lost the copies it kept, but counted as keeping them; with the sender dead, the home's death then gave the key again. Kept now names the process. Seen failing: the new story with copies compared by ID alone (the first form of that test never met the case and passed; it now goes on until it has met it twice).

--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -24,6 +24,12 @@
 	Request galenastair.RequestID
 }
 
+// Process names one process of an instance: one that was started again has lost what it kept.
+type Process struct {
+	ID          galenastair.InstanceID
+	Incarnation int64
+}
+
 // Open is the state of an attempt that its sender has not settled.
 const Open galenastair.Outcome = "Open"
 
@@ -40,7 +46,7 @@
 	// the key's home, and must hear its outcome.
 	Copies []galenastair.InstanceID
 	// Kept are those of them that said so; a copy whose answer was lost does not count.
-	Kept []galenastair.InstanceID
+	Kept []Process
 	// Began is when this instance would have recorded it, by its own clock.
 	Began time.Time
 }
--- a/claim/begin.go
+++ b/claim/begin.go
@@ -141,8 +141,8 @@
 // copyTo gives attempts to another instance and notes first that it may have
 // them, so that their outcomes reach it, and then that it has.
 func (k *Keeper) copyTo(ctx context.Context, p Peer, list []Attempt) error {
-	copies := []galenastair.InstanceID{p.ID}
-	k.note(list, func(a *Attempt) { a.Copies = copies })
+	process := Process{p.ID, k.incarnationOf(p.ID)}
+	k.note(list, func(a *Attempt) { a.Copies = []galenastair.InstanceID{p.ID} })
 	kept, err := k.hand(ctx, p, list)
 	if err != nil {
 		return err
@@ -150,7 +150,7 @@
 	if slices.Contains(kept, notKept) {
 		return errUnreachable
 	}
-	k.note(list, func(a *Attempt) { a.Kept = copies })
+	k.note(list, func(a *Attempt) { a.Kept = []Process{process} })
 	return nil
 }
 
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -47,7 +47,8 @@
 // for all epochs; is content with some answers; a member answers in any epoch; the
 // attempt is recorded after the home's answer; a home answers without serving; it
 // takes attempts from strangers; no copy in a second zone; lost copies are not
-// restored; a copy that was noted counts as kept; an Open attempt, an Unknown one,
+// restored; a copy that was noted counts as kept, or one of a process that has been
+// started again; such a process counts as the sender; an Open attempt, an Unknown one,
 // or one of a dead sender does not hold its key; a late Open replaces an outcome;
 // no tombstone of NotRun; digests are not compared; outcomes reach the home alone
 // or nobody; stops of backend servers are not heard of.
--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -125,6 +125,33 @@
 	is.Equal(refusalOf(t, err).Outcome, galenastair.Unknown)
 }
 
+// The sender of a bid dies, its copy goes to a third entry, and that one is
+// started again under its old ID and has lost it; then the home dies. Seen
+// failing with copies kept by ID alone.
+func TestRestartedCopyIsMadeAgain(t *testing.T) {
+	is := is.New(t)
+	tried := 0
+	for i := 0; tried < 2; i++ {
+		w := quiet(6)
+		key := fmt.Sprint("bid-", i)
+		_, err := w.nodes[2].begin(key, "d", "1")
+		is.NoErr(err)
+		w.kill(w.nodes[2])
+		home, _ := w.nodes[3].Home(string(KeyOf("Furnir", galenastair.IdempotencyKey(key))))
+		if home != w.nodes[1].peer || w.nodes[0].keeper.table.Len() == 0 {
+			continue
+		}
+		tried++
+		w.nodes[0].keeper.table = NewTable()
+		w.restarted++
+		w.move(-1)
+		w.catchUp()
+		w.kill(w.nodes[1])
+		_, err = w.nodes[3].begin(key, "d", "2")
+		is.True(errors.Is(err, galenastair.ErrDuplicate))
+	}
+}
+
 // A home gives a key and dies; its successor has taken over before the answer is
 // read. The sender sends, and its caller, impatient, sends again through another
 // entry. Seen failing with the attempt recorded only after the home's answer.
--- a/claim/message.go
+++ b/claim/message.go
@@ -19,7 +19,9 @@
 		AgeMilliseconds: now.Sub(a.Began).Milliseconds(),
 	}
 	m.Copies = fromIDs(a.Copies)
-	m.Kept = fromIDs(a.Kept)
+	for _, p := range a.Kept {
+		m.Kept = append(m.Kept, &claimpb.Process{Id: string(p.ID), Incarnation: p.Incarnation})
+	}
 	return m
 }
 
@@ -43,7 +45,7 @@
 	if m == nil {
 		return Attempt{}
 	}
-	return Attempt{
+	a := Attempt{
 		Key:         Key(m.Key),
 		ID:          AttemptID{galenastair.InstanceID(m.Sender), galenastair.RequestID(m.Request)},
 		Incarnation: m.Incarnation,
@@ -51,8 +53,11 @@
 		State:       toState(m.State),
 		Began:       now.Add(-time.Duration(m.AgeMilliseconds) * time.Millisecond),
 		Copies:      toIDs(m.Copies),
-		Kept:        toIDs(m.Kept),
 	}
+	for _, p := range m.Kept {
+		a.Kept = append(a.Kept, Process{galenastair.InstanceID(p.Id), p.Incarnation})
+	}
+	return a
 }
 
 // toState takes what it does not know for an attempt that may have run.
--- a/claim/table.go
+++ b/claim/table.go
@@ -123,7 +123,7 @@
 }
 
 // union returns a new list, since attempts that were listed share the old one.
-func union(a, b []galenastair.InstanceID) []galenastair.InstanceID {
+func union[T comparable](a, b []T) []T {
 	for _, id := range b {
 		if !slices.Contains(a, id) {
 			a = append(slices.Clip(a), id)
--- a/claim/tell.go
+++ b/claim/tell.go
@@ -209,12 +209,9 @@
 }
 
 func (k *Keeper) keptElsewhere(a Attempt) bool {
-	holders := slices.Clip(a.Kept)
-	if k.present(&a) {
-		holders = append(holders, a.ID.Sender)
-	}
-	return slices.ContainsFunc(holders, func(id galenastair.InstanceID) bool {
-		p, ok := k.member(id)
-		return ok && k.apart(p)
+	holders := append(slices.Clip(a.Kept), Process{a.ID.Sender, a.Incarnation})
+	return slices.ContainsFunc(holders, func(h Process) bool {
+		p, ok := k.member(h.ID)
+		return ok && k.incarnationOf(h.ID) == h.Incarnation && k.apart(p)
 	})
 }
