claim: the benchmark keeps within the table's limit

Cause: it opened 100,000 attempts, and has failed since the limit went down from 120,000 to 60,000 (the figure on the package's page was taken before).

--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -14,7 +14,7 @@
 
 // BenchmarkKeep reports what an attempt costs a table, and a message.
 func BenchmarkKeep(b *testing.B) {
-	const attempts = 100_000
+	const attempts = 50_000
 	now := time.Unix(1000, 0)
 	sample := func(i int) Attempt {
 		return Attempt{
