caller: what callers see tested; two tries under one X-Request-Id are carried apart

Cause: caller had no tests. Writing them showed these faults, each seen failing first: - The caller's X-Request-Id was also the name of a stream at an engine and of an attempt at the keeper of claims. A second try of a bid with the same header through the same instance, while the first ran, was taken for the first (claim.Table.Open returned nil twice in a trial) and sent again; two organisations that both count from 1 share a stream when one is resumed. Requests are now carried under the shown id, '~' and 65 random bits; callers still see their own id. proof compares by the shown id. - Names of a body matched in any case: {"n":5,"N":1} was charged for one answer and run with five, "Prompt" hid "prompt" from the estimate. Names are exact now, variants of known ones are refused, and so is best_of over 1. - A plain answer dropped calls of tools, refusal, logprobs, and took an engine's error event for an empty answer with status 200. - An event of two lines lost its second; a wrong method got 405 without code; a path with // or .. was redirected, which turns a POST into a GET; the second Connection line was not read; a key in X-Api-Key reached services; every HEAD with a length broke the connection. Weighed: a redesign of ids through all ports; refusing ids in use, which one instance alone cannot tell. Typed merging of events: drops what it does not know.

--- a/caller/body.go
+++ b/caller/body.go
@@ -14,29 +14,21 @@
 // completionBody holds the fields of a request that the system itself reads;
 // the others go to the engine as they came.
 type completionBody struct {
-	Model               galenastair.ModelName `json:"model"`
-	Stream              bool                  `json:"stream"`
-	StreamOptions       streamOptions         `json:"stream_options"`
-	MaxTokens           *galenastair.Tokens   `json:"max_tokens"`
-	MaxCompletionTokens *galenastair.Tokens   `json:"max_completion_tokens"`
-	N                   *int                  `json:"n"`
-	Prompt              json.RawMessage       `json:"prompt"`
-	Messages            []message             `json:"messages"`
+	Model               galenastair.ModelName
+	Stream              bool
+	StreamOptions       streamOptions
+	MaxTokens           *galenastair.Tokens
+	MaxCompletionTokens *galenastair.Tokens
+	N                   *int
+	BestOf              *int
+	Prompt              json.RawMessage
+	Messages            []object
 }
 
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
 }
 
-type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
-type contentPart struct {
-	Text string `json:"text"`
-}
-
 // completionRequest is a read and checked body.
 type completionRequest struct {
 	model        galenastair.ModelName
@@ -49,15 +41,20 @@
 
 // readCompletion checks a body and makes from it what the engine gets.
 func readCompletion(raw []byte, chat bool, limits Limits) (completionRequest, error) {
-	var b completionBody
-	if err := json.Unmarshal(raw, &b); err != nil {
-		return completionRequest{}, eris.Wrapf(galenastair.ErrBadRequest, "body is not the JSON of a completion: %v", err)
+	var fields object
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return completionRequest{}, badRequest("body is not the JSON of a completion: %v", err)
+	}
+	b, err := fields.completion()
+	if err != nil {
+		return completionRequest{}, err
 	}
 	if b.Model == "" {
 		return completionRequest{}, badRequest("model is missing")
 	}
-	if b.N != nil && *b.N != 1 {
-		return completionRequest{}, badRequest("n must be 1")
+	// the organisation is charged for one answer
+	if b.N != nil && *b.N != 1 || b.BestOf != nil && *b.BestOf != 1 {
+		return completionRequest{}, badRequest("n and best_of must be 1")
 	}
 	prompt, err := b.promptText(chat)
 	if err != nil {
@@ -67,7 +64,7 @@
 	if err != nil {
 		return completionRequest{}, err
 	}
-	engineBody, err := streamedBody(raw, output)
+	engineBody, err := streamedBody(fields, output)
 	if err != nil {
 		return completionRequest{}, err
 	}
@@ -110,17 +107,24 @@
 	return []byte(text), nil
 }
 
-func chatText(messages []message) ([]byte, error) {
+func chatText(messages []object) ([]byte, error) {
 	if len(messages) == 0 {
 		return nil, badRequest("messages is missing or empty")
 	}
 	var text bytes.Buffer
 	for i, m := range messages {
-		content, err := contentText(m.Content)
+		if err := m.spelled("role", "content"); err != nil {
+			return nil, err
+		}
+		var role string
+		if err := m.read("role", &role); err != nil {
+			return nil, err
+		}
+		content, err := contentText(m["content"])
 		if err != nil {
 			return nil, badRequest("messages[%d].content must be a string or a list of parts", i)
 		}
-		text.WriteString(m.Role)
+		text.WriteString(role)
 		text.WriteByte('\n')
 		text.WriteString(content)
 		text.WriteByte('\n')
@@ -137,13 +141,20 @@
 	if json.Unmarshal(raw, &text) == nil {
 		return text, nil
 	}
-	var parts []contentPart
+	var parts []object
 	if err := json.Unmarshal(raw, &parts); err != nil {
 		return "", err
 	}
 	var all strings.Builder
 	for _, p := range parts {
-		all.WriteString(p.Text)
+		if err := p.spelled("text"); err != nil {
+			return "", err
+		}
+		var text string
+		if err := p.read("text", &text); err != nil {
+			return "", err
+		}
+		all.WriteString(text)
 	}
 	return all.String(), nil
 }
@@ -152,11 +163,7 @@
 // caller wants a plain answer: only a stream shows that it still makes
 // progress, and can be resumed. The output limit is written out, since it is
 // what the organisation was charged for.
-func streamedBody(raw []byte, output galenastair.Tokens) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(raw, &fields); err != nil {
-		return nil, eris.Wrap(galenastair.ErrBadRequest, "body is not a JSON object")
-	}
+func streamedBody(fields object, output galenastair.Tokens) ([]byte, error) {
 	delete(fields, "max_completion_tokens")
 	fields["stream"] = json.RawMessage("true")
 	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
--- a/caller/collect.go
+++ b/caller/collect.go
@@ -1,59 +1,72 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
-	"strings"
 
 	"github.com/rotisserie/eris"
 
 	"galenastair"
 )
 
-// chunkBody is what a plain answer is made from.
+// chunkBody is what the command line and tests read of an event.
 type chunkBody struct {
-	ID      string                `json:"id"`
-	Created int64                 `json:"created"`
-	Model   galenastair.ModelName `json:"model"`
-	Choices []chunkChoice         `json:"choices"`
-	Usage   json.RawMessage       `json:"usage"`
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage"`
 }
 
 type chunkChoice struct {
-	Text         string        `json:"text"`
-	Delta        answerMessage `json:"delta"`
-	FinishReason *string       `json:"finish_reason"`
+	Text  string        `json:"text"`
+	Delta answerMessage `json:"delta"`
 }
 
 type answerMessage struct {
-	Role    string `json:"role,omitempty"`
 	Content string `json:"content"`
 }
 
-// answerBody is the plain form of an answer.
+// answerBody is what they read of a plain answer.
 type answerBody struct {
-	ID      string                `json:"id"`
-	Object  string                `json:"object"`
-	Created int64                 `json:"created"`
-	Model   galenastair.ModelName `json:"model"`
-	Choices []answerChoice        `json:"choices"`
-	Usage   json.RawMessage       `json:"usage,omitempty"`
+	Choices []answerChoice  `json:"choices"`
+	Usage   json.RawMessage `json:"usage"`
 }
 
 type answerChoice struct {
-	Index        int            `json:"index"`
-	Text         *string        `json:"text,omitempty"`
-	Message      *answerMessage `json:"message,omitempty"`
-	FinishReason *string        `json:"finish_reason"`
+	Text    *string        `json:"text"`
+	Message *answerMessage `json:"message"`
 }
 
+// collectedChunk is an event of a streamed answer as the collector reads it.
+type collectedChunk struct {
+	ID                string                `json:"id"`
+	Created           int64                 `json:"created"`
+	Model             galenastair.ModelName `json:"model"`
+	SystemFingerprint json.RawMessage       `json:"system_fingerprint"`
+	Choices           []collectedChoice     `json:"choices"`
+	Usage             json.RawMessage       `json:"usage"`
+	Error             json.RawMessage       `json:"error"`
+}
+
+// collectedAnswer is the plain form that is made of them.
+type collectedAnswer struct {
+	ID                string                `json:"id"`
+	Object            string                `json:"object"`
+	Created           int64                 `json:"created"`
+	Model             galenastair.ModelName `json:"model"`
+	SystemFingerprint json.RawMessage       `json:"system_fingerprint,omitempty"`
+	Choices           []collectedChoice     `json:"choices"`
+	Usage             json.RawMessage       `json:"usage,omitempty"`
+}
+
+// errEngineEvent says that an engine ended its answer with an error of its own.
+var errEngineEvent = eris.New("the engine ended the answer with an error event")
+
 // collector gathers a streamed answer for a caller that wants it in one piece.
 // Nothing is sent before the end mark, so a cut answer becomes an error.
 type collector struct {
 	chat   bool
-	answer answerBody
-	text   strings.Builder
-	finish *string
+	answer collectedAnswer
+	choice collectedChoice
 	ended  bool
 }
 
@@ -63,35 +76,37 @@
 		c.ended = true
 		return nil
 	}
-	var b chunkBody
-	if err := json.Unmarshal(chunk.Data, &b); err != nil {
+	var b collectedChunk
+	d := json.NewDecoder(bytes.NewReader(chunk.Data))
+	// a number that float64 cannot hold must come out as it went in
+	d.UseNumber()
+	if err := d.Decode(&b); err != nil {
 		return eris.Wrap(err, "chunk of an answer")
 	}
+	if present(b.Error) {
+		return errEngineEvent
+	}
 	c.answer.ID, c.answer.Created, c.answer.Model = b.ID, b.Created, b.Model
-	if len(b.Usage) > 0 && string(b.Usage) != "null" {
+	if present(b.SystemFingerprint) {
+		c.answer.SystemFingerprint = b.SystemFingerprint
+	}
+	if present(b.Usage) {
 		c.answer.Usage = b.Usage
 	}
 	for _, choice := range b.Choices {
-		c.text.WriteString(choice.Text)
-		c.text.WriteString(choice.Delta.Content)
-		if choice.FinishReason != nil {
-			c.finish = choice.FinishReason
-		}
+		c.choice = merge(c.choice, choice)
 	}
 	return nil
 }
 
+func present(raw json.RawMessage) bool { return len(raw) > 0 && string(raw) != "null" }
+
 func (c *collector) write(w http.ResponseWriter) error {
-	text := c.text.String()
-	choice := answerChoice{FinishReason: c.finish}
+	c.answer.Object = "text_completion"
 	if c.chat {
 		c.answer.Object = "chat.completion"
-		choice.Message = &answerMessage{Role: "assistant", Content: text}
-	} else {
-		c.answer.Object = "text_completion"
-		choice.Text = &text
 	}
-	c.answer.Choices = []answerChoice{choice}
+	c.answer.Choices = []collectedChoice{c.choice.whole(c.chat)}
 	body, err := json.Marshal(c.answer)
 	if err != nil {
 		return err
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -45,9 +45,10 @@
 // WithLimits replaces the default limits.
 func WithLimits(l Limits) Option { return func(h *Handler) { h.limits = l } }
 
-// NewHandler returns the callers' HTTP handler.
+// NewHandler returns the callers' HTTP handler. Paths are not cleaned: that is
+// done by a redirect, after which clients send a POST as a GET without its body.
 func NewHandler(s Server, opts ...Option) *Handler {
-	h := &Handler{server: s, limits: DefaultLimits(), router: mux.NewRouter().UseEncodedPath()}
+	h := &Handler{server: s, limits: DefaultLimits(), router: mux.NewRouter().UseEncodedPath().SkipClean(true)}
 	for _, o := range opts {
 		o(h)
 	}
@@ -56,6 +57,7 @@
 	h.router.Methods(http.MethodGet).Path("/v1/models").HandlerFunc(h.models)
 	h.router.PathPrefix("/services/{name}").HandlerFunc(h.service)
 	h.router.NotFoundHandler = http.HandlerFunc(h.notFound)
+	h.router.MethodNotAllowedHandler = h.router.NotFoundHandler
 	return h
 }
 
@@ -131,7 +133,7 @@
 		return request.Call{}, completionRequest{}, err
 	}
 	return request.Call{
-		ID:             contextID(r.Context()),
+		ID:             carriedID(contextID(r.Context())),
 		Key:            key,
 		IdempotencyKey: idempotency,
 		Model:          body.model,
@@ -151,7 +153,7 @@
 	if err == nil {
 		return
 	}
-	if sink.fail(call.ID, asRefusal(err)) {
+	if sink.fail(contextID(ctx), asRefusal(err)) {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -183,11 +185,11 @@
 	sink := &collector{chat: call.Chat}
 	err := h.server.Complete(ctx, call, sink)
 	if err != nil {
-		writeError(w, call.ID, asRefusal(err))
+		writeError(w, contextID(ctx), asRefusal(err))
 		return
 	}
 	if !sink.ended {
-		writeError(w, call.ID, &galenastair.Refusal{Cause: galenastair.ErrAnswerCut, Outcome: galenastair.Ran})
+		writeError(w, contextID(ctx), &galenastair.Refusal{Cause: galenastair.ErrAnswerCut, Outcome: galenastair.Ran})
 		return
 	}
 	_ = sink.write(w)
--- a/caller/service.go
+++ b/caller/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,8 +15,8 @@
 	"galenastair/request"
 )
 
-// connectionHeaders concern one connection alone and are not passed on; nor is
-// the key, which no backend server may see.
+// connectionHeaders concern one connection alone, or can carry a key, and are not
+// passed on.
 var connectionHeaders = []string{
 	"Authorization", "Connection", "Cookie", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
@@ -22,8 +24,10 @@
 
 func passedHeaders(h http.Header) http.Header {
 	out := h.Clone()
-	for _, name := range strings.Split(h.Get("Connection"), ",") {
-		out.Del(strings.TrimSpace(name))
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
 	}
 	for _, name := range connectionHeaders {
 		out.Del(name)
@@ -31,6 +35,20 @@
 	return out
 }
 
+// withoutKey takes out every header that has the key in it, also one of another
+// name: some clients send their key in X-Api-Key besides, and no backend server
+// may see it.
+func withoutKey(h http.Header, r *http.Request) http.Header {
+	_, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	key = strings.TrimSpace(key)
+	for name, values := range h {
+		if slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, key) }) {
+			h.Del(name)
+		}
+	}
+	return h
+}
+
 func (h *Handler) readServiceCall(w http.ResponseWriter, r *http.Request) (request.ServiceCall, error) {
 	key, err := keyOf(r)
 	if err != nil {
@@ -47,11 +65,11 @@
 	name := mux.Vars(r)["name"]
 	return request.ServiceCall{
 		ServiceCall: galenastair.ServiceCall{
-			ID:     contextID(r.Context()),
+			ID:     carriedID(contextID(r.Context())),
 			Method: r.Method,
 			Path:   strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+name),
 			Query:  r.URL.RawQuery,
-			Header: passedHeaders(r.Header),
+			Header: withoutKey(passedHeaders(r.Header), r),
 			Body:   body,
 		},
 		Service:        galenastair.ServiceName(name),
@@ -75,18 +93,26 @@
 		return
 	}
 	defer answer.Body.Close()
-	copyAnswer(w, answer)
+	copyAnswer(w, r, answer)
 }
 
 // copyAnswer passes on a service's answer; if it is cut half way the connection
 // is broken, so that it does not look whole.
-func copyAnswer(w http.ResponseWriter, answer galenastair.ServiceAnswer) {
+func copyAnswer(w http.ResponseWriter, r *http.Request, answer galenastair.ServiceAnswer) {
 	for name, values := range passedHeaders(answer.Header) {
 		if name == headerRequestID {
 			continue
 		}
 		w.Header()[name] = values
 	}
+	if r.Method == http.MethodHead {
+		// its length is that of the answer to a GET; no body follows
+		if answer.Length >= 0 {
+			w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+		}
+		w.WriteHeader(answer.Status)
+		return
+	}
 	w.WriteHeader(answer.Status)
 	n, err := io.Copy(w, answer.Body)
 	if err != nil || (answer.Length >= 0 && n != answer.Length) {
--- /dev/null
+++ b/caller/service_test.go
@@ -0,0 +1,67 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+)
+
+func serviceAnswer(body string, length int64) galenastair.ServiceAnswer {
+	return galenastair.ServiceAnswer{
+		Status: http.StatusCreated,
+		Header: http.Header{"X-Lot": {"3"}, "Connection": {"close"}, headerRequestID: {"the service's own"}},
+		Body:   io.NopCloser(strings.NewReader(body)),
+		Length: length,
+	}
+}
+
+// A caller's client sends its key in a second header too, or names a header of
+// the one connection; the service would see the key, or keep the connection.
+// Seen failing with the header X-Api-Key passed on, and with the first line of
+// Connection read alone.
+func TestServiceNeverSeesTheKey(t *testing.T) {
+	is := is.New(t)
+	s := &fakeServer{answer: serviceAnswer("sold", 4)}
+	g := newExchange(t, s).send(http.MethodPost, "/services/bids/lots//a%2Fb/../3?x=1&x=2", "bid", headerRequestID, "bid-7",
+		"X-Api-Key", testKey, "X-Forwarded-Authorization", "Bearer "+testKey, "Cookie", "k="+testKey, "Proxy-Authorization", testKey,
+		"Connection", "X-One", "Connection", "X-Two", "X-One", "1", "X-Two", "2", "X-Kept", "kept")
+	is.NoErr(g.cut)
+	is.Equal(g.status, http.StatusCreated)
+	is.Equal(g.body, "sold")
+	is.Equal(g.header.Get("X-Lot"), "3")
+	is.Equal(g.header.Get(headerRequestID), "bid-7")
+	is.Equal(len(s.services), 1)
+	c := s.services[0]
+	is.Equal(c.Key, galenastair.HashKey(testKey))
+	is.Equal(string(c.Service)+c.Path+"?"+c.Query, "bids/lots//a%2Fb/../3?x=1&x=2")
+	is.Equal(string(c.Body), "bid")
+	is.Equal(c.Header.Get("X-Kept"), "kept")
+	is.Equal(c.Header.Get("X-One")+c.Header.Get("X-Two"), "")
+	for name, values := range c.Header {
+		if strings.Contains(strings.Join(values, " "), testKey) {
+			t.Errorf("%s carries the key", name)
+		}
+	}
+}
+
+// Seen failing with copyAnswer ending well after a short body, and with it
+// breaking the answer to a HEAD, whose length is that of a body that never comes.
+func TestServiceAnswers(t *testing.T) {
+	is := is.New(t)
+	call := func(method string, a galenastair.ServiceAnswer) got {
+		return newExchange(t, &fakeServer{answer: a}).send(method, "/services/bids/lots", "")
+	}
+	is.True(call(http.MethodGet, serviceAnswer("half", 8)).cut != nil)
+	g := call(http.MethodHead, serviceAnswer("", 8))
+	is.NoErr(g.cut)
+	is.Equal(g.status, http.StatusCreated)
+	is.Equal(g.header.Get("Content-Length"), "8")
+	g = call(http.MethodGet, serviceAnswer("all of it", -1))
+	is.NoErr(g.cut)
+	is.Equal(g.body, "all of it")
+}
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -59,6 +59,10 @@
 func (s *streamWriter) event(data []byte) error {
 	line := make([]byte, 0, len("data: \n\n")+len(data))
 	line = append(line, "data: "...)
+	if bytes.IndexByte(data, '\n') >= 0 {
+		// an event of several lines: each needs its field name, else it is lost
+		data = bytes.ReplaceAll(data, []byte("\n"), []byte("\ndata: "))
+	}
 	line = append(line, data...)
 	line = append(line, "\n\n"...)
 	return s.write(line)
--- a/proof/check_backend.go
+++ b/proof/check_backend.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/caller"
 	"galenastair/standin/journal"
 )
 
@@ -31,7 +32,7 @@
 	ran := map[galenastair.RequestID]journal.Entry{}
 	for _, r := range h.Runs {
 		if r.Request != "" {
-			ran[r.Request] = r
+			ran[caller.ShownID(r.Request)] = r
 		}
 	}
 	for _, r := range h.Requests {
