--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// exceeds says whether an organisation makes the backlog that others wait in.
+func (b *backlog) exceeds(o galenastair.Organisation) bool {
+	w := b.waiting[o]
+	return w != nil && len(b.waiting) > 1 && !b.entitles(o)
+}
+
 // entitles says whether an organisation that waits is within its share.
 func (b *backlog) entitles(o galenastair.Organisation) bool {
 	w := b.waiting[o]
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -235,11 +235,22 @@
 	c.record(t, waited <= freshFor)
 	c.out = append(c.out, Decision{Ticket: t, Choice: Choice{
 		Decision: d,
-		Priority: m.queue.Priority(it.Organisation),
+		Priority: c.priority(m, it),
 		Waited:   waited,
 	}})
 }
 
+// priority is the level for the engine. Whoever makes the backlog comes after all
+// others there: spread over many models and entries it has little waiting in any one
+// queue, so that the queues' own levels can't tell it apart.
+func (c *Core) priority(m *model, it *queue.Item) int {
+	level := m.queue.Priority(it.Organisation)
+	if !it.Entitled && c.backlog.exceeds(it.Organisation) {
+		return level + 1
+	}
+	return level
+}
+
 func (c *Core) forget(it *queue.Item) {
 	delete(c.tickets, it)
 	c.backlog.remove(it)
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -214,3 +214,43 @@
 	_, err := d.Acquire(context.Background(), late)
 	is.True(errors.Is(err, galenastair.ErrOverloaded))
 }
+
+// One organisation floods many models; in each queue it has little waiting, so that
+// its requests reach the engines as urgent as those of the others, who wait behind
+// them there. Seen failing with priority left to the queue's level, and, for the grant
+// beyond the window, without sendEntitled.
+func TestFloodOverManyModelsIsLessUrgent(t *testing.T) {
+	is := is.New(t)
+	var models []galenastair.ModelName
+	for i := range 20 {
+		models = append(models, galenastair.ModelName(fmt.Sprint("m", i)))
+	}
+	c := newCore(2, models...)
+	c.Report(start, report(1, "x"))
+	send := func(o string, m galenastair.ModelName) []Decision {
+		r := request(o, m)
+		r.Weight = 10_000
+		c.Submit(start, r)
+		return c.Poll()
+	}
+	var flood []*Ticket
+	for i := range 60 {
+		for _, m := range []galenastair.ModelName{models[i%20], "x"} {
+			for _, d := range send("flood", m) {
+				flood = append(flood, d.Ticket)
+			}
+		}
+	}
+	ds := send("calm", "x")
+	is.Equal(len(ds), 1) // beyond the window
+	is.Equal(ds[0].Choice.Priority, 0)
+	for len(ds) > 0 {
+		ds = send("calm", "x") // until that room is taken as well
+	}
+	is.Equal(flood[0].server, galenastair.BackendServerID("0"))
+	c.Done(start, flood[0], Result{OutputTokens: 50})
+	ds = c.Poll()
+	is.Equal(len(ds), 1)
+	is.Equal(ds[0].Ticket.Request.Organisation, galenastair.Organisation("flood"))
+	is.True(ds[0].Choice.Priority > 0)
+}
