--- a/inifile/scan.go
+++ b/inifile/scan.go
@@ -64,7 +64,8 @@
 func (s *scanner) entry(n int, line string) {
 	key, value, found := strings.Cut(line, "=")
 	key = strings.TrimRight(key, " \t")
-	value = strings.TrimLeft(value, " \t")
+	// as the library does: a no-break space must not hide a quotation mark
+	value = strings.TrimSpace(value)
 	switch {
 	case !found:
 		s.refuse(NotKeyValue, n, "KEY = VALUE", "the line has no =")
