--- a/cmd/galenastair/change.go
+++ b/cmd/galenastair/change.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -87,6 +88,12 @@
 	if len(args) == 0 {
 		return usageError(name, "say one of %s", accepted)
 	}
+	if args[0] == "-h" || args[0] == "--help" {
+		for word := range strings.SplitSeq(accepted, ", ") {
+			_ = parts[word]([]string{"-h"})
+		}
+		return flag.ErrHelp
+	}
 	part, found := parts[args[0]]
 	if !found {
 		return usageError(name, "%q is not one of %s", args[0], accepted)
--- a/cmd/galenastair/cmd_help.go
+++ b/cmd/galenastair/cmd_help.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 )
 
 const helpName = "help"
@@ -24,7 +25,8 @@
 	if !ok {
 		return usageError("", "no command %q", args[0])
 	}
-	fmt.Fprintf(out, "usage: galenastair %s %s\n\n%s\n", c.name, c.usage, c.summary)
+	line := strings.TrimSpace("usage: galenastair " + c.name + " " + c.usage)
+	fmt.Fprintf(out, "%s\n\n%s\n", line, c.summary)
 	if c.usage == "" || c.name == helpName {
 		return nil
 	}
--- a/cmd/galenastair/cmd_key.go
+++ b/cmd/galenastair/cmd_key.go
@@ -29,7 +29,7 @@
 	return subcommand("key", args, map[string]func([]string) error{
 		"give":     func(args []string) error { return giveKey(ctx, args, out, errOut) },
 		"withdraw": func(args []string) error { return withdrawKey(ctx, args, out, errOut) },
-		"hash":     func([]string) error { return hashKey(os.Stdin, out) },
+		"hash":     func(args []string) error { return readKey(args, out, errOut) },
 	}, "give, withdraw, hash")
 }
 
@@ -91,6 +91,19 @@
 	return flags.change(ctx, p, config.KindKeyWithdrawn, config.KeyWithdrawn{KeyHash: hash}, out)
 }
 
+func readKey(args []string, out, errOut io.Writer) error {
+	f := flag.NewFlagSet("key hash", flag.ContinueOnError)
+	f.SetOutput(errOut)
+	if err := parseFlags(f, args); err != nil {
+		return err
+	}
+	if f.NArg() > 0 {
+		// a key as an argument would stand in the shell's history and the list of processes
+		return usageError("key", "hash reads the key from its input")
+	}
+	return hashKey(os.Stdin, out)
+}
+
 func hashKey(in io.Reader, out io.Writer) error {
 	line, err := bufio.NewReader(in).ReadString('\n')
 	key := strings.TrimRight(line, "\r\n")
--- a/cmd/galenastair/cmd_status.go
+++ b/cmd/galenastair/cmd_status.go
@@ -70,6 +70,10 @@
 		return operator.Status{}, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		// the callers' port answers with an object too, which would read as an empty status
+		return operator.Status{}, eris.Errorf("status %d", resp.StatusCode)
+	}
 	var s operator.Status
 	return s, json.NewDecoder(resp.Body).Decode(&s)
 }
--- a/cmd/galenastair/command.go
+++ b/cmd/galenastair/command.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 )
 
 // exit statuses: 1 for work that failed, 2 for words that were off.
@@ -28,7 +29,8 @@
 
 // usageError tells the user what was off and which command shows the accepted form.
 func usageError(c, format string, args ...any) error {
-	return fmt.Errorf("%w: %s; run 'galenastair help %s'", errUsage, fmt.Sprintf(format, args...), c)
+	help := strings.TrimSpace("galenastair help " + c)
+	return fmt.Errorf("%w: %s; run '%s'", errUsage, fmt.Sprintf(format, args...), help)
 }
 
 // parseFlags reads a command's flags; what is off is a usage error.
