timer: one wait that a context can cut short, in place of six; a reason corrected

Weighed: a method of the root's Clock, which tests by hand would all have to give. Corrected: says that a second try under one X-Request-Id let a bid run twice. It does not: request.begin gives each try a name of its own since, so only claim.Table alone takes it for the first. What stands is the other half: in a trial, an engine resumed request 1 after its first event with the tokens of another request 1. The comments of caller/id.go and its test say that alone now. Runs: go test -race of the seven packages green; TestWait seen failing with true for a cut wait, and hanging with the context not listened to.

--- a/caller/error_test.go
+++ b/caller/error_test.go
@@ -79,9 +79,8 @@
 }
 
 // Two requests arrive with one X-Request-Id: a client repeats its header with a
-// second try of a bid, or two organisations both count from 1. Carried under one
-// id, the bid's claim is given twice, and an answer that is resumed is the
-// other's.
+// second try, or two organisations both count from 1. Carried under one id, an
+// answer that is resumed at an engine goes on with the other's.
 // Seen failing with carriedID returning its argument.
 func TestRequestsWithOneIDAreCarriedApart(t *testing.T) {
 	is := is.New(t)
--- a/caller/id.go
+++ b/caller/id.go
@@ -18,10 +18,9 @@
 //
 // Failure: two requests have the same X-Request-Id, since two organisations both
 // count from 1, or since a client repeats its header with each try. An engine
-// knows streams by their id, so the one that is resumed gets the other's answer;
-// the keeper of claims takes the second try for the first and lets a bid run
-// twice. The guard: no two requests are carried under one id, whatever their
-// callers named them.
+// knows streams by their id, so the one that is resumed goes on with the other's
+// answer, and the one that is cancelled ends it. The guard: no two requests are
+// carried under one id, whatever their callers named them.
 func carriedID(shown galenastair.RequestID) galenastair.RequestID {
 	return shown + idMark + galenastair.RequestID(rand.Text()[:uniqueLength])
 }
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -8,6 +8,7 @@
 	"galenastair"
 	"galenastair/contract"
 	"galenastair/proof"
+	"galenastair/timer"
 )
 
 // Plan is what to measure on a running fleet.
@@ -38,7 +39,7 @@
 	if err := proof.AwaitReady(ctx, f); err != nil {
 		return Row{}, err
 	}
-	wait(ctx, p.Settle)
+	timer.Wait(ctx, p.Settle)
 	before, err := look(f, links)
 	if err != nil {
 		return Row{}, err
@@ -67,7 +68,7 @@
 func change(ctx context.Context, o *proof.Operators, p Plan) error {
 	end := time.Now().Add(p.Measure)
 	if p.ChangesPerDay == 0 {
-		wait(ctx, p.Measure)
+		timer.Wait(ctx, p.Measure)
 		return nil
 	}
 	gap := time.Duration(secondsPerDay / p.ChangesPerDay * float64(time.Second))
@@ -75,20 +76,11 @@
 		if err := o.Publish(ctx, testContract(0, galenastair.Tokens(n))); err != nil {
 			return err
 		}
-		wait(ctx, min(gap, time.Until(end)))
+		timer.Wait(ctx, min(gap, time.Until(end)))
 	}
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // sample is one look at all entries.
 type sample struct {
 	at        time.Time
--- a/config/follower.go
+++ b/config/follower.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"galenastair"
+	"galenastair/timer"
 )
 
 const (
@@ -112,7 +113,7 @@
 		_ = level.Warn(f.logger).Log("msg", "the configuration stream cannot be read", "err", err)
 		f.askPeers(ctx)
 		f.judge()
-		pause(ctx, retryMin+rand.N(retryMax-retryMin))
+		timer.Wait(ctx, retryMin+rand.N(retryMax-retryMin))
 	}
 	return ctx.Err()
 }
@@ -185,12 +186,3 @@
 		_ = level.Warn(f.logger).Log("msg", "configuration record not applied", "verdict", v.String())
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/config/history_test.go
+++ b/config/history_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"galenastair"
+	"galenastair/timer"
 )
 
 // operation is what one client did to the contract of R or to one key of K.
@@ -198,7 +199,7 @@
 // disturb breaks the log, lets it come back and releases late appends until the context ends.
 func disturb(ctx context.Context, l *fakeLog, random *rand.Rand) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(random.IntN(30))*time.Millisecond)
+		timer.Wait(ctx, time.Duration(random.IntN(30))*time.Millisecond)
 		l.setDown(random.IntN(4) == 0)
 		l.release()
 	}
@@ -310,7 +311,7 @@
 				if c.act(ctx) {
 					done++
 				} else {
-					pause(ctx, time.Millisecond)
+					timer.Wait(ctx, time.Millisecond)
 				}
 			}
 		})
--- a/config/publisher.go
+++ b/config/publisher.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/timer"
 )
 
 var (
@@ -79,7 +80,7 @@
 		if !errors.Is(err, galenastair.ErrAppendRefused) {
 			return nil
 		}
-		pause(ctx, refusedPause)
+		timer.Wait(ctx, refusedPause)
 		if ctx.Err() != nil {
 			return eris.Wrap(ErrNotPublished, err.Error())
 		}
@@ -99,7 +100,7 @@
 			return Verdict{}, err
 		}
 		if err != nil {
-			pause(ctx, retryMin)
+			timer.Wait(ctx, retryMin)
 		}
 	}
 }
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -11,6 +11,7 @@
 
 	"galenastair/caller"
 	"galenastair/operator"
+	"galenastair/timer"
 )
 
 // listener is one of the instance's ports.
@@ -92,7 +93,10 @@
 	e.logger.Log("event", "stopping", "notice", s.Notice, "timeout", s.Timeout, "requests", e.server.Active().Len())
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Notice+s.Timeout)
 	defer cancel()
-	e.stopping.notice(ctx, s.Notice)
+	// the balancer's time to see that this instance is leaving. It is not cut short
+	// when no request is under way: one may be on its way from a balancer that has
+	// not seen it yet.
+	timer.Wait(ctx, s.Notice)
 	// keep-alive connections get "Connection: close" with their next answer
 	e.callers.SetKeepAlivesEnabled(false)
 	err := e.callers.Shutdown(ctx)
--- a/entry/place.go
+++ b/entry/place.go
@@ -15,6 +15,7 @@
 	"galenastair/place"
 	"galenastair/platform"
 	"galenastair/settings"
+	"galenastair/timer"
 )
 
 // engines is the client of model engines, with what the settings say of them: an
@@ -81,7 +82,7 @@
 	client := &http.Client{Transport: httpclient.NewTransport()}
 	for {
 		s := e.members.Status()
-		if !pause(ctx, demand.Period(len(s.View.Ring))) {
+		if !timer.Wait(ctx, demand.Period(len(s.View.Ring))) {
 			return ctx.Err()
 		}
 		if err := e.tellLeader(ctx, client, e.dispatcher.Demand()); err != nil {
@@ -118,15 +119,3 @@
 	slices.Sort(names)
 	return slices.Compact(names)
 }
-
-// pause waits, and reports whether the context still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/report.go
+++ b/entry/report.go
@@ -7,6 +7,7 @@
 	"galenastair"
 	"galenastair/member"
 	"galenastair/report"
+	"galenastair/timer"
 )
 
 const (
@@ -80,7 +81,7 @@
 // followCacheEvents reads the cache events of the engines whose reader this is.
 func (e *Entry) followCacheEvents(ctx context.Context) error {
 	after := map[galenastair.BackendServerID]int64{}
-	for pause(ctx, eventsPeriod) {
+	for timer.Wait(ctx, eventsPeriod) {
 		servers := e.fleet.engines()
 		if len(servers) > eventsEngines {
 			continue
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 )
 
 // stopping knows whether the instance has been told to stop.
@@ -16,18 +14,6 @@
 func (s *stopping) begin()      { s.told.Store(true) }
 func (s *stopping) begun() bool { return s.told.Load() }
 
-// notice waits until the balancer has had its time to see that this instance
-// is leaving. It is not cut short when no request is under way: one may be on
-// its way from a balancer that has not seen it yet.
-func (s *stopping) notice(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // count tells a caller on a kept connection to open its next one elsewhere once
 // the instance is stopping: Shutdown closes idle connections, and a request
 // written to one in that moment would be cut.
--- a/proof/balancer.go
+++ b/proof/balancer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"galenastair/timer"
 )
 
 // balancer stands in for the platform's: it sends callers to entries that were
@@ -30,7 +32,7 @@
 func (b *balancer) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		b.look(ctx)
-		sleep(ctx, balancerPeriod)
+		timer.Wait(ctx, balancerPeriod)
 	}
 	return nil
 }
@@ -57,7 +59,7 @@
 		if ctx.Err() != nil {
 			return eris.Wrapf(errStart, "%d of %d entries are ready", b.count(), len(b.fleet.Entries))
 		}
-		sleep(ctx, balancerPeriod)
+		timer.Wait(ctx, balancerPeriod)
 	}
 }
 
--- a/proof/inject.go
+++ b/proof/inject.go
@@ -13,6 +13,7 @@
 	"galenastair/caller"
 	"galenastair/config"
 	"galenastair/contract"
+	"galenastair/timer"
 )
 
 // stopWithin is how long a process that was told to stop may take; the script
@@ -39,7 +40,7 @@
 	var g errgroup.Group
 	start := time.Now()
 	for _, p := range plan {
-		sleep(ctx, time.Until(start.Add(p.at)))
+		timer.Wait(ctx, time.Until(start.Add(p.at)))
 		if ctx.Err() != nil {
 			break
 		}
@@ -182,9 +183,9 @@
 
 func (in *injector) withdraw(ctx context.Context, c *customer) {
 	key := in.operators.giveKey(ctx, c)
-	sleep(ctx, keyLife)
+	timer.Wait(ctx, keyLife)
 	in.operators.withdrawKey(ctx, c, key)
-	sleep(ctx, 2*keyLife)
+	timer.Wait(ctx, 2*keyLife)
 	c.dropKey(key)
 }
 
@@ -201,6 +202,6 @@
 			RequestID: galenastair.RequestID(fmt.Sprintf("poison-%d-%d", p.at, n)),
 		}
 		in.record.request(in.traffic.send(c, q, Request{Model: model}).Request)
-		sleep(ctx, 500*time.Millisecond)
+		timer.Wait(ctx, 500*time.Millisecond)
 	}
 }
--- a/proof/observe.go
+++ b/proof/observe.go
@@ -11,6 +11,7 @@
 
 	"galenastair"
 	"galenastair/operator"
+	"galenastair/timer"
 )
 
 // how often the fleet is looked at; changes are timed by it.
@@ -58,7 +59,7 @@
 func every(ctx context.Context, period time.Duration, f func()) error {
 	for ctx.Err() == nil {
 		f()
-		sleep(ctx, period)
+		timer.Wait(ctx, period)
 	}
 	return nil
 }
--- a/proof/run.go
+++ b/proof/run.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"galenastair"
+	"galenastair/timer"
 )
 
 // Plan is one run to make.
@@ -78,7 +79,7 @@
 				if ctx.Err() != nil {
 					return eris.Wrapf(errStart, "%s does not answer %s", m, c.name)
 				}
-				sleep(ctx, balancerPeriod)
+				timer.Wait(ctx, balancerPeriod)
 			}
 		}
 	}
--- a/proof/traffic.go
+++ b/proof/traffic.go
@@ -18,6 +18,7 @@
 	"galenastair"
 	"galenastair/caller"
 	"galenastair/standin/engine"
+	"galenastair/timer"
 )
 
 // what callers send: mostly short answers, some that outlast a pause or an outage's start.
@@ -83,7 +84,7 @@
 	open.SetLimit(maxOpenRequests)
 	for i := 0; ctx.Err() == nil; i++ {
 		gap := time.Duration(rng.ExpFloat64() / c.perSecond * float64(time.Second))
-		sleep(ctx, gap)
+		timer.Wait(ctx, gap)
 		one := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		id := fmt.Sprintf("%s-%d", c.name, i)
 		open.Go(func() error {
@@ -94,15 +95,6 @@
 	return open.Wait()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (t *traffic) one(c *customer, id string, rng *rand.Rand) {
 	if len(c.services) > 0 && rng.Float64() < callShare {
 		t.bid(c, id, rng)
--- a/request/patience.go
+++ b/request/patience.go
@@ -69,15 +69,3 @@
 	})
 	return made, err
 }
-
-// waitFor waits, and reports whether the context still runs.
-func waitFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/request/server.go
+++ b/request/server.go
@@ -10,6 +10,7 @@
 	"galenastair"
 	"galenastair/config"
 	"galenastair/contract"
+	"galenastair/timer"
 )
 
 // Server carries requests.
@@ -78,7 +79,7 @@
 		active:        NewActive(),
 		estimator:     newEstimator(),
 		debts:         newDebts(),
-		wait:          waitFor,
+		wait:          timer.Wait,
 	}
 	for _, o := range opts {
 		o(s)
