--- a/caller/service.go
+++ b/caller/service.go
@@ -12,26 +12,15 @@
 	"github.com/gorilla/mux"
 
 	"galenastair"
+	"galenastair/httpclient"
 	"galenastair/request"
 )
 
-// connectionHeaders concern one connection alone, or can carry a key, and are not
-// passed on.
-var connectionHeaders = []string{
-	"Authorization", "Connection", "Cookie", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
+// passedHeaders returns what goes on from one connection to another.
 func passedHeaders(h http.Header) http.Header {
 	out := h.Clone()
-	for _, line := range h.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		out.Del(name)
-	}
+	httpclient.DropPrivate(out)
+	out.Del("Content-Length")
 	return out
 }
 
--- a/capacity/row.go
+++ b/capacity/row.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"bufio"
 	"encoding/json"
 	"os"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/standin/journal"
 )
 
 // Row is one measured fleet.
@@ -51,21 +51,17 @@
 	return err
 }
 
+// errCutRow says that a file of rows holds what is no row.
+var errCutRow = eris.New("a line is no row")
+
 // Read returns the rows of a file.
 func Read(path string) ([]Row, error) {
-	file, err := os.Open(path)
+	rows, cut, err := journal.Read[Row](path)
 	if err != nil {
 		return nil, eris.Wrap(err, "rows; measure some by 'make capacity'")
 	}
-	defer file.Close()
-	var rows []Row
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		var r Row
-		if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
-			return nil, eris.Wrap(err, path)
-		}
-		rows = append(rows, r)
+	if cut > 0 {
+		return nil, eris.Wrap(errCutRow, path)
 	}
-	return rows, lines.Err()
+	return rows, nil
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -73,7 +73,7 @@
 	tracked, sending := httpclient.Track(limited)
 	resp, err := c.pool.For(server).RoundTrip(req.WithContext(tracked))
 	if err != nil {
-		return c.failed(ctx, server, sending, err)
+		return c.pool.Failed(ctx, server, sending, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -87,19 +87,6 @@
 	return eris.Wrapf(json.Unmarshal(answer, out), "%s %s", method, path)
 }
 
-// failed names the cause of a request that got no answer; ctx is the caller's.
-func (c *Client) failed(ctx context.Context, server string, sending *httpclient.Sending, err error) error {
-	if sending.NotSent() {
-		return eris.Wrapf(galenastair.ErrNotSent, "%v", err)
-	}
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	// what else is pooled may be as dead as the connection that failed
-	c.pool.Forget(server)
-	return eris.Wrapf(galenastair.ErrBackendServer, "no answer: %v", err)
-}
-
 // refusal names the cause of an answer with an error status.
 func refusal(resp *http.Response) error {
 	detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxDetail))
--- a/engine/complete.go
+++ b/engine/complete.go
@@ -58,7 +58,7 @@
 			c.pool.Forget(req.URL.Host)
 			return nil, eris.Wrap(galenastair.ErrSilent, "before the answer began")
 		}
-		return nil, c.failed(ctx, req.URL.Host, sending, err)
+		return nil, c.pool.Failed(ctx, req.URL.Host, sending, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
--- a/service/header.go
+++ b/httpclient/header.go
@@ -1,4 +1,4 @@
-package service
+package httpclient
 
 import (
 	"net/http"
@@ -20,8 +20,8 @@
 	"Upgrade",
 }
 
-// dropPrivate takes out what must not go further, also what Connection names.
-func dropPrivate(h http.Header) {
+// DropPrivate takes out what must not go further, also what Connection names.
+func DropPrivate(h http.Header) {
 	for _, line := range h.Values("Connection") {
 		for _, name := range strings.Split(line, ",") {
 			h.Del(strings.TrimSpace(name))
--- a/proof/files.go
+++ b/proof/files.go
@@ -1,13 +1,8 @@
 package proof
 
 import (
-	"bufio"
-	"encoding/json"
-	"os"
 	"path/filepath"
 
-	"github.com/rotisserie/eris"
-
 	"galenastair/rate"
 	"galenastair/standin/journal"
 )
@@ -19,7 +14,7 @@
 		return err
 	}
 	for _, path := range runs {
-		entries, err := journal.Read(path)
+		entries, _, err := journal.Read[journal.Entry](path)
 		if err != nil {
 			return err
 		}
@@ -30,25 +25,11 @@
 		return err
 	}
 	for _, path := range grants {
-		if err := readGrants(path, h); err != nil {
+		list, _, err := journal.Read[rate.Grant](path)
+		if err != nil {
 			return err
 		}
+		h.Grants = append(h.Grants, list...)
 	}
 	return nil
 }
-
-func readGrants(path string, h *History) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return eris.Wrap(err, "grants")
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		var g rate.Grant
-		if json.Unmarshal(lines.Bytes(), &g) == nil {
-			h.Grants = append(h.Grants, g)
-		}
-	}
-	return lines.Err()
-}
--- a/service/client.go
+++ b/service/client.go
@@ -41,14 +41,14 @@
 	tracked, sending := httpclient.Track(ctx)
 	resp, err := c.pool.For(server).RoundTrip(req.WithContext(tracked))
 	if err != nil {
-		return galenastair.ServiceAnswer{}, c.failed(ctx, server, sending, err)
+		return galenastair.ServiceAnswer{}, c.pool.Failed(ctx, server, sending, err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(headerOutcome) == outcomeNotRun {
 		defer resp.Body.Close()
 		detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxDetail))
 		return galenastair.ServiceAnswer{}, eris.Wrapf(galenastair.ErrDeclined, "status %d: %s", resp.StatusCode, detail)
 	}
-	dropPrivate(resp.Header)
+	httpclient.DropPrivate(resp.Header)
 	return galenastair.ServiceAnswer{
 		Status: resp.StatusCode,
 		Header: resp.Header,
@@ -57,17 +57,6 @@
 	}, nil
 }
 
-func (c *Client) failed(ctx context.Context, server string, sending *httpclient.Sending, err error) error {
-	if sending.NotSent() {
-		return eris.Wrapf(galenastair.ErrNotSent, "%v", err)
-	}
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	c.pool.Forget(server)
-	return eris.Wrapf(galenastair.ErrBackendServer, "no answer: %v", err)
-}
-
 func request(server string, call galenastair.ServiceCall) (*http.Request, error) {
 	url := "http://" + server + call.Path
 	if call.Query != "" {
@@ -80,7 +69,7 @@
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
 	}
-	dropPrivate(req.Header)
+	httpclient.DropPrivate(req.Header)
 	req.Header.Set(headerRequestID, string(call.ID))
 	return req, nil
 }
--- a/standin/journal/journal.go
+++ b/standin/journal/journal.go
@@ -58,20 +58,22 @@
 	_, _ = j.file.Write(append(line, '\n'))
 }
 
-// Read returns the entries of a file; a line that was cut is left out.
-func Read(path string) ([]Entry, error) {
+// Read returns the lines of a file, each a JSON object, and how many were cut and
+// left out: a process that is killed can leave a part of its last one.
+func Read[T any](path string) (list []T, cut int, err error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, eris.Wrap(err, "journal")
+		return nil, 0, eris.Wrap(err, "journal")
 	}
 	defer file.Close()
-	var entries []Entry
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
-		var e Entry
-		if json.Unmarshal(lines.Bytes(), &e) == nil {
-			entries = append(entries, e)
+		var v T
+		if json.Unmarshal(lines.Bytes(), &v) != nil {
+			cut++
+			continue
 		}
+		list = append(list, v)
 	}
-	return entries, lines.Err()
+	return list, cut, lines.Err()
 }
