member: what an outage of the log together with a death costs, measured

Cause: doc.go gave no figure for the case that the design asks about.

Before (short promises alone): 0 of 4 others of a ring of six held a lease 15 s after one died with the log down. After: the one left of three held its lease 30 s later; the dead member was declared 97 s after the log was back, the price of promises that run two minutes.

Ruled out: quoting the model's times, which use a shorter promise.

--- a/member/doc.go
+++ b/member/doc.go
@@ -34,8 +34,8 @@
 // A virtual machine that is suspended may stop its monotonic clock: a lease then
 // looks longer than it is. Clocks that run apart by more than the margin in
 // Timing. A platform list that drops instances that run (see absence). A log that
-// is down for less than Contact when a watcher dies, or went down right after:
-// the watched members lose their leases one after the other until it is back.
+// is down for less than Contact and a read when a watcher dies, or goes down right
+// after: the leases of the watched end one after the other until it is back.
 //
 // # Proof
 //
@@ -62,4 +62,9 @@
 // A dead member is declared 3.5 to 4.3 s after its death, and all its duties may
 // be taken over 4.3 to 6.8 s later (3 to 53 members); of k holders in different
 // zones the others serve meanwhile.
+//
+// With the log down and one of six killed, short promises alone left 0 of 4 others
+// with a lease 15 s later. With the promises for an outage, the one left of three
+// still held its lease 30 s later; the dead one was declared 97 s after the log
+// was back, since it had been promised two minutes.
 package member
