--- a/member/doc.go
+++ b/member/doc.go
@@ -65,6 +65,6 @@
 //
 // With the log down and one of six killed, short promises alone left 0 of 4 others
 // with a lease 15 s later. With the promises for an outage, the one left of three
-// still held its lease 30 s later; the dead one was declared 97 s after the log
-// was back, since it had been promised two minutes.
+// and all 7 left of nine still held theirs 30 s later; the dead one was declared
+// 97 s after the log was back, since it had been promised two minutes.
 package member
