--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROTOC_GEN_TWIRP_VERSION = v8.1.3+incompatible
 TOOLS = $(CURDIR)/.tools/bin
 
-.PHONY: all build test lint fmt generate demo clean proof capacity bench
+.PHONY: all build test lint fmt generate demo clean proof capacity bench measure
 
 all: build
 
@@ -56,3 +56,7 @@
 
 bench: build
 	bash scenario/bench.sh
+
+# the decisions over synthetic loads beside their baselines, and the ways to share a rate
+measure: build
+	bin/galenastair measure
--- /dev/null
+++ b/cmd/galenastair/cmd_measure.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"galenastair/measure"
+	"galenastair/rate/compare"
+)
+
+var cmdMeasure = command{
+	name:    "measure",
+	summary: "run the decisions over synthetic loads, beside their baselines",
+	usage:   "[-seed N] [-site NAME] [-scenario NAME] [-policies N]",
+	run:     runMeasure,
+}
+
+func runMeasure(ctx context.Context, args []string, out, errOut io.Writer) error {
+	var o measure.Options
+	f := flag.NewFlagSet("measure", flag.ContinueOnError)
+	f.SetOutput(errOut)
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of the loads; the same one gives the same figures")
+	f.StringVar(&o.Site, "site", "", "only this site: Himalbyte or Furnir")
+	f.StringVar(&o.Scenario, "scenario", "", "only this scenario")
+	f.IntVar(&o.Policies, "policies", 0, "only the first so many policies; 1 is ours alone")
+	if err := parseFlags(f, args); err != nil {
+		return err
+	}
+	if err := measure.Run(ctx, o, out); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "\nways to share an organisation's rate among instances\n%s", compare.Table(o.Seed))
+	return err
+}
--- a/cmd/galenastair/commands.go
+++ b/cmd/galenastair/commands.go
@@ -13,6 +13,7 @@
 		cmdCall,
 		cmdStatus,
 		cmdLoad,
+		cmdMeasure,
 		cmdVersion,
 		cmdHelp,
 	}
