operator: metrics of moves and of refusals within rate

Cause: OPERATORS.md named galenastair_orders_total, which nobody counted; two of the users' four measures could not be seen live. Shown: go test ./operator ./place ./entry.

--- a/entry/place.go
+++ b/entry/place.go
@@ -69,7 +69,7 @@
 		Store:  platform.New(s.Platform.WeightStoreAddress),
 		Duty:   e.leads,
 		Loop:   loop,
-	}, place.WithLogger(e.logger), place.WithSettings(planner))
+	}, place.WithLogger(e.logger), place.WithSettings(planner), place.WithOrdered(e.metrics.Ordered))
 }
 
 func (e *Entry) leads(now time.Time) (galenastair.Fence, bool) {
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -5,6 +5,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenastair"
+	"galenastair/place"
 	"galenastair/request"
 )
 
@@ -20,6 +22,8 @@
 	requests     *prometheus.CounterVec
 	attained     *prometheus.CounterVec
 	tokens       *prometheus.CounterVec
+	refused      *prometheus.CounterVec
+	orders       *prometheus.CounterVec
 	retries      prometheus.Counter
 	queued       prometheus.Histogram
 	firstToken   prometheus.Histogram
@@ -39,6 +43,12 @@
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenastair_tokens_total", Help: "Tokens that organisations were charged in the end.",
 		}, []string{"organisation"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_refused_within_rate_total", Help: "Requests that were refused or failed though their organisation was not over its rate.",
+		}, []string{"organisation", "code"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_orders_total", Help: "Orders that engines took from this instance as the leader, by kind and reason.",
+		}, []string{"kind", "reason"}),
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenastair_retries_total", Help: "Attempts beyond the first of a request.",
 		}),
@@ -46,7 +56,7 @@
 		firstToken:   histogram("galenastair_first_token_seconds", "Time from a request's arrival to its first token."),
 		betweenToken: histogram("galenastair_between_token_seconds", "Mean time between the tokens of an answer."),
 	}
-	m.registry.MustRegister(m.requests, m.attained, m.tokens, m.retries, m.queued, m.firstToken, m.betweenToken)
+	m.registry.MustRegister(m.requests, m.attained, m.tokens, m.refused, m.orders, m.retries, m.queued, m.firstToken, m.betweenToken)
 	return m
 }
 
@@ -59,10 +69,29 @@
 // Registry returns the registry, for others to add their metrics to.
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
+// Ordered counts one order that an engine took.
+func (m *Metrics) Ordered(kind galenastair.OrderKind, reason place.Reason) {
+	m.orders.WithLabelValues(string(kind), string(reason)).Inc()
+}
+
+// withinRate says that a request was not served for a cause of ours, and not for
+// its caller's key, contract, form or rate.
+func withinRate(c galenastair.Code) bool {
+	switch c {
+	case "RateUnavailable", "Overloaded", "NoBackendServer", "NotMember", "Stopping", "ClaimUnavailable",
+		"BackendServer", "AnswerCut", "Timeout", "NoConfiguration":
+		return true
+	}
+	return false
+}
+
 // RequestEnded counts one request.
 func (m *Metrics) RequestEnded(e request.Ending) {
 	organisation := string(e.Organisation)
 	m.requests.WithLabelValues(organisation, string(e.Code), string(e.Outcome)).Inc()
+	if withinRate(e.Code) {
+		m.refused.WithLabelValues(organisation, string(e.Code)).Inc()
+	}
 	m.tokens.WithLabelValues(organisation).Add(float64(e.Used))
 	if e.Attempts > 1 {
 		m.retries.Add(float64(e.Attempts - 1))
--- a/place/leader.go
+++ b/place/leader.go
@@ -58,6 +58,7 @@
 	clock    galenastair.Clock
 	logger   log.Logger
 	settings Settings
+	ordered  func(galenastair.OrderKind, Reason)
 	life     time.Duration
 	tasks    sync.WaitGroup
 
@@ -91,6 +92,11 @@
 // WithSettings replaces the settings of the planner.
 func WithSettings(s Settings) Option { return func(l *Leader) { l.settings = s } }
 
+// WithOrdered sets what is told of each order that an engine took.
+func WithOrdered(f func(galenastair.OrderKind, Reason)) Option {
+	return func(l *Leader) { l.ordered = f }
+}
+
 // WithLife sets how long an order may still arrive at an engine that ignores fences.
 func WithLife(d time.Duration) Option { return func(l *Leader) { l.life = d } }
 
@@ -116,6 +122,7 @@
 		clock:    galenastair.SystemClock{},
 		logger:   log.NewNopLogger(),
 		settings: DefaultSettings(),
+		ordered:  func(galenastair.OrderKind, Reason) {},
 		life:     ledger.DefaultLife,
 		forecast: forecast.New(),
 		survey:   newSurvey(),
--- a/place/order.go
+++ b/place/order.go
@@ -199,6 +199,7 @@
 		_ = l.loop.Do(ctx, func() { o.sent = sent })
 	}
 	if err == nil {
+		l.ordered(s.Kind, s.Reason)
 		_ = l.logger.Log("event", "order", "kind", s.Kind, "server", s.Server, "model", s.Weight.Name, "reason", s.Reason, "order", o.order.ID, "fence", o.order.Fence)
 	}
 	return err
