--- a/claim/begin.go
+++ b/claim/begin.go
@@ -99,21 +99,21 @@
 
 // apart says whether a copy at another instance is enough: it is in another zone
 // than this one, or the whole domain is one zone.
-func (k *Keeper) apart(p Peer) bool {
+func (k *Keeper) apart(p galenastair.Peer) bool {
 	self := k.duties.Self()
 	return p.ID != self.ID && (p.AvailabilityZone != self.AvailabilityZone || k.oneZone())
 }
 
 func (k *Keeper) oneZone() bool {
 	zone := k.duties.Self().AvailabilityZone
-	return !slices.ContainsFunc(k.duties.Members(), func(p Peer) bool { return p.AvailabilityZone != zone })
+	return !slices.ContainsFunc(k.duties.Members(), func(p galenastair.Peer) bool { return p.AvailabilityZone != zone })
 }
 
 func unavailable(detail string) error {
 	return galenastair.Refuse(galenastair.ErrClaimUnavailable, unavailableWait, detail)
 }
 
-func (k *Keeper) ask(ctx context.Context, home Peer, a Attempt) error {
+func (k *Keeper) ask(ctx context.Context, home galenastair.Peer, a Attempt) error {
 	if home.ID == k.duties.Self().ID {
 		return k.grant(ctx, a)
 	}
@@ -140,7 +140,7 @@
 
 // copyTo gives attempts to another instance and notes first that it may have
 // them, so that their outcomes reach it, and then that it has.
-func (k *Keeper) copyTo(ctx context.Context, p Peer, list []Attempt) error {
+func (k *Keeper) copyTo(ctx context.Context, p galenastair.Peer, list []Attempt) error {
 	process := Process{p.ID, k.incarnationOf(p.ID)}
 	k.note(list, func(a *Attempt) { a.Copies = []galenastair.InstanceID{p.ID} })
 	kept, err := k.hand(ctx, p, list)
@@ -164,10 +164,10 @@
 }
 
 // candidates ranks the instances that may keep a copy of what is kept here.
-func (k *Keeper) candidates(key Key) []Peer {
-	others := slices.DeleteFunc(slices.Clone(k.duties.Members()), func(p Peer) bool { return !k.apart(p) })
-	score := func(p Peer) uint64 { return xxhash.Sum64String(string(key) + "/" + string(p.ID)) }
-	slices.SortFunc(others, func(p, q Peer) int { return cmp.Compare(score(q), score(p)) })
+func (k *Keeper) candidates(key Key) []galenastair.Peer {
+	others := slices.DeleteFunc(slices.Clone(k.duties.Members()), func(p galenastair.Peer) bool { return !k.apart(p) })
+	score := func(p galenastair.Peer) uint64 { return xxhash.Sum64String(string(key) + "/" + string(p.ID)) }
+	slices.SortFunc(others, func(p, q galenastair.Peer) int { return cmp.Compare(score(q), score(p)) })
 	return others
 }
 
--- a/claim/duties.go
+++ b/claim/duties.go
@@ -6,22 +6,15 @@
 	"galenastair"
 )
 
-// Peer is another instance, as it can be called.
-type Peer struct {
-	ID               galenastair.InstanceID
-	Address          string
-	AvailabilityZone galenastair.AvailabilityZone
-}
-
 // Duties says which instance is the home of which idempotency key in the present epoch.
 type Duties interface {
 	// Self returns this instance.
-	Self() Peer
+	Self() galenastair.Peer
 	Epoch() galenastair.Epoch
 	// Members lists all instances of the present epoch, this one too.
-	Members() []Peer
+	Members() []galenastair.Peer
 	// Home returns the instance that the present epoch makes the home of a key.
-	Home(key string) (Peer, bool)
+	Home(key string) (galenastair.Peer, bool)
 	// Serves says that this instance is the key's home and that its predecessor no longer is.
 	Serves(key string, now time.Time) bool
 	// Holds says that this instance's own lease runs.
--- a/claim/home.go
+++ b/claim/home.go
@@ -96,7 +96,7 @@
 	return k.adopt(epoch, lists)
 }
 
-func (k *Keeper) askKept(ctx context.Context, p Peer, epoch galenastair.Epoch) ([]Attempt, error) {
+func (k *Keeper) askKept(ctx context.Context, p galenastair.Peer, epoch galenastair.Epoch) ([]Attempt, error) {
 	k.metrics.messages.Inc()
 	reply, err := k.connect(p).Sync(ctx, &claimpb.SyncRequest{Home: string(k.duties.Self().ID), Epoch: int64(epoch)})
 	if err != nil {
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -24,7 +24,7 @@
 type Keeper struct {
 	duties  Duties
 	clock   galenastair.Clock
-	connect func(Peer) claimpb.Claim
+	connect func(galenastair.Peer) claimpb.Claim
 	client  *http.Client
 	metrics *metrics
 
@@ -47,7 +47,9 @@
 func WithClock(c galenastair.Clock) Option { return func(k *Keeper) { k.clock = c } }
 
 // WithConnect sets how other instances are called, in place of HTTP.
-func WithConnect(f func(Peer) claimpb.Claim) Option { return func(k *Keeper) { k.connect = f } }
+func WithConnect(f func(galenastair.Peer) claimpb.Claim) Option {
+	return func(k *Keeper) { k.connect = f }
+}
 
 // WithHTTPClient sets the client by which other instances are called.
 func WithHTTPClient(c *http.Client) Option { return func(k *Keeper) { k.client = c } }
@@ -124,11 +126,11 @@
 	return 0
 }
 
-func (k *Keeper) member(id galenastair.InstanceID) (Peer, bool) {
+func (k *Keeper) member(id galenastair.InstanceID) (galenastair.Peer, bool) {
 	for _, p := range k.duties.Members() {
 		if p.ID == id {
 			return p, true
 		}
 	}
-	return Peer{}, false
+	return galenastair.Peer{}, false
 }
--- a/claim/server.go
+++ b/claim/server.go
@@ -17,7 +17,7 @@
 // Server answers the other instances without HTTP, for tests and measurements.
 func (k *Keeper) Server() claimpb.Claim { return server{k} }
 
-func (k *Keeper) overHTTP(p Peer) claimpb.Claim {
+func (k *Keeper) overHTTP(p galenastair.Peer) claimpb.Claim {
 	return claimpb.NewClaimProtobufClient("http://"+p.Address, k.client)
 }
 
--- a/claim/tell.go
+++ b/claim/tell.go
@@ -63,11 +63,11 @@
 }
 
 // untold groups pending outcomes by the instance that is to hear them.
-func (k *Keeper) untold() map[Peer][]Attempt {
+func (k *Keeper) untold() map[galenastair.Peer][]Attempt {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	self, now := k.duties.Self().ID, k.clock.Now()
-	batches := make(map[Peer][]Attempt)
+	batches := make(map[galenastair.Peer][]Attempt)
 	for id, t := range k.pending {
 		t.copies = slices.DeleteFunc(slices.Clone(t.copies), func(c galenastair.InstanceID) bool {
 			_, ok := k.member(c)
@@ -94,7 +94,7 @@
 	return batches
 }
 
-func (k *Keeper) tellOne(ctx context.Context, p Peer, list []Attempt) {
+func (k *Keeper) tellOne(ctx context.Context, p galenastair.Peer, list []Attempt) {
 	kept, err := k.hand(ctx, p, list)
 	if err != nil {
 		return
@@ -117,7 +117,7 @@
 }
 
 // hand gives attempts to another instance to keep.
-func (k *Keeper) hand(ctx context.Context, p Peer, list []Attempt) ([]keeping, error) {
+func (k *Keeper) hand(ctx context.Context, p galenastair.Peer, list []Attempt) ([]keeping, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	k.metrics.messages.Inc()
@@ -194,9 +194,9 @@
 }
 
 // lonely groups the attempts that are kept nowhere else by the instance that is to.
-func (k *Keeper) lonely() map[Peer][]Attempt {
+func (k *Keeper) lonely() map[galenastair.Peer][]Attempt {
 	self := k.duties.Self().ID
-	batches := make(map[Peer][]Attempt)
+	batches := make(map[galenastair.Peer][]Attempt)
 	for _, a := range k.homedAt(self) {
 		if a.free() || k.keptElsewhere(a) {
 			continue
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -39,7 +39,7 @@
 type node struct {
 	world  *world
 	index  int
-	peer   Peer
+	peer   galenastair.Peer
 	keeper *Keeper
 	dead   bool
 	// foldedAt holds when each epoch from joined on was folded; earlier ones count as folded on joining.
@@ -76,12 +76,12 @@
 func (w *world) add() {
 	i := len(w.nodes)
 	n := &node{world: w, index: i, joined: len(w.views) - 1}
-	n.peer = Peer{
+	n.peer = galenastair.Peer{
 		ID:               galenastair.InstanceID(fmt.Sprint("entry-", i)),
 		AvailabilityZone: galenastair.AvailabilityZone(fmt.Sprint("zone-", i%3)),
 	}
 	n.foldedAt = []time.Time{w.now()}
-	n.keeper = New(n, WithClock(w), WithConnect(func(p Peer) claimpb.Claim { return link{w, p} }))
+	n.keeper = New(n, WithClock(w), WithConnect(func(p galenastair.Peer) claimpb.Claim { return link{w, p} }))
 	w.nodes = append(w.nodes, n)
 }
 
@@ -124,7 +124,7 @@
 	return owner
 }
 
-func (n *node) Self() Peer { return n.peer }
+func (n *node) Self() galenastair.Peer { return n.peer }
 
 func (n *node) IncarnationOf(id galenastair.InstanceID) int64 {
 	if id == "entry-0" {
@@ -139,17 +139,17 @@
 	return galenastair.Epoch(n.folded() + 1)
 }
 
-func (n *node) Members() []Peer {
+func (n *node) Members() []galenastair.Peer {
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
-	var list []Peer
+	var list []galenastair.Peer
 	for i := range n.world.views[n.folded()] {
 		list = append(list, n.world.nodes[i].peer)
 	}
 	return list
 }
 
-func (n *node) Home(key string) (Peer, bool) {
+func (n *node) Home(key string) (galenastair.Peer, bool) {
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
 	return n.world.nodes[n.world.owner(n.folded(), key)].peer, true
@@ -204,7 +204,7 @@
 // link calls one keeper through the network.
 type link struct {
 	world *world
-	to    Peer
+	to    galenastair.Peer
 }
 
 func (l link) target() (claimpb.Claim, bool) {
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"galenastair"
-	"galenastair/claim"
 	"galenastair/member"
 	"galenastair/rate"
 )
@@ -16,12 +15,10 @@
 
 func (e *Entry) rateContracts() rate.Contracts { return contracts{e.follower.View()} }
 
-func ratePeer(m member.Member) rate.Peer {
-	return rate.Peer{ID: m.ID, Address: m.PeerAddress, AvailabilityZone: m.AvailabilityZone}
+func peerOf(m member.Member) galenastair.Peer {
+	return galenastair.Peer{ID: m.ID, Address: m.PeerAddress, AvailabilityZone: m.AvailabilityZone}
 }
 
-func claimPeer(m member.Member) claim.Peer { return claim.Peer(ratePeer(m)) }
-
 // shareKey names an organisation's shares among all duties.
 func shareKey(o galenastair.Organisation) string { return "share:" + string(o) }
 
@@ -44,7 +41,7 @@
 type rateDuties struct{ s *member.Status }
 
 // Self returns this instance.
-func (d rateDuties) Self() rate.Peer { return ratePeer(d.s.Self) }
+func (d rateDuties) Self() galenastair.Peer { return peerOf(d.s.Self) }
 
 // Epoch returns the present epoch.
 func (d rateDuties) Epoch() galenastair.Epoch { return d.s.View.Epoch }
@@ -53,9 +50,9 @@
 func (d rateDuties) Incarnation() int64 { return int64(d.s.Self.Incarnation) }
 
 // Owner returns the member that holds a share.
-func (d rateDuties) Owner(a rate.Account) (rate.Peer, bool) {
+func (d rateDuties) Owner(a rate.Account) (galenastair.Peer, bool) {
 	m, ok := shareDuty(a)(d.s.View)
-	return ratePeer(m), ok
+	return peerOf(m), ok
 }
 
 // Serves says that this instance may hold a share now.
@@ -67,18 +64,18 @@
 type claimDuties struct{ members *member.Runtime }
 
 // Self returns this instance.
-func (d claimDuties) Self() claim.Peer { return claimPeer(d.members.Status().Self) }
+func (d claimDuties) Self() galenastair.Peer { return peerOf(d.members.Status().Self) }
 
 // Epoch returns the present epoch.
 func (d claimDuties) Epoch() galenastair.Epoch { return d.members.Status().View.Epoch }
 
 // Members lists all instances of the present epoch.
-func (d claimDuties) Members() []claim.Peer {
+func (d claimDuties) Members() []galenastair.Peer {
 	// one status for both: the ring may grow between two looks
 	ring := d.members.Status().View.Ring
-	peers := make([]claim.Peer, len(ring))
+	peers := make([]galenastair.Peer, len(ring))
 	for i, m := range ring {
-		peers[i] = claimPeer(m)
+		peers[i] = peerOf(m)
 	}
 	return peers
 }
@@ -95,9 +92,9 @@
 }
 
 // Home returns a key's home.
-func (d claimDuties) Home(key string) (claim.Peer, bool) {
+func (d claimDuties) Home(key string) (galenastair.Peer, bool) {
 	m, ok := d.members.Status().Owner(claimKey(key), homeSlot)
-	return claimPeer(m), ok
+	return peerOf(m), ok
 }
 
 // Serves says that this instance may be a key's home now.
--- a/entry/report.go
+++ b/entry/report.go
@@ -31,13 +31,13 @@
 type reportDuties struct{ s *member.Status }
 
 // Self returns this instance.
-func (d reportDuties) Self() report.Peer { return report.Peer(ratePeer(d.s.Self)) }
+func (d reportDuties) Self() galenastair.Peer { return peerOf(d.s.Self) }
 
 // Members lists all instances of the present epoch.
-func (d reportDuties) Members() []report.Peer {
-	peers := make([]report.Peer, len(d.s.View.Ring))
+func (d reportDuties) Members() []galenastair.Peer {
+	peers := make([]galenastair.Peer, len(d.s.View.Ring))
 	for i, m := range d.s.View.Ring {
-		peers[i] = report.Peer(ratePeer(m))
+		peers[i] = peerOf(m)
 	}
 	return peers
 }
@@ -46,9 +46,9 @@
 func (d reportDuties) Epoch() galenastair.Epoch { return d.s.View.Epoch }
 
 // Reader returns the member that reads an engine.
-func (d reportDuties) Reader(id galenastair.BackendServerID) (report.Peer, bool) {
+func (d reportDuties) Reader(id galenastair.BackendServerID) (galenastair.Peer, bool) {
 	m, ok := d.s.Owner(readerKey(id), reportSlot)
-	return report.Peer(ratePeer(m)), ok
+	return peerOf(m), ok
 }
 
 func (e *Entry) newReporter() *report.Reporter {
--- a/rate/borrowed.go
+++ b/rate/borrowed.go
@@ -14,7 +14,7 @@
 type borrowed struct {
 	id       LoanID
 	account  Account
-	holder   Peer
+	holder   galenastair.Peer
 	share    Share
 	tokens   galenastair.Tokens
 	left     galenastair.Tokens
@@ -26,7 +26,7 @@
 // newBorrowed counts the term from when the request was sent: the giver counts
 // from later, so that however long an answer takes, and whichever side is
 // paused, the loan ends here first.
-func newBorrowed(o Offer, a Account, id LoanID, holder Peer, sent time.Time) *borrowed {
+func newBorrowed(o Offer, a Account, id LoanID, holder galenastair.Peer, sent time.Time) *borrowed {
 	return &borrowed{
 		id:       id,
 		account:  a,
--- a/rate/compare/holders.go
+++ b/rate/compare/holders.go
@@ -36,12 +36,12 @@
 	site          *site
 	contract      rate.Contract
 	organisations []galenastair.Organisation
-	peers         []rate.Peer
+	peers         []galenastair.Peer
 	limiters      []*rate.Limiter
 	dead          map[int]bool
 	gone          map[int]bool
 	epoch         galenastair.Epoch
-	owners        map[galenastair.Organisation][]rate.Peer
+	owners        map[galenastair.Organisation][]galenastair.Peer
 	requests      int
 	sent          cost
 }
@@ -55,7 +55,7 @@
 		dead: make(map[int]bool), gone: make(map[int]bool),
 	}
 	for i := range s.instances {
-		h.peers = append(h.peers, rate.Peer{
+		h.peers = append(h.peers, galenastair.Peer{
 			ID:               galenastair.InstanceID(fmt.Sprint("entry-", i)),
 			AvailabilityZone: galenastair.AvailabilityZone(fmt.Sprint("zone-", i%s.zones)),
 		})
@@ -66,7 +66,7 @@
 		all := append([]rate.Option{
 			rate.WithClock(view),
 			rate.WithFirstLoan(1 << 47),
-			rate.WithConnect(func(p rate.Peer) ratepb.Rate { return link{h, p} }),
+			rate.WithConnect(func(p galenastair.Peer) ratepb.Rate { return link{h, p} }),
 		}, opts...)
 		h.limiters = append(h.limiters, rate.New(view.duties, view.contracts, all...))
 	}
@@ -75,22 +75,22 @@
 
 // rank gives each organisation its holders; the first is instance 0 in the runs with one organisation.
 func (h *holders) rank() {
-	h.owners = make(map[galenastair.Organisation][]rate.Peer)
+	h.owners = make(map[galenastair.Organisation][]galenastair.Peer)
 	for _, o := range h.organisations {
-		var list []rate.Peer
+		var list []galenastair.Peer
 		for i, p := range h.peers {
 			if !h.gone[i] {
 				list = append(list, p)
 			}
 		}
 		if o != single {
-			slices.SortFunc(list, func(a, b rate.Peer) int { return cmp.Compare(score(o, a), score(o, b)) })
+			slices.SortFunc(list, func(a, b galenastair.Peer) int { return cmp.Compare(score(o, a), score(o, b)) })
 		}
 		h.owners[o] = list[:rate.Holders]
 	}
 }
 
-func score(o galenastair.Organisation, p rate.Peer) uint64 {
+func score(o galenastair.Organisation, p galenastair.Peer) uint64 {
 	return xxhash.Sum64String(string(o) + "/" + string(p.ID))
 }
 
@@ -136,13 +136,13 @@
 func (v view) Now() time.Time                            { return v.holders.site.now }
 func (v view) duties() rate.Duties                       { return v }
 func (v view) contracts() rate.Contracts                 { return v }
-func (v view) Self() rate.Peer                           { return v.holders.peers[v.index] }
+func (v view) Self() galenastair.Peer                    { return v.holders.peers[v.index] }
 func (v view) Epoch() galenastair.Epoch                  { return v.holders.epoch }
 func (v view) Incarnation() int64                        { return 1 }
 func (v view) Offset() galenastair.Offset                { return 1 }
 func (v view) Organisations() []galenastair.Organisation { return v.holders.organisations }
 
-func (v view) Owner(a rate.Account) (rate.Peer, bool) {
+func (v view) Owner(a rate.Account) (galenastair.Peer, bool) {
 	return v.holders.owners[a.Organisation][a.Slot], true
 }
 
@@ -158,7 +158,7 @@
 // link calls one limiter and counts what is sent.
 type link struct {
 	holders *holders
-	to      rate.Peer
+	to      galenastair.Peer
 }
 
 func (l link) Exchange(ctx context.Context, r *ratepb.ExchangeRequest) (*ratepb.ExchangeReply, error) {
--- a/rate/duties.go
+++ b/rate/duties.go
@@ -6,22 +6,15 @@
 	"galenastair"
 )
 
-// Peer is another instance, as it can be called.
-type Peer struct {
-	ID               galenastair.InstanceID
-	Address          string
-	AvailabilityZone galenastair.AvailabilityZone
-}
-
 // Duties says, at one moment, which instance holds which share; it is immutable.
 type Duties interface {
 	// Self returns this instance.
-	Self() Peer
+	Self() galenastair.Peer
 	Epoch() galenastair.Epoch
 	// Incarnation numbers this instance's present stay among the members.
 	Incarnation() int64
 	// Owner returns the instance that the epoch gives an account to.
-	Owner(a Account) (Peer, bool)
+	Owner(a Account) (galenastair.Peer, bool)
 	// Serves says that this instance holds its lease and the account, and that
 	// whoever had the account before no longer has it.
 	Serves(a Account, now time.Time) bool
--- a/rate/exchange.go
+++ b/rate/exchange.go
@@ -52,7 +52,7 @@
 	return offer, newBorrowed(offer, p.account, id, p.holder, sent), nil
 }
 
-func (l *Limiter) nextID(self Peer) LoanID {
+func (l *Limiter) nextID(self galenastair.Peer) LoanID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.number++
@@ -81,7 +81,7 @@
 }
 
 // call sends one message; reports that did not arrive are queued again.
-func (l *Limiter) call(ctx context.Context, to Peer, self galenastair.InstanceID, asks []Ask, out *outgoing) (*ratepb.ExchangeReply, error) {
+func (l *Limiter) call(ctx context.Context, to galenastair.Peer, self galenastair.InstanceID, asks []Ask, out *outgoing) (*ratepb.ExchangeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	l.metrics.messages.Inc()
--- a/rate/fault_test.go
+++ b/rate/fault_test.go
@@ -26,7 +26,7 @@
 	return n.rand.IntN(10), time.Duration(n.rand.IntN(1500)) * time.Millisecond
 }
 
-func (n *faultyNet) exchange(_ Peer, call func() (*ratepb.ExchangeReply, error)) (*ratepb.ExchangeReply, error) {
+func (n *faultyNet) exchange(_ galenastair.Peer, call func() (*ratepb.ExchangeReply, error)) (*ratepb.ExchangeReply, error) {
 	fault, pause := n.roll()
 	switch fault {
 	case 0:
--- a/rate/fleet_test.go
+++ b/rate/fleet_test.go
@@ -52,16 +52,16 @@
 
 // fakeDuties gives slot s of every organisation to owners[s].
 type fakeDuties struct {
-	self   Peer
-	owners [Holders]Peer
+	self   galenastair.Peer
+	owners [Holders]galenastair.Peer
 	epoch  galenastair.Epoch
 	serves bool
 }
 
-func (f fakeDuties) Self() Peer                   { return f.self }
-func (f fakeDuties) Epoch() galenastair.Epoch     { return f.epoch }
-func (f fakeDuties) Incarnation() int64           { return 1 }
-func (f fakeDuties) Owner(a Account) (Peer, bool) { return f.owners[a.Slot], true }
+func (f fakeDuties) Self() galenastair.Peer                   { return f.self }
+func (f fakeDuties) Epoch() galenastair.Epoch                 { return f.epoch }
+func (f fakeDuties) Incarnation() int64                       { return 1 }
+func (f fakeDuties) Owner(a Account) (galenastair.Peer, bool) { return f.owners[a.Slot], true }
 func (f fakeDuties) Serves(a Account, _ time.Time) bool {
 	return f.serves && f.owners[a.Slot] == f.self
 }
@@ -70,13 +70,13 @@
 type fleet struct {
 	clock    *handClock
 	limiters []*Limiter
-	peers    []Peer
+	peers    []galenastair.Peer
 	mu       sync.Mutex
 	duties   []fakeDuties
 	views    []fakeContracts
 	dead     map[galenastair.InstanceID]bool
 	// exchange, if set, stands between caller and callee.
-	exchange func(to Peer, call func() (*ratepb.ExchangeReply, error)) (*ratepb.ExchangeReply, error)
+	exchange func(to galenastair.Peer, call func() (*ratepb.ExchangeReply, error)) (*ratepb.ExchangeReply, error)
 	history  []Grant
 	requests atomic.Int64
 }
@@ -85,10 +85,10 @@
 	f := &fleet{clock: newHandClock(), dead: make(map[galenastair.InstanceID]bool)}
 	for i := range n {
 		zone := galenastair.AvailabilityZone(fmt.Sprint("zone-", i%3))
-		f.peers = append(f.peers, Peer{ID: galenastair.InstanceID(fmt.Sprint("entry-", i)), AvailabilityZone: zone})
+		f.peers = append(f.peers, galenastair.Peer{ID: galenastair.InstanceID(fmt.Sprint("entry-", i)), AvailabilityZone: zone})
 	}
 	for i := range n {
-		f.duties = append(f.duties, fakeDuties{f.peers[i], [Holders]Peer(f.peers[:Holders]), 1, true})
+		f.duties = append(f.duties, fakeDuties{f.peers[i], [Holders]galenastair.Peer(f.peers[:Holders]), 1, true})
 		f.views = append(f.views, fakeContracts{c, 1})
 		f.limiters = append(f.limiters, f.limiter(i))
 	}
@@ -112,7 +112,7 @@
 		defer f.mu.Unlock()
 		f.history = append(f.history, g)
 	}
-	connect := func(p Peer) ratepb.Rate { return link{f, p} }
+	connect := func(p galenastair.Peer) ratepb.Rate { return link{f, p} }
 	opts := []Option{WithClock(f.clock), WithConnect(connect), WithHistory(record)}
 	return New(duties, contracts, opts...)
 }
@@ -139,7 +139,7 @@
 // link calls one limiter of the fleet.
 type link struct {
 	fleet *fleet
-	to    Peer
+	to    galenastair.Peer
 }
 
 func (k link) Exchange(ctx context.Context, r *ratepb.ExchangeRequest) (*ratepb.ExchangeReply, error) {
--- a/rate/lender.go
+++ b/rate/lender.go
@@ -69,7 +69,7 @@
 
 // poll brings the accounts up to date and returns the instances whose folded
 // offset must be known before a larger share can take effect.
-func (l *lender) poll(now time.Time) []Peer {
+func (l *lender) poll(now time.Time) []galenastair.Peer {
 	l.polling.Lock()
 	defer l.polling.Unlock()
 	d, c := l.duties(), l.contracts()
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -33,7 +33,7 @@
 	contracts func() Contracts
 	lender    *lender
 	clock     galenastair.Clock
-	connect   func(Peer) ratepb.Rate
+	connect   func(galenastair.Peer) ratepb.Rate
 	client    *http.Client
 	record    func(Grant)
 	metrics   *metrics
@@ -54,7 +54,9 @@
 func WithClock(c galenastair.Clock) Option { return func(l *Limiter) { l.clock = c } }
 
 // WithConnect sets how other instances are called, in place of HTTP.
-func WithConnect(f func(Peer) ratepb.Rate) Option { return func(l *Limiter) { l.connect = f } }
+func WithConnect(f func(galenastair.Peer) ratepb.Rate) Option {
+	return func(l *Limiter) { l.connect = f }
+}
 
 // WithHTTPClient sets the client by which other instances are called.
 func WithHTTPClient(c *http.Client) Option { return func(l *Limiter) { l.client = c } }
--- a/rate/model_test.go
+++ b/rate/model_test.go
@@ -74,7 +74,7 @@
 		w.send(func() {
 			if !answered && offer.Tokens > 0 {
 				answered = true
-				w.loans = append(w.loans, newBorrowed(offer, a.Account, a.ID, Peer{}, sent))
+				w.loans = append(w.loans, newBorrowed(offer, a.Account, a.ID, galenastair.Peer{}, sent))
 			}
 		})
 	})
--- a/rate/outbox.go
+++ b/rate/outbox.go
@@ -25,7 +25,7 @@
 
 // outgoing collects the reports to one holder.
 type outgoing struct {
-	holder  Peer
+	holder  galenastair.Peer
 	reports map[LoanNumber]queued
 	due     time.Time
 }
@@ -39,7 +39,7 @@
 type outbox map[galenastair.InstanceID]*outgoing
 
 // add queues a report; of two for one loan the one that gives back more stands.
-func (o outbox) add(now time.Time, p Peer, q queued, due time.Time) {
+func (o outbox) add(now time.Time, p galenastair.Peer, q queued, due time.Time) {
 	out := o[p.ID]
 	if out == nil {
 		out = &outgoing{holder: p, reports: make(map[LoanNumber]queued), due: due}
--- a/rate/place.go
+++ b/rate/place.go
@@ -11,7 +11,7 @@
 // place is one holder of an organisation as this entry sees it.
 type place struct {
 	account Account
-	holder  Peer
+	holder  galenastair.Peer
 }
 
 // places remembers the holders of organisations for one epoch, since ranking the
@@ -72,7 +72,7 @@
 	return bySlot, inOrder
 }
 
-func (l *Limiter) distance(now time.Time, self Peer, c *cache, p place) int {
+func (l *Limiter) distance(now time.Time, self galenastair.Peer, c *cache, p place) int {
 	switch {
 	case now.Before(l.suspects[p.holder.ID]):
 		return silent
--- a/rate/server.go
+++ b/rate/server.go
@@ -30,7 +30,7 @@
 	return reply, nil
 }
 
-func (l *Limiter) overHTTP(p Peer) ratepb.Rate {
+func (l *Limiter) overHTTP(p galenastair.Peer) ratepb.Rate {
 	return ratepb.NewRateProtobufClient("http://"+p.Address, l.client)
 }
 
--- a/rate/terms.go
+++ b/rate/terms.go
@@ -1,6 +1,10 @@
 package rate
 
-import "time"
+import (
+	"time"
+
+	"galenastair"
+)
 
 // terms is the contract that an account is to follow, and the share that it does follow.
 type terms struct {
@@ -37,8 +41,8 @@
 
 // raise puts larger shares in force once every holder has folded the contract,
 // and returns the holders of which that is not yet known.
-func (l *lender) raise(now time.Time, d Duties) []Peer {
-	unknown := make(map[Peer]bool)
+func (l *lender) raise(now time.Time, d Duties) []galenastair.Peer {
+	unknown := make(map[galenastair.Peer]bool)
 	for a, t := range l.terms {
 		if !l.holder.Has(a) || !t.pending(a) {
 			continue
@@ -48,14 +52,14 @@
 			l.holder.Change(now, a, t.inForce)
 		}
 	}
-	peers := make([]Peer, 0, len(unknown))
+	peers := make([]galenastair.Peer, 0, len(unknown))
 	for p := range unknown {
 		peers = append(peers, p)
 	}
 	return peers
 }
 
-func (l *lender) allFolded(d Duties, a Account, t *terms, unknown map[Peer]bool) bool {
+func (l *lender) allFolded(d Duties, a Account, t *terms, unknown map[galenastair.Peer]bool) bool {
 	all := true
 	for slot := range Slot(Holders) {
 		p, ok := d.Owner(Account{a.Organisation, slot})
--- a/report/core.go
+++ b/report/core.go
@@ -15,12 +15,12 @@
 
 // Duties says who reads which engine; every member should see the same soon.
 type Duties interface {
-	Self() Peer
-	Members() []Peer
+	Self() galenastair.Peer
+	Members() []galenastair.Peer
 	// Epoch changes whenever members or readers do.
 	Epoch() galenastair.Epoch
 	// Reader returns the member that reads an engine.
-	Reader(id galenastair.BackendServerID) (Peer, bool)
+	Reader(id galenastair.BackendServerID) (galenastair.Peer, bool)
 }
 
 // known is what one instance knows of one engine.
--- a/report/grid.go
+++ b/report/grid.go
@@ -12,18 +12,11 @@
 // messages cost less than the age that a second hop adds.
 const directly = 10
 
-// Peer is another instance as reports reach it.
-type Peer struct {
-	ID               galenastair.InstanceID
-	Address          string
-	AvailabilityZone galenastair.AvailabilityZone
-}
-
 // grid is whom one instance tells: its row gets what it reads itself, its column
 // what all of its row read.
 type grid struct {
-	row    []Peer
-	column []Peer
+	row    []galenastair.Peer
+	column []galenastair.Peer
 	// width is the number of rows.
 	width int
 }
@@ -31,10 +24,10 @@
 // newGrid puts the members into rows of nearly the same length, in the order of
 // their ids. A short row has no member in the last column; one of its others
 // tells that column too.
-func newGrid(members []Peer, self galenastair.InstanceID) grid {
+func newGrid(members []galenastair.Peer, self galenastair.InstanceID) grid {
 	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
-	at := slices.IndexFunc(sorted, func(p Peer) bool { return p.ID == self })
+	slices.SortFunc(sorted, func(a, b galenastair.Peer) int { return cmp.Compare(a.ID, b.ID) })
+	at := slices.IndexFunc(sorted, func(p galenastair.Peer) bool { return p.ID == self })
 	if at < 0 {
 		return grid{}
 	}
@@ -53,7 +46,7 @@
 }
 
 // fillColumn adds those that stand in the same column of other rows.
-func (g *grid) fillColumn(all [][]Peer, own []Peer, at int) {
+func (g *grid) fillColumn(all [][]galenastair.Peer, own []galenastair.Peer, at int) {
 	for _, row := range all {
 		for column, p := range row {
 			if row[0] != own[0] && column%len(own) == at {
@@ -64,8 +57,8 @@
 }
 
 // rows splits members into rows whose lengths differ by one at most.
-func rows(members []Peer, count int) [][]Peer {
-	out := make([][]Peer, count)
+func rows(members []galenastair.Peer, count int) [][]galenastair.Peer {
+	out := make([][]galenastair.Peer, count)
 	for i := range out {
 		out[i] = members[i*len(members)/count : (i+1)*len(members)/count]
 	}
@@ -73,5 +66,5 @@
 }
 
 func (g grid) inRow(id galenastair.InstanceID) bool {
-	return slices.ContainsFunc(g.row, func(p Peer) bool { return p.ID == id })
+	return slices.ContainsFunc(g.row, func(p galenastair.Peer) bool { return p.ID == id })
 }
--- a/report/plan.go
+++ b/report/plan.go
@@ -42,7 +42,7 @@
 
 // Push is what to tell to whom.
 type Push struct {
-	To []Peer
+	To []galenastair.Peer
 	Told
 }
 
--- a/report/region_test.go
+++ b/report/region_test.go
@@ -17,7 +17,7 @@
 type region struct {
 	now     time.Time
 	rand    *rand.Rand
-	peers   []Peer
+	peers   []galenastair.Peer
 	cores   []*Core
 	engines []galenastair.EngineReport
 	servers []Server
@@ -35,17 +35,17 @@
 	self int
 }
 
-func (d testDuties) Self() Peer               { return d.r.peers[d.self] }
-func (d testDuties) Members() []Peer          { return d.r.peers }
-func (d testDuties) Epoch() galenastair.Epoch { return 1 }
-func (d testDuties) Reader(id galenastair.BackendServerID) (Peer, bool) {
+func (d testDuties) Self() galenastair.Peer      { return d.r.peers[d.self] }
+func (d testDuties) Members() []galenastair.Peer { return d.r.peers }
+func (d testDuties) Epoch() galenastair.Epoch    { return 1 }
+func (d testDuties) Reader(id galenastair.BackendServerID) (galenastair.Peer, bool) {
 	return d.r.peers[int(hashEngine(id))%len(d.r.peers)], true
 }
 
 func newRegion(instances, engines, models int) *region {
 	r := &region{now: time.Now(), rand: rand.New(rand.NewPCG(1, 1)), mute: map[int]bool{}, deaf: -1}
 	for i := range instances {
-		r.peers = append(r.peers, Peer{ID: galenastair.InstanceID(fmt.Sprintf("i%03d", i))})
+		r.peers = append(r.peers, galenastair.Peer{ID: galenastair.InstanceID(fmt.Sprintf("i%03d", i))})
 		r.cores = append(r.cores, NewCore(defaultShortest))
 	}
 	for i := range engines {
@@ -104,7 +104,7 @@
 	told := decode(req)
 	for _, to := range p.To {
 		r.bytes += messageBytes + proto.Size(req)
-		at := slices.IndexFunc(r.peers, func(o Peer) bool { return o.ID == to.ID })
+		at := slices.IndexFunc(r.peers, func(o galenastair.Peer) bool { return o.ID == to.ID })
 		if at != r.deaf {
 			r.cores[at].Heard(r.now, told)
 		}
@@ -214,7 +214,9 @@
 		for i := range heard {
 			heard[i] = map[galenastair.InstanceID]bool{r.peers[i].ID: true}
 		}
-		at := func(p Peer) int { return slices.IndexFunc(r.peers, func(o Peer) bool { return o.ID == p.ID }) }
+		at := func(p galenastair.Peer) int {
+			return slices.IndexFunc(r.peers, func(o galenastair.Peer) bool { return o.ID == p.ID })
+		}
 		for _, p := range r.peers {
 			for _, relay := range append(newGrid(r.peers, p.ID).row, p) {
 				heard[at(relay)][p.ID] = true
@@ -244,6 +246,6 @@
 	is.Equal(len(c.engines["e1"].report.Loaded), 0)
 	young := News{Engine: hashEngine("e1"), Digest: 99, Running: 5}
 	is.Equal(len(c.Heard(now.Add(time.Second), Told{News: []News{young}})), 0) // its state is not known
-	reads := c.Plan(now.Add(time.Second), testDuties{&region{peers: []Peer{{ID: "i1"}}}, 0}).Reads
+	reads := c.Plan(now.Add(time.Second), testDuties{&region{peers: []galenastair.Peer{{ID: "i1"}}}, 0}).Reads
 	is.Equal(len(reads), 1)
 }
--- a/report/reporter.go
+++ b/report/reporter.go
@@ -145,7 +145,7 @@
 	}
 }
 
-func (r *Reporter) tell(ctx context.Context, to Peer, req *reportpb.TellRequest) {
+func (r *Reporter) tell(ctx context.Context, to galenastair.Peer, req *reportpb.TellRequest) {
 	client := reportpb.NewReportProtobufClient("http://"+to.Address, r.client)
 	if _, err := client.Tell(ctx, req); err != nil && ctx.Err() == nil {
 		_ = r.logger.Log("event", "report", "peer", to.ID, "err", err)
--- a/report/reporter_test.go
+++ b/report/reporter_test.go
@@ -44,14 +44,14 @@
 }
 
 type pairDuties struct {
-	self    Peer
-	members []Peer
+	self    galenastair.Peer
+	members []galenastair.Peer
 }
 
-func (d pairDuties) Self() Peer               { return d.self }
-func (d pairDuties) Members() []Peer          { return d.members }
-func (d pairDuties) Epoch() galenastair.Epoch { return 1 }
-func (d pairDuties) Reader(galenastair.BackendServerID) (Peer, bool) {
+func (d pairDuties) Self() galenastair.Peer      { return d.self }
+func (d pairDuties) Members() []galenastair.Peer { return d.members }
+func (d pairDuties) Epoch() galenastair.Epoch    { return 1 }
+func (d pairDuties) Reader(galenastair.BackendServerID) (galenastair.Peer, bool) {
 	return d.members[0], true
 }
 
@@ -79,7 +79,7 @@
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	var bytes atomic.Int64
 	var handlers [2]atomic.Pointer[Reporter]
-	var peers []Peer
+	var peers []galenastair.Peer
 	for i, id := range []galenastair.InstanceID{"i1", "i2"} {
 		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			handlers[i].Load().Handler().ServeHTTP(w, r)
@@ -87,7 +87,7 @@
 		server.Listener = countingListener{server.Listener, &bytes}
 		server.Start()
 		defer server.Close()
-		peers = append(peers, Peer{ID: id, Address: server.Listener.Addr().String()})
+		peers = append(peers, galenastair.Peer{ID: id, Address: server.Listener.Addr().String()})
 	}
 	delivered := make(chan galenastair.EngineReport, 1000)
 	ctx, cancel := context.WithCancel(context.Background())
