--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROTOC_GEN_TWIRP_VERSION = v8.1.3+incompatible
 TOOLS = $(CURDIR)/.tools/bin
 
-.PHONY: all build test lint fmt generate demo clean proof capacity bench measure
+.PHONY: all build test lint fmt generate demo clean proof outage capacity bench measure
 
 all: build
 
@@ -51,6 +51,11 @@
 		bash scenario/proof.sh $$seed $(PROOF_LENGTH) $(PROOF_PACE) || failed=1; \
 	done; exit $$failed
 
+# an outage of the log of two minutes, and one in which an entry dies
+outage: build
+	bash scenario/proof.sh 1 130s 1s -outage 2m
+	bash scenario/proof.sh 2 130s 1s -outage 2m -kill
+
 capacity: build
 	bash scenario/capacity.sh
 
--- a/cmd/galenastair-standin/cmd_prove.go
+++ b/cmd/galenastair-standin/cmd_prove.go
@@ -17,6 +17,8 @@
 	seed := f.Uint64("seed", 1, "the order of faults comes from it")
 	length := f.Duration("length", time.Minute, "how long callers call")
 	pace := f.Duration("pace", 2*time.Second, "mean time between faults")
+	outage := f.Duration("outage", 0, "in place of drawn faults, one outage of the log of that length")
+	kill := f.Bool("kill", false, "kill an entry in that outage")
 	keep := f.String("history", "", "file for the whole history, as JSON")
 	if err := f.Parse(args); err != nil {
 		return err
@@ -26,7 +28,7 @@
 		return err
 	}
 	say := func(text string) { fmt.Println("proof:", text) }
-	h, limits, err := proof.Run(ctx, fleet, proof.Plan{Seed: *seed, Length: *length, Pace: *pace}, say)
+	h, limits, err := proof.Run(ctx, fleet, proof.Plan{Seed: *seed, Length: *length, Pace: *pace, Outage: *outage, Kill: *kill}, say)
 	if err != nil {
 		return err
 	}
--- a/proof/fault.go
+++ b/proof/fault.go
@@ -110,6 +110,21 @@
 	return out
 }
 
+// killAfter is how far into an outage an entry is killed.
+const killAfter = 20 * time.Second
+
+// faults returns what a plan does to the fleet.
+func (p Plan) faults() []planned {
+	if p.Outage == 0 {
+		return schedule(p.Seed, p.Length, p.Pace)
+	}
+	out := []planned{{at: calm, kind: LogOutage, duration: p.Outage}}
+	if p.Kill {
+		out = append(out, planned{at: calm + killAfter, kind: KillEntry, target: int(p.Seed)})
+	}
+	return out
+}
+
 func jitter(rng *rand.Rand, most time.Duration) time.Duration {
 	if most <= 0 {
 		return 0
--- a/proof/run.go
+++ b/proof/run.go
@@ -19,6 +19,10 @@
 	Length time.Duration
 	// Pace is the mean time between faults.
 	Pace time.Duration
+	// Outage replaces the drawn faults by one outage of the log of that length.
+	Outage time.Duration
+	// Kill kills an entry in the outage as well.
+	Kill bool
 }
 
 // startWithin bounds the start of a fleet: every entry ready, every model answering.
@@ -99,7 +103,7 @@
 	for n, c := range customers {
 		calls.Go(func() error { return t.play(calling, c, n) })
 	}
-	plan := schedule(p.Seed, p.Length, p.Pace)
+	plan := p.faults()
 	say(fmt.Sprintf("seed %d: %d faults in %s", p.Seed, len(plan), p.Length))
 	err := in.run(calling, plan)
 	say("faults over")
--- a/scenario/proof.sh
+++ b/scenario/proof.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# proof.sh SEED LENGTH PACE: one run of the proof on a fresh fleet, which is
+# proof.sh SEED LENGTH PACE [FLAGS...]: one run of the proof on a fresh fleet, which is
 # ended with it. What it recorded stays in out/proof-SEED.
 set -u
 cd "$(dirname "$0")/.."
 seed=${1:-1}
 length=${2:-60s}
 pace=${3:-2s}
+[ $# -lt 3 ] || shift 3
 dir=out/proof-$seed
 rm -rf "$dir"
 mkdir -p "$dir"
@@ -16,7 +17,7 @@
 	[ -e "$dir/fleet.json" ] && break
 	sleep 0.1
 done
-bin/galenastair-standin prove -fleet "$dir" -seed "$seed" -length "$length" -pace "$pace" -history "$dir/history.json"
+bin/galenastair-standin prove -fleet "$dir" -seed "$seed" -length "$length" -pace "$pace" -history "$dir/history.json" "$@"
 status=$?
 touch "$dir/stop"
 wait $fleet
