entry: stops are counted together by two entries, and a list outage changes nothing: tests

Cause: both stood untested since a run of them hung for ten minutes (go test ./entry, 00:04). The hang was the test's own: it sent an entry's end into the channel of the entry started after it, as Go read the field once the run had ended. The dump showed no entry running and the test waiting for the first one's end. The channel is now taken before the run. Both tests name what they were seen failing with, by their writer.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -15,6 +15,7 @@
 
 	"galenastair"
 	"galenastair/caller"
+	"galenastair/claim"
 	"galenastair/config"
 	"galenastair/contract"
 	"galenastair/platform"
@@ -29,6 +30,7 @@
 type site struct {
 	t        *testing.T
 	settings settings.Settings
+	standin  *standin.Platform
 	platform *platform.Client
 	stop     context.CancelFunc
 	ended    chan error
@@ -46,26 +48,34 @@
 
 func newSite(t *testing.T) *site {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := httptest.NewServer(standin.New().HandlerUntil(ctx))
+	stand := standin.New()
+	p := httptest.NewServer(stand.HandlerUntil(ctx))
 	address := p.Listener.Addr().String()
 	s := settings.Default()
-	s.Instance.ID, s.Instance.AvailabilityZone = "entry-1", "zone-a"
-	s.Instance.CallerAddress, s.Instance.OperatorAddress = freeAddress(t), freeAddress(t)
-	s.Instance.PeerAddress = freeAddress(t)
-	s.Instance.PeerListenAddress = s.Instance.PeerAddress
+	s.Instance.AvailabilityZone = "zone-a"
 	s.Platform.LogAddress, s.Platform.InstanceListAddress, s.Platform.WeightStoreAddress = address, address, address
 	s.Platform.ListPeriod = 50 * time.Millisecond
 	s.Stop.Notice = 300 * time.Millisecond
-	x := &site{t: t, settings: s, platform: platform.New(address), ended: make(chan error, 1)}
+	x := &site{t: t, settings: s, standin: stand, platform: platform.New(address), ended: make(chan error, 1)}
 	t.Cleanup(func() {
 		cancel()
 		p.Close()
 	})
+	x.name("entry-1")
 	x.startEngine(ctx)
 	x.publish()
 	return x
 }
 
+// name gives the settings the name and the addresses of the next entry.
+func (x *site) name(id galenastair.InstanceID) {
+	in := &x.settings.Instance
+	in.ID = id
+	in.CallerAddress, in.OperatorAddress = freeAddress(x.t), freeAddress(x.t)
+	in.PeerAddress = freeAddress(x.t)
+	in.PeerListenAddress = in.PeerAddress
+}
+
 // startEngine lists an engine of 20 ms for each token that has model-1 ready.
 func (x *site) startEngine(ctx context.Context) {
 	es := engine.DefaultSettings()
@@ -103,14 +113,17 @@
 	is.Equal(v.Outcome, config.Accepted)
 }
 
-func (x *site) start() {
+func (x *site) start() *Entry {
 	is := is.New(x.t)
 	e, err := New(x.settings)
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	x.stop = cancel
-	go func() { x.ended <- e.Run(ctx) }()
+	// taken before the run: a test may start another entry meanwhile
+	ended := x.ended
+	go func() { ended <- e.Run(ctx) }()
 	x.t.Cleanup(cancel)
+	return e
 }
 
 // get returns the status and body of an operators' path; status 0 if none answers.
@@ -221,3 +234,53 @@
 	is.True(strings.Contains(err.Error(), "peers' port: is "+x.settings.Instance.PeerAddress))
 	is.True(!errors.Is(err, context.Canceled))
 }
+
+// A request that stops each engine comes through one entry, then through another.
+// If each counted from nothing, the second stop would count as a first one, and
+// engines would go on dying.
+// Seen failing with Stopped not announcing, with Stopped not looking at what
+// others announced, and with Allow asking its own table alone.
+func TestEntriesCountStopsTogether(t *testing.T) {
+	is := is.New(t)
+	x := newSite(t)
+	first := x.start()
+	x.until("the first is ready", func() bool { return first.Ready() == nil })
+	firstEnded, stopFirst := x.ended, x.stop
+	x.ended = make(chan error, 1)
+	x.name("entry-2")
+	second := x.start()
+	x.until("both are members", func() bool {
+		return len(first.members.Status().View.Ring) == 2 && len(second.members.Status().View.Ring) == 2 && second.Ready() == nil
+	})
+	d := claim.DigestOf("Furnir", "model-1", []byte("poison"))
+	one, two := poison{claim.NewPoison(nil), first.members}, poison{claim.NewPoison(nil), second.members}
+	now := time.Now()
+	is.True(one.Stopped(now, d))
+	x.until("the second has heard of it", func() bool { return second.members.Status().Fleet.Refuses(firstStop(d), now) })
+	is.NoErr(two.Allow(now, d))
+	is.True(!two.Stopped(now, d))
+	x.until("the first refuses it", func() bool { return errors.Is(one.Allow(now, d), galenastair.ErrPoison) })
+	is.NoErr(one.Allow(now, claim.DigestOf("Furnir", "model-1", []byte("other"))))
+	x.stop()
+	is.NoErr(<-x.ended)
+	stopFirst()
+	is.NoErr(<-firstEnded)
+}
+
+// The platform's list is down: what it said last stands, and requests are served.
+// Seen failing with readList taking an error for an empty list.
+func TestListOutageChangesNothing(t *testing.T) {
+	is := is.New(t)
+	x := newSite(t)
+	e := x.start()
+	x.until("a request is served", func() bool { r, err := x.ask(1); return err == nil && r.Whole })
+	x.standin.Switch(func(s *standin.Switches) { s.ListOutage = true })
+	x.until("the list does not answer", func() bool { _, err := x.platform.List(t.Context()); return err != nil })
+	e.readList(t.Context())
+	is.Equal(len(e.fleet.engines()), 1)
+	r, err := x.ask(1)
+	is.NoErr(err)
+	is.True(r.Whole)
+	x.stop()
+	is.NoErr(<-x.ended)
+}
