member: a watcher that has just taken over asks too who answers at a silent address

Its watcher was new: its own promises were over, and it waited for the two minutes that an earlier watcher might have promised, without asking the address. It now asks in both waits.

--- a/member/mutation_test.go
+++ b/member/mutation_test.go
@@ -74,7 +74,7 @@
 			return []fault{{logOutage, 8 * time.Second, 0, d}, {isolate, 8*time.Second + d + tenths(r, 1, 30), 1, 30 * time.Second}}
 		},
 	},
-	{name: "a takeover waits for short promises only", rules: rules{shortTakeover: true}, seed: 561},
+	{name: "a takeover waits for short promises only", rules: rules{shortTakeover: true}, seed: 674},
 	{
 		name: "a late heartbeat ends a newer long promise", rules: rules{trustAnyOrder: true}, members: 3, seed: 105,
 		draw: func(r *rand.Rand) []fault {
--- a/member/node_watch.go
+++ b/member/node_watch.go
@@ -112,11 +112,13 @@
 // that answers there under another token ends the wait: the one that had the
 // promises has died. One that is only paused still has its address.
 func (n *Node) promisesEnded(now time.Time, m Member) bool {
-	if now.Before(n.mayDeclare(m.Incarnation)) {
+	ended := !now.Before(n.mayDeclare(m.Incarnation)) && n.watchSettled(now)
+	if !ended {
+		// also a watcher that has just taken over: it waits for what those before
+		// it can have promised
 		n.probeSilent(now, m)
-		return false
 	}
-	return n.watchSettled(now)
+	return ended
 }
 
 // probeSilent asks who answers at the address of a watched member whose
