place: one way to ask engines in place of two; the successor's test is back

The test is back in a file of its own; with the survey off it passes, with lookAfter off it fails (5 s without an order), so the survey goes.

--- a/place/leader.go
+++ b/place/leader.go
@@ -68,7 +68,6 @@
 	forecast  *forecast.Forecast
 	foretold  time.Time
 	fence     galenastair.Fence
-	survey    survey
 	servers   map[galenastair.BackendServerID]route.Server
 	reports   map[galenastair.BackendServerID]galenastair.EngineReport
 	catalogue []galenastair.Weight
@@ -125,7 +124,6 @@
 		ordered:  func(galenastair.OrderKind, Reason) {},
 		life:     ledger.DefaultLife,
 		forecast: forecast.New(),
-		survey:   newSurvey(),
 		servers:  map[galenastair.BackendServerID]route.Server{},
 		reports:  map[galenastair.BackendServerID]galenastair.EngineReport{},
 		planned:  map[galenastair.BackendServerID][]Step{},
--- a/place/round.go
+++ b/place/round.go
@@ -27,7 +27,6 @@
 	if fence != l.fence {
 		l.fence = fence
 		l.planner = NewPlanner(l.settings)
-		l.survey = newSurvey()
 		_ = l.logger.Log("event", "leads", "fence", fence)
 	}
 	l.settle(ctx, now)
@@ -35,7 +34,6 @@
 	if len(l.catalogue) == 0 || len(l.reports) == 0 {
 		return
 	}
-	l.surveyEngines(ctx, now)
 	for _, s := range l.planner.Plan(l.input(now)) {
 		l.enqueue(ctx, s)
 	}
@@ -44,6 +42,11 @@
 // lookAfter asks the engines with pending orders for a report of their own: only that
 // ends a settled order, and without it memory that is free would look taken for as
 // long as nothing else is ordered there.
+//
+// Failure: a leader dies, and then an engine. The successor has folded the orders
+// that loaded the engine's models, and took each for a load on its way: models had
+// no copy for 10 s after a change of leader. The answer to a question asked after a
+// settlement shows all that the order did.
 func (l *Leader) lookAfter(ctx context.Context, now time.Time) {
 	for _, id := range l.known() {
 		if len(l.planned[id]) > 0 || now.Sub(l.looked[id]) < lookPeriod || len(l.ledger.Pending(id)) == 0 {
--- /dev/null
+++ b/place/successor_test.go
@@ -0,0 +1,110 @@
+package place
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/control"
+	"galenastair/ledger"
+	"galenastair/route"
+)
+
+// fakeEngines hold what orders loaded; one that restarts is empty.
+type fakeEngines struct {
+	mu     sync.Mutex
+	loaded map[string][]galenastair.LoadedWeight
+	orders []galenastair.Order
+	galenastair.Engine
+}
+
+func (e *fakeEngines) Report(_ context.Context, server string) (galenastair.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return galenastair.EngineReport{
+		BackendServer: galenastair.BackendServerID(server), MemoryTotal: 100, Loaded: e.loaded[server],
+	}, nil
+}
+
+func (e *fakeEngines) Order(_ context.Context, server string, o galenastair.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	e.loaded[server] = append(e.loaded[server], galenastair.LoadedWeight{Weight: o.Weight, State: galenastair.Ready, Order: o.ID})
+	return nil
+}
+
+func (e *fakeEngines) ordered() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.orders)
+}
+
+// foldingLog gives each appended record to the leader's fold.
+type foldingLog struct {
+	leader *Leader
+	loop   *control.Loop
+	as     ledger.Leader
+	galenastair.Log
+}
+
+func (f *foldingLog) Append(ctx context.Context, _ galenastair.Stream, data []byte) (galenastair.Offset, error) {
+	var rec galenastair.Record
+	if err := json.Unmarshal(data, &rec); err != nil {
+		return 0, err
+	}
+	return 1, f.loop.Post(ctx, func() { f.leader.fold(time.Now(), rec, f.as) })
+}
+
+type fakeStore struct{ weights []galenastair.Weight }
+
+func (s fakeStore) Catalogue(context.Context) ([]galenastair.Weight, error) { return s.weights, nil }
+
+func settledOrder(t *testing.T, w galenastair.Weight, by galenastair.Fence, author string) []galenastair.Record {
+	is := is.New(t)
+	o := galenastair.Order{ID: "old", Fence: by, BackendServer: "e1", Kind: galenastair.LoadModel, Weight: w}
+	issued, err := json.Marshal(ledger.Issued{Order: o})
+	is.NoErr(err)
+	settled, err := json.Marshal(ledger.Settled{Order: "old", Fence: by, Settlement: ledger.Answered})
+	is.NoErr(err)
+	return []galenastair.Record{
+		{ID: "1", Kind: ledger.KindIssued, Author: author, Body: issued},
+		{ID: "2", Kind: ledger.KindSettled, Author: author, Body: settled},
+	}
+}
+
+// A leader has loaded a model on an engine, and dies; the engine is restarted and
+// is empty. The successor took the settled order for a load on its way, and the
+// model had no copy for 10 s (make proof SEED=1: 20 s with a log outage behind it).
+// Seen failing without lookAfter.
+func TestSuccessorLoadsAtOnceWhatAnEngineLost(t *testing.T) {
+	is := is.New(t)
+	weight := galenastair.Weight{Name: "m", Memory: 10}
+	engines := &fakeEngines{loaded: map[string][]galenastair.LoadedWeight{}}
+	log := &foldingLog{as: ledger.Leader{ID: "entry-2", Fence: 9}, loop: control.NewLoop()}
+	l := NewLeader("entry-2", "r", Ports{
+		Engine: engines, Log: log, Store: fakeStore{[]galenastair.Weight{weight}}, Loop: log.loop,
+		Duty: func(time.Time) (galenastair.Fence, bool) { return 9, true },
+	})
+	log.leader = l
+	for _, rec := range settledOrder(t, weight, 5, "entry-1") {
+		l.fold(time.Now(), rec, ledger.Leader{ID: "entry-1", Fence: 5})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- log.loop.Run(ctx) }()
+	is.NoErr(l.SetServers(ctx, []route.Server{{ID: "e1", Address: "e1"}}))
+	is.NoErr(l.Report(ctx, galenastair.EngineReport{BackendServer: "e1", MemoryTotal: 100}))
+	go func() { ended <- l.Run(ctx) }()
+	for begin := time.Now(); engines.ordered() == 0; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Since(begin) < orderPatience/2) // the lost model is ordered anew
+	}
+	cancel()
+	<-ended
+	<-ended
+}
