--- a/entry/listen.go
+++ b/entry/listen.go
@@ -45,7 +45,7 @@
 }
 
 func (e *Entry) listen(g *run.Group) error {
-	callers, err := e.listenOn("callers'", e.settings.Instance.CallerAddress, e.count(caller.NewHandler(e.server, caller.WithLimits(e.settings.Callers))))
+	callers, err := e.listenOn("callers'", e.settings.Instance.CallerAddress, e.sayClose(caller.NewHandler(e.server, caller.WithLimits(e.settings.Callers))))
 	if err != nil {
 		return err
 	}
--- a/route/window.go
+++ b/route/window.go
@@ -108,9 +108,9 @@
 // a window opened by one slot in that time, and an entry that was sent 1,000
 // requests a second let most wait for 250 ms and refused one in eight beside an
 // idle engine (make bench). Before the first cut it doubles within the time of one
-// answer, afterwards it grows by one slot in that time, and more slowly near the
-// time between tokens that callers are promised: a batch that is too large shows
-// in answers that end seconds later.
+// answer, afterwards it grows by one slot in that time. Near the time between
+// tokens that callers are promised only reports open it: a batch that is too large
+// shows in answers that end seconds later.
 func (w *window) firstToken(took, usual, gap time.Duration) {
 	if !w.full || took > queueFactor*usual || gap > gapEasy {
 		return
