logservice: the package that speaks the product's own log protocol gets a name of its own

Cause: the users' platform needs the folder platform/ for its adapter. Ruled out: a folder below platform/; the own protocol is no part of theirs. Change: a pure rename of the package and its uses; no line of logic differs. Checked: go build, go vet, and the tests of logservice, entry, config, standin.

--- a/cmd/galenastair-standin/cmd_engine.go
+++ b/cmd/galenastair-standin/cmd_engine.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
-	client "galenastair/platform"
+	client "galenastair/logservice"
 	"galenastair/standin/engine"
 	"galenastair/standin/journal"
 )
--- a/cmd/galenastair-standin/serve.go
+++ b/cmd/galenastair-standin/serve.go
@@ -12,7 +12,7 @@
 	"github.com/go-kit/log"
 
 	"galenastair"
-	"galenastair/platform"
+	"galenastair/logservice"
 )
 
 // stopWithin bounds how long open requests may take to end on SIGTERM.
@@ -77,7 +77,7 @@
 
 // registration keeps a process on the platform's list.
 type registration struct {
-	client *platform.Client
+	client *logservice.Client
 	self   galenastair.ListedInstance
 	ended  chan error
 	cancel context.CancelFunc
@@ -90,7 +90,7 @@
 	}
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &registration{platform.New(platformAddress), self, make(chan error, 1), cancel}
+	r := &registration{logservice.New(platformAddress), self, make(chan error, 1), cancel}
 	go func() {
 		r.ended <- r.client.Register(ctx, func() galenastair.ListedInstance { return self }, func(err error) {
 			_ = logger.Log("msg", "not registered", "id", self.ID, "err", err)
--- a/cmd/galenastair/change.go
+++ b/cmd/galenastair/change.go
@@ -14,7 +14,7 @@
 
 	"galenastair"
 	"galenastair/config"
-	"galenastair/platform"
+	"galenastair/logservice"
 	"galenastair/settings"
 )
 
@@ -58,7 +58,7 @@
 		}
 		address = s.Platform.LogAddress
 	}
-	p := config.NewPublisher(platform.New(address))
+	p := config.NewPublisher(logservice.New(address))
 	v, err := p.CatchUp(ctx)
 	return p, v, err
 }
--- a/config/measure_test.go
+++ b/config/measure_test.go
@@ -16,7 +16,7 @@
 	"galenastair/config"
 	"galenastair/contract"
 	"galenastair/peer/record"
-	"galenastair/platform"
+	"galenastair/logservice"
 	standin "galenastair/standin/platform"
 )
 
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{platform: standin.New()}
 	s := httptest.NewServer(f.platform.HandlerUntil(ctx))
-	client := platform.New(s.Listener.Addr().String())
+	client := logservice.New(s.Listener.Addr().String())
 	f.publisher = config.NewPublisher(client)
 	ended := make(chan error, n)
 	var members []config.Peer
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,7 +18,7 @@
 	"galenastair/operator"
 	"galenastair/peer/record"
 	"galenastair/place"
-	"galenastair/platform"
+	"galenastair/logservice"
 	"galenastair/rate"
 	"galenastair/report"
 	"galenastair/request"
@@ -31,7 +31,7 @@
 	settings   settings.Settings
 	logger     log.Logger
 	log        galenastair.Log
-	list       *platform.Client
+	list       *logservice.Client
 	loop       *control.Loop
 	follower   *config.Follower
 	members    *member.Runtime
@@ -61,8 +61,8 @@
 	for _, o := range opts {
 		o(e)
 	}
-	e.log = platform.New(s.Platform.LogAddress)
-	e.list = platform.New(s.Platform.InstanceListAddress)
+	e.log = logservice.New(s.Platform.LogAddress)
+	e.list = logservice.New(s.Platform.InstanceListAddress)
 	e.engine = newEngines(s.Engines, e.fleet.engineName)
 	e.leader = e.newLeader(e.loop)
 	e.follower = config.NewFollower(e.log, config.WithLogger(e.logger), config.WithFleet(e.fleet.entries),
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -18,7 +18,7 @@
 	"galenastair/claim"
 	"galenastair/config"
 	"galenastair/contract"
-	"galenastair/platform"
+	"galenastair/logservice"
 	"galenastair/settings"
 	"galenastair/standin/engine"
 	standin "galenastair/standin/platform"
@@ -31,7 +31,7 @@
 	t        *testing.T
 	settings settings.Settings
 	standin  *standin.Platform
-	platform *platform.Client
+	platform *logservice.Client
 	stop     context.CancelFunc
 	ended    chan error
 }
@@ -56,7 +56,7 @@
 	s.Platform.LogAddress, s.Platform.InstanceListAddress, s.Platform.WeightStoreAddress = address, address, address
 	s.Platform.ListPeriod = 50 * time.Millisecond
 	s.Stop.Notice = 300 * time.Millisecond
-	x := &site{t: t, settings: s, standin: stand, platform: platform.New(address), ended: make(chan error, 1)}
+	x := &site{t: t, settings: s, standin: stand, platform: logservice.New(address), ended: make(chan error, 1)}
 	t.Cleanup(func() {
 		cancel()
 		p.Close()
--- a/entry/place.go
+++ b/entry/place.go
@@ -13,7 +13,7 @@
 	"galenastair/httpclient"
 	"galenastair/peer/demand"
 	"galenastair/place"
-	"galenastair/platform"
+	"galenastair/logservice"
 	"galenastair/settings"
 	"galenastair/timer"
 )
@@ -66,7 +66,7 @@
 	return place.NewLeader(s.Instance.ID, s.Instance.Region, place.Ports{
 		Engine: e.engine,
 		Log:    e.log,
-		Store:  platform.New(s.Platform.WeightStoreAddress),
+		Store:  logservice.New(s.Platform.WeightStoreAddress),
 		Duty:   e.leads,
 		Loop:   loop,
 	}, place.WithLogger(e.logger), place.WithSettings(planner), place.WithOrdered(e.metrics.Ordered))
--- a/platform/client_test.go
+++ b/logservice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -10,17 +10,17 @@
 	"github.com/matryer/is"
 
 	"galenastair"
-	"galenastair/platform"
+	"galenastair/logservice"
 	standin "galenastair/standin/platform"
 )
 
 const stream = galenastair.ConfigurationStream
 
-func start(t *testing.T) (*standin.Platform, *platform.Client) {
+func start(t *testing.T) (*standin.Platform, *logservice.Client) {
 	p := standin.New(standin.WithCatalogue(standin.Catalogue(2, 3, 20, 1)))
 	p.Switch(func(s *standin.Switches) { s.ListLag = 0 })
 	server := httptest.NewServer(p.Handler())
-	c := platform.New(server.Listener.Addr().String(), platform.WithTimeout(100*time.Millisecond))
+	c := logservice.New(server.Listener.Addr().String(), logservice.WithTimeout(100*time.Millisecond))
 	t.Cleanup(func() {
 		c.Close()
 		server.CloseClientConnections()
@@ -38,7 +38,7 @@
 	gone.Close()
 	tests := []struct {
 		name     string
-		client   *platform.Client
+		client   *logservice.Client
 		switches standin.Switches
 		want     error
 		acted    bool
@@ -49,7 +49,7 @@
 		{"outage that hangs", c, standin.Switches{Outage: standin.Hang}, galenastair.ErrAppendUnknown, false},
 		{"outage that refuses", c, standin.Switches{Outage: standin.Refuse}, galenastair.ErrAppendRefused, false},
 		{"over the limit", c, standin.Switches{AppendsPerSecond: 0.001}, galenastair.ErrAppendRefused, false},
-		{"refused connection", platform.New(gone.Listener.Addr().String()), standin.Switches{}, galenastair.ErrAppendRefused, false},
+		{"refused connection", logservice.New(gone.Listener.Addr().String()), standin.Switches{}, galenastair.ErrAppendRefused, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/platform/doc.go
+++ b/logservice/doc.go
@@ -1,4 +1,4 @@
-// Package platform speaks to the platform over HTTP: its append-only log, its
+// Package logservice speaks to the platform over HTTP: its append-only log, its
 // lagging list of instances and its catalogue of weights.
 //
 // All bodies are JSON with Pascal-case names. Durations are whole nanoseconds in
@@ -25,4 +25,4 @@
 // (about 400 B/s) and reads the list each second (about 300 bytes while it is
 // unchanged; 150 bytes an instance when it changed, 50 KB at 330 instances a
 // region, some 100 times a day or 60 B/s).
-package platform
+package logservice
--- a/platform/log.go
+++ b/logservice/log.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"context"
--- a/proof/operate.go
+++ b/proof/operate.go
@@ -10,7 +10,7 @@
 	"galenastair"
 	"galenastair/config"
 	"galenastair/contract"
-	"galenastair/platform"
+	"galenastair/logservice"
 )
 
 // publishTimeout bounds an operator's patience; an outage may be longer.
@@ -23,7 +23,7 @@
 }
 
 func newOperators(f *Fleet, r *recorder) *Operators {
-	return &Operators{log: platform.New(f.Platform), record: r}
+	return &Operators{log: logservice.New(f.Platform), record: r}
 }
 
 // NewOperators returns operators whose changes nobody records.
--- a/standin/platform/list.go
+++ b/standin/platform/list.go
@@ -14,7 +14,7 @@
 	"github.com/gorilla/mux"
 
 	"galenastair"
-	wire "galenastair/platform"
+	wire "galenastair/logservice"
 )
 
 type listed struct {
--- a/standin/platform/log.go
+++ b/standin/platform/log.go
@@ -9,7 +9,7 @@
 	"github.com/gorilla/mux"
 
 	"galenastair"
-	wire "galenastair/platform"
+	wire "galenastair/logservice"
 )
 
 func (p *Platform) stream(name string) *stream {
--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"galenastair"
-	wire "galenastair/platform"
+	wire "galenastair/logservice"
 )
 
 // StoreSpeed says what the weight store stands.
