--- a/claim/poison.go
+++ b/claim/poison.go
@@ -26,6 +26,18 @@
 	mu       sync.Mutex
 	stopped  map[Digest]stops
 	announce func(Digest)
+	trials   int
+	term     time.Duration
+}
+
+// PoisonOption varies a table.
+type PoisonOption func(*Poison)
+
+// WithTrials replaces how many backend servers one request may stop, and how long it
+// stays refused then. Where connections break often without a crash, more trials and a
+// short term keep sound requests from being refused.
+func WithTrials(n int, term time.Duration) PoisonOption {
+	return func(p *Poison) { p.trials, p.term = n, term }
 }
 
 type stops struct {
@@ -34,11 +46,15 @@
 }
 
 // NewPoison returns an empty table; announce, if not nil, is told each digest to pass on to all instances.
-func NewPoison(announce func(Digest)) *Poison {
+func NewPoison(announce func(Digest), opts ...PoisonOption) *Poison {
 	if announce == nil {
 		announce = func(Digest) {}
 	}
-	return &Poison{stopped: make(map[Digest]stops), announce: announce}
+	p := &Poison{stopped: make(map[Digest]stops), announce: announce, trials: trialsBeforeRefusal, term: refusalTerm}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Allow returns a refusal if the request has stopped too many backend servers.
@@ -46,7 +62,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.stopped[d]
-	if !ok || !now.Before(s.until) || s.count < trialsBeforeRefusal {
+	if !ok || !now.Before(s.until) || s.count < p.trials {
 		return nil
 	}
 	return galenastair.Refuse(galenastair.ErrPoison, s.until.Sub(now), "")
@@ -60,7 +76,14 @@
 	count := p.add(now, d, 1)
 	p.mu.Unlock()
 	p.announce(d)
-	return count < trialsBeforeRefusal
+	return count < p.trials
+}
+
+// Succeeded forgets a request that a backend server has run to its end.
+func (p *Poison) Succeeded(d Digest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.stopped, d)
 }
 
 // Heard takes in a digest that another instance announced, once for each backend server stopped.
@@ -79,7 +102,7 @@
 		p.makeRoom(now)
 	}
 	s.count += n
-	s.until = now.Add(refusalTerm)
+	s.until = now.Add(p.term)
 	p.stopped[d] = s
 	return s.count
 }
--- a/cmd/galenastair/commands.go
+++ b/cmd/galenastair/commands.go
@@ -7,6 +7,7 @@
 func init() {
 	commands = []command{
 		cmdEntry,
+		cmdGateway,
 		cmdCheck,
 		cmdContract,
 		cmdKey,
--- a/config/measure_test.go
+++ b/config/measure_test.go
@@ -15,8 +15,8 @@
 	"galenastair"
 	"galenastair/config"
 	"galenastair/contract"
-	"galenastair/peer/record"
 	"galenastair/logservice"
+	"galenastair/peer/record"
 	standin "galenastair/standin/platform"
 )
 
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -10,14 +10,24 @@
 
 // RetryBudget bounds repeated tries to a part of the traffic.
 type RetryBudget struct {
-	left float64
+	left    float64
+	share   float64
+	reserve float64
 }
 
 // NewRetryBudget returns a budget with its reserve full.
-func NewRetryBudget() *RetryBudget { return &RetryBudget{left: retryReserve} }
+func NewRetryBudget() *RetryBudget {
+	return &RetryBudget{left: retryReserve, share: retryShare, reserve: retryReserve}
+}
+
+// SetBounds replaces the part of the traffic and the reserve; what is left is cut to it.
+func (b *RetryBudget) SetBounds(share, reserve float64) {
+	b.share, b.reserve = share, reserve
+	b.left = min(b.left, reserve)
+}
 
 // Earn counts one first try.
-func (b *RetryBudget) Earn() { b.left = min(retryReserve, b.left+retryShare) }
+func (b *RetryBudget) Earn() { b.left = min(b.reserve, b.left+b.share) }
 
 // Spend takes one further try out of the budget; false if none is left.
 func (b *RetryBudget) Spend() bool {
--- a/entry/place.go
+++ b/entry/place.go
@@ -11,9 +11,9 @@
 	"galenastair/dispatch"
 	"galenastair/engine"
 	"galenastair/httpclient"
+	"galenastair/logservice"
 	"galenastair/peer/demand"
 	"galenastair/place"
-	"galenastair/logservice"
 	"galenastair/settings"
 	"galenastair/timer"
 )
--- /dev/null
+++ b/follow/follower.go
@@ -0,0 +1,151 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"galenastair"
+	"galenastair/boottime"
+	"galenastair/timer"
+)
+
+const (
+	// defaultWait bounds how old a confirmation gets in quiet times.
+	defaultWait = time.Second
+	// firstPause and lastPause space the calls to a store that refuses or is away: an
+	// instance is back in touch within the last one, and 370 of them make a tenth of
+	// what the store stands.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 500 * time.Millisecond
+	// rewound is how many answers in a row may show a topic shorter than what was read
+	// before it is taken for a new beginning rather than a late answer.
+	rewound = 8
+)
+
+// Apply takes in what was read; whole says that keys not in the batch are gone.
+type Apply func(b galenastair.KeyedBatch, whole bool)
+
+// Follower follows one topic.
+type Follower struct {
+	store  galenastair.Store
+	topic  galenastair.Topic
+	apply  Apply
+	wait   time.Duration
+	clock  boottime.Clock
+	logger log.Logger
+
+	confirmed atomic.Int64
+	started   atomic.Bool
+	away      atomic.Bool
+
+	// owned by Run
+	from    galenastair.Offset
+	know    bool
+	shorter int
+}
+
+// Option varies a Follower.
+type Option func(*Follower)
+
+// WithWait sets how long a poll waits for a record.
+func WithWait(d time.Duration) Option { return func(f *Follower) { f.wait = d } }
+
+// WithClock replaces the machine's clock.
+func WithClock(c boottime.Clock) Option { return func(f *Follower) { f.clock = c } }
+
+// WithLogger says where lost and regained contact is logged.
+func WithLogger(l log.Logger) Option { return func(f *Follower) { f.logger = l } }
+
+// New returns a follower that does nothing until Run.
+func New(s galenastair.Store, t galenastair.Topic, apply Apply, opts ...Option) *Follower {
+	f := &Follower{store: s, topic: t, apply: apply, wait: defaultWait, clock: boottime.Now, logger: log.NewNopLogger()}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
+
+// Age returns how long ago the store confirmed that nothing newer stands in the
+// topic; false before it ever did.
+func (f *Follower) Age() (time.Duration, bool) {
+	if !f.started.Load() {
+		return 0, false
+	}
+	return f.clock().Sub(boottime.Time(f.confirmed.Load())), true
+}
+
+// Away says whether the last call got no usable answer.
+func (f *Follower) Away() bool { return f.away.Load() }
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.round(ctx)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		if ctx.Err() == nil && !f.away.Swap(true) {
+			f.logger.Log("event", "dependency lost", "topic", f.topic, "offset", f.from, "err", err)
+		}
+		timer.Wait(ctx, pause)
+		pause = min(2*pause, lastPause)
+	}
+	return ctx.Err()
+}
+
+// round makes one call and takes in its answer.
+func (f *Follower) round(ctx context.Context) error {
+	sent := f.clock()
+	batch, err := f.read(ctx)
+	switch {
+	case errors.Is(err, galenastair.ErrExpired):
+		f.know = false
+		f.logger.Log("event", "history gone", "topic", f.topic, "offset", f.from)
+		return nil
+	case err != nil:
+		return err
+	}
+	whole := !f.know
+	if batch.End < f.from && f.stale() {
+		return galenastair.ErrStoreUnavailable
+	}
+	f.shorter = 0
+	f.apply(batch, whole)
+	f.from, f.know = batch.Next, true
+	if f.from >= batch.End {
+		f.confirm(sent)
+	}
+	if f.away.Swap(false) {
+		f.logger.Log("event", "dependency regained", "topic", f.topic, "offset", f.from)
+	}
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context) (galenastair.KeyedBatch, error) {
+	if !f.know {
+		return f.store.Newest(ctx, f.topic)
+	}
+	return f.store.Follow(ctx, f.topic, f.from, f.wait)
+}
+
+// stale counts an answer that knows less than what was read before.
+//
+// Failure: after the store has dropped its history, an answer may come from a state of
+// seconds ago; taken in, it would bring back keys that have been withdrawn. It shows
+// as a topic that ends before the offset already read. A topic that stays shorter was
+// begun anew, and is taken after some more answers.
+func (f *Follower) stale() bool {
+	f.shorter++
+	return f.shorter < rewound
+}
+
+func (f *Follower) confirm(sent boottime.Time) {
+	f.confirmed.Store(int64(sent))
+	f.started.Store(true)
+}
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -25,8 +25,19 @@
 
 // Forecast keeps the level and the trend of the demand for each model.
 type Forecast struct {
-	models map[galenastair.ModelName]*demand
-	last   time.Time
+	models  map[galenastair.ModelName]*demand
+	last    time.Time
+	memory  time.Duration
+	horizon time.Duration
+}
+
+// Option varies a Forecast.
+type Option func(*Forecast)
+
+// WithMemory replaces how long single bursts are smoothed over; nothing is foretold
+// beyond it then. It is for placing that pays off within seconds.
+func WithMemory(d time.Duration) Option {
+	return func(f *Forecast) { f.memory, f.horizon = d, 0 }
 }
 
 type demand struct {
@@ -37,8 +48,12 @@
 }
 
 // New returns a forecast that knows no demand.
-func New() *Forecast {
-	return &Forecast{models: map[galenastair.ModelName]*demand{}}
+func New(opts ...Option) *Forecast {
+	f := &Forecast{models: map[galenastair.ModelName]*demand{}, memory: levelMemory, horizon: horizon}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
 }
 
 // Observe adds work that callers asked for.
@@ -60,7 +75,7 @@
 		return
 	}
 	for m, d := range f.models {
-		d.step(period)
+		d.step(period, f.memory)
 		if d.level < 1e-6 && d.arrived == 0 {
 			delete(f.models, m)
 		}
@@ -68,18 +83,18 @@
 }
 
 // step is Holt's linear smoothing with the weights of a period of any length.
-func (d *demand) step(period time.Duration) {
+func (d *demand) step(period, memory time.Duration) {
 	rate := d.arrived / period.Seconds()
 	d.arrived = 0
 	d.steps++
 	// the first samples weigh as in a plain mean, else demand at a cold start
-	// would be seen only after levelMemory
-	alpha := max(1-math.Exp(-float64(period)/float64(levelMemory)), 1/float64(d.steps))
+	// would be seen only after the memory
+	alpha := max(1-math.Exp(-float64(period)/float64(memory)), 1/float64(d.steps))
 	beta := 1 - math.Exp(-float64(period)/float64(trendMemory))
 	before := d.level
 	d.level += d.trend*period.Seconds()*(1-alpha) + alpha*(rate-d.level)
 	d.level = max(0, d.level)
-	if float64(d.steps)*float64(period) < float64(levelMemory) {
+	if float64(d.steps)*float64(period) < float64(memory) {
 		return
 	}
 	d.trend += beta * ((d.level-before)/period.Seconds() - d.trend)
@@ -91,6 +106,6 @@
 	if d == nil {
 		return 0
 	}
-	ahead := d.level + d.trend*horizon.Seconds()
+	ahead := d.level + d.trend*f.horizon.Seconds()
 	return min(max(ahead, d.level/mostGrowth), d.level*mostGrowth)
 }
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"galenastair"
+	"galenastair/planner"
+	"galenastair/pool"
+	"galenastair/timer"
+)
+
+const (
+	// mostNeeds bounds how often one request asks for a place: once, and once more
+	// where the place was gone on arrival.
+	mostNeeds = 2
+	// serveMargin is kept of the time left when a request waits for a load: the answer
+	// takes some time too.
+	serveMargin = 400 * time.Millisecond
+	// retryModel is when to come back for a model that nobody has promised: a load
+	// from the weight store takes two to three seconds.
+	retryModel = 1500 * time.Millisecond
+	// retryAdapter is when to come back for an adapter without a place: the planner
+	// changes hands within some seconds, a place gets free sooner.
+	retryAdapter = 600 * time.Millisecond
+	// retryNoServer is when to come back to a service without any backend server.
+	retryNoServer = time.Second
+)
+
+func workOf(h galenastair.Hints) float64 { return planner.Work(h) }
+
+// choose picks the backend server of the next attempt. A choice without a server means
+// that something has changed and the next call may find one.
+func (r *run) choose(ctx context.Context) (pool.Choice, error) {
+	if err := ctx.Err(); err != nil {
+		return pool.Choice{}, context.Cause(ctx)
+	}
+	now := r.g.clock.Now()
+	choice, ok := r.g.pool.Choose(now, r.query())
+	if ok {
+		return choice, r.tooLate(now, choice)
+	}
+	switch choice.Reason {
+	case pool.ReasonNoServer:
+		return choice, galenastair.Refuse(galenastair.ErrNoBackendServer, retryNoServer, string(r.service))
+	case pool.ReasonNoModel:
+		return pool.Choice{}, r.place(ctx)
+	}
+	return choice, galenastair.Refuse(galenastair.ErrNoBackendServer, retryFull, choice.Reason)
+}
+
+// tooLate refuses a request that can't be served in its time. It is made for an
+// overload of engines: prompts wait longer than their callers, so each that is sent all
+// the same is read in vain and makes the next ones late as well.
+func (r *run) tooLate(now time.Time, c pool.Choice) error {
+	left := r.deadline.Sub(now)
+	if c.Foretold < left || r.sends > 0 || r.call.Hints.Model == "" {
+		return nil
+	}
+	return galenastair.Refuse(galenastair.ErrOverloaded, retryAfter(min(c.Foretold-left/2, left/3)), "queues are longer than its time")
+}
+
+// place asks the planner for a place for the request's model or adapter, and waits for
+// it where the time suffices.
+func (r *run) place(ctx context.Context) error {
+	name := r.call.Hints.Model
+	r.needed++
+	if r.needed > mostNeeds {
+		return galenastair.Refuse(galenastair.ErrNoBackendServer, retryAdapter, "its place was gone")
+	}
+	promise, err := r.g.placement.Need(ctx, name)
+	if err != nil {
+		r.g.logger.Log("event", "need", "request", r.call.ID, "model", name, "err", err)
+		return galenastair.Refuse(galenastair.ErrNoBackendServer, retryAdapter, "the planner can't be asked")
+	}
+	left := r.deadline.Sub(r.g.clock.Now())
+	r.g.logger.Log("event", "need", "request", r.call.ID, "model", name, "server", promise.Server, "ready", promise.Ready, "left", left)
+	if promise.Server == "" {
+		return galenastair.Refuse(galenastair.ErrNoBackendServer, min(retryModel, left/3), "no copy is there or coming")
+	}
+	if promise.Ready > left-serveMargin {
+		return galenastair.Refuse(galenastair.ErrNoBackendServer, min(promise.Ready, left/3), "its copy comes too late")
+	}
+	if !timer.Wait(ctx, promise.Ready) {
+		return context.Cause(ctx)
+	}
+	r.g.pool.Learn(promise.Server, name)
+	return nil
+}
--- /dev/null
+++ b/node/exchange.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"galenastair"
+	"galenastair/claim"
+	"galenastair/peer/planning"
+	"galenastair/planner"
+	"galenastair/pool"
+	"galenastair/quota"
+	"galenastair/timer"
+	"galenastair/turn"
+)
+
+const (
+	// exchangePeriod is how often an instance tells the planner what it sees. Loads of
+	// others are worth something for about a second.
+	exchangePeriod = 300 * time.Millisecond
+	// idlePeriod is the same for an instance without requests.
+	idlePeriod = time.Second
+)
+
+// exchange keeps this instance and the one that plans in touch.
+type exchange struct {
+	self    galenastair.InstanceID
+	keeper  *turn.Keeper
+	client  *planning.Client
+	local   *planner.Planner
+	pool    *pool.Pool
+	share   *quota.Share
+	poison  *claim.Poison
+	logger  log.Logger
+	address string
+
+	mu      sync.Mutex
+	demands map[galenastair.ModelName]float64
+	poisons []claim.Digest
+	lost    bool
+}
+
+// Asked notes the work of a request for the planner's forecast.
+func (x *exchange) Asked(name galenastair.ModelName, work float64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.demands[name] += work
+}
+
+// poisoned notes a request that stopped a backend server, for all to know.
+func (x *exchange) poisoned(d claim.Digest) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.poisons = append(x.poisons, d)
+}
+
+// run exchanges until the context ends.
+func (x *exchange) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		busy := x.round(ctx)
+		wait := idlePeriod
+		if busy {
+			wait = exchangePeriod
+		}
+		timer.Wait(ctx, wait)
+	}
+	return ctx.Err()
+}
+
+// round makes one exchange and says whether this instance has requests.
+func (x *exchange) round(ctx context.Context) bool {
+	r := x.report()
+	busy := len(r.Loads)+len(r.Demands)+len(r.Asks)+len(r.Poisons) > 0
+	news, err := x.hear(ctx, r)
+	if err != nil {
+		x.failed(err)
+		x.giveBack(r)
+		return busy
+	}
+	x.take(news)
+	return busy
+}
+
+func (x *exchange) report() planner.Report {
+	x.mu.Lock()
+	r := planner.Report{Instance: x.self, Demands: x.demands, Poisons: x.poisons}
+	x.demands, x.poisons = map[galenastair.ModelName]float64{}, nil
+	x.mu.Unlock()
+	r.Loads = x.pool.Loads()
+	r.Asks = x.share.Asks(time.Now())
+	return r
+}
+
+// giveBack keeps what was not heard for the next exchange; old demand is dropped, as a
+// planner that has just begun would take it for that of one moment.
+func (x *exchange) giveBack(r planner.Report) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.poisons = append(x.poisons, r.Poisons...)
+}
+
+// at returns the planner's address; the second result says that it is this instance.
+func (x *exchange) at() (string, bool) {
+	holder := x.keeper.Holder()
+	return holder, holder == x.address
+}
+
+// errNoHolder says that nobody is known to plan.
+var errNoHolder = errors.New("no instance is known to plan")
+
+func (x *exchange) hear(ctx context.Context, r planner.Report) (planner.News, error) {
+	holder, own := x.at()
+	switch {
+	case own:
+		return x.local.Hear(ctx, r)
+	case holder == "":
+		return planner.News{}, errNoHolder
+	}
+	return x.client.Exchange(ctx, holder, r)
+}
+
+// failed doubts the holder and logs the loss once.
+func (x *exchange) failed(err error) {
+	x.keeper.Doubt()
+	if !x.lost {
+		x.lost = true
+		x.logger.Log("event", "dependency lost", "peer", x.keeper.Holder(), "err", err)
+	}
+}
+
+func (x *exchange) take(n planner.News) {
+	now := time.Now()
+	if x.lost {
+		x.lost = false
+		x.logger.Log("event", "dependency regained", "peer", x.keeper.Holder())
+	}
+	x.share.SetFleet(now, n.Fleet)
+	for _, l := range n.Loans {
+		x.share.Lent(now, l.Organisation, l.Amount)
+	}
+	x.pool.SetOthers(now, n.Loads)
+	for _, p := range n.Placed {
+		x.pool.Learn(p.Server, p.Name)
+	}
+	for _, d := range n.Poisons {
+		x.poison.Heard(now, d)
+	}
+}
+
+// Need asks the planner for a place for a model or adapter.
+func (x *exchange) Need(ctx context.Context, name galenastair.ModelName) (planner.Promise, error) {
+	holder, own := x.at()
+	switch {
+	case own:
+		return x.local.Need(ctx, name)
+	case holder == "":
+		return planner.Promise{}, errNoHolder
+	}
+	p, err := x.client.Need(ctx, holder, name)
+	if err != nil {
+		x.keeper.Doubt()
+	}
+	return p, err
+}
+
+// quotas charges organisations, borrowing what is missing.
+type quotas struct {
+	*quota.Share
+	exchange *exchange
+}
+
+// borrowFactor asks for some requests at once, so that the next ones need no call.
+const borrowFactor = 3
+
+// Borrow asks the lender for what one request lacks, and charges it if it was lent.
+func (q quotas) Borrow(ctx context.Context, o galenastair.Organisation, cost float64) bool {
+	now := time.Now()
+	if !q.MayAsk(now, o) {
+		return false
+	}
+	n, err := q.exchange.borrow(ctx, quota.Ask{Organisation: o, Amount: borrowFactor * cost})
+	if err != nil {
+		q.exchange.keeper.Doubt()
+		q.exchange.logger.Log("event", "borrow", "organisation", o, "err", err)
+		n = 0
+	}
+	q.Lent(time.Now(), o, n)
+	return n > 0 && q.Retake(time.Now(), o, cost)
+}
+
+func (x *exchange) borrow(ctx context.Context, a quota.Ask) (float64, error) {
+	holder, own := x.at()
+	switch {
+	case own:
+		return x.local.Borrow(ctx, a)
+	case holder == "":
+		return 0, errNoHolder
+	}
+	return x.client.Borrow(ctx, holder, a)
+}
--- /dev/null
+++ b/node/listen.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+
+	"galenastair"
+	"galenastair/peer/planning"
+	"galenastair/platform"
+	"galenastair/timer"
+)
+
+const (
+	// headerTimeout and idleTimeout towards callers are well above what the operator's
+	// limits allow, so that a caller within them is never cut.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	headerBytes   = 64 << 10
+	// readyAge is how old a view may be for new connections to be welcome: with a poll
+	// each second a sound path keeps it below 2 s and a slow store's answer.
+	readyAge = 2600 * time.Millisecond
+	// notice is how long an instance that has been told to stop still takes new
+	// connections: the balancer asks each second and goes by two answers.
+	notice = 3200 * time.Millisecond
+	// stopMargin is kept of the time to stop for the last steps.
+	stopMargin = 500 * time.Millisecond
+)
+
+func (n *Node) listen(g *run.Group) error {
+	peers := http.NewServeMux()
+	peers.Handle(planning.PathPrefix, planning.NewServer(n.planner))
+	metrics := http.NewServeMux()
+	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
+	n.callers = newServer(platform.NewHandler(n.gateway, n.views, n.stopping.Load))
+	for _, p := range []struct {
+		name    string
+		address string
+		server  *http.Server
+	}{
+		{"callers'", n.settings.CallerAddress, n.callers},
+		{"ready", n.settings.ReadyAddress, newServer(platform.NewReadyHandler(n.ready))},
+		{"peers'", n.settings.PeerAddress, newServer(peers)},
+		{"metrics", n.settings.MetricsAddress, newServer(metrics)},
+	} {
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return eris.Wrapf(err, "%s port: is %s in use, or not an address of this machine?", p.name, p.address)
+		}
+		serve(g, p.server, l)
+	}
+	n.logger.Log("event", "listening", "callers", n.settings.CallerAddress, "peers", n.settings.PeerAddress, "metrics", n.settings.MetricsAddress)
+	return nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+}
+
+// serve adds a port to the group. Its goroutine waits for the group's end after a
+// graceful Shutdown too: else the callers' port, which closes first, would stop the
+// group while the last requests still run.
+func serve(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		close(ended)
+		_ = s.Close()
+	})
+}
+
+// ready returns nil if new connections are welcome, else why not.
+func (n *Node) ready() error {
+	view, age := n.views.View()
+	switch {
+	case n.stopping.Load():
+		return galenastair.ErrStopping
+	case view == nil || age > readyAge:
+		return galenastair.ErrConfiguration
+	default:
+		return nil
+	}
+}
+
+// stopOn waits for the signal to stop, then stops in order: unready at once, taking
+// what still comes while the balancer looks away, then no new connections, then the
+// end of what is under way.
+func (n *Node) stopOn(ctx context.Context) error {
+	<-ctx.Done()
+	n.stopping.Store(true)
+	n.logger.Log("event", "stopping", "timeout", n.settings.Bounds.StopTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.StopTimeout-stopMargin)
+	defer cancel()
+	timer.Wait(ctx, notice)
+	n.callers.SetKeepAlivesEnabled(false)
+	err := n.callers.Shutdown(ctx)
+	n.logger.Log("event", "stopped", "err", err)
+	return nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
+
+	"galenastair"
+	"galenastair/catalog"
+	"galenastair/claim"
+	"galenastair/control"
+	"galenastair/follow"
+	"galenastair/gateway"
+	"galenastair/httpclient"
+	"galenastair/httpconn"
+	"galenastair/peer/planning"
+	"galenastair/planner"
+	"galenastair/platform"
+	"galenastair/pool"
+	"galenastair/quota"
+	"galenastair/settings"
+	"galenastair/turn"
+)
+
+const (
+	// viewMargin is kept of the time that a withdrawn key may still be admitted, for
+	// the way from the check to the backend server.
+	viewMargin = 300 * time.Millisecond
+	// viewWait and serverWait are the long polls' waits. The first bounds the age of a
+	// view in quiet times; the second how long a silent connection hides a leaving server.
+	viewWait   = time.Second
+	serverWait = 1500 * time.Millisecond
+	// poisonTrials and poisonTerm: a request that has broken three connections of
+	// backend servers without an answer is refused for a while.
+	poisonTrials = 3
+	poisonTerm   = 20 * time.Second
+)
+
+// Node is one instance on the users' platform.
+type Node struct {
+	settings settings.Gateway
+	logger   log.Logger
+	loop     *control.Loop
+	views    *views
+	servers  *servers
+	pool     *pool.Pool
+	share    *quota.Share
+	conns    *httpconn.Client
+	keeper   *turn.Keeper
+	planner  *planner.Planner
+	exchange *exchange
+	gateway  *gateway.Gateway
+	metrics  *metrics
+	stopping atomic.Bool
+	callers  *http.Server
+}
+
+// Option varies a Node.
+type Option func(*Node)
+
+// WithLogger says where decisions and events are logged.
+func WithLogger(l log.Logger) Option { return func(n *Node) { n.logger = l } }
+
+// New returns a node that does nothing until Run.
+func New(s settings.Gateway, opts ...Option) *Node {
+	n := &Node{settings: s, logger: log.NewNopLogger(), loop: control.NewLoop(), metrics: newMetrics()}
+	for _, o := range opts {
+		o(n)
+	}
+	store := platform.NewStore(s.StoreAddress)
+	n.pool = pool.New(s.AvailabilityZone)
+	n.share = quota.NewShare()
+	n.conns = httpconn.NewClient()
+	backend := platform.NewReplicas(n.conns)
+	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders))
+	n.keeper = turn.NewKeeper(store, t, s.PeerAddress, turn.WithLogger(n.logger))
+	n.planner = planner.New(string(s.ID), backend, duty{t}, n.loop,
+		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
+	n.exchange = &exchange{
+		self:    s.ID,
+		keeper:  n.keeper,
+		client:  planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
+		local:   n.planner,
+		pool:    n.pool,
+		share:   n.share,
+		logger:  n.logger,
+		address: s.PeerAddress,
+		demands: map[galenastair.ModelName]float64{},
+	}
+	n.exchange.poison = claim.NewPoison(n.exchange.poisoned, claim.WithTrials(poisonTrials, poisonTerm))
+	n.follow(store)
+	n.gateway = gateway.New(gateway.Settings{
+		ViewLife:   s.Bounds.KeyLife - viewMargin,
+		RetryRatio: s.Bounds.RetryRatio,
+		RetrySlack: s.Bounds.RetrySlack,
+		Fleet:      n.share.Fleet,
+	}, gateway.Ports{
+		Views:     n.views,
+		Pool:      n.pool,
+		Backend:   backend,
+		Quota:     quotas{n.share, n.exchange},
+		Placement: n.exchange,
+		Poison:    n.exchange.poison,
+	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
+	return n
+}
+
+// follow makes what reads the store's topics.
+func (n *Node) follow(store galenastair.Store) {
+	n.views = &views{logger: n.logger}
+	n.views.follower = follow.New(store, platform.ConfigurationTopic, n.views.apply,
+		follow.WithWait(viewWait), follow.WithLogger(n.logger))
+	n.servers = newServers(n.logger, func(pool.Server) {}, func(galenastair.BackendServerID) {})
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (n *Node) Run(ctx context.Context) error {
+	var g run.Group
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	n.connect(work)
+	n.add(work, &g, "control", n.loop.Run)
+	n.add(work, &g, "configuration", n.views.run)
+	n.add(work, &g, "registrations", n.servers.follower.Run)
+	n.add(work, &g, "backend servers", n.servers.run)
+	n.add(work, &g, "turn", n.keeper.Run)
+	n.add(work, &g, "planner", n.planner.Run)
+	n.add(work, &g, "exchange", n.exchange.run)
+	n.add(work, &g, "connections", n.prune)
+	if err := n.listen(&g); err != nil {
+		return err
+	}
+	// the one actor that sees the signal: it stops serving in order, then the others
+	// end because it has
+	g.Add(func() error { return n.stopOn(ctx) }, func(error) { stopWork() })
+	return g.Run()
+}
+
+// connect ties what is read from the store to what uses it.
+func (n *Node) connect(ctx context.Context) {
+	n.views.changed = func(c *catalog.Catalog) {
+		n.share.SetContracts(time.Now(), c)
+		n.post(n.planner.SetCatalog(ctx, c))
+	}
+	n.servers.set = func(s pool.Server) {
+		n.pool.Set(time.Now(), s)
+		n.post(n.planner.SetServer(ctx, s))
+	}
+	n.servers.remove = func(id galenastair.BackendServerID) {
+		n.pool.Remove(id)
+		n.post(n.planner.RemoveServer(ctx, id))
+	}
+	store := platform.NewStore(n.settings.StoreAddress)
+	n.servers.follower = follow.New(store, platform.RegistrationTopic, n.servers.apply(ctx),
+		follow.WithWait(serverWait), follow.WithLogger(n.logger))
+}
+
+// post logs that the control loop has ended; nothing is lost by it then.
+func (n *Node) post(err error) {
+	if err != nil {
+		n.logger.Log("event", "control loop", "err", err)
+	}
+}
+
+// add runs one part of the instance in the group; it ends with the group.
+func (n *Node) add(ctx context.Context, g *run.Group, name string, part func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error {
+		err := part(ctx)
+		if ctx.Err() == nil {
+			n.logger.Log("event", "ended", "part", name, "err", err)
+			return err
+		}
+		return nil
+	}, func(error) { cancel() })
+}
+
+// prunePeriod is how often expired connections are closed.
+const prunePeriod = 2 * time.Second
+
+func (n *Node) prune(ctx context.Context) error {
+	tick := time.NewTicker(prunePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			n.conns.Prune(now)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/node/views.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"galenastair"
+	"galenastair/catalog"
+	"galenastair/follow"
+	"galenastair/platform"
+)
+
+// views holds the operator's configuration in force.
+type views struct {
+	current  atomic.Pointer[catalog.Catalog]
+	follower *follow.Follower
+	logger   log.Logger
+	changed  func(*catalog.Catalog)
+}
+
+// View returns the configuration in force and how old the store's word on it is.
+func (v *views) View() (*catalog.Catalog, time.Duration) {
+	c := v.current.Load()
+	age, ok := v.follower.Age()
+	if c == nil || !ok {
+		return nil, 0
+	}
+	return c, age
+}
+
+// BodyBytes returns how large a caller's body may be; a guess before the first view.
+func (v *views) BodyBytes() int64 {
+	const beforeTheFirst = 1 << 20
+	if c := v.current.Load(); c != nil && c.Limits.BodyBytes > 0 {
+		return c.Limits.BodyBytes
+	}
+	return beforeTheFirst
+}
+
+// apply takes in the newest version of a batch. A version never goes back: an older
+// one may come again when the store's history was dropped.
+func (v *views) apply(b galenastair.KeyedBatch, _ bool) {
+	var newest []byte
+	for _, r := range b.Records {
+		if r.Key == platform.ConfigurationKey && len(r.Value) > 0 {
+			newest = r.Value
+		}
+	}
+	if newest == nil {
+		return
+	}
+	c, err := platform.DecodeConfiguration(newest)
+	if err != nil {
+		v.logger.Log("event", "configuration unreadable", "err", err)
+		return
+	}
+	old := v.current.Load()
+	if old != nil && c.Version <= old.Version {
+		return
+	}
+	v.current.Store(c)
+	v.logger.Log("event", "configuration", "version", c.Version)
+	v.changed(c)
+}
+
+func (v *views) run(ctx context.Context) error { return v.follower.Run(ctx) }
--- /dev/null
+++ b/peer/planning/client.go
@@ -0,0 +1,120 @@
+package planning
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"galenastair"
+	"galenastair/claim"
+	"galenastair/peer/planningpb"
+	"galenastair/planner"
+	"galenastair/pool"
+	"galenastair/quota"
+)
+
+// PathPrefix is where the service is mounted on the peers' port.
+const PathPrefix = planningpb.PlanningPathPrefix
+
+// callTimeout is far above a round trip between availability zones and a wait for the
+// planner's loop; callers of a request that waits for the answer lose no more.
+const callTimeout = 400 * time.Millisecond
+
+// Client calls the instance that plans.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client over a pooling HTTP client.
+func NewClient(c *http.Client) *Client { return &Client{c} }
+
+func (c *Client) at(address string) planningpb.Planning {
+	return planningpb.NewPlanningProtobufClient("http://"+address, c.http)
+}
+
+// Exchange tells a report and returns the planner's news.
+func (c *Client) Exchange(ctx context.Context, address string, r planner.Report) (planner.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.at(address).Exchange(ctx, encodeReport(r))
+	if err != nil {
+		return planner.News{}, err
+	}
+	if !reply.Holds {
+		return planner.News{}, planner.ErrNotPlanner
+	}
+	return decodeNews(reply), nil
+}
+
+// Need asks for a place for a model or adapter.
+func (c *Client) Need(ctx context.Context, address string, name galenastair.ModelName) (planner.Promise, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.at(address).Need(ctx, &planningpb.NeedRequest{Name: string(name)})
+	if err != nil {
+		return planner.Promise{}, err
+	}
+	if !reply.Holds {
+		return planner.Promise{}, planner.ErrNotPlanner
+	}
+	return planner.Promise{
+		Server: galenastair.BackendServerID(reply.Server),
+		Ready:  time.Duration(reply.ReadyMs) * time.Millisecond,
+	}, nil
+}
+
+// Borrow asks for what one request lacks.
+func (c *Client) Borrow(ctx context.Context, address string, a quota.Ask) (float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.at(address).Borrow(ctx, &planningpb.Loan{Organisation: string(a.Organisation), Amount: a.Amount})
+	if err != nil {
+		return 0, err
+	}
+	if !reply.Holds {
+		return 0, planner.ErrNotPlanner
+	}
+	return reply.Amount, nil
+}
+
+func encodeReport(r planner.Report) *planningpb.ExchangeRequest {
+	out := &planningpb.ExchangeRequest{Instance: string(r.Instance), Loads: encodeLoads(r.Loads)}
+	for name, work := range r.Demands {
+		out.Demands = append(out.Demands, &planningpb.Demand{Name: string(name), Work: uint32(work)})
+	}
+	for _, a := range r.Asks {
+		out.Asks = append(out.Asks, &planningpb.Loan{Organisation: string(a.Organisation), Amount: a.Amount})
+	}
+	for _, d := range r.Poisons {
+		out.Poisons = append(out.Poisons, string(d))
+	}
+	return out
+}
+
+func encodeLoads(loads map[galenastair.BackendServerID]pool.Load) []*planningpb.Load {
+	var out []*planningpb.Load
+	for id, l := range loads {
+		out = append(out, &planningpb.Load{Server: string(id), Flights: uint32(l.Flights), Unread: uint32(l.Unread)})
+	}
+	return out
+}
+
+func decodeLoads(loads []*planningpb.Load) map[galenastair.BackendServerID]pool.Load {
+	out := make(map[galenastair.BackendServerID]pool.Load, len(loads))
+	for _, l := range loads {
+		out[galenastair.BackendServerID(l.Server)] = pool.Load{Flights: float64(l.Flights), Unread: float64(l.Unread)}
+	}
+	return out
+}
+
+func decodeNews(r *planningpb.ExchangeReply) planner.News {
+	out := planner.News{Fleet: int(r.Fleet), Loads: decodeLoads(r.Loads)}
+	for _, l := range r.Loans {
+		out.Loans = append(out.Loans, quota.Ask{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
+	}
+	for _, p := range r.Placed {
+		out.Placed = append(out.Placed, planner.Placement{Server: galenastair.BackendServerID(p.Server), Name: galenastair.ModelName(p.Name)})
+	}
+	for _, d := range r.Poisons {
+		out.Poisons = append(out.Poisons, claim.Digest(d))
+	}
+	return out
+}
--- /dev/null
+++ b/peer/planning/server.go
@@ -0,0 +1,89 @@
+package planning
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"galenastair"
+	"galenastair/claim"
+	"galenastair/peer/planningpb"
+	"galenastair/planner"
+	"galenastair/quota"
+)
+
+// Planner is what answers the calls.
+type Planner interface {
+	Hear(ctx context.Context, r planner.Report) (planner.News, error)
+	Need(ctx context.Context, name galenastair.ModelName) (planner.Promise, error)
+	Borrow(ctx context.Context, a quota.Ask) (float64, error)
+}
+
+type server struct{ planner Planner }
+
+// NewServer returns the handler of the planner's side.
+func NewServer(p Planner) http.Handler { return planningpb.NewPlanningServer(&server{p}) }
+
+// Exchange takes in a report.
+func (s *server) Exchange(ctx context.Context, req *planningpb.ExchangeRequest) (*planningpb.ExchangeReply, error) {
+	r := planner.Report{
+		Instance: galenastair.InstanceID(req.Instance),
+		Loads:    decodeLoads(req.Loads),
+		Demands:  make(map[galenastair.ModelName]float64, len(req.Demands)),
+	}
+	for _, d := range req.Demands {
+		r.Demands[galenastair.ModelName(d.Name)] = float64(d.Work)
+	}
+	for _, a := range req.Asks {
+		r.Asks = append(r.Asks, quota.Ask{Organisation: galenastair.Organisation(a.Organisation), Amount: a.Amount})
+	}
+	for _, d := range req.Poisons {
+		r.Poisons = append(r.Poisons, claim.Digest(d))
+	}
+	news, err := s.planner.Hear(ctx, r)
+	if errors.Is(err, planner.ErrNotPlanner) {
+		return &planningpb.ExchangeReply{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return encodeNews(news), nil
+}
+
+func encodeNews(n planner.News) *planningpb.ExchangeReply {
+	out := &planningpb.ExchangeReply{Holds: true, Fleet: uint32(n.Fleet), Loads: encodeLoads(n.Loads)}
+	for _, l := range n.Loans {
+		out.Loans = append(out.Loans, &planningpb.Loan{Organisation: string(l.Organisation), Amount: l.Amount})
+	}
+	for _, p := range n.Placed {
+		out.Placed = append(out.Placed, &planningpb.Placement{Server: string(p.Server), Name: string(p.Name)})
+	}
+	for _, d := range n.Poisons {
+		out.Poisons = append(out.Poisons, string(d))
+	}
+	return out
+}
+
+// Need answers for a model or adapter.
+func (s *server) Need(ctx context.Context, req *planningpb.NeedRequest) (*planningpb.NeedReply, error) {
+	p, err := s.planner.Need(ctx, galenastair.ModelName(req.Name))
+	if errors.Is(err, planner.ErrNotPlanner) {
+		return &planningpb.NeedReply{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &planningpb.NeedReply{Holds: true, Server: string(p.Server), ReadyMs: uint32(p.Ready.Milliseconds())}, nil
+}
+
+// Borrow lends what one request lacks.
+func (s *server) Borrow(ctx context.Context, req *planningpb.Loan) (*planningpb.BorrowReply, error) {
+	n, err := s.planner.Borrow(ctx, quota.Ask{Organisation: galenastair.Organisation(req.Organisation), Amount: req.Amount})
+	if errors.Is(err, planner.ErrNotPlanner) {
+		return &planningpb.BorrowReply{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &planningpb.BorrowReply{Holds: true, Amount: n}, nil
+}
--- /dev/null
+++ b/planner/message.go
@@ -0,0 +1,46 @@
+package planner
+
+import (
+	"time"
+
+	"galenastair"
+	"galenastair/claim"
+	"galenastair/pool"
+	"galenastair/quota"
+)
+
+// Report is what one instance tells the planner.
+type Report struct {
+	Instance galenastair.InstanceID
+	// Loads is what its requests put on each backend server now.
+	Loads map[galenastair.BackendServerID]pool.Load
+	// Demands is the work asked of each model and adapter since the last report.
+	Demands map[galenastair.ModelName]float64
+	Asks    []quota.Ask
+	// Poisons are requests that stopped a backend server since the last report.
+	Poisons []claim.Digest
+}
+
+// News is what the planner answers.
+type News struct {
+	// Fleet counts the instances; 0 if not known yet.
+	Fleet int
+	// Loads is what all other instances' requests put on each backend server.
+	Loads   map[galenastair.BackendServerID]pool.Load
+	Loans   []quota.Ask
+	Placed  []Placement
+	Poisons []claim.Digest
+}
+
+// Placement says that a backend server holds a model or adapter since a moment ago.
+type Placement struct {
+	Server galenastair.BackendServerID
+	Name   galenastair.ModelName
+}
+
+// Promise says where a model or adapter will be ready, and when.
+type Promise struct {
+	Server galenastair.BackendServerID
+	// Ready is the time from now; Server is empty if nothing can be promised.
+	Ready time.Duration
+}
--- /dev/null
+++ b/planner/need.go
@@ -0,0 +1,110 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"galenastair"
+	"galenastair/place"
+)
+
+// Need promises a place for a model or adapter that a request waits for. For an
+// adapter it waits until its order was taken; for a model it foretells its load.
+func (p *Planner) Need(ctx context.Context, name galenastair.ModelName) (Promise, error) {
+	var promise Promise
+	var wait <-chan bool
+	err := ErrNotPlanner
+	doErr := p.loop.Do(ctx, func() {
+		if p.duty.Holds() {
+			promise, wait = p.need(name)
+			err = nil
+		}
+	})
+	if doErr != nil {
+		return Promise{}, doErr
+	}
+	if err != nil || wait == nil {
+		return promise, err
+	}
+	select {
+	case taken := <-wait:
+		if !taken {
+			return Promise{}, nil
+		}
+		return promise, nil
+	case <-ctx.Done():
+		return Promise{}, ctx.Err()
+	}
+}
+
+func (p *Planner) need(name galenastair.ModelName) (Promise, <-chan bool) {
+	now := p.clock.Now()
+	model, adapter := splitName(name)
+	for _, s := range p.sites {
+		if !s.contents.knows(model, adapter) {
+			continue
+		}
+		s.asked(now, name, 0)
+		if promise, ok := s.held(now, name, adapter != ""); ok {
+			return promise, nil
+		}
+		if adapter == "" || s.modelCopies(model) == 0 {
+			return s.foretellModel(now, model), nil
+		}
+		return p.fetch(now, s, name)
+	}
+	return Promise{}, nil
+}
+
+// held finds the least busy engine that holds a model or adapter.
+func (s *site) held(now time.Time, name galenastair.ModelName, adapter bool) (Promise, bool) {
+	var best *engine
+	for _, e := range s.engines {
+		items := e.models
+		if adapter {
+			items = e.adapters
+		}
+		it := items[name]
+		if it == nil || it.state != place.Ready || e.server.Leaving {
+			continue
+		}
+		if best == nil || s.load(e) < s.load(best) {
+			best = e
+		}
+	}
+	if best == nil {
+		return Promise{}, false
+	}
+	ready := time.Duration(0)
+	if it := best.adapters[name]; it != nil {
+		ready = max(0, it.since.Add(adapterLoad).Sub(now))
+	}
+	return Promise{Server: best.server.ID, Ready: ready}, true
+}
+
+// foretellModel says when a model that is being loaded will answer.
+func (s *site) foretellModel(now time.Time, m galenastair.ModelName) Promise {
+	for _, e := range s.engines {
+		it := e.models[m]
+		if it == nil || it.state != place.Coming || e.server.Leaving {
+			continue
+		}
+		left := it.since.Add(s.contents.models[m].Load).Sub(now)
+		return Promise{Server: e.server.ID, Ready: max(0, left)}
+	}
+	return Promise{}
+}
+
+// fetch orders an adapter for a request that waits, and returns what tells its end.
+func (p *Planner) fetch(now time.Time, s *site, name galenastair.ModelName) (Promise, <-chan bool) {
+	if _, ok := p.duty.Order(); !ok {
+		return Promise{}, nil
+	}
+	done := make(chan bool, 1)
+	e, ok := s.loadAdapter(now, name, place.Unreachable, done)
+	if !ok {
+		return Promise{}, nil
+	}
+	p.startEngine(now, s, e)
+	return Promise{Server: e.server.ID, Ready: adapterLoad}, done
+}
--- /dev/null
+++ b/planner/order.go
@@ -0,0 +1,202 @@
+package planner
+
+import (
+	"time"
+
+	"galenastair"
+)
+
+// start gives each engine its next order.
+func (p *Planner) start(now time.Time, s *site) {
+	for _, e := range s.engines {
+		p.startEngine(now, s, e)
+	}
+}
+
+func (p *Planner) startEngine(now time.Time, s *site, e *engine) {
+	if e.running || now.Before(e.rest) || len(e.tasks) == 0 && !e.unsure {
+		return
+	}
+	if e.unsure {
+		p.ask(s, e)
+		return
+	}
+	fence, ok := p.duty.Order()
+	if !ok {
+		return
+	}
+	t := e.tasks[0]
+	order := galenastair.EngineOrder{
+		Kind:     t.kind,
+		Model:    t.model,
+		Adapter:  t.adapter,
+		Sequence: e.sequence,
+		Holder:   p.self,
+		Fence:    fence,
+		Expect:   e.server.ID,
+	}
+	e.running = true
+	p.tasks.Go(func() { p.send(s, e, t, order) })
+}
+
+// send gives one order. The duty is checked once more right before: this process may
+// have stood still since it was planned.
+func (p *Planner) send(s *site, e *engine, t task, o galenastair.EngineOrder) {
+	answer, err := galenastair.OrderWrong, error(ErrNotPlanner)
+	fence, ok := p.duty.Order()
+	sent := ok && fence == o.Fence
+	if sent {
+		answer, err = p.control.Order(p.ctx, e.server.Address, o)
+	}
+	p.logger.Log("event", "order", "kind", t.kind, "name", t.name(), "server", o.Expect, "reason", t.reason,
+		"fence", int64(o.Fence), "sequence", o.Sequence, "answer", outcome(answer, err), "err", err)
+	p.ordered(t.kind, t.reason, outcome(answer, err))
+	_ = p.loop.Post(p.ctx, func() {
+		e.running = false
+		p.ended(s, e, t, o, sent, answer, err)
+	})
+}
+
+func outcome(a galenastair.OrderAnswer, err error) string {
+	if err != nil {
+		return "Unknown"
+	}
+	switch a {
+	case galenastair.OrderAccepted:
+		return "Accepted"
+	case galenastair.OrderHeld:
+		return "Held"
+	case galenastair.OrderBusy:
+		return "Busy"
+	case galenastair.OrderFenced:
+		return "Fenced"
+	case galenastair.OrderGone:
+		return "Gone"
+	}
+	return "Wrong"
+}
+
+// ended takes in the outcome of an order.
+func (p *Planner) ended(s *site, e *engine, t task, o galenastair.EngineOrder, sent bool, a galenastair.OrderAnswer, err error) {
+	now := p.clock.Now()
+	switch {
+	case !sent:
+		p.drop(e, t)
+		return
+	case err != nil:
+		// Failure: an order without an answer may act seconds later. It presumes a
+		// sequence, so it can't act once another was accepted; the engine's state
+		// tells whether it has, and the same order is given again if not.
+		e.unsure, e.rest = true, now.Add(lostRest)
+		return
+	}
+	switch a {
+	case galenastair.OrderAccepted:
+		e.accepted(now, t)
+		p.finish(now, e, t)
+	case galenastair.OrderHeld:
+		e.heldAlready(now, t)
+		p.finish(now, e, t)
+	case galenastair.OrderBusy:
+		e.unsure, e.rest = true, now.Add(busyRest)
+		return
+	case galenastair.OrderFenced:
+		p.duty.Refused(o.Fence)
+		p.drop(e, t)
+	default:
+		p.drop(e, t)
+		e.unsure = true
+	}
+	p.startEngine(now, s, e)
+}
+
+func (p *Planner) finish(now time.Time, e *engine, t task) {
+	p.removeTask(e, t)
+	tell(t.done, true)
+	if t.kind == galenastair.LoadModel && t.adapter != "" {
+		p.placed = append(p.placed, placedAt{Placement{e.server.ID, t.name()}, now})
+	}
+}
+
+func (p *Planner) drop(e *engine, t task) {
+	if p.removeTask(e, t) {
+		e.givenUp(t)
+	}
+	tell(t.done, false)
+}
+
+// removeTask takes a task off its queue; a new term may have emptied that meanwhile.
+func (p *Planner) removeTask(e *engine, t task) bool {
+	if len(e.tasks) == 0 || e.tasks[0].name() != t.name() || e.tasks[0].kind != t.kind {
+		return false
+	}
+	e.tasks = e.tasks[1:]
+	return true
+}
+
+func tell(done chan<- bool, taken bool) {
+	if done != nil {
+		done <- taken
+	}
+}
+
+// ask reads an engine's state where the outcome of an order is not known.
+func (p *Planner) ask(s *site, e *engine) {
+	e.running = true
+	address, id := e.server.Address, e.server.ID
+	p.tasks.Go(func() {
+		state, err := p.control.State(p.ctx, address, id)
+		_ = p.loop.Post(p.ctx, func() {
+			e.running = false
+			p.told(s, e, state, err)
+		})
+	})
+}
+
+// told takes in an engine's state. If it has accepted more orders than were counted,
+// one without an answer has acted.
+func (p *Planner) told(s *site, e *engine, state galenastair.EngineState, err error) {
+	now := p.clock.Now()
+	p.logger.Log("event", "engine state", "server", e.server.ID, "sequence", state.Sequence, "counted", e.sequence, "busy", state.Busy, "err", err)
+	switch {
+	case err != nil:
+		e.rest = now.Add(lostRest)
+		return
+	case state.Busy:
+		e.rest = now.Add(busyRest)
+		return
+	case state.Sequence < e.sequence:
+		// the report is older than what is known
+		e.rest = now.Add(busyRest)
+		return
+	}
+	if state.Sequence > e.sequence && len(e.tasks) > 0 {
+		p.acted(now, e, state)
+	}
+	e.sequence = state.Sequence
+	e.sync(now, state.Models)
+	e.unsure = false
+	p.startEngine(now, s, e)
+}
+
+// acted finishes the first task if the state shows its effect.
+func (p *Planner) acted(now time.Time, e *engine, state galenastair.EngineState) {
+	t := e.tasks[0]
+	has := false
+	for _, m := range state.Models {
+		if m.Name != t.model {
+			continue
+		}
+		has = t.adapter == ""
+		for _, a := range m.Adapters {
+			has = has || a == t.adapter
+		}
+	}
+	for _, f := range state.Fetching {
+		has = has || f == t.name()
+	}
+	if has == (t.kind == galenastair.LoadModel) {
+		e.heldAlready(now, t)
+		p.finish(now, e, t)
+	}
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,338 @@
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+
+	"galenastair"
+	"galenastair/catalog"
+	"galenastair/claim"
+	"galenastair/control"
+	"galenastair/place"
+	"galenastair/pool"
+	"galenastair/quota"
+)
+
+// ErrNotPlanner says that this instance does not hold the duty.
+var ErrNotPlanner = eris.New("this instance does not plan")
+
+const (
+	// tickPeriod is how often the planner looks: a few times in the time of a load.
+	tickPeriod = 200 * time.Millisecond
+	// forecastPeriod is how often demand becomes a rate; a report comes at least as often.
+	forecastPeriod = 500 * time.Millisecond
+	// reportLife is how long an instance's loads count after its last report.
+	reportLife = 1500 * time.Millisecond
+	// newsLife is how long a change is told to all; a few exchanges long.
+	newsLife = 2 * time.Second
+	// busyRest is when an engine is asked again that was busy with another order.
+	busyRest = 120 * time.Millisecond
+	// lostRest is when an engine is asked for its state after an order without an
+	// answer: its report is some hundred milliseconds old.
+	lostRest = 400 * time.Millisecond
+	// firstRound is how long a new term listens before it plans: without the demand
+	// of all instances it would take busy models for idle ones.
+	firstRound = 900 * time.Millisecond
+)
+
+// Duty tells whether this instance may act for all.
+type Duty interface {
+	// Order returns the fence for an order sent now; false if none may be sent.
+	Order() (galenastair.Fence, bool)
+	// Holds says whether this instance hears the others and lends.
+	Holds() bool
+	// Refused says that an engine has seen a higher fence than this.
+	Refused(galenastair.Fence)
+}
+
+// Planner plans and gives orders while the duty is this instance's.
+type Planner struct {
+	self    string
+	control galenastair.EngineControl
+	duty    Duty
+	loop    *control.Loop
+	clock   galenastair.Clock
+	logger  log.Logger
+	tasks   sync.WaitGroup
+	ordered func(kind galenastair.OrderKind, reason place.Reason, outcome string)
+
+	// the rest is owned by the control loop
+	ctx      context.Context
+	sites    map[galenastair.ServiceName]*site
+	servers  map[galenastair.BackendServerID]pool.Server
+	lender   *quota.Lender
+	reports  map[galenastair.InstanceID]report
+	placed   []placedAt
+	poisons  []poisonAt
+	held     bool
+	since    time.Time
+	foretold time.Time
+}
+
+type report struct {
+	loads map[galenastair.BackendServerID]pool.Load
+	at    time.Time
+}
+
+type placedAt struct {
+	Placement
+	at time.Time
+}
+
+type poisonAt struct {
+	digest claim.Digest
+	from   galenastair.InstanceID
+	at     time.Time
+}
+
+// Option varies a Planner.
+type Option func(*Planner)
+
+// WithLogger sets where orders and their ends are logged.
+func WithLogger(l log.Logger) Option { return func(p *Planner) { p.logger = l } }
+
+// WithClock replaces the clock of the machine.
+func WithClock(c galenastair.Clock) Option { return func(p *Planner) { p.clock = c } }
+
+// WithOrdered sets what is told of each order's outcome.
+func WithOrdered(f func(galenastair.OrderKind, place.Reason, string)) Option {
+	return func(p *Planner) { p.ordered = f }
+}
+
+// New returns a planner that does nothing until Run and while the duty is another's;
+// self names it in orders.
+func New(self string, c galenastair.EngineControl, d Duty, loop *control.Loop, opts ...Option) *Planner {
+	p := &Planner{
+		self:    self,
+		control: c,
+		duty:    d,
+		loop:    loop,
+		clock:   galenastair.SystemClock{},
+		logger:  log.NewNopLogger(),
+		ordered: func(galenastair.OrderKind, place.Reason, string) {},
+		ctx:     context.Background(),
+		sites:   map[galenastair.ServiceName]*site{},
+		servers: map[galenastair.BackendServerID]pool.Server{},
+		lender:  quota.NewLender(),
+		reports: map[galenastair.InstanceID]report{},
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// Run plans until the context ends, and returns when no order is under way.
+func (p *Planner) Run(ctx context.Context) error {
+	defer p.tasks.Wait()
+	if err := p.loop.Post(ctx, func() { p.ctx = ctx }); err != nil {
+		return err
+	}
+	err := p.loop.Every(ctx, tickPeriod, p.tick)
+	// a round posted before the end starts no order after the wait has begun
+	_ = p.loop.Do(context.WithoutCancel(ctx), func() {})
+	return err
+}
+
+// SetCatalog takes in a version of the configuration.
+func (p *Planner) SetCatalog(ctx context.Context, c *catalog.Catalog) error {
+	return p.loop.Post(ctx, func() {
+		p.lender.SetContracts(p.clock.Now(), c)
+		c.Services(func(s *catalog.Service) {
+			if s.Engine == nil {
+				return
+			}
+			if old := p.sites[s.Name]; old != nil {
+				old.contents = newContents(s)
+				return
+			}
+			p.sites[s.Name] = newSite(s)
+			for _, srv := range p.servers {
+				p.setServer(srv)
+			}
+		})
+	})
+}
+
+func (p *Planner) setServer(s pool.Server) {
+	if site := p.sites[s.Service]; site != nil {
+		site.set(p.clock.Now(), s)
+	}
+}
+
+// SetServer takes in a backend server's registration.
+func (p *Planner) SetServer(ctx context.Context, s pool.Server) error {
+	return p.loop.Post(ctx, func() {
+		p.servers[s.ID] = s
+		p.setServer(s)
+	})
+}
+
+// RemoveServer forgets a backend server.
+func (p *Planner) RemoveServer(ctx context.Context, id galenastair.BackendServerID) error {
+	return p.loop.Post(ctx, func() {
+		delete(p.servers, id)
+		for _, s := range p.sites {
+			delete(s.engines, id)
+		}
+	})
+}
+
+// tick begins or ends a term, plans, and starts what orders can be started.
+func (p *Planner) tick() {
+	now := p.clock.Now()
+	holds := p.duty.Holds()
+	if holds != p.held {
+		p.held, p.since = holds, now
+		p.beginOrEnd(now, holds)
+	}
+	if !holds {
+		return
+	}
+	p.step(now)
+	if _, ok := p.duty.Order(); !ok || now.Sub(p.since) < firstRound {
+		return
+	}
+	for _, s := range p.sites {
+		p.gatherLoads(now, s)
+		s.round(now)
+		p.start(now, s)
+	}
+}
+
+func (p *Planner) beginOrEnd(now time.Time, holds bool) {
+	p.logger.Log("event", "term", "holds", holds)
+	if holds {
+		p.lender.Reset(now)
+		clear(p.reports)
+	}
+	for _, s := range p.sites {
+		for _, e := range s.engines {
+			// what another holder ordered meanwhile is not known here
+			for _, t := range e.tasks {
+				e.givenUp(t)
+				tell(t.done, false)
+			}
+			e.tasks = nil
+			e.unsure = e.unsure || e.running
+		}
+	}
+}
+
+func (p *Planner) step(now time.Time) {
+	if now.Sub(p.foretold) < forecastPeriod {
+		return
+	}
+	p.foretold = now
+	for _, s := range p.sites {
+		s.forecast.Step(now)
+	}
+}
+
+func (p *Planner) gatherLoads(now time.Time, s *site) {
+	clear(s.loads)
+	for _, r := range p.reports {
+		if now.Sub(r.at) > reportLife {
+			continue
+		}
+		for id, l := range r.loads {
+			sum := s.loads[id]
+			sum.Flights += l.Flights
+			sum.Unread += l.Unread
+			s.loads[id] = sum
+		}
+	}
+}
+
+// Hear takes in one instance's report and answers with what the others see.
+func (p *Planner) Hear(ctx context.Context, r Report) (News, error) {
+	var news News
+	err := ErrNotPlanner
+	doErr := p.loop.Do(ctx, func() {
+		if p.duty.Holds() {
+			news, err = p.hear(r), nil
+		}
+	})
+	if doErr != nil {
+		return News{}, doErr
+	}
+	return news, err
+}
+
+func (p *Planner) hear(r Report) News {
+	now := p.clock.Now()
+	p.reports[r.Instance] = report{r.Loads, now}
+	for name, work := range r.Demands {
+		for _, s := range p.sites {
+			s.asked(now, name, work)
+		}
+	}
+	for _, d := range r.Poisons {
+		p.poisons = append(p.poisons, poisonAt{d, r.Instance, now})
+	}
+	news := News{Fleet: p.lender.Heard(now, r.Instance), Loads: p.others(now, r.Instance)}
+	for _, a := range r.Asks {
+		if n := p.lender.Lend(now, a); n > 0 {
+			news.Loans = append(news.Loans, quota.Ask{Organisation: a.Organisation, Amount: n})
+		}
+	}
+	p.forgetNews(now)
+	for _, c := range p.placed {
+		news.Placed = append(news.Placed, c.Placement)
+	}
+	for _, c := range p.poisons {
+		if c.from != r.Instance {
+			news.Poisons = append(news.Poisons, c.digest)
+		}
+	}
+	return news
+}
+
+func (p *Planner) others(now time.Time, self galenastair.InstanceID) map[galenastair.BackendServerID]pool.Load {
+	out := map[galenastair.BackendServerID]pool.Load{}
+	for id, r := range p.reports {
+		if id == self || now.Sub(r.at) > reportLife {
+			continue
+		}
+		for server, l := range r.loads {
+			sum := out[server]
+			sum.Flights += l.Flights
+			sum.Unread += l.Unread
+			out[server] = sum
+		}
+	}
+	return out
+}
+
+func (p *Planner) forgetNews(now time.Time) {
+	for len(p.placed) > 0 && now.Sub(p.placed[0].at) > newsLife {
+		p.placed = p.placed[1:]
+	}
+	for len(p.poisons) > 0 && now.Sub(p.poisons[0].at) > newsLife {
+		p.poisons = p.poisons[1:]
+	}
+	for id, r := range p.reports {
+		if now.Sub(r.at) > 10*reportLife {
+			delete(p.reports, id)
+		}
+	}
+}
+
+// Borrow lends what one request lacks.
+func (p *Planner) Borrow(ctx context.Context, a quota.Ask) (float64, error) {
+	var n float64
+	err := ErrNotPlanner
+	doErr := p.loop.Do(ctx, func() {
+		if p.duty.Holds() {
+			n, err = p.lender.Lend(p.clock.Now(), a), nil
+		}
+	})
+	if doErr != nil {
+		return 0, doErr
+	}
+	return n, err
+}
--- /dev/null
+++ b/planner/site.go
@@ -0,0 +1,172 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+
+	"galenastair"
+	"galenastair/catalog"
+	"galenastair/forecast"
+	"galenastair/place"
+	"galenastair/pool"
+)
+
+const (
+	// demandMemory is over what the demand for models is smoothed: loads take two
+	// seconds and demand moves every five to ten.
+	demandMemory = 2500 * time.Millisecond
+	// engineWork is the prompt tokens that one engine reads in a second, by the users'
+	// sheets; outputWork is what a token of output counts beside one of prompt: a
+	// round of a full batch costs about as much as eight tokens of prompt for each.
+	engineWork = 20400
+	outputWork = 8
+	// busyShare is the part of an engine's work below which no copy is made for load.
+	// Prompts come in bursts; from a third on, callers begin to wait for each other.
+	busyShare = 0.3
+	// leastGain is the part of the busiest engine's load that a move must take off it.
+	leastGain = 0.12
+	// calm and stay keep demand that swings from moving the same copies to and fro;
+	// a load takes 2 to 3 s.
+	calm = 2500 * time.Millisecond
+	stay = 6 * time.Second
+)
+
+// Work is what a request asks of an engine, in prompt tokens.
+func Work(h galenastair.Hints) float64 { return float64(h.Prompt) + outputWork*float64(h.Output) }
+
+// site is the engines of one service and the plan for them.
+type site struct {
+	contents *contents
+	engines  map[galenastair.BackendServerID]*engine
+	plan     *place.Planner
+	forecast *forecast.Forecast
+	loads    map[galenastair.BackendServerID]pool.Load
+}
+
+func newSite(s *catalog.Service) *site {
+	return &site{
+		contents: newContents(s),
+		engines:  map[galenastair.BackendServerID]*engine{},
+		plan:     newPlan(s.Engine),
+		forecast: forecast.New(forecast.WithMemory(demandMemory)),
+		loads:    map[galenastair.BackendServerID]pool.Load{},
+	}
+}
+
+// newPlan takes the pace of loads from the configuration. As many are on their way
+// together as begin in the time that one takes: more would only slow each other.
+func newPlan(e *catalog.Engine) *place.Planner {
+	var longest time.Duration
+	for _, m := range e.Models {
+		longest = max(longest, m.Load)
+	}
+	return place.NewPlanner(place.Settings{
+		LoadsPerSecond: e.LoadsPerSecond,
+		LoadsInFlight:  max(1, int(e.LoadsPerSecond*longest.Seconds())),
+		ServerWork:     engineWork,
+		Busy:           busyShare,
+		Gain:           leastGain,
+		Calm:           calm,
+		Stay:           stay,
+	})
+}
+
+// round plans the models and queues the orders.
+func (s *site) round(now time.Time) {
+	in := place.Input{Now: now, Catalogue: s.contents.weights, Work: s.work}
+	for id, e := range s.engines {
+		in.Servers = append(in.Servers, s.input(id, e))
+	}
+	for _, step := range s.plan.Plan(in) {
+		if e := s.engines[step.Server]; e != nil {
+			e.add(now, task{kind: step.Kind, model: step.Weight.Name, reason: step.Reason})
+		}
+	}
+	s.spreadAdapters(now)
+}
+
+func (s *site) input(id galenastair.BackendServerID, e *engine) place.Server {
+	in := place.Server{
+		ID:               id,
+		AvailabilityZone: e.server.AvailabilityZone,
+		Leaving:          e.server.Leaving,
+		Free:             e.free(s.contents),
+	}
+	for name, it := range e.models {
+		w := galenastair.Weight{Name: name, Memory: s.contents.memory(name)}
+		in.Copies = append(in.Copies, place.Copy{Weight: w, State: it.state})
+	}
+	return in
+}
+
+// work is the demand for a model with its adapters: they run where it is.
+func (s *site) work(name galenastair.ModelName) float64 {
+	m := s.contents.models[name]
+	if m == nil {
+		return 0
+	}
+	return s.workOf(m)
+}
+
+func (s *site) workOf(m *catalog.Model) float64 {
+	sum := s.forecast.Work(m.Name)
+	for _, w := range s.adapterWork(m) {
+		sum += w
+	}
+	return sum
+}
+
+// adapterWork returns the demand for those adapters of a model that have any.
+func (s *site) adapterWork(m *catalog.Model) map[galenastair.ModelName]float64 {
+	out := map[galenastair.ModelName]float64{}
+	for i := 1; i <= m.Adapters; i++ {
+		name := adapterName(m.Name, fmt.Sprintf("a%d", i))
+		if w := s.forecast.Work(name); w > 0 {
+			out[name] = w
+		}
+	}
+	return out
+}
+
+func (s *site) modelCopies(m galenastair.ModelName) int {
+	n := 0
+	for _, e := range s.engines {
+		if e.ready(m) {
+			n++
+		}
+	}
+	return n
+}
+
+// load is the prompt tokens that wait at an engine, over all instances.
+func (s *site) load(e *engine) float64 {
+	l := s.loads[e.server.ID]
+	return l.Unread + 100*l.Flights
+}
+
+// asked takes in demand for a model or adapter, and marks adapters as used.
+func (s *site) asked(now time.Time, name galenastair.ModelName, work float64) {
+	model, adapter := splitName(name)
+	if !s.contents.knows(model, adapter) {
+		return
+	}
+	s.forecast.Observe(name, work)
+	if adapter == "" {
+		return
+	}
+	for _, e := range s.engines {
+		if it := e.adapters[name]; it != nil {
+			it.used = now
+		}
+	}
+}
+
+// set adds an engine or takes in its registration.
+func (s *site) set(now time.Time, srv pool.Server) {
+	e := s.engines[srv.ID]
+	if e == nil || e.server.Born != srv.Born {
+		s.engines[srv.ID] = newEngine(srv)
+		return
+	}
+	e.registered(now, srv)
+}
--- /dev/null
+++ b/pool/choose.go
@@ -0,0 +1,176 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"galenastair"
+)
+
+const (
+	// lastCopyGrace is how long a leaving server still gets new work if no other has
+	// the model. It stays below the shortest time after which it may get none (2 s).
+	lastCopyGrace = time.Second
+	// zoneShare is the part of the aim that a caller may wait longer for a server of
+	// its own availability zone: bytes between zones cost, time within the aim doesn't.
+	zoneShare = 0.2
+	// failCost is how many aims a certain failure counts as; for a request that can't
+	// be repeated a failure is final.
+	failCost     = 2
+	failCostOnce = 6
+	// jitter keeps instances with the same figures from choosing the same server.
+	jitter = 0.05
+	// defaultAim is used where a route gives none.
+	defaultAim = time.Second
+)
+
+// Choice is the chosen server and what decided.
+type Choice struct {
+	Server
+	// Foretold is the expected time to the answer or its first event.
+	Foretold time.Duration
+	// Cached is the prompt tokens that it probably keeps.
+	Cached galenastair.Tokens
+	// Candidates counts the servers that were compared.
+	Candidates int
+	Reason     string
+}
+
+// The reasons for a choice or for none.
+const (
+	ReasonSoonest  = "soonest"
+	ReasonProbe    = "tries one that was out"
+	ReasonAllOut   = "all are out"
+	ReasonLastCopy = "the last copy leaves"
+	ReasonNoServer = "no server of the service"
+	ReasonNoModel  = "no server holds the model"
+	ReasonExcluded = "all were tried"
+)
+
+// Choose picks a server; the reason says why there is none.
+func (p *Pool) Choose(now time.Time, q Query) (Choice, bool) {
+	q.keys = partKeys(q.Hints)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	candidates := p.candidates(&q)
+	if len(candidates) == 0 {
+		return Choice{Reason: p.none(&q)}, false
+	}
+	best, reason := p.best(now, &q, candidates)
+	if best == nil {
+		return Choice{Reason: ReasonExcluded}, false
+	}
+	if reason == ReasonProbe {
+		best.health.probing = true
+	}
+	return Choice{
+		Server:     best.Server,
+		Foretold:   p.foretell(now, best, &q),
+		Cached:     best.cache.match(q.keys, q.Parts),
+		Candidates: len(candidates),
+		Reason:     reason,
+	}, true
+}
+
+func (p *Pool) candidates(q *Query) []*member {
+	list := p.byService[q.Service]
+	if q.engine() {
+		list = p.byModel[q.Model]
+	}
+	var out []*member
+	for _, m := range list {
+		if m.Service == q.Service && !slices.Contains(q.Exclude, m.ID) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (p *Pool) none(q *Query) string {
+	switch {
+	case len(p.byService[q.Service]) == 0:
+		return ReasonNoServer
+	case q.engine() && len(q.Exclude) == 0:
+		return ReasonNoModel
+	default:
+		return ReasonExcluded
+	}
+}
+
+// best compares the candidates. It is made for one slow, failing or dark server among
+// sound ones, which must lose its load at once, and for a whole fleet that is slow, of
+// which nothing may be taken out.
+func (p *Pool) best(now time.Time, q *Query, candidates []*member) (*member, string) {
+	var best, out, leaving *member
+	var least, leastOut time.Duration
+	for _, m := range candidates {
+		if m.Leaving {
+			if leaving == nil || m.leaves.After(leaving.leaves) {
+				leaving = m
+			}
+			continue
+		}
+		if m.health.mayProbe(now) && !q.Once {
+			return m, ReasonProbe
+		}
+		score := p.score(now, m, q)
+		if m.health.isOut(now) || !m.health.out.IsZero() && q.Once {
+			if out == nil || score < leastOut {
+				out, leastOut = m, score
+			}
+			continue
+		}
+		if best == nil || score < least {
+			best, least = m, score
+		}
+	}
+	switch {
+	case best != nil:
+		return best, ReasonSoonest
+	case out != nil:
+		return out, ReasonAllOut
+	case leaving != nil && now.Sub(leaving.leaves) < lastCopyGrace:
+		return leaving, ReasonLastCopy
+	}
+	return nil, ReasonExcluded
+}
+
+// score is the foretold time with what a failure and the way there would cost.
+func (p *Pool) score(now time.Time, m *member, q *Query) time.Duration {
+	aim := q.Aim
+	if aim <= 0 {
+		aim = defaultAim
+	}
+	t := p.foretell(now, m, q)
+	if m.AvailabilityZone != p.zone {
+		t += time.Duration(zoneShare * float64(aim))
+	}
+	cost := failCost
+	if q.Once {
+		cost = failCostOnce
+	}
+	t += time.Duration(m.health.share * float64(cost) * float64(aim))
+	if m.health.dark(now, t) {
+		t += 4 * aim
+	}
+	if now.Before(m.health.full) {
+		t += aim
+	}
+	return t + time.Duration(p.rng.Float64()*jitter*float64(aim))
+}
+
+func (p *Pool) foretell(now time.Time, m *member, q *Query) time.Duration {
+	return time.Duration(float64(m.nominal(now, q)) * m.pace.value() * p.paceOf(q).value())
+}
+
+// paceOf returns the pace of a model, or of a plain service.
+func (p *Pool) paceOf(q *Query) *pace {
+	name := q.Model
+	if !q.engine() {
+		name = galenastair.ModelName(q.Service)
+	}
+	if p.paces[name] == nil {
+		p.paces[name] = &pace{}
+	}
+	return p.paces[name]
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,204 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"galenastair"
+)
+
+// Pool knows the backend servers, what they hold and how they fare.
+type Pool struct {
+	zone galenastair.AvailabilityZone
+	rng  *rand.Rand
+
+	mu        sync.Mutex
+	members   map[galenastair.BackendServerID]*member
+	byService map[galenastair.ServiceName][]*member
+	byModel   map[galenastair.ModelName][]*member
+	paces     map[galenastair.ModelName]*pace
+}
+
+// member is what the pool keeps of one backend server.
+type member struct {
+	Server
+	holds    map[galenastair.ModelName]bool
+	flights  int
+	unread   galenastair.Tokens
+	others   Load
+	othersAt time.Time
+	pace     pace
+	health   health
+	cache    *cache
+	// leaves is when it was first known to leave; nothing new goes there then.
+	leaves time.Time
+}
+
+// Option varies a Pool.
+type Option func(*Pool)
+
+// WithRand replaces the source of random draws.
+func WithRand(rng *rand.Rand) Option { return func(p *Pool) { p.rng = rng } }
+
+// New returns a pool that knows no backend server; zone is the instance's own.
+func New(zone galenastair.AvailabilityZone, opts ...Option) *Pool {
+	p := &Pool{
+		zone:      zone,
+		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		members:   map[galenastair.BackendServerID]*member{},
+		byService: map[galenastair.ServiceName][]*member{},
+		byModel:   map[galenastair.ModelName][]*member{},
+		paces:     map[galenastair.ModelName]*pace{},
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// Set adds a backend server or takes in what it says of itself now.
+func (p *Pool) Set(now time.Time, s Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[s.ID]
+	if m != nil && (m.Born != s.Born || m.Service != s.Service) {
+		// a restart under the old id holds and knows nothing of before
+		p.drop(m)
+		m = nil
+	}
+	if m == nil {
+		m = &member{holds: map[galenastair.ModelName]bool{}, cache: newCache()}
+		p.members[s.ID] = m
+		p.byService[s.Service] = append(p.byService[s.Service], m)
+	}
+	if s.Leaving && !m.Leaving {
+		m.leaves = now
+	}
+	stale := s.Sequence < m.Sequence
+	if stale {
+		s.Sequence, s.Models = m.Sequence, m.Models
+	}
+	m.Server = s
+	if !stale {
+		p.hold(m, held(s.Models))
+	}
+}
+
+// held names models and, after a slash, their adapters.
+func held(models []galenastair.EngineModel) map[galenastair.ModelName]bool {
+	out := map[galenastair.ModelName]bool{}
+	for _, e := range models {
+		out[e.Name] = true
+		for _, a := range e.Adapters {
+			out[e.Name+"/"+galenastair.ModelName(a)] = true
+		}
+	}
+	return out
+}
+
+func (p *Pool) hold(m *member, now map[galenastair.ModelName]bool) {
+	for name := range m.holds {
+		if !now[name] {
+			p.unhold(m, name)
+		}
+	}
+	for name := range now {
+		p.addHold(m, name)
+	}
+}
+
+func (p *Pool) addHold(m *member, name galenastair.ModelName) {
+	if !m.holds[name] {
+		m.holds[name] = true
+		p.byModel[name] = append(p.byModel[name], m)
+	}
+}
+
+func (p *Pool) unhold(m *member, name galenastair.ModelName) {
+	if !m.holds[name] {
+		return
+	}
+	delete(m.holds, name)
+	p.byModel[name] = slices.DeleteFunc(p.byModel[name], func(o *member) bool { return o == m })
+	if len(p.byModel[name]) == 0 {
+		delete(p.byModel, name)
+	}
+}
+
+// Remove forgets a backend server.
+func (p *Pool) Remove(id galenastair.BackendServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[id]; m != nil {
+		p.drop(m)
+	}
+}
+
+func (p *Pool) drop(m *member) {
+	for name := range m.holds {
+		p.unhold(m, name)
+	}
+	delete(p.members, m.ID)
+	p.byService[m.Service] = slices.DeleteFunc(p.byService[m.Service], func(o *member) bool { return o == m })
+}
+
+// Learn notes that a server holds a model or adapter, before it says so itself.
+func (p *Pool) Learn(id galenastair.BackendServerID, name galenastair.ModelName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[id]; m != nil {
+		p.addHold(m, name)
+	}
+}
+
+// Unlearn notes that a server said that it does not hold a model or adapter.
+func (p *Pool) Unlearn(id galenastair.BackendServerID, name galenastair.ModelName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[id]; m != nil {
+		p.unhold(m, name)
+	}
+}
+
+// Loads returns what this instance's requests put on each server that has any.
+func (p *Pool) Loads() map[galenastair.BackendServerID]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[galenastair.BackendServerID]Load{}
+	for id, m := range p.members {
+		if m.flights > 0 {
+			out[id] = Load{float64(m.flights), float64(m.unread)}
+		}
+	}
+	return out
+}
+
+// SetOthers takes in what the other instances' requests put on each server.
+func (p *Pool) SetOthers(now time.Time, loads map[galenastair.BackendServerID]Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, m := range p.members {
+		m.others, m.othersAt = loads[id], now
+	}
+}
+
+// Known says whether any server holds a model or adapter.
+func (p *Pool) Known(name galenastair.ModelName) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.byModel[name] {
+		if !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// Len returns how many backend servers are known.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.members)
+}
--- /dev/null
+++ b/pool/server.go
@@ -0,0 +1,19 @@
+package pool
+
+import "galenastair"
+
+// Server is a backend server as it registered.
+type Server struct {
+	ID               galenastair.BackendServerID
+	Service          galenastair.ServiceName
+	Address          string
+	AvailabilityZone galenastair.AvailabilityZone
+	// Slots is how many requests it runs at the same time.
+	Slots   int
+	Leaving bool
+	// Born tells one start of it from the next, since an id may come back.
+	Born int64
+	// Sequence counts the orders that it has accepted since its start.
+	Sequence int64
+	Models   []galenastair.EngineModel
+}
--- /dev/null
+++ b/quota/bucket.go
@@ -0,0 +1,44 @@
+package quota
+
+import "time"
+
+// bucket is a token bucket that starts empty: a restart must not bring a second burst.
+type bucket struct {
+	level float64
+	rate  float64
+	most  float64
+	at    time.Time
+}
+
+// set changes rate and size; a lower size binds at once.
+func (b *bucket) set(now time.Time, rate, most float64) {
+	b.fill(now)
+	b.rate, b.most = rate, most
+	b.level = min(b.level, most)
+}
+
+func (b *bucket) fill(now time.Time) {
+	if !b.at.IsZero() && now.After(b.at) {
+		b.level = min(b.most, b.level+b.rate*now.Sub(b.at).Seconds())
+	}
+	if b.at.IsZero() || now.After(b.at) {
+		b.at = now
+	}
+}
+
+func (b *bucket) take(now time.Time, n float64) bool {
+	b.fill(now)
+	if b.level < n {
+		return false
+	}
+	b.level -= n
+	return true
+}
+
+// upTo takes as much of n as there is.
+func (b *bucket) upTo(now time.Time, n float64) float64 {
+	b.fill(now)
+	n = max(0, min(n, b.level))
+	b.level -= n
+	return n
+}
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"galenastair"
+	"galenastair/inifile"
+)
+
+// Gateway is the checked settings of an instance that runs on the users' platform.
+type Gateway struct {
+	ID               galenastair.InstanceID
+	Region           galenastair.Region
+	AvailabilityZone galenastair.AvailabilityZone
+	// CallerAddress, ReadyAddress, PeerAddress and MetricsAddress are where it listens.
+	CallerAddress  string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+	StoreAddress   string
+	// Memory is the process's limit.
+	Memory galenastair.Bytes
+	Bounds Bounds
+}
+
+// Bounds are the figures that the users' platform holds the system to.
+type Bounds struct {
+	// KeyLife is how long after its withdrawal a key may still be admitted.
+	KeyLife time.Duration
+	// StopTimeout is the time from the signal to stop to the end of the process.
+	StopTimeout time.Duration
+	// BetweenHolders is the least time between orders of two planners.
+	BetweenHolders time.Duration
+	// LeaveTimeout is how long after its leaving a backend server may get new work.
+	LeaveTimeout time.Duration
+	// RetryRatio and RetrySlack bound what is sent once more, over all instances.
+	RetryRatio float64
+	RetrySlack float64
+}
+
+// megabyte is the unit of the platform's memory limits.
+const megabyte = 1_000_000
+
+func (g *Gateway) fields() fields {
+	b := &g.Bounds
+	memory := whole("Limits", "MemoryMB", &g.Memory, 32, 1<<20)
+	return fields{
+		name("Gateway", "ID", true, &g.ID),
+		name("Gateway", "Region", true, &g.Region),
+		name("Gateway", "AvailabilityZone", true, &g.AvailabilityZone),
+		address("Gateway", "CallerAddress", &g.CallerAddress),
+		address("Gateway", "ReadyAddress", &g.ReadyAddress),
+		address("Gateway", "PeerAddress", &g.PeerAddress),
+		address("Gateway", "MetricsAddress", &g.MetricsAddress),
+		address("Gateway", "StoreAddress", &g.StoreAddress),
+		required(memory),
+		required(duration("Bounds", "KeyLife", &b.KeyLife, 500*time.Millisecond, time.Hour)),
+		required(duration("Bounds", "StopTimeout", &b.StopTimeout, time.Second, time.Hour)),
+		required(duration("Bounds", "BetweenHolders", &b.BetweenHolders, 0, time.Hour)),
+		required(duration("Bounds", "LeaveTimeout", &b.LeaveTimeout, 100*time.Millisecond, time.Hour)),
+		required(decimal("Bounds", "RetryRatio", &b.RetryRatio, 0, 10)),
+		required(decimal("Bounds", "RetrySlack", &b.RetrySlack, 0, 1e6)),
+	}
+}
+
+func required(f field) field {
+	f.required = true
+	return f
+}
+
+// LoadGateway reads and checks a settings file of the users' platform.
+func LoadGateway(path string) (Gateway, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, eris.Wrap(err, "settings")
+	}
+	return ParseGateway(text)
+}
+
+// ParseGateway checks the text of such a file; its error lists all that is wrong.
+func ParseGateway(text []byte) (Gateway, error) {
+	var g Gateway
+	fields := g.fields()
+	file, err := inifile.Read(text, fields.schema(), maxBytes)
+	if err != nil {
+		return Gateway{}, err
+	}
+	if err := fields.set(file); err != nil {
+		return Gateway{}, err
+	}
+	g.Memory *= megabyte
+	return g, nil
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,60 @@
+package galenastair
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Topic names one partitioned sequence of records in the platform's store.
+type Topic string
+
+// Generation numbers the changes of a group's members; it only grows.
+type Generation int64
+
+// KeyedRecord is the newest value of one key; an empty value says that the key is gone.
+type KeyedRecord struct {
+	Key    string
+	Value  []byte
+	Offset Offset
+}
+
+// KeyedBatch is the result of one read of a keyed topic.
+type KeyedBatch struct {
+	Records []KeyedRecord
+	// Next is the offset to go on from, and End where the topic ended; records between
+	// them were not read yet.
+	Next Offset
+	End  Offset
+}
+
+// Assignment is what a member of a group holds after it joined.
+type Assignment struct {
+	Generation Generation
+	// Partitions are those of the topic that it joined for.
+	Partitions []int
+}
+
+// ErrStoreRefused says that the store certainly did nothing.
+var ErrStoreRefused = eris.New("the store refused the call")
+
+// ErrStoreUnavailable says that a call to the store got no usable answer; it may have acted.
+var ErrStoreUnavailable = eris.New("the store gave no answer")
+
+// Store is the platform's metadata store. Records before the oldest one kept are
+// reported as ErrExpired.
+type Store interface {
+	// Newest returns the newest record of each key, and where to read on from.
+	Newest(ctx context.Context, t Topic) (KeyedBatch, error)
+	// Follow returns the records from an offset on, waiting up to wait for the first.
+	Follow(ctx context.Context, t Topic, from Offset, wait time.Duration) (KeyedBatch, error)
+	// Append adds one record to partition 0 of a plain topic.
+	Append(ctx context.Context, t Topic, data []byte) (Offset, error)
+	// Join renews a member's place in a group for ttl and returns what it holds.
+	Join(ctx context.Context, group, member string, t Topic, ttl time.Duration, g Generation) (Assignment, error)
+	// Leave gives up a member's place.
+	Leave(ctx context.Context, group, member string) error
+	// Owner returns the member that holds partition 0 of the group's topic; empty for none.
+	Owner(ctx context.Context, group string, t Topic) (string, error)
+}
--- /dev/null
+++ b/turn/keeper.go
@@ -0,0 +1,167 @@
+package turn
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"galenastair"
+	"galenastair/boottime"
+	"galenastair/timer"
+)
+
+// The group, its topic, and the topic whose offsets are fences.
+const (
+	group                         = "galenastair"
+	dutyTopic   galenastair.Topic = "duty"
+	fencesTopic galenastair.Topic = "fences"
+)
+
+const (
+	// joinPeriod lets a join be lost and the next still keep the lease.
+	joinPeriod = 700 * time.Millisecond
+	// membership is how long the store keeps the duty of a member that is silent: as
+	// short as leaves a slow store its time, since nobody plans meanwhile.
+	membership = 2500 * time.Millisecond
+	// ownerPeriod is how often the holder's name is asked for while it may be wrong.
+	ownerPeriod = time.Second
+	// leaveTimeout bounds the last call of an instance that stops.
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// Keeper keeps this instance's place in the group, and knows who holds the duty.
+type Keeper struct {
+	store  galenastair.Store
+	turn   *Turn
+	member string
+	clock  boottime.Clock
+	logger log.Logger
+
+	mu     sync.Mutex
+	holder string
+	unsure bool
+
+	// owned by Run
+	generation galenastair.Generation
+	asked      boottime.Time
+	held       bool
+}
+
+// Option varies a Keeper.
+type Option func(*Keeper)
+
+// WithLogger says where changes of the duty are logged.
+func WithLogger(l log.Logger) Option { return func(k *Keeper) { k.logger = l } }
+
+// WithClock replaces the machine's clock.
+func WithClock(c boottime.Clock) Option { return func(k *Keeper) { k.clock = c } }
+
+// NewKeeper returns a keeper for a member, which is named by its peer address so that
+// whoever reads the holder's name can call it.
+func NewKeeper(s galenastair.Store, t *Turn, member string, opts ...Option) *Keeper {
+	k := &Keeper{store: s, turn: t, member: member, clock: boottime.Now, logger: log.NewNopLogger(), unsure: true}
+	for _, o := range opts {
+		o(k)
+	}
+	return k
+}
+
+// Run joins until the context ends, then leaves.
+func (k *Keeper) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		k.round(ctx)
+		timer.Wait(ctx, joinPeriod)
+	}
+	k.turn.Joined(0, 0, false)
+	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	if err := k.store.Leave(leave, group, k.member); err != nil {
+		k.logger.Log("event", "leave", "err", err)
+	}
+	return ctx.Err()
+}
+
+func (k *Keeper) round(ctx context.Context) {
+	sent := k.clock()
+	a, err := k.store.Join(ctx, group, k.member, dutyTopic, membership, k.generation)
+	if err != nil {
+		k.logger.Log("event", "join", "err", err)
+		return
+	}
+	if a.Generation != k.generation {
+		k.Doubt()
+	}
+	k.generation = a.Generation
+	mine := slices.Contains(a.Partitions, 0)
+	if k.turn.Joined(sent, k.clock(), mine) {
+		k.fence(ctx)
+	}
+	if mine != k.held {
+		k.held = mine
+		k.logger.Log("event", "duty", "holds", mine, "generation", a.Generation)
+	}
+	if mine {
+		k.setHolder(k.member)
+		return
+	}
+	k.findHolder(ctx)
+}
+
+// fence appends the record whose offset fences the term. If its answer is lost the
+// next round appends another; the lost one's offset is never used.
+func (k *Keeper) fence(ctx context.Context) {
+	term := k.turn.Term()
+	offset, err := k.store.Append(ctx, fencesTopic, []byte(k.member))
+	if err != nil {
+		k.logger.Log("event", "fence", "err", err)
+		return
+	}
+	f := galenastair.Fence(offset) + 1
+	k.turn.SetFence(term, f, k.clock(), offset == 0)
+	k.logger.Log("event", "fence", "fence", int64(f), "term", term)
+}
+
+func (k *Keeper) findHolder(ctx context.Context) {
+	k.mu.Lock()
+	unsure := k.unsure
+	k.mu.Unlock()
+	if !unsure || k.asked != 0 && k.clock().Sub(k.asked) < ownerPeriod {
+		return
+	}
+	k.asked = k.clock()
+	holder, err := k.store.Owner(ctx, group, dutyTopic)
+	if err != nil {
+		k.logger.Log("event", "owner", "err", err)
+		return
+	}
+	if holder != "" && holder != k.member {
+		k.setHolder(holder)
+	}
+}
+
+func (k *Keeper) setHolder(holder string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unsure = false
+	if holder != k.holder {
+		k.logger.Log("event", "holder", "holder", holder, "before", k.holder)
+	}
+	k.holder = holder
+}
+
+// Holder returns the peer address of the instance that plans and lends; empty if unknown.
+func (k *Keeper) Holder() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder
+}
+
+// Doubt says that the holder may be another by now: it did not answer, or denied it.
+func (k *Keeper) Doubt() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unsure = true
+}
