planner, pool: a registration's sequence counts heartbeats, not orders

Change: orders presume 0 until an engine says otherwise; what orders did goes before registrations for 2.5 s.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -39,6 +39,7 @@
 	logger log.Logger
 
 	confirmed atomic.Int64
+	answered  atomic.Int64
 	started   atomic.Bool
 	away      atomic.Bool
 
@@ -78,6 +79,12 @@
 	return f.clock().Sub(boottime.Time(f.confirmed.Load())), true
 }
 
+// Silence returns how long ago the store's last answer came; false before the first.
+func (f *Follower) Silence() (time.Duration, bool) {
+	at := f.answered.Load()
+	return f.clock().Sub(boottime.Time(at)), at != 0
+}
+
 // Away says whether the last call got no usable answer.
 func (f *Follower) Away() bool { return f.away.Load() }
 
@@ -121,6 +128,7 @@
 	if f.from >= batch.End {
 		f.confirm(sent)
 	}
+	f.answered.Store(int64(f.clock()))
 	if f.away.Swap(false) {
 		f.logger.Log("event", "dependency regained", "topic", f.topic, "offset", f.from)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -135,7 +135,7 @@
 	if answer.Elsewhere {
 		result = pool.Neutral
 		if r.call.Hints.Model != "" {
-			r.g.pool.Unlearn(choice.ID, r.call.Hints.Model)
+			r.g.pool.Unlearn(r.g.clock.Now(), choice.ID, r.call.Hints.Model)
 		}
 	}
 	flight.End(r.g.clock.Now(), result)
@@ -272,4 +272,3 @@
 	}
 	return r.sink.Write(whole)
 }
-
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -176,4 +176,3 @@
 	}
 	return 0
 }
-
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -144,7 +144,7 @@
 	}
 	x.pool.SetOthers(now, n.Loads)
 	for _, p := range n.Placed {
-		x.pool.Learn(p.Server, p.Name)
+		x.pool.Learn(now, p.Server, p.Name)
 	}
 	for _, d := range n.Poisons {
 		x.poison.Heard(now, d)
--- a/node/listen.go
+++ b/node/listen.go
@@ -23,9 +23,10 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	headerBytes   = 64 << 10
-	// readyAge is how old a view may be for new connections to be welcome: with a poll
-	// each second a sound path keeps it below 2 s and a slow store's answer.
-	readyAge = 2600 * time.Millisecond
+	// readySilence is how long the store may give no answer while new connections are
+	// welcome: a poll's wait and some time beyond. After it the view soon is too old to
+	// admit a key, and callers are better served elsewhere.
+	readySilence = viewWait + 900*time.Millisecond
 	// notice is how long an instance that has been told to stop still takes new
 	// connections: the balancer asks each second and goes by two answers.
 	notice = 3200 * time.Millisecond
@@ -82,11 +83,12 @@
 
 // ready returns nil if new connections are welcome, else why not.
 func (n *Node) ready() error {
-	view, age := n.views.View()
+	view, _ := n.views.View()
+	silence, ok := n.views.follower.Silence()
 	switch {
 	case n.stopping.Load():
 		return galenastair.ErrStopping
-	case view == nil || age > readyAge:
+	case view == nil || !ok || silence > readySilence:
 		return galenastair.ErrConfiguration
 	default:
 		return nil
--- a/node/node.go
+++ b/node/node.go
@@ -32,8 +32,8 @@
 	viewMargin = 300 * time.Millisecond
 	// viewWait and serverWait are the long polls' waits. The first bounds the age of a
 	// view in quiet times; the second how long a silent connection hides a leaving server.
-	viewWait   = time.Second
-	serverWait = 1500 * time.Millisecond
+	viewWait   = 1700 * time.Millisecond
+	serverWait = 2 * time.Second
 	// poisonTrials and poisonTerm: a request that has broken three connections of
 	// backend servers without an answer is refused for a while.
 	poisonTrials = 3
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -39,6 +39,9 @@
 	// unseen is how long an accepted load may be missing from the engine's
 	// registration before its state is asked for: a load takes some seconds.
 	unseen = 6 * time.Second
+	// lateBeat is how long a registration may still show what was before an order: it
+	// is written every heartbeat of about a second, and was on its way for a while.
+	lateBeat = 2500 * time.Millisecond
 	// adapterLoad is what an adapter takes at most while few are on their way, 9 to 29
 	// ms by the users' sheets, and a round trip.
 	adapterLoad = 45 * time.Millisecond
@@ -46,8 +49,11 @@
 
 // engine is what the planner knows of one model engine.
 type engine struct {
-	server   pool.Server
+	server pool.Server
+	// sequence counts the orders that it has accepted since its start, as far as known;
+	// an engine's answer "busy" shows that it is wrong.
 	sequence int64
+	accepts  time.Time
 	models   map[galenastair.ModelName]*item
 	adapters map[galenastair.ModelName]*item
 	tasks    []task
@@ -64,15 +70,12 @@
 	return e
 }
 
-// registered takes in a registration; an older one than what orders have done says
-// nothing new.
+// registered takes in a registration.
 func (e *engine) registered(now time.Time, s pool.Server) {
-	stale := s.Sequence < e.sequence
-	e.server = s
-	if stale || e.running {
+	if s.Beat < e.server.Beat {
 		return
 	}
-	e.sequence = s.Sequence
+	e.server = s
 	e.sync(now, s.Models)
 }
 
@@ -87,7 +90,7 @@
 		}
 	}
 	syncItems(now, e.models, listedModels, unseen)
-	syncItems(now, e.adapters, listedAdapters, time.Second)
+	syncItems(now, e.adapters, listedAdapters, lateBeat)
 }
 
 func syncItems(now time.Time, items map[galenastair.ModelName]*item, listed map[galenastair.ModelName]bool, late time.Duration) {
@@ -131,6 +134,7 @@
 // accepted notes that the engine took an order.
 func (e *engine) accepted(now time.Time, t task) {
 	e.sequence++
+	e.accepts = now
 	items := e.itemsOf(t)
 	switch {
 	case t.adapter != "" && t.kind == galenastair.LoadModel:
@@ -165,6 +169,7 @@
 	delete(items, t.name())
 	if t.adapter != "" {
 		e.sequence++
+		e.accepts = now
 	}
 }
 
--- a/planner/order.go
+++ b/planner/order.go
@@ -6,6 +6,9 @@
 	"galenastair"
 )
 
+// reportLag is how old an engine's report may be: "some hundred ms" by its page.
+const reportLag = time.Second
+
 // start gives each engine its next order.
 func (p *Planner) start(now time.Time, s *site) {
 	for _, e := range s.engines {
@@ -165,8 +168,8 @@
 	case state.Busy:
 		e.rest = now.Add(busyRest)
 		return
-	case state.Sequence < e.sequence:
-		// the report is older than what is known
+	case state.Sequence < e.sequence && now.Sub(e.accepts) < reportLag:
+		// the report is older than the last order
 		e.rest = now.Add(busyRest)
 		return
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -24,7 +24,9 @@
 // member is what the pool keeps of one backend server.
 type member struct {
 	Server
-	holds    map[galenastair.ModelName]bool
+	holds map[galenastair.ModelName]bool
+	// told is when something was learned of a model otherwise than by registration.
+	told     map[galenastair.ModelName]time.Time
 	flights  int
 	unread   galenastair.Tokens
 	others   Load
@@ -69,21 +71,18 @@
 		m = nil
 	}
 	if m == nil {
-		m = &member{holds: map[galenastair.ModelName]bool{}, cache: newCache()}
+		m = &member{holds: map[galenastair.ModelName]bool{}, told: map[galenastair.ModelName]time.Time{}, cache: newCache()}
 		p.members[s.ID] = m
 		p.byService[s.Service] = append(p.byService[s.Service], m)
 	}
 	if s.Leaving && !m.Leaving {
 		m.leaves = now
 	}
-	stale := s.Sequence < m.Sequence
-	if stale {
-		s.Sequence, s.Models = m.Sequence, m.Models
+	if s.Beat < m.Beat {
+		return
 	}
 	m.Server = s
-	if !stale {
-		p.hold(m, held(s.Models))
-	}
+	p.hold(now, m, held(s.Models))
 }
 
 // held names models and, after a slash, their adapters.
@@ -98,14 +97,25 @@
 	return out
 }
 
-func (p *Pool) hold(m *member, now map[galenastair.ModelName]bool) {
+// toldFor is how long what was learned otherwise goes before a registration: that is
+// written every heartbeat of about a second, and was on its way for a while.
+const toldFor = 2500 * time.Millisecond
+
+func (p *Pool) hold(now time.Time, m *member, registered map[galenastair.ModelName]bool) {
+	for name, at := range m.told {
+		if now.Sub(at) > toldFor {
+			delete(m.told, name)
+		}
+	}
 	for name := range m.holds {
-		if !now[name] {
+		if _, told := m.told[name]; !told && !registered[name] {
 			p.unhold(m, name)
 		}
 	}
-	for name := range now {
-		p.addHold(m, name)
+	for name := range registered {
+		if _, told := m.told[name]; !told {
+			p.addHold(m, name)
+		}
 	}
 }
 
@@ -145,19 +155,21 @@
 }
 
 // Learn notes that a server holds a model or adapter, before it says so itself.
-func (p *Pool) Learn(id galenastair.BackendServerID, name galenastair.ModelName) {
+func (p *Pool) Learn(now time.Time, id galenastair.BackendServerID, name galenastair.ModelName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.members[id]; m != nil {
+		m.told[name] = now
 		p.addHold(m, name)
 	}
 }
 
 // Unlearn notes that a server said that it does not hold a model or adapter.
-func (p *Pool) Unlearn(id galenastair.BackendServerID, name galenastair.ModelName) {
+func (p *Pool) Unlearn(now time.Time, id galenastair.BackendServerID, name galenastair.ModelName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.members[id]; m != nil {
+		m.told[name] = now
 		p.unhold(m, name)
 	}
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -13,7 +13,7 @@
 	Leaving bool
 	// Born tells one start of it from the next, since an id may come back.
 	Born int64
-	// Sequence counts the orders that it has accepted since its start.
-	Sequence int64
-	Models   []galenastair.EngineModel
+	// Beat counts what it has registered since its start.
+	Beat   int64
+	Models []galenastair.EngineModel
 }
