quota: requests borrow what they lack; the bucket uses half of the platform's slack

Ruled out: the tenants' rates (refusals at half of their rate). Change: the lender holds all; exact loans for quiet organisations, loans ahead for busy ones, own parts only while the lender is silent.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -35,6 +35,7 @@
 	topic  galenastair.Topic
 	apply  Apply
 	wait   time.Duration
+	pace   time.Duration
 	clock  boottime.Clock
 	logger log.Logger
 
@@ -55,6 +56,10 @@
 // WithWait sets how long a poll waits for a record.
 func WithWait(d time.Duration) Option { return func(f *Follower) { f.wait = d } }
 
+// WithPace sets the least time from records to the next call. Without it, each of many
+// changes in a row costs every instance a call of its own.
+func WithPace(d time.Duration) Option { return func(f *Follower) { f.pace = d } }
+
 // WithClock replaces the machine's clock.
 func WithClock(c boottime.Clock) Option { return func(f *Follower) { f.clock = c } }
 
@@ -92,9 +97,12 @@
 func (f *Follower) Run(ctx context.Context) error {
 	pause := firstPause
 	for ctx.Err() == nil {
-		err := f.round(ctx)
+		got, err := f.round(ctx)
 		if err == nil {
 			pause = firstPause
+			if got > 0 {
+				timer.Wait(ctx, f.pace)
+			}
 			continue
 		}
 		if ctx.Err() == nil && !f.away.Swap(true) {
@@ -106,21 +114,21 @@
 	return ctx.Err()
 }
 
-// round makes one call and takes in its answer.
-func (f *Follower) round(ctx context.Context) error {
+// round makes one call, takes in its answer and returns how many records came.
+func (f *Follower) round(ctx context.Context) (int, error) {
 	sent := f.clock()
 	batch, err := f.read(ctx)
 	switch {
 	case errors.Is(err, galenastair.ErrExpired):
 		f.know = false
 		f.logger.Log("event", "history gone", "topic", f.topic, "offset", f.from)
-		return nil
+		return 0, nil
 	case err != nil:
-		return err
+		return 0, err
 	}
 	whole := !f.know
 	if batch.End < f.from && f.stale() {
-		return galenastair.ErrStoreUnavailable
+		return 0, galenastair.ErrStoreUnavailable
 	}
 	f.shorter = 0
 	f.apply(batch, whole)
@@ -132,7 +140,7 @@
 	if f.away.Swap(false) {
 		f.logger.Log("event", "dependency regained", "topic", f.topic, "offset", f.from)
 	}
-	return nil
+	return len(batch.Records), nil
 }
 
 func (f *Follower) read(ctx context.Context) (galenastair.KeyedBatch, error) {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -91,7 +91,7 @@
 	x.demands, x.poisons = map[galenastair.ModelName]float64{}, nil
 	x.mu.Unlock()
 	r.Loads = x.pool.Loads()
-	r.Asks = x.share.Asks(time.Now())
+	r.Asks, r.Fleet = x.share.Asks(time.Now()), x.share.Fleet()
 	return r
 }
 
@@ -173,16 +173,14 @@
 	exchange *exchange
 }
 
-// borrowFactor asks for some requests at once, so that the next ones need no call.
-const borrowFactor = 3
-
 // Borrow asks the lender for what one request lacks, and charges it if it was lent.
 func (q quotas) Borrow(ctx context.Context, o galenastair.Organisation, cost float64) bool {
 	now := time.Now()
-	if !q.MayAsk(now, o) {
+	lacks, ok := q.Lacks(now, o, cost)
+	if !ok || q.Alone(now) {
 		return false
 	}
-	n, err := q.exchange.borrow(ctx, quota.Ask{Organisation: o, Amount: borrowFactor * cost})
+	n, err := q.exchange.borrow(ctx, quota.Ask{Organisation: o, Amount: lacks})
 	if err != nil {
 		q.exchange.keeper.Doubt()
 		q.exchange.logger.Log("event", "borrow", "organisation", o, "err", err)
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,10 @@
 	// view in quiet times; the second how long a silent connection hides a leaving server.
 	viewWait   = 1700 * time.Millisecond
 	serverWait = 2 * time.Second
+	// viewPace and serverPace gather changes that come in a row into one call; they stay
+	// well below the times in which a version, or a server's leaving, must be in force.
+	viewPace   = 150 * time.Millisecond
+	serverPace = 600 * time.Millisecond
 	// poisonTrials and poisonTerm: a request that has broken three connections of
 	// backend servers without an answer is refused for a while.
 	poisonTrials = 3
@@ -73,12 +77,13 @@
 	}
 	store := platform.NewStore(s.StoreAddress)
 	n.pool = pool.New(s.AvailabilityZone)
-	n.share = quota.NewShare()
+	terms := quota.Terms{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
+	n.share = quota.NewShare(terms)
 	n.conns = httpconn.NewClient()
 	backend := platform.NewReplicas(n.conns)
 	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders))
 	n.keeper = turn.NewKeeper(store, t, s.PeerAddress, turn.WithLogger(n.logger))
-	n.planner = planner.New(string(s.ID), backend, duty{t}, n.loop,
+	n.planner = planner.New(string(s.ID), terms, backend, duty{t}, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
 	n.exchange = &exchange{
 		self:    s.ID,
@@ -113,7 +118,7 @@
 func (n *Node) follow(store galenastair.Store) {
 	n.views = &views{logger: n.logger}
 	n.views.follower = follow.New(store, platform.ConfigurationTopic, n.views.apply,
-		follow.WithWait(viewWait), follow.WithLogger(n.logger))
+		follow.WithWait(viewWait), follow.WithPace(viewPace), follow.WithLogger(n.logger))
 	n.servers = newServers(n.logger, func(pool.Server) {}, func(galenastair.BackendServerID) {})
 }
 
@@ -156,7 +161,7 @@
 	}
 	store := platform.NewStore(n.settings.StoreAddress)
 	n.servers.follower = follow.New(store, platform.RegistrationTopic, n.servers.apply(ctx),
-		follow.WithWait(serverWait), follow.WithLogger(n.logger))
+		follow.WithWait(serverWait), follow.WithPace(serverPace), follow.WithLogger(n.logger))
 }
 
 // post logs that the control loop has ended; nothing is lost by it then.
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -76,7 +76,7 @@
 }
 
 func encodeReport(r planner.Report) *planningpb.ExchangeRequest {
-	out := &planningpb.ExchangeRequest{Instance: string(r.Instance), Loads: encodeLoads(r.Loads)}
+	out := &planningpb.ExchangeRequest{Instance: string(r.Instance), Fleet: uint32(r.Fleet), Loads: encodeLoads(r.Loads)}
 	for name, work := range r.Demands {
 		out.Demands = append(out.Demands, &planningpb.Demand{Name: string(name), Work: uint32(work)})
 	}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -28,6 +28,7 @@
 func (s *server) Exchange(ctx context.Context, req *planningpb.ExchangeRequest) (*planningpb.ExchangeReply, error) {
 	r := planner.Report{
 		Instance: galenastair.InstanceID(req.Instance),
+		Fleet:    int(req.Fleet),
 		Loads:    decodeLoads(req.Loads),
 		Demands:  make(map[galenastair.ModelName]float64, len(req.Demands)),
 	}
--- a/planner/message.go
+++ b/planner/message.go
@@ -17,6 +17,8 @@
 	// Demands is the work asked of each model and adapter since the last report.
 	Demands map[galenastair.ModelName]float64
 	Asks    []quota.Ask
+	// Fleet is the number of instances that it was told of last.
+	Fleet int
 	// Poisons are requests that stopped a backend server since the last report.
 	Poisons []claim.Digest
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -105,7 +105,7 @@
 
 // New returns a planner that does nothing until Run and while the duty is another's;
 // self names it in orders.
-func New(self string, c galenastair.EngineControl, d Duty, loop *control.Loop, opts ...Option) *Planner {
+func New(self string, t quota.Terms, c galenastair.EngineControl, d Duty, loop *control.Loop, opts ...Option) *Planner {
 	p := &Planner{
 		self:    self,
 		control: c,
@@ -117,7 +117,7 @@
 		ctx:     context.Background(),
 		sites:   map[galenastair.ServiceName]*site{},
 		servers: map[galenastair.BackendServerID]pool.Server{},
-		lender:  quota.NewLender(),
+		lender:  quota.NewLender(t),
 		reports: map[galenastair.InstanceID]report{},
 	}
 	for _, o := range opts {
@@ -274,7 +274,7 @@
 	for _, d := range r.Poisons {
 		p.poisons = append(p.poisons, poisonAt{d, r.Instance, now})
 	}
-	news := News{Fleet: p.lender.Heard(now, r.Instance), Loads: p.others(now, r.Instance)}
+	news := News{Fleet: p.lender.Heard(now, r.Instance, r.Fleet), Loads: p.others(now, r.Instance)}
 	for _, a := range r.Asks {
 		if n := p.lender.Lend(now, a); n > 0 {
 			news.Loans = append(news.Loans, quota.Ask{Organisation: a.Organisation, Amount: n})
@@ -328,7 +328,7 @@
 	err := ErrNotPlanner
 	doErr := p.loop.Do(ctx, func() {
 		if p.duty.Holds() {
-			n, err = p.lender.Lend(p.clock.Now(), a), nil
+			n, err = p.lender.LendAll(p.clock.Now(), a), nil
 		}
 	})
 	if doErr != nil {
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -1,11 +1,13 @@
 // Package quota holds organisations to their rate and burst over all instances.
 //
-// Half of each quota is dealt evenly to the instances, which spend their part without
-// a message. The other half is lent by one instance, the lender, ahead of need: each
-// instance tells its demand a few times a second and borrows for the next moment. The
-// sum of all buckets never exceeds the contract, whatever is lost, cut off or
-// restarted: a new bucket starts empty, and a loan that is not spent in time is void.
+// One instance, the lender, keeps a token bucket for each organisation; the others
+// borrow what a request lacks, and busy ones ahead of need. A loan is void after a
+// second or so and what is left of it goes back. An instance that hears nothing from
+// the lender spends a part of its own, which the lender leaves out of its lending
+// while it misses that instance; so the sum stays within the contract and its slack,
+// whatever is lost, cut off or restarted. All buckets start empty.
 //
-// Units are those of the contract, tokens or requests. Messages: none of its own, the
-// asks travel with the instances' exchange, 20 bytes an organisation.
+// Units are those of the contract, tokens or requests. Messages: one call of some 150
+// bytes for a request of a quiet organisation, none for those of a busy one, whose
+// asks travel with the instances' exchange.
 package quota
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -7,34 +7,42 @@
 	"galenastair/catalog"
 )
 
-// heardFor is how long an instance that was heard counts; it exchanges a few times
-// a second.
-const heardFor = 2 * time.Second
-
-// Lender lends the part of the quotas that is not dealt. Its owner keeps it to one
-// goroutine, and asks it only while it holds the duty.
+// Lender keeps the organisations' buckets. Its owner keeps it to one goroutine, and
+// asks it only while it holds the duty.
 type Lender struct {
-	accounts map[galenastair.Organisation]*bucket
+	terms    Terms
+	accounts map[galenastair.Organisation]*credit
 	heard    map[galenastair.InstanceID]time.Time
 	began    time.Time
+	// told is the largest fleet that an instance was told of before this term.
+	told int
+}
+
+type credit struct {
+	bucket
+	full, size float64
 }
 
 // NewLender returns a lender whose buckets are empty.
-func NewLender() *Lender {
-	return &Lender{accounts: map[galenastair.Organisation]*bucket{}, heard: map[galenastair.InstanceID]time.Time{}}
+func NewLender(t Terms) *Lender {
+	return &Lender{terms: t, accounts: map[galenastair.Organisation]*credit{}, heard: map[galenastair.InstanceID]time.Time{}}
 }
 
 // SetContracts takes the organisations' quotas.
 func (l *Lender) SetContracts(now time.Time, c *catalog.Catalog) {
 	seen := map[galenastair.Organisation]bool{}
 	c.Organisations(func(o *catalog.Organisation) {
+		if o.Rate <= 0 {
+			return
+		}
 		seen[o.Name] = true
-		b := l.accounts[o.Name]
-		if b == nil {
-			b = &bucket{}
-			l.accounts[o.Name] = b
+		a := l.accounts[o.Name]
+		if a == nil {
+			a = &credit{}
+			l.accounts[o.Name] = a
 		}
-		b.set(now, o.Rate*(1-dealt), o.Burst*(1-dealt))
+		a.full, a.size = o.Rate, l.terms.most(o)
+		l.deal(now, a)
 	})
 	for name := range l.accounts {
 		if !seen[name] {
@@ -43,37 +51,84 @@
 	}
 }
 
+// deal leaves out of the lending what missed instances may spend on their own.
+func (l *Lender) deal(now time.Time, a *credit) {
+	lent := 1 - ownPart*l.missed(now)
+	a.set(now, a.full*lent, a.size*lent)
+}
+
+// missed is the part of the fleet that may be alive and alone.
+func (l *Lender) missed(now time.Time) float64 {
+	here, missed := 0, 0
+	for _, at := range l.heard {
+		if now.Sub(at) < silentAfter {
+			here++
+		} else {
+			missed++
+		}
+	}
+	if now.Sub(l.began) < missedFor {
+		// those of the last term that have not come yet
+		missed = max(missed, l.told-here)
+	}
+	if here+missed == 0 {
+		return 0
+	}
+	return float64(missed) / float64(here+missed)
+}
+
 // Reset empties all buckets, at the beginning of a term: the one before may have lent
 // all that they would hold.
 func (l *Lender) Reset(now time.Time) {
-	for _, b := range l.accounts {
-		b.fill(now)
-		b.level = 0
+	for _, a := range l.accounts {
+		a.fill(now)
+		a.level = 0
 	}
 	clear(l.heard)
-	l.began = now
+	l.began, l.told = now, 0
 }
 
-// Heard counts an instance and returns how many there are; 0 while too little of the
-// term has passed to know. A count of the first few would deal them all there is.
-func (l *Lender) Heard(now time.Time, id galenastair.InstanceID) int {
+// Heard counts an instance, which was told of a fleet before, and returns how many
+// there are; 0 while too little of the term has passed to know. A count of the first
+// few would deal them all there is.
+func (l *Lender) Heard(now time.Time, id galenastair.InstanceID, told int) int {
 	l.heard[id] = now
+	if told != firstFleet {
+		l.told = max(l.told, told)
+	}
 	for other, at := range l.heard {
-		if now.Sub(at) > heardFor {
+		if now.Sub(at) > missedFor {
 			delete(l.heard, other)
 		}
 	}
-	if now.Sub(l.began) < heardFor {
+	for _, a := range l.accounts {
+		l.deal(now, a)
+	}
+	if now.Sub(l.began) < silentAfter {
 		return 0
 	}
 	return len(l.heard)
 }
 
-// Lend returns how much of an ask is lent.
+// Lend returns how much of an ask is lent; it takes back what an ask gives back.
 func (l *Lender) Lend(now time.Time, a Ask) float64 {
 	b := l.accounts[a.Organisation]
 	if b == nil {
 		return 0
 	}
+	if a.Amount < 0 {
+		b.fill(now)
+		b.level = min(b.most, b.level-a.Amount)
+		return 0
+	}
 	return b.upTo(now, a.Amount)
 }
+
+// LendAll lends an ask whole or not at all: a part would not carry a request.
+func (l *Lender) LendAll(now time.Time, a Ask) float64 {
+	b := l.accounts[a.Organisation]
+	if b == nil || !b.take(now, a.Amount) {
+		return 0
+	}
+	return a.Amount
+}
--- a/quota/share.go
+++ b/quota/share.go
@@ -10,30 +10,26 @@
 )
 
 const (
-	// dealt is the part of a quota that instances hold without asking. At half, an
-	// organisation that uses half of its quota evenly meets no refusal while the lender
-	// is away for seconds, and one whose callers all come to one instance still gets
-	// half of it and its part of the other half.
-	dealt = 0.5
-	// loanLife is how long a loan may be spent: some exchanges, so that one that is
-	// late costs nothing, and far below the window in which quotas are counted.
+	// loanLife is how long a loan may be spent: some exchanges, and far below the
+	// window in which quotas are counted.
 	loanLife = 1200 * time.Millisecond
-	// ahead is for how long an instance borrows ahead of its demand.
-	ahead = 700 * time.Millisecond
+	// ahead is for how long a busy instance borrows ahead of its demand.
+	ahead = 600 * time.Millisecond
+	// aheadRequests is how many requests must be expected in that time: below it, what
+	// is borrowed ahead mostly goes void while others lack it.
+	aheadRequests = 4
 	// demandMemory smooths the demand; a burst is seen within an exchange or two.
-	demandMemory = 500 * time.Millisecond
+	demandMemory = time.Second
 	// firstFleet is the number of instances presumed before the lender tells it; too
 	// high refuses a little in the first second, too low would mint.
 	firstFleet = 16
-	// aloneAfter is how long without an exchange halves the own part: the lender no
-	// longer counts an instance that it doesn't hear, and deals its part to the others.
-	aloneAfter = 2500 * time.Millisecond
 	// deniedFor keeps an organisation over its quota from asking the lender for each
-	// request; a tenth of a second of its rate is less than the least slack.
-	deniedFor = 100 * time.Millisecond
+	// request.
+	deniedFor = 50 * time.Millisecond
 )
 
-// Ask is what an instance would like to borrow for an organisation.
+// Ask is what an instance would like to borrow for an organisation; a negative amount
+// goes back.
 type Ask struct {
 	Organisation galenastair.Organisation
 	Amount       float64
@@ -41,6 +37,8 @@
 
 // Share is one instance's part of all quotas.
 type Share struct {
+	terms Terms
+
 	mu       sync.Mutex
 	accounts map[galenastair.Organisation]*account
 	fleet    int
@@ -49,18 +47,20 @@
 }
 
 type account struct {
-	rate, burst float64
-	own         bucket
-	loan        float64
-	loanEnds    time.Time
-	demand      float64
-	demandAt    time.Time
-	denied      time.Time
+	rate, most float64
+	// own is spent while the lender is silent.
+	own      bucket
+	loan     float64
+	loanEnds time.Time
+	demand   float64
+	demandAt time.Time
+	largest  float64
+	denied   time.Time
 }
 
 // NewShare returns a share without contracts.
-func NewShare() *Share {
-	return &Share{accounts: map[galenastair.Organisation]*account{}, fleet: firstFleet}
+func NewShare(t Terms) *Share {
+	return &Share{terms: t, accounts: map[galenastair.Organisation]*account{}, fleet: firstFleet}
 }
 
 // SetContracts takes the organisations' quotas from a version of the configuration.
@@ -78,11 +78,12 @@
 			a = &account{}
 			s.accounts[o.Name] = a
 		}
-		if o.Rate < a.rate || o.Burst < a.burst {
+		most := s.terms.most(o)
+		if o.Rate < a.rate || most < a.most {
 			// what was lent under the higher limit must not be spent under the lower
 			a.loan = 0
 		}
-		a.rate, a.burst = o.Rate, o.Burst
+		a.rate, a.most = o.Rate, most
 		s.deal(now, a)
 	})
 	for name := range s.accounts {
@@ -94,11 +95,11 @@
 
 // deal sets an account's own bucket to this instance's part.
 func (s *Share) deal(now time.Time, a *account) {
-	part := dealt / float64(max(1, s.fleet))
-	if s.alone {
-		part /= 2
+	part := ownPart / float64(max(1, s.fleet))
+	if !s.heard.IsZero() && now.Sub(s.heard) > aloneFor {
+		part *= longAlone
 	}
-	a.own.set(now, a.rate*part, a.burst*part)
+	a.own.set(now, a.rate*part, a.most*part)
 }
 
 // SetFleet takes the number of instances that the lender counts, told just now; 0 is
@@ -107,22 +108,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heard = now
-	if n == 0 || n == s.fleet && !s.alone {
-		return
+	if n > 0 {
+		s.fleet = n
 	}
-	s.fleet, s.alone = n, false
-	for _, a := range s.accounts {
-		s.deal(now, a)
+	if s.alone {
+		s.alone = false
+		for _, a := range s.accounts {
+			a.own = bucket{}
+		}
 	}
 }
 
-// Fleet returns the number of instances that the quotas are dealt to.
+// Fleet returns the number of instances.
 func (s *Share) Fleet() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.fleet
 }
 
+// Alone says whether the lender has been silent for so long that this instance
+// spends its own part.
+func (s *Share) Alone(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.alone && now.Sub(s.heard) > silentAfter
+}
+
 // Take charges an organisation; false if this instance holds too little right now.
 func (s *Share) Take(now time.Time, o galenastair.Organisation, cost float64) bool {
 	s.mu.Lock()
@@ -133,7 +144,7 @@
 	}
 	s.noticeSilence(now)
 	a.note(now, cost)
-	return a.take(now, cost)
+	return s.take(now, a, cost)
 }
 
 // Retake charges once more after a loan, without counting the demand twice.
@@ -141,11 +152,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.accounts[o]
-	return a == nil || a.take(now, cost)
+	return a == nil || s.take(now, a, cost)
 }
 
+// noticeSilence begins to fill the own buckets, from empty, once the lender is silent.
 func (s *Share) noticeSilence(now time.Time) {
-	if s.alone || s.heard.IsZero() || now.Sub(s.heard) < aloneAfter {
+	if s.heard.IsZero() || now.Sub(s.heard) < silentAfter {
 		return
 	}
 	s.alone = true
@@ -155,22 +167,23 @@
 }
 
 // take spends the loan first, since it goes void; a charge may use both.
-func (a *account) take(now time.Time, cost float64) bool {
+func (s *Share) take(now time.Time, a *account, cost float64) bool {
 	loan := a.loan
 	if !now.Before(a.loanEnds) {
 		loan = 0
 	}
 	fromLoan := min(loan, cost)
-	if !a.own.take(now, cost-fromLoan) {
+	if rest := cost - fromLoan; rest > 0 && (!s.alone || !a.own.take(now, rest)) {
 		return false
 	}
-	a.loan = loan - fromLoan
+	a.loan -= fromLoan
 	return true
 }
 
 func (a *account) note(now time.Time, cost float64) {
 	a.demand = a.demandNow(now) + cost/demandMemory.Seconds()
 	a.demandAt = now
+	a.largest = max(cost, a.largest*0.95)
 }
 
 // demandNow is the demand in units a second, smoothed.
@@ -181,30 +194,38 @@
 	return a.demand * math.Exp(-now.Sub(a.demandAt).Seconds()/demandMemory.Seconds())
 }
 
-// Asks returns what to borrow for the next moment.
+// Asks returns what to borrow for the next moment, and gives back what has gone void.
 func (s *Share) Asks(now time.Time) []Ask {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Ask
 	for name, a := range s.accounts {
-		a.own.fill(now)
-		have := a.own.level
-		if now.Before(a.loanEnds) {
-			have += a.loan
+		if a.loan > 0 && !now.Before(a.loanEnds) {
+			out = append(out, Ask{name, -a.loan})
+			a.loan = 0
 		}
-		if want := a.demandNow(now)*ahead.Seconds() - have; want > 0 {
-			out = append(out, Ask{name, want})
+		want := a.demandNow(now) * ahead.Seconds()
+		if want < aheadRequests*a.largest || want <= a.loan {
+			continue
 		}
+		out = append(out, Ask{name, want - a.loan})
 	}
 	return out
 }
 
-// MayAsk says whether the lender is worth asking for a single request, and notes it.
-func (s *Share) MayAsk(now time.Time, o galenastair.Organisation) bool {
+// Lacks returns what an organisation's loan lacks for a request; false if the lender
+// has just denied it.
+func (s *Share) Lacks(now time.Time, o galenastair.Organisation, cost float64) (float64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.accounts[o]
-	return a != nil && now.Sub(a.denied) >= deniedFor
+	if a == nil || now.Sub(a.denied) < deniedFor {
+		return 0, false
+	}
+	if !now.Before(a.loanEnds) {
+		return cost, true
+	}
+	return max(0, cost-a.loan), true
 }
 
 // Lent takes in a loan; a loan of nothing keeps the next requests from asking.
@@ -227,7 +248,7 @@
 }
 
 // Wait foretells when an organisation over its quota has room for a request: the time
-// in which its whole rate brings the cost.
+// in which its rate brings the cost, for as many as probably wait for it too.
 func (s *Share) Wait(o galenastair.Organisation, cost float64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,5 +256,5 @@
 	if a == nil || a.rate <= 0 {
 		return 0
 	}
-	return time.Duration(cost / a.rate * float64(s.fleet) * float64(time.Second))
+	return time.Duration(2 * cost / a.rate * float64(time.Second))
 }
--- /dev/null
+++ b/quota/terms.go
@@ -0,0 +1,41 @@
+package quota
+
+import (
+	"time"
+
+	"galenastair/catalog"
+)
+
+// Terms are the platform's bounds on what an organisation gets over its quota, in any
+// span as long as Window: a share Over of what the quota gives then, and Slack.
+type Terms struct {
+	Window time.Duration
+	Over   float64
+	Slack  float64
+}
+
+// burstUse is the part of the bounds that goes into the burst. Rates are drawn up for
+// windows of seconds, and requests of thousands of tokens come in clumps: a bucket of
+// the bare burst refused a quarter of an organisation's requests at half of its rate.
+// The rest is for what a change of the lender, or a cut, can add.
+const burstUse = 0.5
+
+// most is the size of an organisation's bucket.
+func (t Terms) most(o *catalog.Organisation) float64 {
+	return o.Burst + burstUse*(t.Over*(t.Window.Seconds()*o.Rate+o.Burst)+t.Slack)
+}
+
+const (
+	// silentAfter is how long without an exchange parts an instance and the lender:
+	// both go by it. Idle instances exchange each second.
+	silentAfter = 1800 * time.Millisecond
+	// ownPart is the part of a quota that instances without the lender spend, each its
+	// share by number. All of them alone still serve most of what comes.
+	ownPart = 0.8
+	// missedFor is how long the lender leaves a missed instance's part out; one that
+	// is alone for longer spends so little that the slack covers it.
+	missedFor = 12 * time.Second
+	aloneFor  = 8 * time.Second
+	// longAlone is what remains of the own part then.
+	longAlone = 0.1
+)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -39,6 +39,11 @@
 	// RetryRatio and RetrySlack bound what is sent once more, over all instances.
 	RetryRatio float64
 	RetrySlack float64
+	// QuotaWindow, QuotaOver and QuotaSlack bound what an organisation may get beyond
+	// its rate and burst: in any window, a share of them and a number of tokens.
+	QuotaWindow time.Duration
+	QuotaOver   float64
+	QuotaSlack  float64
 }
 
 // megabyte is the unit of the platform's memory limits.
@@ -63,6 +68,9 @@
 		required(duration("Bounds", "LeaveTimeout", &b.LeaveTimeout, 100*time.Millisecond, time.Hour)),
 		required(decimal("Bounds", "RetryRatio", &b.RetryRatio, 0, 10)),
 		required(decimal("Bounds", "RetrySlack", &b.RetrySlack, 0, 1e6)),
+		required(duration("Bounds", "QuotaWindow", &b.QuotaWindow, 100*time.Millisecond, time.Hour)),
+		required(decimal("Bounds", "QuotaOver", &b.QuotaOver, 0, 10)),
+		required(decimal("Bounds", "QuotaSlack", &b.QuotaSlack, 0, 1e12)),
 	}
 }
 
