quota, turn: alone at once when no lender answers; the duty goes at the signal

Cause: for 1 to 2 s after the planner was cut off, all instances refused as over quota: own parts began only 1.8 s later, and the new holder was found slowly.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -153,7 +153,7 @@
 	}
 	failure := answer.Status >= http.StatusInternalServerError
 	if failure && r.mayRunAgain() {
-		flight.End(now, pool.Failed)
+		flight.End(now, pool.Erred)
 		return eris.Wrapf(errServer, "status %d", answer.Status)
 	}
 	r.first, r.status = now, answer.Status
@@ -174,7 +174,7 @@
 	}
 	result := pool.Succeeded
 	if failure {
-		result = pool.Failed
+		result = pool.Erred
 	}
 	flight.End(r.g.clock.Now(), result)
 	r.g.poison.Succeeded(r.digest)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -126,6 +126,7 @@
 // failed doubts the holder and logs the loss once.
 func (x *exchange) failed(err error) {
 	x.keeper.Doubt()
+	x.share.Unheard(time.Now())
 	if !x.lost {
 		x.lost = true
 		x.logger.Log("event", "dependency lost", "peer", x.keeper.Holder(), "err", err)
@@ -177,14 +178,15 @@
 func (q quotas) Borrow(ctx context.Context, o galenastair.Organisation, cost float64) bool {
 	now := time.Now()
 	lacks, ok := q.Lacks(now, o, cost)
-	if !ok || q.Alone(now) {
+	if !ok || q.Alone() {
 		return false
 	}
 	n, err := q.exchange.borrow(ctx, quota.Ask{Organisation: o, Amount: lacks})
 	if err != nil {
 		q.exchange.keeper.Doubt()
 		q.exchange.logger.Log("event", "borrow", "organisation", o, "err", err)
-		n = 0
+		q.Unheard(time.Now())
+		return q.Retake(time.Now(), o, cost)
 	}
 	q.Lent(time.Now(), o, n)
 	return n > 0 && q.Retake(time.Now(), o, cost)
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,7 @@
 	// viewPace and serverPace gather changes that come in a row into one call; they stay
 	// well below the times in which a version, or a server's leaving, must be in force.
 	viewPace   = 150 * time.Millisecond
-	serverPace = 600 * time.Millisecond
+	serverPace = time.Second
 	// poisonTrials and poisonTerm: a request that has broken three connections of
 	// backend servers without an answer is refused for a while.
 	poisonTrials = 3
@@ -132,7 +132,9 @@
 	n.add(work, &g, "configuration", n.views.run)
 	n.add(work, &g, "registrations", n.servers.follower.Run)
 	n.add(work, &g, "backend servers", n.servers.run)
-	n.add(work, &g, "turn", n.keeper.Run)
+	// the duty is given up as soon as the signal comes, for another to take it while
+	// this instance still serves
+	n.add(work, &g, "turn", func(work context.Context) error { return n.keepTurn(ctx, work) })
 	n.add(work, &g, "planner", n.planner.Run)
 	n.add(work, &g, "exchange", n.exchange.run)
 	n.add(work, &g, "connections", n.prune)
@@ -164,6 +166,16 @@
 		follow.WithWait(serverWait), follow.WithPace(serverPace), follow.WithLogger(n.logger))
 }
 
+// keepTurn keeps the turn until the instance is told to stop, and ends with the rest.
+func (n *Node) keepTurn(signal, work context.Context) error {
+	both, cancel := context.WithCancel(work)
+	defer cancel()
+	defer context.AfterFunc(signal, cancel)()
+	err := n.keeper.Run(both)
+	<-work.Done()
+	return err
+}
+
 // post logs that the control loop has ended; nothing is lost by it then.
 func (n *Node) post(err error) {
 	if err != nil {
--- a/pool/flight.go
+++ b/pool/flight.go
@@ -26,6 +26,8 @@
 	Succeeded Result = iota
 	// Failed is an answer that was cut, wrong or an error of the server.
 	Failed
+	// Erred is a whole answer that says that the server failed.
+	Erred
 	// Full is a server that declined for lack of room.
 	Full
 	// Neutral says nothing about the server: the caller left, or the request was wrong.
@@ -87,6 +89,8 @@
 		m.health.succeeded()
 	case Failed:
 		m.health.failed(now)
+	case Erred:
+		m.health.erred(now)
 	case Full:
 		m.health.full = now.Add(fullFor)
 		m.health.probing = false
--- a/pool/health.go
+++ b/pool/health.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// erred counts an error that the server itself answered with. Requests of some kinds
+// fail everywhere, so only their share tells of the server.
+func (h *health) erred(now time.Time) {
+	h.failures = 0
+	h.note(1)
+	if h.samples >= leastSamples && h.share > failShareOut || h.probing {
+		h.takeOut(now)
+	}
+}
+
 func (h *health) note(failure float64) {
 	h.samples++
 	h.share += max(failWeight, 1/float64(h.samples)) * (failure - h.share)
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -127,7 +127,8 @@
 // LendAll lends an ask whole or not at all: a part would not carry a request.
 func (l *Lender) LendAll(now time.Time, a Ask) float64 {
 	b := l.accounts[a.Organisation]
-	if b == nil || !b.take(now, a.Amount) {
+	// before the first report of a term nobody is known to be missed
+	if b == nil || len(l.heard) == 0 || !b.take(now, a.Amount) {
 		return 0
 	}
 	return a.Amount
--- a/quota/share.go
+++ b/quota/share.go
@@ -23,6 +23,9 @@
 	// firstFleet is the number of instances presumed before the lender tells it; too
 	// high refuses a little in the first second, too low would mint.
 	firstFleet = 16
+	// firstAlone is the time whose part of the rate an instance begins alone with: about
+	// what it would have borrowed since the lender last answered.
+	firstAlone = 400 * time.Millisecond
 	// deniedFor keeps an organisation over its quota from asking the lender for each
 	// request.
 	deniedFor = 50 * time.Millisecond
@@ -126,12 +129,11 @@
 	return s.fleet
 }
 
-// Alone says whether the lender has been silent for so long that this instance
-// spends its own part.
-func (s *Share) Alone(now time.Time) bool {
+// Alone says whether this instance spends its own part, since no lender answers.
+func (s *Share) Alone() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.alone && now.Sub(s.heard) > silentAfter
+	return s.alone
 }
 
 // Take charges an organisation; false if this instance holds too little right now.
@@ -155,15 +157,30 @@
 	return a == nil || s.take(now, a, cost)
 }
 
-// noticeSilence begins to fill the own buckets, from empty, once the lender is silent.
+// noticeSilence goes over to the own buckets once the lender is silent.
 func (s *Share) noticeSilence(now time.Time) {
-	if s.heard.IsZero() || now.Sub(s.heard) < silentAfter {
-		return
+	if !s.heard.IsZero() && now.Sub(s.heard) >= silentAfter {
+		s.goAlone(now)
 	}
-	s.alone = true
+}
+
+// Unheard notes that the lender did not answer, or is none any more. The own buckets
+// are spent from then on: waiting until it is certain would refuse all for a second or
+// two each time that the lender changes, and one instance's part in that time is small.
+func (s *Share) Unheard(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.goAlone(now)
+}
+
+func (s *Share) goAlone(now time.Time) {
 	for _, a := range s.accounts {
 		s.deal(now, a)
+		if !s.alone {
+			a.own.level = min(a.own.most, a.own.rate*firstAlone.Seconds())
+		}
 	}
+	s.alone = true
 }
 
 // take spends the loan first, since it goes void; a charge may use both.
--- a/turn/keeper.go
+++ b/turn/keeper.go
@@ -25,9 +25,9 @@
 	joinPeriod = 700 * time.Millisecond
 	// membership is how long the store keeps the duty of a member that is silent: as
 	// short as leaves a slow store its time, since nobody plans meanwhile.
-	membership = 2500 * time.Millisecond
+	membership = 2200 * time.Millisecond
 	// ownerPeriod is how often the holder's name is asked for while it may be wrong.
-	ownerPeriod = time.Second
+	ownerPeriod = 400 * time.Millisecond
 	// leaveTimeout bounds the last call of an instance that stops.
 	leaveTimeout = 500 * time.Millisecond
 )
@@ -43,6 +43,7 @@
 	mu     sync.Mutex
 	holder string
 	unsure bool
+	wake   chan struct{}
 
 	// owned by Run
 	generation galenastair.Generation
@@ -62,7 +63,7 @@
 // NewKeeper returns a keeper for a member, which is named by its peer address so that
 // whoever reads the holder's name can call it.
 func NewKeeper(s galenastair.Store, t *Turn, member string, opts ...Option) *Keeper {
-	k := &Keeper{store: s, turn: t, member: member, clock: boottime.Now, logger: log.NewNopLogger(), unsure: true}
+	k := &Keeper{store: s, turn: t, member: member, clock: boottime.Now, logger: log.NewNopLogger(), unsure: true, wake: make(chan struct{}, 1)}
 	for _, o := range opts {
 		o(k)
 	}
@@ -73,7 +74,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		k.round(ctx)
-		timer.Wait(ctx, joinPeriod)
+		k.rest(ctx)
 	}
 	k.turn.Joined(0, 0, false)
 	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
@@ -84,6 +85,23 @@
 	return ctx.Err()
 }
 
+// rest waits for the next join, and asks for the holder as soon as it is in doubt.
+func (k *Keeper) rest(ctx context.Context) {
+	next := time.NewTimer(joinPeriod)
+	defer next.Stop()
+	for {
+		select {
+		case <-k.wake:
+			k.findHolder(ctx)
+			timer.Wait(ctx, ownerPeriod/4)
+		case <-next.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (k *Keeper) round(ctx context.Context) {
 	sent := k.clock()
 	a, err := k.store.Join(ctx, group, k.member, dutyTopic, membership, k.generation)
@@ -137,6 +155,7 @@
 		k.logger.Log("event", "owner", "err", err)
 		return
 	}
+	// the store names a member that has left or died until its time is over
 	if holder != "" && holder != k.member {
 		k.setHolder(holder)
 	}
@@ -164,4 +183,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.unsure = true
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
 }
