--- a/planner/adapters.go
+++ b/planner/adapters.go
@@ -36,7 +36,7 @@
 	var drop galenastair.ModelName
 	least := math.Inf(1)
 	for _, e := range s.engines {
-		if !e.ready(model) || e.adapters[name] != nil || e.unsure {
+		if !e.ready(model) || e.adapters[name] != nil || e.unsure || e.moving() {
 			continue
 		}
 		victim, ok := s.placeFor(now, e)
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -13,6 +13,9 @@
 	state place.CopyState
 	since time.Time
 	used  time.Time
+	// ordered says that an order of this term put it in its state, and that the engine
+	// has not listed it so yet.
+	ordered bool
 }
 
 // task is an order that is wanted.
@@ -36,9 +39,11 @@
 }
 
 const (
-	// unseen is how long an accepted load may be missing from the engine's
-	// registration before its state is asked for: a load takes some seconds.
-	unseen = 6 * time.Second
+	// unseen is how long an accepted order may not show in the engine's registration
+	// before its state is asked for: a load takes some seconds.
+	unseen = 5 * time.Second
+	// goingRest is when an engine is asked whether an adapter in use has gone.
+	goingRest = 300 * time.Millisecond
 	// lateBeat is how long a registration may still show what was before an order: it
 	// is written every heartbeat of about a second, and was on its way for a while.
 	lateBeat = 2500 * time.Millisecond
@@ -70,40 +75,74 @@
 	return e
 }
 
-// registered takes in a registration.
+// endTerm forgets the orders of a term: what was ordered counts until the next
+// registration, and another holder's orders may have come since.
+func (e *engine) endTerm() {
+	for _, t := range e.tasks {
+		e.givenUp(t)
+		tell(t.done, false)
+	}
+	e.tasks = nil
+	for _, items := range []map[galenastair.ModelName]*item{e.models, e.adapters} {
+		for _, it := range items {
+			it.ordered = false
+		}
+	}
+	e.unsure = e.unsure || e.running
+}
+
+// registered takes in a registration. It may have been written before an order was
+// carried out, so what was ordered is not dropped by it, but asked for if it lasts.
 func (e *engine) registered(now time.Time, s pool.Server) {
 	if s.Beat < e.server.Beat {
 		return
 	}
 	e.server = s
-	e.sync(now, s.Models)
+	models, adapters := listed(s.Models)
+	doubt := syncItems(now, e.models, models, unseen, false)
+	doubt = syncItems(now, e.adapters, adapters, lateBeat, false) || doubt
+	e.unsure = e.unsure || doubt
 }
 
-// sync makes the items those that the engine lists, but for orders that it accepted
-// and that may still be on their way.
-func (e *engine) sync(now time.Time, models []galenastair.EngineModel) {
-	listedModels, listedAdapters := map[galenastair.ModelName]bool{}, map[galenastair.ModelName]bool{}
-	for _, m := range models {
-		listedModels[m.Name] = true
+// stated takes in the state that an idle engine gave when asked: it is the whole truth.
+func (e *engine) stated(now time.Time, s galenastair.EngineState) {
+	models, adapters := listed(s.Models)
+	for _, name := range s.Fetching {
+		adapters[name] = true
+	}
+	syncItems(now, e.models, models, 0, true)
+	syncItems(now, e.adapters, adapters, 0, true)
+}
+
+func listed(ms []galenastair.EngineModel) (models, adapters map[galenastair.ModelName]bool) {
+	models, adapters = map[galenastair.ModelName]bool{}, map[galenastair.ModelName]bool{}
+	for _, m := range ms {
+		models[m.Name] = true
 		for _, a := range m.Adapters {
-			listedAdapters[adapterName(m.Name, a)] = true
+			adapters[adapterName(m.Name, a)] = true
 		}
 	}
-	syncItems(now, e.models, listedModels, unseen)
-	syncItems(now, e.adapters, listedAdapters, lateBeat)
+	return models, adapters
 }
 
-func syncItems(now time.Time, items map[galenastair.ModelName]*item, listed map[galenastair.ModelName]bool, late time.Duration) {
+// syncItems goes by what an engine lists. Unless that is the whole truth, what was
+// ordered stays counted; the result says that it has not shown for too long.
+func syncItems(now time.Time, items map[galenastair.ModelName]*item, listed map[galenastair.ModelName]bool, late time.Duration, whole bool) bool {
+	doubt := false
 	for name, it := range items {
+		overdue := it.ordered && now.Sub(it.since) > late
 		switch {
-		case listed[name] && it.state == place.Coming:
-			it.state = place.Ready
-		case !listed[name] && it.state == place.Going:
+		case listed[name] && it.state == place.Going:
+			if whole && overdue && now.Sub(it.since) > unseen {
+				it.state, it.ordered = place.Ready, false
+			}
+			doubt = doubt || overdue
+		case listed[name]:
+			it.state, it.ordered = place.Ready, false
+		case it.state == place.Going || !it.ordered || whole:
 			delete(items, name)
-		case !listed[name] && now.Sub(it.since) > late:
-			delete(items, name)
-		case listed[name] && it.state == place.Going && now.Sub(it.since) > 2*unseen:
-			it.state = place.Ready
+		default:
+			doubt = doubt || overdue
 		}
 	}
 	for name := range listed {
@@ -111,15 +150,42 @@
 			items[name] = &item{state: place.Ready, since: now}
 		}
 	}
+	return doubt
+}
+
+// fits says whether an order may be sent by all that the engine may hold by now.
+//
+// Failure: an order without an answer acts late, or an adapter that is in use stays
+// while it is unloaded; the load planned in its place then exceeds what the engine
+// holds, which crashes it.
+func (e *engine) fits(c *contents, t task) bool {
+	if t.kind != galenastair.LoadModel {
+		return true
+	}
+	if t.adapter != "" {
+		return len(e.adapters) <= c.engine.AdapterPlaces && e.ready(t.model)
+	}
+	return e.free(c) >= 0
+}
+
+// moving says whether a model is being loaded or unloaded; the engine takes no other
+// order meanwhile.
+func (e *engine) moving() bool {
+	for _, it := range e.models {
+		if it.state != place.Ready {
+			return true
+		}
+	}
+	return false
 }
 
 // add queues an order and counts what it may do at once.
 func (e *engine) add(now time.Time, t task) {
 	items := e.itemsOf(t)
 	if t.kind == galenastair.LoadModel {
-		items[t.name()] = &item{state: place.Coming, since: now, used: now}
+		items[t.name()] = &item{state: place.Coming, since: now, used: now, ordered: true}
 	} else if it := items[t.name()]; it != nil {
-		it.state, it.since = place.Going, now
+		it.state, it.since, it.ordered = place.Going, now, true
 	}
 	e.tasks = append(e.tasks, t)
 }
@@ -138,9 +204,10 @@
 	items := e.itemsOf(t)
 	switch {
 	case t.adapter != "" && t.kind == galenastair.LoadModel:
-		items[t.name()] = &item{state: place.Ready, since: now, used: now}
+		items[t.name()] = &item{state: place.Ready, since: now, used: now, ordered: true}
 	case t.adapter != "":
-		delete(items, t.name())
+		// it is in use, and goes when its requests have ended
+		e.unsure, e.rest = true, now.Add(goingRest)
 	case t.kind == galenastair.UnloadModel:
 		e.dropAdapters(t.model)
 	}
@@ -163,7 +230,7 @@
 func (e *engine) heldAlready(now time.Time, t task) {
 	items := e.itemsOf(t)
 	if t.kind == galenastair.LoadModel {
-		items[t.name()] = &item{state: place.Ready, since: now, used: now}
+		items[t.name()] = &item{state: place.Ready, since: now, used: now, ordered: true}
 		return
 	}
 	delete(items, t.name())
--- a/planner/order.go
+++ b/planner/order.go
@@ -29,6 +29,11 @@
 		return
 	}
 	t := e.tasks[0]
+	if !e.fits(s.contents, t) {
+		p.logger.Log("event", "order dropped", "kind", t.kind, "name", t.name(), "server", e.server.ID, "reason", t.reason)
+		p.drop(e, t)
+		return
+	}
 	order := galenastair.EngineOrder{
 		Kind:     t.kind,
 		Model:    t.model,
@@ -177,7 +182,7 @@
 		p.acted(now, e, state)
 	}
 	e.sequence = state.Sequence
-	e.sync(now, state.Models)
+	e.stated(now, state)
 	e.unsure = false
 	p.startEngine(now, s, e)
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -212,13 +212,7 @@
 	}
 	for _, s := range p.sites {
 		for _, e := range s.engines {
-			// what another holder ordered meanwhile is not known here
-			for _, t := range e.tasks {
-				e.givenUp(t)
-				tell(t.done, false)
-			}
-			e.tasks = nil
-			e.unsure = e.unsure || e.running
+			e.endTerm()
 		}
 	}
 }
