planner: a queued load takes its memory also after the engine's state was read

Ruled out: late orders (every order presumed its count), adapters in use alone. Change: queued orders are counted again behind each state. Test first, seen failing.

--- a/planner/engine.go
+++ b/planner/engine.go
@@ -112,6 +112,10 @@
 	}
 	syncItems(now, e.models, models, 0, true)
 	syncItems(now, e.adapters, adapters, 0, true)
+	for _, t := range e.tasks {
+		// what waits to be sent is not in the state yet, and still takes its place
+		e.count(now, t)
+	}
 }
 
 func listed(ms []galenastair.EngineModel) (models, adapters map[galenastair.ModelName]bool) {
@@ -181,13 +185,18 @@
 
 // add queues an order and counts what it may do at once.
 func (e *engine) add(now time.Time, t task) {
+	e.count(now, t)
+	e.tasks = append(e.tasks, t)
+}
+
+// count counts what a queued order may do.
+func (e *engine) count(now time.Time, t task) {
 	items := e.itemsOf(t)
 	if t.kind == galenastair.LoadModel {
 		items[t.name()] = &item{state: place.Coming, since: now, used: now, ordered: true}
 	} else if it := items[t.name()]; it != nil {
 		it.state, it.since, it.ordered = place.Going, now, true
 	}
-	e.tasks = append(e.tasks, t)
 }
 
 func (e *engine) itemsOf(t task) map[galenastair.ModelName]*item {
