--- a/node/listen.go
+++ b/node/listen.go
@@ -27,11 +27,12 @@
 	// welcome: a poll's wait and some time beyond. After it the view soon is too old to
 	// admit a key, and callers are better served elsewhere.
 	readySilence = viewWait + 900*time.Millisecond
-	// notice is how long an instance that has been told to stop still takes new
-	// connections: the balancer asks each second and goes by two answers.
-	notice = 3200 * time.Millisecond
+	// notice is how long an instance that has been told to stop still takes requests:
+	// the balancer asks each second and goes by two answers. Taking them for longer
+	// would leave long streams too little of the time to stop.
+	notice = 2600 * time.Millisecond
 	// stopMargin is kept of the time to stop for the last steps.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
 )
 
 func (n *Node) listen(g *run.Group) error {
