node: a stop closes connections between requests only

Ruled out: the balancer (the machine was out already), the backend server. Change: own connection states; a connection is closed or has a request, never both.

--- a/node/listen.go
+++ b/node/listen.go
@@ -35,18 +35,22 @@
 	stopMargin = 300 * time.Millisecond
 )
 
+// callersPort names the port whose connections a stop closes with care.
+const callersPort = "callers'"
+
 func (n *Node) listen(g *run.Group) error {
 	peers := http.NewServeMux()
 	peers.Handle(planning.PathPrefix, planning.NewServer(n.planner))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
-	n.callers = newServer(platform.NewHandler(n.gateway, n.views, n.stopping.Load))
+	callers := newServer(n.conns.handler(platform.NewHandler(n.gateway, n.views, n.stopping.Load)))
+	callers.ConnContext, callers.ConnState = n.conns.context, n.conns.changed
 	for _, p := range []struct {
 		name    string
 		address string
 		server  *http.Server
 	}{
-		{"callers'", n.settings.CallerAddress, n.callers},
+		{callersPort, n.settings.CallerAddress, callers},
 		{"ready", n.settings.ReadyAddress, newServer(platform.NewReadyHandler(n.ready))},
 		{"peers'", n.settings.PeerAddress, newServer(peers)},
 		{"metrics", n.settings.MetricsAddress, newServer(metrics)},
@@ -55,6 +59,9 @@
 		if err != nil {
 			return eris.Wrapf(err, "%s port: is %s in use, or not an address of this machine?", p.name, p.address)
 		}
+		if p.name == callersPort {
+			n.callers = l
+		}
 		serve(g, p.server, l)
 	}
 	n.logger.Log("event", "listening", "callers", n.settings.CallerAddress, "peers", n.settings.PeerAddress, "metrics", n.settings.MetricsAddress)
@@ -65,13 +72,13 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
 }
 
-// serve adds a port to the group. Its goroutine waits for the group's end after a
-// graceful Shutdown too: else the callers' port, which closes first, would stop the
+// serve adds a port to the group. Its goroutine waits for the group's end also when
+// its listener was closed: else the callers' port, which closes first, would stop the
 // group while the last requests still run.
 func serve(g *run.Group, s *http.Server, l net.Listener) {
 	ended := make(chan struct{})
 	g.Add(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 		<-ended
@@ -106,8 +113,10 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.StopTimeout-stopMargin)
 	defer cancel()
 	timer.Wait(ctx, notice)
-	n.callers.SetKeepAlivesEnabled(false)
-	err := n.callers.Shutdown(ctx)
-	n.logger.Log("event", "stopped", "err", err)
+	if err := n.callers.Close(); err != nil {
+		n.logger.Log("event", "callers' port", "err", err)
+	}
+	left := n.conns.drain(ctx)
+	n.logger.Log("event", "stopped", "left", left)
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -53,14 +54,15 @@
 	servers  *servers
 	pool     *pool.Pool
 	share    *quota.Share
-	conns    *httpconn.Client
+	backends *httpconn.Client
 	keeper   *turn.Keeper
 	planner  *planner.Planner
 	exchange *exchange
 	gateway  *gateway.Gateway
 	metrics  *metrics
 	stopping atomic.Bool
-	callers  *http.Server
+	callers  net.Listener
+	conns    *callerConns
 }
 
 // Option varies a Node.
@@ -71,7 +73,7 @@
 
 // New returns a node that does nothing until Run.
 func New(s settings.Gateway, opts ...Option) *Node {
-	n := &Node{settings: s, logger: log.NewNopLogger(), loop: control.NewLoop(), metrics: newMetrics()}
+	n := &Node{settings: s, logger: log.NewNopLogger(), loop: control.NewLoop(), metrics: newMetrics(), conns: newCallerConns()}
 	for _, o := range opts {
 		o(n)
 	}
@@ -79,8 +81,8 @@
 	n.pool = pool.New(s.AvailabilityZone)
 	terms := quota.Terms{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
 	n.share = quota.NewShare(terms)
-	n.conns = httpconn.NewClient()
-	backend := platform.NewReplicas(n.conns)
+	n.backends = httpconn.NewClient()
+	backend := platform.NewReplicas(n.backends)
 	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders))
 	n.keeper = turn.NewKeeper(store, t, s.PeerAddress, turn.WithLogger(n.logger))
 	n.planner = planner.New(string(s.ID), terms, backend, duty{t}, n.loop,
@@ -205,7 +207,7 @@
 	for {
 		select {
 		case now := <-tick.C:
-			n.conns.Prune(now)
+			n.backends.Prune(now)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
