--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,8 @@
 	RetrySlack float64
 	// Fleet returns the number of instances.
 	Fleet func() int
+	// Closing says that this instance ends within seconds.
+	Closing func() bool
 }
 
 // retryUse is the part of the retry bounds that instances use: they count their own
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -56,6 +56,10 @@
 	if err != nil {
 		return err
 	}
+	if a.route.Kind.Streamed() && r.g.settings.Closing() {
+		// a stream takes seconds, and would be cut by this instance's end
+		return galenastair.Refuse(galenastair.ErrStopping, leastRetry, "")
+	}
 	r.service = a.route.Choose(draw())
 	r.digest = claim.DigestOf(a.name(), r.call.Method+" "+r.call.Target, r.call.Body)
 	if err := r.g.poison.Allow(r.g.clock.Now(), r.digest); err != nil {
--- a/node/conns.go
+++ b/node/conns.go
@@ -21,17 +21,18 @@
 // callerConn is one connection of a caller.
 type callerConn struct {
 	net.Conn
-	state atomic.Int32
-	// since is when it was opened or last became quiet, in Unix nanoseconds.
-	since atomic.Int64
+	state  atomic.Int32
+	opened time.Time
+	// kept says that it has carried a request.
+	kept atomic.Bool
 }
 
 // begin marks the connection as busy with a request that has been read; false if it
 // has been closed meanwhile.
 func (c *callerConn) begin() bool { return c.state.CompareAndSwap(connQuiet, connBusy) }
 
-func (c *callerConn) quiet(now time.Time) {
-	c.since.Store(now.UnixNano())
+func (c *callerConn) quiet() {
+	c.kept.Store(true)
 	c.state.CompareAndSwap(connBusy, connQuiet)
 }
 
@@ -60,8 +61,7 @@
 
 // context remembers the connection for its requests; it is the server's ConnContext.
 func (s *callerConns) context(ctx context.Context, c net.Conn) context.Context {
-	k := &callerConn{Conn: c}
-	k.since.Store(time.Now().UnixNano())
+	k := &callerConn{Conn: c, opened: time.Now()}
 	s.mu.Lock()
 	s.conns[c] = k
 	s.mu.Unlock()
@@ -75,7 +75,7 @@
 	switch state {
 	case http.StateIdle:
 		if k := s.conns[c]; k != nil {
-			k.quiet(time.Now())
+			k.quiet()
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
@@ -93,18 +93,18 @@
 }
 
 const (
-	// quietFor is how long a connection is quiet before a stop closes it: a caller's
-	// first request is on its way for some milliseconds after the connection is open.
-	quietFor = 300 * time.Millisecond
+	// newFor is how old a connection without any request must be before a stop closes
+	// it: a caller's first request is on its way for some milliseconds.
+	newFor = 300 * time.Millisecond
 	// closePeriod is how often a stop looks for connections to close.
-	closePeriod = 50 * time.Millisecond
+	closePeriod = 20 * time.Millisecond
 )
 
 // drain closes quiet connections until none is left or the context ends, and returns
 // how many are left.
 func (s *callerConns) drain(ctx context.Context) int {
 	for {
-		left := s.closeQuiet(time.Now().Add(-quietFor))
+		left := s.closeQuiet(time.Now().Add(-newFor))
 		if left == 0 || !timer.Wait(ctx, closePeriod) {
 			return left
 		}
@@ -119,7 +119,7 @@
 	}
 	s.mu.Unlock()
 	for _, k := range list {
-		if k.since.Load() < before.UnixNano() {
+		if k.kept.Load() || k.opened.Before(before) {
 			k.closeQuiet()
 		}
 	}
--- /dev/null
+++ b/node/conns_test.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// startCallers serves h on loopback with the connections followed.
+func startCallers(t *testing.T, h http.Handler) (*callerConns, net.Listener) {
+	t.Helper()
+	conns := newCallerConns()
+	s := newServer(conns.handler(h))
+	s.ConnContext, s.ConnState = conns.context, conns.changed
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	})
+	return conns, l
+}
+
+// A planned stop closes kept connections. A request that came on one in that moment was
+// passed on to a backend server, and its caller got a closed connection: the server's
+// own shutdown took the connection for idle while the request was being read. Here a
+// request is either answered whole or its handler never runs.
+func TestStopClosesBetweenRequestsOnly(t *testing.T) {
+	is := is.New(t)
+	for range 40 {
+		ran := make(chan struct{}, 1)
+		conns, l := startCallers(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			ran <- struct{}{}
+			time.Sleep(time.Millisecond)
+			_, _ = io.WriteString(w, "whole")
+		}))
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		ask := "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+		_, err = io.WriteString(c, ask)
+		is.NoErr(err)
+		buf := make([]byte, 1024)
+		_, err = c.Read(buf)
+		is.NoErr(err)
+		<-ran
+		go func() { _, _ = io.WriteString(c, ask) }()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		conns.drain(ctx)
+		cancel()
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		answer, _ := io.ReadAll(c)
+		select {
+		case <-ran:
+			is.True(strings.HasSuffix(string(answer), "whole"))
+		default:
+			is.Equal(len(answer), 0)
+		}
+		_ = c.Close()
+	}
+}
+
+// A caller opens a connection just before the stop, and its first request is still on
+// its way: it must find the connection open.
+func TestStopWaitsForFirstRequest(t *testing.T) {
+	is := is.New(t)
+	conns, l := startCallers(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "whole")
+	}))
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	drained := make(chan int, 1)
+	go func() { drained <- conns.drain(ctx) }()
+	time.Sleep(newFor / 4)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	answer, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(answer), "whole"))
+	is.Equal(<-drained, 0)
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -113,6 +113,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.StopTimeout-stopMargin)
 	defer cancel()
 	timer.Wait(ctx, notice)
+	n.closing.Store(true)
 	if err := n.callers.Close(); err != nil {
 		n.logger.Log("event", "callers' port", "err", err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -60,7 +60,9 @@
 	exchange *exchange
 	gateway  *gateway.Gateway
 	metrics  *metrics
+	// stopping is set by the signal, closing when new connections have ended.
 	stopping atomic.Bool
+	closing  atomic.Bool
 	callers  net.Listener
 	conns    *callerConns
 }
@@ -105,6 +107,7 @@
 		RetryRatio: s.Bounds.RetryRatio,
 		RetrySlack: s.Bounds.RetrySlack,
 		Fleet:      n.share.Fleet,
+		Closing:    n.closing.Load,
 	}, gateway.Ports{
 		Views:     n.views,
 		Pool:      n.pool,
