planner, turn, quota: what callers need while nobody plans

Change: adapters are loaded ahead of demand while places are empty; a lease of 1.3 s and a membership of 1.6 s in place of 1.8 and 2.2; instances begin alone with a part of the platform's slack.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -239,7 +239,7 @@
 	}
 	r.g.logger.Log("event", event, "request", e.ID, "organisation", e.Organisation, "route", e.Route, "status", e.Status,
 		"code", e.Code, "outcome", e.Outcome, "sends", e.Sends, "runs", r.runs, "first", e.First, "total", e.Total,
-		"version", r.admission.version, "age", r.admission.age, "model", r.call.Hints.Model, "cause", err)
+		"version", r.admission.version, "age", r.admission.age, "model", r.call.Hints.Model, "tokens", int64(r.call.Hints.Prompt+r.call.Hints.Output), "cause", err)
 }
 
 func codeOf(r *galenastair.Refusal) galenastair.Code {
--- a/node/views.go
+++ b/node/views.go
@@ -63,7 +63,22 @@
 	}
 	v.current.Store(c)
 	v.logger.Log("event", "configuration", "version", c.Version)
+	v.logQuotas(old, c)
 	v.changed(c)
 }
 
+// logQuotas logs the quotas that a version changes, so that a refusal can be checked
+// against what was in force.
+func (v *views) logQuotas(old, now *catalog.Catalog) {
+	now.Organisations(func(o *catalog.Organisation) {
+		var before *catalog.Organisation
+		if old != nil {
+			before = old.Organisation(o.Name)
+		}
+		if before == nil || before.Rate != o.Rate || before.Burst != o.Burst {
+			v.logger.Log("event", "quota", "organisation", o.Name, "rate", o.Rate, "burst", o.Burst, "version", now.Version)
+		}
+	})
+}
+
 func (v *views) run(ctx context.Context) error { return v.follower.Run(ctx) }
--- a/planner/adapters.go
+++ b/planner/adapters.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"time"
@@ -129,6 +130,29 @@
 	}
 }
 
+// preloadAtOnce bounds the adapters that one round fetches ahead of demand: well below
+// what the weight store serves at full speed, so that those that callers wait for come
+// first.
+const preloadAtOnce = 6
+
+// preloadAdapters gives each adapter a copy while places are empty, asked for or not.
+// Callers then find it also while nobody plans, which lasts some seconds each time that
+// the planner dies.
+func (s *site) preloadAdapters(now time.Time) {
+	left := preloadAtOnce
+	for _, m := range s.contents.models {
+		for i := 1; i <= m.Adapters && left > 0; i++ {
+			name := adapterName(m.Name, fmt.Sprintf("a%d", i))
+			if s.adapterCopies(name) > 0 || !s.emptyPlace(m.Name, name) {
+				continue
+			}
+			if _, ok := s.loadAdapter(now, name, place.Spare, nil); ok {
+				left--
+			}
+		}
+	}
+}
+
 func (s *site) emptyPlace(m, name galenastair.ModelName) bool {
 	for _, e := range s.engines {
 		if e.ready(m) && e.adapters[name] == nil && len(e.adapters) < s.contents.engine.AdapterPlaces && len(e.tasks) < fetchedAtOnce {
--- a/planner/site.go
+++ b/planner/site.go
@@ -83,6 +83,7 @@
 		}
 	}
 	s.spreadAdapters(now)
+	s.preloadAdapters(now)
 }
 
 func (s *site) input(id galenastair.BackendServerID, e *engine) place.Server {
--- a/quota/share.go
+++ b/quota/share.go
@@ -23,9 +23,6 @@
 	// firstFleet is the number of instances presumed before the lender tells it; too
 	// high refuses a little in the first second, too low would mint.
 	firstFleet = 16
-	// firstAlone is the time whose part of the rate an instance begins alone with: about
-	// what it would have borrowed since the lender last answered.
-	firstAlone = 400 * time.Millisecond
 	// deniedFor keeps an organisation over its quota from asking the lender for each
 	// request.
 	deniedFor = 50 * time.Millisecond
@@ -51,6 +48,9 @@
 
 type account struct {
 	rate, most float64
+	// reserve is what all instances together may begin alone with, once in a window.
+	reserve  float64
+	wasAlone time.Time
 	// own is spent while the lender is silent.
 	own      bucket
 	loan     float64
@@ -86,7 +86,7 @@
 			// what was lent under the higher limit must not be spent under the lower
 			a.loan = 0
 		}
-		a.rate, a.most = o.Rate, most
+		a.rate, a.most, a.reserve = o.Rate, most, s.terms.reserve(o)
 		s.deal(now, a)
 	})
 	for name := range s.accounts {
@@ -176,8 +176,9 @@
 func (s *Share) goAlone(now time.Time) {
 	for _, a := range s.accounts {
 		s.deal(now, a)
-		if !s.alone {
-			a.own.level = min(a.own.most, a.own.rate*firstAlone.Seconds())
+		if !s.alone && !s.heard.IsZero() && now.Sub(a.wasAlone) > s.terms.Window {
+			a.own.level = min(a.own.most, a.reserve/float64(max(1, s.fleet)))
+			a.wasAlone = now
 		}
 	}
 	s.alone = true
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -25,6 +25,16 @@
 	return o.Burst + burstUse*(t.Over*(t.Window.Seconds()*o.Rate+o.Burst)+t.Slack)
 }
 
+// reserveUse is the part of the bounds that instances begin with when the lender falls
+// silent: their own parts fill so slowly that a quiet organisation would wait seconds
+// for its first request.
+const reserveUse = 0.35
+
+// reserve is what all instances together may begin alone with.
+func (t Terms) reserve(o *catalog.Organisation) float64 {
+	return reserveUse * (t.Over*(t.Window.Seconds()*o.Rate+o.Burst) + t.Slack)
+}
+
 const (
 	// silentAfter is how long without an exchange parts an instance and the lender:
 	// both go by it. Idle instances exchange each second.
--- a/turn/keeper.go
+++ b/turn/keeper.go
@@ -22,10 +22,10 @@
 
 const (
 	// joinPeriod lets a join be lost and the next still keep the lease.
-	joinPeriod = 700 * time.Millisecond
+	joinPeriod = 450 * time.Millisecond
 	// membership is how long the store keeps the duty of a member that is silent: as
 	// short as leaves a slow store its time, since nobody plans meanwhile.
-	membership = 2200 * time.Millisecond
+	membership = 1600 * time.Millisecond
 	// ownerPeriod is how often the holder's name is asked for while it may be wrong.
 	ownerPeriod = 400 * time.Millisecond
 	// leaveTimeout bounds the last call of an instance that stops.
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -19,8 +19,8 @@
 }
 
 const (
-	// lease covers two joins a second apart and an answer of a slow store.
-	lease = 1800 * time.Millisecond
+	// lease covers two joins and the answer of a slow store.
+	lease = 1300 * time.Millisecond
 	// margin is for an order that was on its way when its sender's lease ended.
 	margin = 200 * time.Millisecond
 )
