--- a/node/exchange.go
+++ b/node/exchange.go
@@ -71,7 +71,7 @@
 	return ctx.Err()
 }
 
-// round makes one exchange and says whether this instance has requests.
+// round makes one exchange and says whether the next is due soon.
 func (x *exchange) round(ctx context.Context) bool {
 	r := x.report()
 	busy := len(r.Loads)+len(r.Demands)+len(r.Asks)+len(r.Poisons) > 0
@@ -79,7 +79,7 @@
 	if err != nil {
 		x.failed(err)
 		x.giveBack(r)
-		return busy
+		return true
 	}
 	x.take(news)
 	return busy
@@ -144,6 +144,9 @@
 		x.share.Lent(now, l.Organisation, l.Amount)
 	}
 	x.pool.SetOthers(now, n.Loads)
+	for _, p := range n.Dropped {
+		x.pool.Unlearn(now, p.Server, p.Name)
+	}
 	for _, p := range n.Placed {
 		x.pool.Learn(now, p.Server, p.Name)
 	}
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -105,14 +105,20 @@
 	return out
 }
 
+func decodePlacements(ps []*planningpb.Placement) []planner.Placement {
+	var out []planner.Placement
+	for _, p := range ps {
+		out = append(out, planner.Placement{Server: galenastair.BackendServerID(p.Server), Name: galenastair.ModelName(p.Name)})
+	}
+	return out
+}
+
 func decodeNews(r *planningpb.ExchangeReply) planner.News {
 	out := planner.News{Fleet: int(r.Fleet), Loads: decodeLoads(r.Loads)}
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.Ask{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
-	for _, p := range r.Placed {
-		out.Placed = append(out.Placed, planner.Placement{Server: galenastair.BackendServerID(p.Server), Name: galenastair.ModelName(p.Name)})
-	}
+	out.Placed, out.Dropped = decodePlacements(r.Placed), decodePlacements(r.Dropped)
 	for _, d := range r.Poisons {
 		out.Poisons = append(out.Poisons, claim.Digest(d))
 	}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -56,15 +56,21 @@
 	for _, l := range n.Loans {
 		out.Loans = append(out.Loans, &planningpb.Loan{Organisation: string(l.Organisation), Amount: l.Amount})
 	}
-	for _, p := range n.Placed {
-		out.Placed = append(out.Placed, &planningpb.Placement{Server: string(p.Server), Name: string(p.Name)})
-	}
+	out.Placed, out.Dropped = encodePlacements(n.Placed), encodePlacements(n.Dropped)
 	for _, d := range n.Poisons {
 		out.Poisons = append(out.Poisons, string(d))
 	}
 	return out
 }
 
+func encodePlacements(ps []planner.Placement) []*planningpb.Placement {
+	var out []*planningpb.Placement
+	for _, p := range ps {
+		out = append(out, &planningpb.Placement{Server: string(p.Server), Name: string(p.Name)})
+	}
+	return out
+}
+
 // Need answers for a model or adapter.
 func (s *server) Need(ctx context.Context, req *planningpb.NeedRequest) (*planningpb.NeedReply, error) {
 	p, err := s.planner.Need(ctx, galenastair.ModelName(req.Name))
--- a/place/input.go
+++ b/place/input.go
@@ -35,6 +35,9 @@
 	// Free is the memory that no order can take any more.
 	Free   galenastair.Bytes
 	Copies []Copy
+	// AtHand names the models of which it keeps a copy of its own: loading one takes
+	// nothing from the weight store, and less time.
+	AtHand map[galenastair.ModelName]bool
 	// Reserved names the weights whose memory is kept for orders that were probably
 	// lost; another order for the same weight needs no more memory.
 	Reserved []galenastair.Weight
--- a/place/planner.go
+++ b/place/planner.go
@@ -52,9 +52,10 @@
 	p.loads = p.settings.LoadsInFlight - p.board.coming(false)
 	p.small = p.settings.AdaptersInFlight - p.board.coming(true)
 	p.continueSwaps()
-	p.reachModels()
+	p.reachModels(asked)
 	p.reachAdapters()
 	p.relieve()
+	p.reachModels(unasked)
 	p.spares()
 	p.dropOldVersions(in)
 	p.forget()
@@ -75,12 +76,19 @@
 // mayLoad says whether the weight store stands one more model load now.
 func (p *Planner) mayLoad() bool { return p.loads > 0 && p.tokens >= 1 }
 
+// mayLoadOn says the same of a load on one backend server, which may have the model at
+// hand.
+func (p *Planner) mayLoadOn(m *boardModel, s *boardServer) bool {
+	return s.AtHand[m.weight.Name] || p.mayLoad()
+}
+
 func (p *Planner) load(m *boardModel, s *boardServer, why Reason) {
-	if m.weight.Base == "" {
+	switch {
+	case m.weight.Base != "":
+		p.small--
+	case !s.AtHand[m.weight.Name]:
 		p.loads--
 		p.tokens--
-	} else {
-		p.small--
 	}
 	s.Free -= m.weight.Memory
 	m.copies = append(m.copies, &boardCopy{server: s, state: Coming})
@@ -93,12 +101,17 @@
 	p.steps = append(p.steps, Step{galenastair.UnloadModel, c.server.ID, m.weight, why})
 }
 
-// reachModels gives every model a first copy that will stay: also those whose only
-// backend server leaves.
-func (p *Planner) reachModels() {
+// asked and unasked tell the models that callers ask for from the rest.
+func asked(m *boardModel) bool   { return m.demand() > 0 }
+func unasked(m *boardModel) bool { return m.demand() <= 0 }
+
+// reachModels gives every such model a first copy that will stay: also those whose
+// only backend server leaves. Those that nobody asks for come after the relief of busy
+// ones: callers wait there now.
+func (p *Planner) reachModels(which func(*boardModel) bool) {
 	var need []*boardModel
 	for _, m := range p.board.bases() {
-		if m.lasting() == 0 && !p.wanted(m) {
+		if m.lasting() == 0 && !p.wanted(m) && which(m) {
 			need = append(need, m)
 		}
 	}
@@ -106,9 +119,6 @@
 		return cmp.Or(cmp.Compare(y.demand(), x.demand()), cmp.Compare(y.bundle(), x.bundle()))
 	})
 	for _, m := range need {
-		if !p.mayLoad() {
-			return
-		}
 		if s := p.roomFor(m); s != nil {
 			p.load(m, s, Unreachable)
 			p.board.spread()
@@ -123,16 +133,22 @@
 func (p *Planner) roomFor(m *boardModel) *boardServer {
 	var best *boardServer
 	for _, s := range p.board.servers {
-		if !s.stays() || s.swap || s.Free < m.need(s) || m.on(s) != nil {
+		if !s.stays() || s.swap || s.Free < m.need(s) || m.on(s) != nil || !p.mayLoadOn(m, s) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(s.load, best.load), cmp.Compare(best.Free, s.Free)) < 0 {
+		if best == nil || cmp.Or(atHand(m, best, s), cmp.Compare(s.load, best.load), cmp.Compare(best.Free, s.Free)) < 0 {
 			best = s
 		}
 	}
 	return best
 }
 
+// atHand orders a backend server that has the model at hand first.
+func atHand(m *boardModel, than, s *boardServer) int {
+	rank := map[bool]int{true: 0, false: 1}
+	return cmp.Compare(rank[s.AtHand[m.weight.Name]], rank[than.AtHand[m.weight.Name]])
+}
+
 // reachAdapters loads adapters beside every copy of their base, those without any
 // copy first: the routers can then use each copy of the base for them.
 func (p *Planner) reachAdapters() {
--- a/place/relief.go
+++ b/place/relief.go
@@ -13,20 +13,26 @@
 // for a model that was moved within Calm: each move takes a turn at the weight store
 // and cools caches, and the demand may be back before it has paid off.
 func (p *Planner) relieve() {
-	if !p.mayLoad() {
-		return
+	for range max(1, p.settings.ReliefsARound) {
+		if !p.relieveOne() {
+			return
+		}
 	}
+}
+
+func (p *Planner) relieveOne() bool {
 	order := slices.Clone(p.board.servers)
 	slices.SortStableFunc(order, func(x, y *boardServer) int { return cmp.Compare(y.load, x.load) })
 	for _, hot := range order {
 		if hot.load < p.settings.Busy*p.settings.ServerWork {
-			return
+			return false
 		}
 		if hot.stays() && p.relieveServer(hot, order) {
 			p.board.spread()
-			return
+			return true
 		}
 	}
+	return false
 }
 
 func (p *Planner) relieveServer(hot *boardServer, order []*boardServer) bool {
@@ -53,10 +59,18 @@
 	return false
 }
 
-// copyTo loads a model on the least loaded backend server that gains enough.
+// copyTo loads a model on the least loaded backend server that gains enough, one that
+// has it at hand before the others.
 func (p *Planner) copyTo(m *boardModel, hot *boardServer, order []*boardServer) bool {
+	return p.copyAmong(m, hot, order, true) || p.copyAmong(m, hot, order, false)
+}
+
+func (p *Planner) copyAmong(m *boardModel, hot *boardServer, order []*boardServer, atHand bool) bool {
 	for i := len(order) - 1; i >= 0; i-- {
 		s := order[i]
+		if s.AtHand[m.weight.Name] != atHand || !p.mayLoadOn(m, s) {
+			continue
+		}
 		// the load that evens the two out, or all there is of the model
 		taken := min(m.on(hot).share, (hot.load-s.load)/2)
 		if taken < p.settings.Gain*hot.load {
--- a/place/settings.go
+++ b/place/settings.go
@@ -20,6 +20,9 @@
 	Calm time.Duration
 	// Stay is how long an added copy stays unless another is unreachable.
 	Stay time.Duration
+	// ReliefsARound is how many copies one round may make for load; 0 is one. More are
+	// for backend servers that have models at hand, which no pace holds back.
+	ReliefsARound int
 	// Spares lets memory that is left over be filled with second copies.
 	Spares bool
 }
--- a/place/swap.go
+++ b/place/swap.go
@@ -40,7 +40,10 @@
 			continue
 		}
 		models, lost, ok := p.evictable(s, m, why)
-		if ok && (best == nil || lost+s.load < cost) {
+		if !ok || !p.mayLoadOn(m, s) {
+			continue
+		}
+		if best == nil || cmp.Or(atHand(m, best, s), cmp.Compare(lost+s.load, cost)) < 0 {
 			best, evict, cost = s, models, lost+s.load
 		}
 	}
@@ -156,7 +159,7 @@
 		}
 		p.unload(e, c, MakeRoom)
 	}
-	if !left && s.Free >= m.weight.Memory && p.mayLoad() {
+	if !left && s.Free >= m.weight.Memory && p.mayLoadOn(m, s) {
 		p.load(m, s, sw.reason)
 		delete(p.swaps, s.ID)
 	}
--- a/planner/message.go
+++ b/planner/message.go
@@ -28,13 +28,16 @@
 	// Fleet counts the instances; 0 if not known yet.
 	Fleet int
 	// Loads is what all other instances' requests put on each backend server.
-	Loads   map[galenastair.BackendServerID]pool.Load
-	Loans   []quota.Ask
+	Loads map[galenastair.BackendServerID]pool.Load
+	Loans []quota.Ask
+	// Placed says what backend servers hold since a moment ago, Dropped what they no
+	// longer hold or are about to give up.
 	Placed  []Placement
+	Dropped []Placement
 	Poisons []claim.Digest
 }
 
-// Placement says that a backend server holds a model or adapter since a moment ago.
+// Placement is a model or adapter on a backend server.
 type Placement struct {
 	Server galenastair.BackendServerID
 	Name   galenastair.ModelName
--- a/planner/order.go
+++ b/planner/order.go
@@ -29,6 +29,9 @@
 		return
 	}
 	t := e.tasks[0]
+	if now.Before(t.after) {
+		return
+	}
 	if !e.fits(s.contents, t) {
 		p.logger.Log("event", "order dropped", "kind", t.kind, "name", t.name(), "server", e.server.ID, "reason", t.reason)
 		p.drop(e, t)
@@ -121,8 +124,11 @@
 func (p *Planner) finish(now time.Time, e *engine, t task) {
 	p.removeTask(e, t)
 	tell(t.done, true)
-	if t.kind == galenastair.LoadModel && t.adapter != "" {
-		p.placed = append(p.placed, placedAt{Placement{e.server.ID, t.name()}, now})
+	switch {
+	case t.kind == galenastair.UnloadModel:
+		p.tell(now, Placement{e.server.ID, t.name()}, true)
+	case t.adapter != "":
+		p.tell(now, Placement{e.server.ID, t.name()}, false)
 	}
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,7 +67,7 @@
 	servers  map[galenastair.BackendServerID]pool.Server
 	lender   *quota.Lender
 	reports  map[galenastair.InstanceID]report
-	placed   []placedAt
+	news     []newsAt
 	poisons  []poisonAt
 	held     bool
 	since    time.Time
@@ -78,9 +79,11 @@
 	at    time.Time
 }
 
-type placedAt struct {
+// newsAt is a change of what a backend server holds.
+type newsAt struct {
 	Placement
-	at time.Time
+	dropped bool
+	at      time.Time
 }
 
 type poisonAt struct {
@@ -275,8 +278,12 @@
 		}
 	}
 	p.forgetNews(now)
-	for _, c := range p.placed {
-		news.Placed = append(news.Placed, c.Placement)
+	for _, c := range p.news {
+		if c.dropped {
+			news.Dropped = append(news.Dropped, c.Placement)
+		} else {
+			news.Placed = append(news.Placed, c.Placement)
+		}
 	}
 	for _, c := range p.poisons {
 		if c.from != r.Instance {
@@ -286,6 +293,12 @@
 	return news
 }
 
+// tell adds a change for all instances; it takes back an earlier one of the same.
+func (p *Planner) tell(now time.Time, at Placement, dropped bool) {
+	p.news = slices.DeleteFunc(p.news, func(c newsAt) bool { return c.Placement == at })
+	p.news = append(p.news, newsAt{at, dropped, now})
+}
+
 func (p *Planner) others(now time.Time, self galenastair.InstanceID) map[galenastair.BackendServerID]pool.Load {
 	out := map[galenastair.BackendServerID]pool.Load{}
 	for id, r := range p.reports {
@@ -303,8 +316,17 @@
 }
 
 func (p *Planner) forgetNews(now time.Time) {
-	for len(p.placed) > 0 && now.Sub(p.placed[0].at) > newsLife {
-		p.placed = p.placed[1:]
+	for len(p.news) > 0 && now.Sub(p.news[0].at) > newsLife {
+		p.news = p.news[1:]
+	}
+	for _, s := range p.sites {
+		for id, e := range s.engines {
+			for name, it := range e.models {
+				if it.state == place.Going {
+					p.tell(now, Placement{id, name}, true)
+				}
+			}
+		}
 	}
 	for len(p.poisons) > 0 && now.Sub(p.poisons[0].at) > newsLife {
 		p.poisons = p.poisons[1:]
--- a/planner/site.go
+++ b/planner/site.go
@@ -27,10 +27,18 @@
 	leastGain = 0.12
 	// calm and stay keep demand that swings from moving the same copies to and fro;
 	// a load takes 2 to 3 s.
-	calm = 2500 * time.Millisecond
-	stay = 6 * time.Second
+	calm = 1200 * time.Millisecond
+	stay = 5 * time.Second
+	// reliefsARound: demand that moves takes several copies at once.
+	reliefsARound = 3
 )
 
+// unloadNotice is how long before its order all instances are told of an unload: one
+// exchange and some. An engine declines requests for a model that it is to give up, and
+// the unload waits for those that run; without notice, 300 of 2,300 requests were sent
+// in vain in 30 s of a day with two unloads.
+const unloadNotice = 450 * time.Millisecond
+
 // Work is what a request asks of an engine, in prompt tokens.
 func Work(h galenastair.Hints) float64 { return float64(h.Prompt) + outputWork*float64(h.Output) }
 
@@ -68,6 +76,7 @@
 		Gain:           leastGain,
 		Calm:           calm,
 		Stay:           stay,
+		ReliefsARound:  reliefsARound,
 	})
 }
 
@@ -79,7 +88,11 @@
 	}
 	for _, step := range s.plan.Plan(in) {
 		if e := s.engines[step.Server]; e != nil {
-			e.add(now, task{kind: step.Kind, model: step.Weight.Name, reason: step.Reason})
+			t := task{kind: step.Kind, model: step.Weight.Name, reason: step.Reason}
+			if t.kind == galenastair.UnloadModel {
+				t.after = now.Add(unloadNotice)
+			}
+			e.add(now, t)
 		}
 	}
 	s.spreadAdapters(now)
@@ -93,6 +106,10 @@
 		Leaving:          e.server.Leaving,
 		Free:             e.free(s.contents),
 	}
+	in.AtHand = make(map[galenastair.ModelName]bool, len(e.server.AtHand))
+	for _, name := range e.server.AtHand {
+		in.AtHand[name] = true
+	}
 	for name, it := range e.models {
 		w := galenastair.Weight{Name: name, Memory: s.contents.memory(name)}
 		in.Copies = append(in.Copies, place.Copy{Weight: w, State: it.state})
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -153,8 +153,8 @@
 	if m.health.dark(now, t) {
 		t += 4 * aim
 	}
-	if now.Before(m.health.full) {
-		t += aim
+	if now.Before(m.full[q.Model]) {
+		t += 2 * aim
 	}
 	return t + time.Duration(p.rng.Float64()*jitter*float64(aim))
 }
--- a/pool/flight.go
+++ b/pool/flight.go
@@ -92,7 +92,7 @@
 	case Erred:
 		m.health.erred(now)
 	case Full:
-		m.health.full = now.Add(fullFor)
+		m.full[f.query.Model] = now.Add(fullFor)
 		m.health.probing = false
 	case Neutral:
 		m.health.probing = false
--- a/pool/health.go
+++ b/pool/health.go
@@ -20,9 +20,9 @@
 	// silence is how long a server with unanswered requests may show no progress at
 	// all before it counts as dark, beside what it was foretold to take.
 	silence = 900 * time.Millisecond
-	// fullFor is how long an answer "full" keeps further requests away: a few rounds
-	// of a batch free a place.
-	fullFor = 150 * time.Millisecond
+	// fullFor is how long an answer "full" keeps requests for the same model away, if
+	// others hold it: the server has no room, or is about to give the model up.
+	fullFor = 400 * time.Millisecond
 )
 
 // health is how a server has answered this instance.
@@ -33,7 +33,6 @@
 	out       time.Time
 	rest      time.Duration
 	probing   bool
-	full      time.Time
 	progress  time.Time
 	unstarted int
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -26,7 +26,9 @@
 	Server
 	holds map[galenastair.ModelName]bool
 	// told is when something was learned of a model otherwise than by registration.
-	told     map[galenastair.ModelName]time.Time
+	told map[galenastair.ModelName]time.Time
+	// full is until when a model's requests had better go elsewhere.
+	full     map[galenastair.ModelName]time.Time
 	flights  int
 	unread   galenastair.Tokens
 	others   Load
@@ -71,7 +73,7 @@
 		m = nil
 	}
 	if m == nil {
-		m = &member{holds: map[galenastair.ModelName]bool{}, told: map[galenastair.ModelName]time.Time{}, cache: newCache()}
+		m = &member{holds: map[galenastair.ModelName]bool{}, told: map[galenastair.ModelName]time.Time{}, full: map[galenastair.ModelName]time.Time{}, cache: newCache()}
 		p.members[s.ID] = m
 		p.byService[s.Service] = append(p.byService[s.Service], m)
 	}
--- a/pool/server.go
+++ b/pool/server.go
@@ -16,4 +16,6 @@
 	// Beat counts what it has registered since its start.
 	Beat   int64
 	Models []galenastair.EngineModel
+	// AtHand names the models of which it keeps a copy of its own.
+	AtHand []galenastair.ModelName
 }
--- a/quota/share.go
+++ b/quota/share.go
@@ -176,7 +176,7 @@
 func (s *Share) goAlone(now time.Time) {
 	for _, a := range s.accounts {
 		s.deal(now, a)
-		if !s.alone && !s.heard.IsZero() && now.Sub(a.wasAlone) > s.terms.Window {
+		if !s.alone && now.Sub(a.wasAlone) > s.terms.Window {
 			a.own.level = min(a.own.most, a.reserve/float64(max(1, s.fleet)))
 			a.wasAlone = now
 		}
