turn: a planner whose predecessor has lapsed begins sooner

Change: the pause counts what is known of the one before (owners of the group), and what the platform counts where engines check fences; an instance that stops gives its orders up first.

--- a/node/node.go
+++ b/node/node.go
@@ -85,7 +85,7 @@
 	n.share = quota.NewShare(terms)
 	n.backends = httpconn.NewClient()
 	backend := platform.NewReplicas(n.backends)
-	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders))
+	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.keeper = turn.NewKeeper(store, t, s.PeerAddress, turn.WithLogger(n.logger))
 	n.planner = planner.New(string(s.ID), terms, backend, duty{t}, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -34,6 +34,8 @@
 	StopTimeout time.Duration
 	// BetweenHolders is the least time between orders of two planners.
 	BetweenHolders time.Duration
+	// FencesChecked says that engines refuse an order with an old fence.
+	FencesChecked bool
 	// LeaveTimeout is how long after its leaving a backend server may get new work.
 	LeaveTimeout time.Duration
 	// RetryRatio and RetrySlack bound what is sent once more, over all instances.
@@ -65,6 +67,7 @@
 		required(duration("Bounds", "KeyLife", &b.KeyLife, 500*time.Millisecond, time.Hour)),
 		required(duration("Bounds", "StopTimeout", &b.StopTimeout, time.Second, time.Hour)),
 		required(duration("Bounds", "BetweenHolders", &b.BetweenHolders, 0, time.Hour)),
+		required(boolean("Bounds", "FencesChecked", &b.FencesChecked)),
 		required(duration("Bounds", "LeaveTimeout", &b.LeaveTimeout, 100*time.Millisecond, time.Hour)),
 		required(decimal("Bounds", "RetryRatio", &b.RetryRatio, 0, 10)),
 		required(decimal("Bounds", "RetrySlack", &b.RetrySlack, 0, 1e6)),
@@ -74,6 +77,16 @@
 	}
 }
 
+func boolean(section, key string, to *bool) field {
+	return field{section, key, false, "true or false", func(s string) error {
+		if s != "true" && s != "false" {
+			return errForm
+		}
+		*to = s == "true"
+		return nil
+	}}
+}
+
 func required(f field) field {
 	f.required = true
 	return f
--- a/store.go
+++ b/store.go
@@ -29,11 +29,16 @@
 	End  Offset
 }
 
+// Partition is one partition of a topic.
+type Partition struct {
+	Topic  Topic
+	Number int
+}
+
 // Assignment is what a member of a group holds after it joined.
 type Assignment struct {
 	Generation Generation
-	// Partitions are those of the topic that it joined for.
-	Partitions []int
+	Partitions []Partition
 }
 
 // ErrStoreRefused says that the store certainly did nothing.
@@ -52,9 +57,9 @@
 	// Append adds one record to partition 0 of a plain topic.
 	Append(ctx context.Context, t Topic, data []byte) (Offset, error)
 	// Join renews a member's place in a group for ttl and returns what it holds.
-	Join(ctx context.Context, group, member string, t Topic, ttl time.Duration, g Generation) (Assignment, error)
+	Join(ctx context.Context, group, member string, ts []Topic, ttl time.Duration, g Generation) (Assignment, error)
 	// Leave gives up a member's place.
 	Leave(ctx context.Context, group, member string) error
-	// Owner returns the member that holds partition 0 of the group's topic; empty for none.
-	Owner(ctx context.Context, group string, t Topic) (string, error)
+	// Owners returns the member that holds each partition of a group.
+	Owners(ctx context.Context, group string) (map[Partition]string, error)
 }
--- a/turn/keeper.go
+++ b/turn/keeper.go
@@ -13,13 +13,19 @@
 	"galenastair/timer"
 )
 
-// The group, its topic, and the topic whose offsets are fences.
+// The group, and the topic whose offsets are fences.
 const (
 	group                         = "galenastair"
-	dutyTopic   galenastair.Topic = "duty"
 	fencesTopic galenastair.Topic = "fences"
 )
 
+// duty is the partition whose holder plans and lends. The group has some topics more,
+// so that each of up to 32 members holds a partition and is seen among the owners.
+var (
+	duty   = galenastair.Partition{Topic: "duty"}
+	topics = []galenastair.Topic{duty.Topic, "members-1", "members-2", "members-3"}
+)
+
 const (
 	// joinPeriod lets a join be lost and the next still keep the lease.
 	joinPeriod = 450 * time.Millisecond
@@ -76,13 +82,28 @@
 		k.round(ctx)
 		k.rest(ctx)
 	}
+	k.leave(context.WithoutCancel(ctx))
+	return ctx.Err()
+}
+
+// leave gives the duty up in order: no orders any more, and then, while this instance
+// still lends, as much of the pause between two holders as passes for a lapse.
+func (k *Keeper) leave(ctx context.Context) {
+	k.turn.Rest()
+	if k.held {
+		last, cancel := context.WithTimeout(ctx, membership-joinPeriod)
+		for last.Err() == nil {
+			k.round(last)
+			k.rest(last)
+		}
+		cancel()
+	}
 	k.turn.Joined(0, 0, false)
-	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	call, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	if err := k.store.Leave(leave, group, k.member); err != nil {
+	if err := k.store.Leave(call, group, k.member); err != nil {
 		k.logger.Log("event", "leave", "err", err)
 	}
-	return ctx.Err()
 }
 
 // rest waits for the next join, and asks for the holder as soon as it is in doubt.
@@ -104,7 +125,7 @@
 
 func (k *Keeper) round(ctx context.Context) {
 	sent := k.clock()
-	a, err := k.store.Join(ctx, group, k.member, dutyTopic, membership, k.generation)
+	a, err := k.store.Join(ctx, group, k.member, topics, membership, k.generation)
 	if err != nil {
 		k.logger.Log("event", "join", "err", err)
 		return
@@ -113,7 +134,7 @@
 		k.Doubt()
 	}
 	k.generation = a.Generation
-	mine := slices.Contains(a.Partitions, 0)
+	mine := slices.Contains(a.Partitions, duty)
 	if k.turn.Joined(sent, k.clock(), mine) {
 		k.fence(ctx)
 	}
@@ -132,14 +153,40 @@
 // next round appends another; the lost one's offset is never used.
 func (k *Keeper) fence(ctx context.Context) {
 	term := k.turn.Term()
+	before := k.before(ctx)
 	offset, err := k.store.Append(ctx, fencesTopic, []byte(k.member))
 	if err != nil {
 		k.logger.Log("event", "fence", "err", err)
 		return
 	}
 	f := galenastair.Fence(offset) + 1
-	k.turn.SetFence(term, f, k.clock(), offset == 0)
-	k.logger.Log("event", "fence", "fence", int64(f), "term", term)
+	if offset == 0 {
+		before = Nobody
+	}
+	k.turn.SetFence(term, f, before)
+	k.logger.Log("event", "fence", "fence", int64(f), "term", term, "before", int(before), "holder", k.Holder())
+}
+
+// before finds out whether the holder before is still a member. It is not among the
+// owners once it has lapsed or left, as long as there is a partition for each member.
+func (k *Keeper) before(ctx context.Context) Before {
+	last := k.Holder()
+	if last == "" || last == k.member {
+		return Unknown
+	}
+	owners, err := k.store.Owners(ctx, group)
+	if err != nil {
+		k.logger.Log("event", "owners", "err", err)
+		return Unknown
+	}
+	members := map[string]bool{}
+	for _, m := range owners {
+		members[m] = true
+	}
+	if members[last] || !members[k.member] || len(members) >= len(owners) {
+		return Unknown
+	}
+	return Lapsed
 }
 
 func (k *Keeper) findHolder(ctx context.Context) {
@@ -150,11 +197,12 @@
 		return
 	}
 	k.asked = k.clock()
-	holder, err := k.store.Owner(ctx, group, dutyTopic)
+	owners, err := k.store.Owners(ctx, group)
 	if err != nil {
-		k.logger.Log("event", "owner", "err", err)
+		k.logger.Log("event", "owners", "err", err)
 		return
 	}
+	holder := owners[duty]
 	// the store names a member that has left or died until its time is over
 	if holder != "" && holder != k.member {
 		k.setHolder(holder)
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -12,24 +12,46 @@
 type Bounds struct {
 	// Lease is how long after a join was sent its answer allows to act.
 	Lease time.Duration
-	// Quiet is how long a new holder waits after it was given the duty, so that no two
-	// holders take turns too fast: the platform's bound, the lease of the one before,
-	// which may not know yet, and a margin for the way of its last order.
+	// Quiet is how long a new holder waits after it was given the duty by one that may
+	// not know yet, so that no two holders take turns too fast.
 	Quiet time.Duration
+	// QuietLapsed is the same where the one before has lapsed, or has left.
+	QuietLapsed time.Duration
 }
 
 const (
 	// lease covers two joins and the answer of a slow store.
 	lease = 1300 * time.Millisecond
-	// margin is for an order that was on its way when its sender's lease ended.
-	margin = 200 * time.Millisecond
+	// margin is for an order that was on its way when its sender stopped.
+	margin = 400 * time.Millisecond
 )
 
-// DefaultBounds keeps the platform's least time between two holders.
-func DefaultBounds(between time.Duration) Bounds {
-	return Bounds{Lease: lease, Quiet: lease + between + margin}
+// DefaultBounds keeps the platform's least time between two holders. If engines check
+// fences, only a holder that is in touch with the store counts: it learns of its end
+// by its next join, and one whose membership has lapsed was out of touch for most of
+// it. Else a holder may act to the end of its lease.
+func DefaultBounds(between time.Duration, fencesChecked bool) Bounds {
+	b := Bounds{Lease: lease, Quiet: lease + between + margin, QuietLapsed: between + margin}
+	if fencesChecked {
+		b.Quiet = joinPeriod + between + margin
+		b.QuietLapsed = max(0, between+margin-(membership-joinPeriod))
+	}
+	return b
 }
 
+// Before says what is known of the holder before.
+type Before int
+
+// What may be known of the holder before.
+const (
+	// Unknown is one that may still act.
+	Unknown Before = iota
+	// Lapsed is one whose membership has lapsed, or that has left.
+	Lapsed
+	// Nobody says that there was none.
+	Nobody
+)
+
 // Turn is one instance's view of the duty.
 type Turn struct {
 	bounds Bounds
@@ -38,7 +60,9 @@
 	// holds says that the last join answered gave the duty.
 	holds     bool
 	confirmed boottime.Time
+	given     boottime.Time
 	begins    boottime.Time
+	resting   bool
 	fence     galenastair.Fence
 	fenced    bool
 	term      int
@@ -64,7 +88,7 @@
 		t.end()
 		t.holds = true
 		t.term++
-		t.begins = now.Add(t.bounds.Quiet)
+		t.given, t.begins = now, now.Add(t.bounds.Quiet)
 	}
 	t.confirmed = sent
 	return !t.fenced
@@ -81,20 +105,29 @@
 	return t.term
 }
 
-// SetFence gives the term its fence; first says that nobody held the duty before, so
-// that there is nobody to wait for.
-func (t *Turn) SetFence(term int, f galenastair.Fence, now boottime.Time, first bool) {
+// SetFence gives the term its fence.
+func (t *Turn) SetFence(term int, f galenastair.Fence, before Before) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if term != t.term || !t.holds {
 		return
 	}
 	t.fence, t.fenced = f, true
-	if first {
-		t.begins = now
+	switch before {
+	case Lapsed:
+		t.begins = t.given.Add(t.bounds.QuietLapsed)
+	case Nobody:
+		t.begins = t.given
 	}
 }
 
+// Rest ends the orders of this instance for good; it still lends while it holds the duty.
+func (t *Turn) Rest() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resting = true
+}
+
 // Refused ends the term: an engine has seen a higher fence.
 func (t *Turn) Refused(f galenastair.Fence) {
 	t.mu.Lock()
@@ -108,7 +141,7 @@
 func (t *Turn) Order(now boottime.Time) (galenastair.Fence, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.leased(now) || !t.fenced || now < t.begins {
+	if !t.leased(now) || !t.fenced || t.resting || now < t.begins {
 		return 0, false
 	}
 	return t.fence, true
