gateway: an error to a resumed stream breaks the answer off

Change: anything but a success to a resumed stream is a cut. Tests of the request life over scripted servers; the new one failed first.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,12 @@
 		return r.declined(flight, choice, answer)
 	}
 	r.runs++
+	if r.headed && answer.Status/100 != 2 {
+		// Failure: a stream goes on at another backend server, which answers with an
+		// error. Passed on, the error would end the caller's answer as if it were whole.
+		flight.End(r.g.clock.Now(), pool.Erred)
+		return eris.Wrapf(errServer, "status %d to a resumed stream", answer.Status)
+	}
 	if !r.admission.route.Kind.Streamed() || answer.Status/100 != 2 {
 		return r.plain(ctx, flight, answer, stop)
 	}
--- a/planner/adapters.go
+++ b/planner/adapters.go
@@ -12,8 +12,8 @@
 
 const (
 	// usedLately keeps an adapter from being dropped for another while its callers
-	// still come: each switch takes tens of milliseconds and a place at the store.
-	usedLately = 1500 * time.Millisecond
+	// still come, or their streams still run.
+	usedLately = 4 * time.Second
 	// copyShare is the part of one engine's share of a model's work from which an
 	// adapter gets a further copy: below it, the callers of one adapter do not crowd
 	// the engine that holds it.
@@ -69,7 +69,7 @@
 		if it.state != place.Ready || now.Sub(it.used) < usedLately {
 			continue
 		}
-		if s.forecast.Work(name) > 0.01 && s.adapterCopies(name) < 2 && now.Sub(it.used) < 4*usedLately {
+		if s.forecast.Work(name) > 0.01 && s.adapterCopies(name) < 2 && now.Sub(it.used) < 2*usedLately {
 			continue
 		}
 		if victim == "" || it.used.Before(oldest) {
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"galenastair"
@@ -16,6 +18,9 @@
 	// ordered says that an order of this term put it in its state, and that the engine
 	// has not listed it so yet.
 	ordered bool
+	// inUse is until when an adapter that goes may still hold its place: its engine
+	// stops listing it before the requests that use it have ended.
+	inUse time.Time
 }
 
 // task is an order that is wanted.
@@ -44,8 +49,8 @@
 	// unseen is how long an accepted order may not show in the engine's registration
 	// before its state is asked for: a load takes some seconds.
 	unseen = 5 * time.Second
-	// goingRest is when an engine is asked whether an adapter in use has gone.
-	goingRest = 300 * time.Millisecond
+	// longestUse is how long the requests run that use an adapter which is to go.
+	longestUse = 6 * time.Second
 	// lateBeat is how long a registration may still show what was before an order: it
 	// is written every heartbeat of about a second, and was on its way for a while.
 	lateBeat = 2500 * time.Millisecond
@@ -138,6 +143,7 @@
 	for name, it := range items {
 		overdue := it.ordered && now.Sub(it.since) > late
 		switch {
+		case now.Before(it.inUse):
 		case listed[name] && it.state == place.Going:
 			if whole && overdue && now.Sub(it.since) > unseen {
 				it.state, it.ordered = place.Ready, false
@@ -174,6 +180,20 @@
 	return e.free(c) >= 0
 }
 
+// counts names all that is counted as held, for logs: a letter for the state of each
+// that is not simply there.
+func (e *engine) counts() string {
+	var names []string
+	for _, items := range []map[galenastair.ModelName]*item{e.models, e.adapters} {
+		for name, it := range items {
+			mark := map[place.CopyState]string{place.Coming: "+", place.Going: "-"}[it.state]
+			names = append(names, mark+string(name))
+		}
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
 // moving says whether a model is being loaded or unloaded; the engine takes no other
 // order meanwhile.
 func (e *engine) moving() bool {
@@ -218,7 +238,9 @@
 		items[t.name()] = &item{state: place.Ready, since: now, used: now, ordered: true}
 	case t.adapter != "":
 		// it is in use, and goes when its requests have ended
-		e.unsure, e.rest = true, now.Add(goingRest)
+		if it := items[t.name()]; it != nil {
+			it.inUse = now.Add(longestUse)
+		}
 	case t.kind == galenastair.UnloadModel:
 		e.dropAdapters(t.model)
 	}
--- a/planner/order.go
+++ b/planner/order.go
@@ -47,12 +47,13 @@
 		Expect:   e.server.ID,
 	}
 	e.running = true
-	p.tasks.Go(func() { p.send(s, e, t, order) })
+	held := e.counts()
+	p.tasks.Go(func() { p.send(s, e, t, order, held) })
 }
 
 // send gives one order. The duty is checked once more right before: this process may
 // have stood still since it was planned.
-func (p *Planner) send(s *site, e *engine, t task, o galenastair.EngineOrder) {
+func (p *Planner) send(s *site, e *engine, t task, o galenastair.EngineOrder, held string) {
 	answer, err := galenastair.OrderWrong, error(ErrNotPlanner)
 	fence, ok := p.duty.Order()
 	sent := ok && fence == o.Fence
@@ -60,7 +61,7 @@
 		answer, err = p.control.Order(p.ctx, e.server.Address, o)
 	}
 	p.logger.Log("event", "order", "kind", t.kind, "name", t.name(), "server", o.Expect, "reason", t.reason,
-		"fence", int64(o.Fence), "sequence", o.Sequence, "answer", outcome(answer, err), "err", err)
+		"fence", int64(o.Fence), "sequence", o.Sequence, "held", held, "answer", outcome(answer, err), "err", err)
 	p.ordered(t.kind, t.reason, outcome(answer, err))
 	_ = p.loop.Post(p.ctx, func() {
 		e.running = false
