planner: an old registration drops nothing that orders count on; leaving servers

Ruled out: late orders, adapters in use. Change: the instance that orders asks an engine whose registration lacks something, and asks each one once at the beginning of a term. Test first, seen failing.

--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,9 @@
 	// well below the times in which a version, or a server's leaving, must be in force.
 	viewPace   = 150 * time.Millisecond
 	serverPace = time.Second
+	// leaveLag is how late a server's leaving may be known here, and a request for it on
+	// its way: the pace of reading, a slow store's answer, and a busy machine.
+	leaveLag = serverPace + 600*time.Millisecond
 	// poisonTrials and poisonTerm: a request that has broken three connections of
 	// backend servers without an answer is refused for a while.
 	poisonTrials = 3
@@ -80,7 +83,7 @@
 		o(n)
 	}
 	store := platform.NewStore(s.StoreAddress)
-	n.pool = pool.New(s.AvailabilityZone)
+	n.pool = pool.New(s.AvailabilityZone, pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-leaveLag)))
 	terms := quota.Terms{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
 	n.share = quota.NewShare(terms)
 	n.backends = httpconn.NewClient()
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -13,11 +13,11 @@
 // item is one model or adapter as an engine holds it.
 type item struct {
 	state place.CopyState
+	// since is when it was last known to be in its state, by an order or a list.
 	since time.Time
 	used  time.Time
-	// ordered says that an order of this term put it in its state, and that the engine
-	// has not listed it so yet.
-	ordered bool
+	// sent says that the order that put it in its state was accepted.
+	sent bool
 	// inUse is until when an adapter that goes may still hold its place: its engine
 	// stops listing it before the requests that use it have ended.
 	inUse time.Time
@@ -73,7 +73,9 @@
 	// known, so that its state must be asked for before the next.
 	running bool
 	unsure  bool
-	rest    time.Time
+	// strict says that this instance orders, so that what it counts must not be too low.
+	strict bool
+	rest   time.Time
 }
 
 func newEngine(s pool.Server) *engine {
@@ -82,43 +84,46 @@
 	return e
 }
 
-// endTerm forgets the orders of a term: what was ordered counts until the next
-// registration, and another holder's orders may have come since.
+// beginTerm makes the engine's state be asked for before the first order: another
+// holder's orders may have come since its last registration.
+func (e *engine) beginTerm() { e.strict, e.unsure = true, true }
+
+// endTerm forgets the orders of a term.
 func (e *engine) endTerm() {
 	for _, t := range e.tasks {
 		e.givenUp(t)
 		tell(t.done, false)
 	}
 	e.tasks = nil
-	for _, items := range []map[galenastair.ModelName]*item{e.models, e.adapters} {
-		for _, it := range items {
-			it.ordered = false
-		}
-	}
-	e.unsure = e.unsure || e.running
+	e.strict = false
 }
 
-// registered takes in a registration. It may have been written before an order was
-// carried out, so what was ordered is not dropped by it, but asked for if it lasts.
+// registered takes in a registration. While this instance orders, what it lacks is
+// asked for and not dropped.
+//
+// Failure: a registration was written before an order was carried out, and read after
+// the engine's state had shown its effect. Dropped for it, a model or adapter counts as
+// gone, its place is given away a second time, and the engine is ordered to hold more
+// than it can.
 func (e *engine) registered(now time.Time, s pool.Server) {
 	if s.Beat < e.server.Beat {
 		return
 	}
 	e.server = s
 	models, adapters := listed(s.Models)
-	doubt := syncItems(now, e.models, models, unseen, false)
-	doubt = syncItems(now, e.adapters, adapters, lateBeat, false) || doubt
-	e.unsure = e.unsure || doubt
+	lacks := syncItems(now, e.models, models, unseen, !e.strict)
+	lacks = syncItems(now, e.adapters, adapters, lateBeat, !e.strict) || lacks
+	e.unsure = e.unsure || e.strict && lacks
 }
 
-// stated takes in the state that an idle engine gave when asked: it is the whole truth.
+// stated takes in the state that an idle engine gave when asked.
 func (e *engine) stated(now time.Time, s galenastair.EngineState) {
 	models, adapters := listed(s.Models)
 	for _, name := range s.Fetching {
 		adapters[name] = true
 	}
-	syncItems(now, e.models, models, 0, true)
-	syncItems(now, e.adapters, adapters, 0, true)
+	syncItems(now, e.models, models, reportLag, true)
+	syncItems(now, e.adapters, adapters, reportLag, true)
 	for _, t := range e.tasks {
 		// what waits to be sent is not in the state yet, and still takes its place
 		e.count(now, t)
@@ -136,33 +141,36 @@
 	return models, adapters
 }
 
-// syncItems goes by what an engine lists. Unless that is the whole truth, what was
-// ordered stays counted; the result says that it has not shown for too long.
-func syncItems(now time.Time, items map[galenastair.ModelName]*item, listed map[galenastair.ModelName]bool, late time.Duration, whole bool) bool {
-	doubt := false
+// syncItems goes by what an engine lists: what it lists is there, and what it lacks is
+// gone if drop allows that and it was not seen for so long that the list must be newer.
+// The result says that something is lacking, or has not gone, for that long.
+func syncItems(now time.Time, items map[galenastair.ModelName]*item, listed map[galenastair.ModelName]bool, late time.Duration, drop bool) bool {
+	lacks := false
 	for name, it := range items {
-		overdue := it.ordered && now.Sub(it.since) > late
+		overdue := now.Sub(it.since) > late
 		switch {
 		case now.Before(it.inUse):
 		case listed[name] && it.state == place.Going:
-			if whole && overdue && now.Sub(it.since) > unseen {
-				it.state, it.ordered = place.Ready, false
+			if overdue && now.Sub(it.since) > unseen {
+				it.state = place.Ready
 			}
-			doubt = doubt || overdue
 		case listed[name]:
-			it.state, it.ordered = place.Ready, false
-		case it.state == place.Going || !it.ordered || whole:
+			it.state = place.Ready
+		case it.state == place.Going && it.sent || overdue && drop:
 			delete(items, name)
 		default:
-			doubt = doubt || overdue
+			lacks = lacks || overdue
 		}
 	}
 	for name := range listed {
 		if items[name] == nil {
-			items[name] = &item{state: place.Ready, since: now}
+			items[name] = &item{state: place.Ready}
+		}
+		if items[name].state == place.Ready {
+			items[name].since = now
 		}
 	}
-	return doubt
+	return lacks
 }
 
 // fits says whether an order may be sent by all that the engine may hold by now.
@@ -215,9 +223,9 @@
 func (e *engine) count(now time.Time, t task) {
 	items := e.itemsOf(t)
 	if t.kind == galenastair.LoadModel {
-		items[t.name()] = &item{state: place.Coming, since: now, used: now, ordered: true}
+		items[t.name()] = &item{state: place.Coming, since: now, used: now}
 	} else if it := items[t.name()]; it != nil {
-		it.state, it.since, it.ordered = place.Going, now, true
+		it.state, it.since, it.sent = place.Going, now, false
 	}
 }
 
@@ -235,7 +243,7 @@
 	items := e.itemsOf(t)
 	switch {
 	case t.adapter != "" && t.kind == galenastair.LoadModel:
-		items[t.name()] = &item{state: place.Ready, since: now, used: now, ordered: true}
+		items[t.name()] = &item{state: place.Ready, since: now, used: now}
 	case t.adapter != "":
 		// it is in use, and goes when its requests have ended
 		if it := items[t.name()]; it != nil {
@@ -245,7 +253,7 @@
 		e.dropAdapters(t.model)
 	}
 	if it := items[t.name()]; it != nil {
-		it.since = now
+		it.since, it.sent = now, true
 	}
 }
 
@@ -263,7 +271,7 @@
 func (e *engine) heldAlready(now time.Time, t task) {
 	items := e.itemsOf(t)
 	if t.kind == galenastair.LoadModel {
-		items[t.name()] = &item{state: place.Ready, since: now, used: now, ordered: true}
+		items[t.name()] = &item{state: place.Ready, since: now, used: now}
 		return
 	}
 	delete(items, t.name())
--- a/planner/engine_test.go
+++ b/planner/engine_test.go
@@ -81,6 +81,7 @@
 	e.add(now, load)
 	e.accepted(now, load)
 	e.tasks = nil
+	e.strict = true
 	late := pool.Server{ID: "e1", Service: "writer", Born: 1, Beat: 2, Models: []galenastair.EngineModel{{Name: "m1"}, {Name: "m2"}}}
 	e.registered(now.Add(time.Second), late)
 	is.True(e.free(c) < 72*gigabyte)
@@ -92,6 +93,27 @@
 	is.True(e.free(c) < 72*gigabyte)
 }
 
+// An engine's state shows a load; then a registration is read that was written before
+// it. Going by that, the planner counted the memory as free, gave it away again, and the
+// engine was ordered to hold more than it can. The instance that orders asks instead.
+func TestOldRegistrationBehindStateDropsNothing(t *testing.T) {
+	is := is.New(t)
+	c, now := testContents(), time.Now()
+	e := testEngine(galenastair.EngineModel{Name: "m1"}, galenastair.EngineModel{Name: "m2"})
+	e.beginTerm()
+	three := []galenastair.EngineModel{{Name: "m1", Adapters: []string{"a1"}}, {Name: "m2"}, {Name: "m3"}}
+	e.stated(now, galenastair.EngineState{Sequence: 3, Models: three})
+	e.unsure = false
+	old := pool.Server{ID: "e1", Service: "writer", Born: 1, Beat: 2, Models: []galenastair.EngineModel{{Name: "m1"}, {Name: "m2"}}}
+	e.registered(now.Add(lateBeat/2), old)
+	is.True(e.free(c) < 72*gigabyte)
+	is.Equal(len(e.adapters), 1)
+	old.Beat = 3
+	e.registered(now.Add(unseen+lateBeat), old)
+	is.True(e.free(c) < 72*gigabyte)
+	is.True(e.unsure)
+}
+
 // A restart under the old id holds nothing of before and counts its orders anew; an
 // order that presumes the old count would never be taken.
 func TestRestartUnderOldIDHoldsNothing(t *testing.T) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -197,12 +197,12 @@
 		return
 	}
 	p.step(now)
-	if _, ok := p.duty.Order(); !ok || now.Sub(p.since) < firstRound {
-		return
-	}
+	_, orders := p.duty.Order()
 	for _, s := range p.sites {
 		p.gatherLoads(now, s)
-		s.round(now)
+		if orders && now.Sub(p.since) >= firstRound {
+			s.round(now)
+		}
 		p.start(now, s)
 	}
 }
@@ -214,8 +214,12 @@
 		clear(p.reports)
 	}
 	for _, s := range p.sites {
+		s.strict = holds
 		for _, e := range s.engines {
 			e.endTerm()
+			if holds {
+				e.beginTerm()
+			}
 		}
 	}
 }
--- a/planner/site.go
+++ b/planner/site.go
@@ -49,6 +49,8 @@
 	plan     *place.Planner
 	forecast *forecast.Forecast
 	loads    map[galenastair.BackendServerID]pool.Load
+	// strict says that this instance orders.
+	strict bool
 }
 
 func newSite(s *catalog.Service) *site {
@@ -184,6 +186,7 @@
 	e := s.engines[srv.ID]
 	if e == nil || e.server.Born != srv.Born {
 		s.engines[srv.ID] = newEngine(srv)
+		s.engines[srv.ID].strict = s.strict
 		return
 	}
 	e.registered(now, srv)
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// lastCopyGrace is how long a leaving server still gets new work if no other has
-	// the model. It stays below the shortest time after which it may get none (2 s).
-	lastCopyGrace = time.Second
 	// zoneShare is the part of the aim that a caller may wait longer for a server of
 	// its own availability zone: bytes between zones cost, time within the aim doesn't.
 	zoneShare = 0.2
@@ -129,7 +126,7 @@
 		return best, ReasonSoonest
 	case out != nil:
 		return out, ReasonAllOut
-	case leaving != nil && now.Sub(leaving.leaves) < lastCopyGrace:
+	case leaving != nil && now.Sub(leaving.leaves) < p.leaveGrace:
 		return leaving, ReasonLastCopy
 	}
 	return nil, ReasonExcluded
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -13,6 +13,8 @@
 type Pool struct {
 	zone galenastair.AvailabilityZone
 	rng  *rand.Rand
+	// leaveGrace is for the last copy of a model.
+	leaveGrace time.Duration
 
 	mu        sync.Mutex
 	members   map[galenastair.BackendServerID]*member
@@ -46,6 +48,10 @@
 // WithRand replaces the source of random draws.
 func WithRand(rng *rand.Rand) Option { return func(p *Pool) { p.rng = rng } }
 
+// WithLeaveGrace sets how long a server that is known to leave still gets new work if
+// no other has the model; none by default.
+func WithLeaveGrace(d time.Duration) Option { return func(p *Pool) { p.leaveGrace = d } }
+
 // New returns a pool that knows no backend server; zone is the instance's own.
 func New(zone galenastair.AvailabilityZone, opts ...Option) *Pool {
 	p := &Pool{
