place: the only copy of an unasked model makes way for one asked beyond all engines

Change: from 1.2 of an engine's work on, an unasked model that is at hand somewhere goes; asked ones come before, from one request in ten seconds.

--- a/place/board.go
+++ b/place/board.go
@@ -187,3 +187,12 @@
 	}
 	return n
 }
+
+// busiest is the load of the busiest backend server.
+func (b *board) busiest() float64 {
+	most := 0.0
+	for _, s := range b.servers {
+		most = max(most, s.load)
+	}
+	return most
+}
--- a/place/planner.go
+++ b/place/planner.go
@@ -20,6 +20,8 @@
 	// the round that is being planned
 	now   time.Time
 	board *board
+	// drops says that the busiest backend server is so busy that only copies may go.
+	drops bool
 	steps []Step
 	loads int
 	small int
@@ -51,11 +53,12 @@
 	p.pace()
 	p.loads = p.settings.LoadsInFlight - p.board.coming(false)
 	p.small = p.settings.AdaptersInFlight - p.board.coming(true)
+	p.drops = p.settings.DropUnasked > 0 && p.board.busiest() >= p.settings.DropUnasked*p.settings.ServerWork
 	p.continueSwaps()
-	p.reachModels(asked)
+	p.reachModels(true)
 	p.reachAdapters()
 	p.relieve()
-	p.reachModels(unasked)
+	p.reachModels(false)
 	p.spares()
 	p.dropOldVersions(in)
 	p.forget()
@@ -101,17 +104,18 @@
 	p.steps = append(p.steps, Step{galenastair.UnloadModel, c.server.ID, m.weight, why})
 }
 
-// asked and unasked tell the models that callers ask for from the rest.
-func asked(m *boardModel) bool   { return m.demand() > 0 }
-func unasked(m *boardModel) bool { return m.demand() <= 0 }
+// asked tells the models that callers ask for from the rest.
+func (p *Planner) asked(m *boardModel) bool {
+	return m.demand() > 0 && m.demand() >= p.settings.AskedWork
+}
 
-// reachModels gives every such model a first copy that will stay: also those whose
-// only backend server leaves. Those that nobody asks for come after the relief of busy
-// ones: callers wait there now.
-func (p *Planner) reachModels(which func(*boardModel) bool) {
+// reachModels gives every model that is asked for, or every other, a first copy that
+// will stay: also those whose only backend server leaves. Those that nobody asks for
+// come after the relief of busy ones: callers wait there now.
+func (p *Planner) reachModels(asked bool) {
 	var need []*boardModel
 	for _, m := range p.board.bases() {
-		if m.lasting() == 0 && !p.wanted(m) && which(m) {
+		if m.lasting() == 0 && !p.wanted(m) && p.asked(m) == asked {
 			need = append(need, m)
 		}
 	}
@@ -124,7 +128,9 @@
 			p.board.spread()
 			continue
 		}
-		p.swapFor(m, Unreachable)
+		if asked || p.settings.DropUnasked == 0 {
+			p.swapFor(m, Unreachable)
+		}
 	}
 }
 
--- a/place/settings.go
+++ b/place/settings.go
@@ -23,6 +23,16 @@
 	// ReliefsARound is how many copies one round may make for load; 0 is one. More are
 	// for backend servers that have models at hand, which no pace holds back.
 	ReliefsARound int
+	// AskedWork is the work per second from which a model counts as asked for; below it
+	// its callers are too few to go before those who wait for a busy one.
+	AskedWork float64
+	// DropUnasked is the part of ServerWork from which a backend server is so busy that
+	// the only copy of a model that nobody asks for makes way for it, if some backend server has it at hand: it is back within a load
+	// that takes nothing from the weight store. Without it a fleet that has lost a
+	// third of its memory holds one copy of each model, and the callers of the busiest
+	// all wait at one backend server.
+	// 0 is never.
+	DropUnasked float64
 	// Spares lets memory that is left over be filled with second copies.
 	Spares bool
 }
--- a/place/swap.go
+++ b/place/swap.go
@@ -88,7 +88,7 @@
 // its adapters there, must be ready elsewhere first.
 func (p *Planner) mayGo(m *boardModel, s *boardServer, why Reason) bool {
 	c := m.on(s)
-	if c == nil || c.state != Ready || !m.readyBeside(s) {
+	if c == nil || c.state != Ready || !m.readyBeside(s) && !p.mayDrop(m, why) {
 		return false
 	}
 	if why != Unreachable && p.now.Sub(p.added[copyKey{s.ID, m.weight.Name}]) < p.settings.Stay {
@@ -102,6 +102,19 @@
 	return true
 }
 
+// mayDrop says whether the only copy of a model may go for one that is asked for.
+func (p *Planner) mayDrop(m *boardModel, why Reason) bool {
+	if p.settings.DropUnasked == 0 || p.asked(m) || why == Relief && !p.drops {
+		return false
+	}
+	for _, s := range p.board.servers {
+		if s.stays() && s.AtHand[m.weight.Name] {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Planner) begin(m *boardModel, s *boardServer, evict []*boardModel, why Reason) {
 	sw := &swap{want: m.weight.Name, reason: why, begun: p.now}
 	for _, e := range evict {
@@ -153,7 +166,7 @@
 		if c.state == Going || e.base == nil && anyOn(e.adapters, s) {
 			continue
 		}
-		if !e.readyBeside(s) {
+		if !e.readyBeside(s) && !p.mayDrop(e, sw.reason) {
 			delete(p.swaps, s.ID)
 			return
 		}
--- a/planner/site.go
+++ b/planner/site.go
@@ -29,6 +29,10 @@
 	// a load takes 2 to 3 s.
 	calm = 1200 * time.Millisecond
 	stay = 5 * time.Second
+	// dropUnasked: from here on more is asked of an engine than it can do.
+	dropUnasked = 1.2
+	// askedWork is a request each ten seconds or so.
+	askedWork = 250
 	// reliefsARound: demand that moves takes several copies at once.
 	reliefsARound = 3
 )
@@ -79,6 +83,8 @@
 		Calm:           calm,
 		Stay:           stay,
 		ReliefsARound:  reliefsARound,
+		AskedWork:      askedWork,
+		DropUnasked:    dropUnasked,
 	})
 }
 
