--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,171 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/boottime"
+	"galenastair/follow"
+	"galenastair/platform"
+	"galenastair/standin/metastore"
+)
+
+const topic galenastair.Topic = "keyed.op"
+
+// reader keeps the newest value of each key as a follower's owner does.
+type reader struct {
+	mu     sync.Mutex
+	values map[string]string
+}
+
+func (r *reader) apply(b galenastair.KeyedBatch, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if whole {
+		r.values = map[string]string{}
+	}
+	for _, rec := range b.Records {
+		if len(rec.Value) == 0 {
+			delete(r.values, rec.Key)
+			continue
+		}
+		r.values[rec.Key] = string(rec.Value)
+	}
+}
+
+func (r *reader) get(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.values[key]
+}
+
+func start(t *testing.T, opts ...follow.Option) (*metastore.Store, *follow.Follower, *reader) {
+	t.Helper()
+	s := metastore.New()
+	server := httptest.NewServer(s.Handler())
+	r := &reader{values: map[string]string{}}
+	f := follow.New(platform.NewStore(server.Listener.Addr().String()), topic, r.apply, append([]follow.Option{follow.WithWait(100 * time.Millisecond)}, opts...)...)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return s, f, r
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not seen: " + what)
+}
+
+// A follower reads all pages of the newest records, then each change.
+func TestFollowsAllPagesAndChanges(t *testing.T) {
+	s, _, r := start(t)
+	for _, key := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		s.Put(string(topic), key, []byte("1"))
+	}
+	until(t, "the last key", func() bool { return r.get("g") == "1" })
+	s.Put(string(topic), "c", []byte("2"))
+	until(t, "the change", func() bool { return r.get("c") == "2" })
+	s.Put(string(topic), "c", nil)
+	until(t, "the end of a key", func() bool { return r.get("c") == "" })
+}
+
+// The store drops its history while changes are made: the follower begins with the
+// newest records again and misses none.
+func TestBeginsAnewWhenHistoryIsGone(t *testing.T) {
+	s, _, r := start(t)
+	s.Put(string(topic), "a", []byte("1"))
+	until(t, "the first", func() bool { return r.get("a") == "1" })
+	s.Switch(func(sw *metastore.Switches) { sw.Refuse = true })
+	s.Put(string(topic), "a", []byte("2"))
+	s.Put(string(topic), "b", []byte("1"))
+	s.Compact(string(topic))
+	s.Switch(func(sw *metastore.Switches) { sw.Refuse = false })
+	until(t, "the change", func() bool { return r.get("a") == "2" && r.get("b") == "1" })
+}
+
+// After the history was dropped, the newest records come from a state of a moment ago.
+// A key withdrawn meanwhile would be back; the answer is not taken, and does not count
+// as a confirmation.
+func TestOlderNewestIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	s, f, r := start(t)
+	s.Put(string(topic), "config", []byte("old"))
+	until(t, "the first", func() bool { return r.get("config") == "old" })
+	s.Put(string(topic), "config", []byte("new"))
+	until(t, "the second", func() bool { return r.get("config") == "new" })
+	s.Switch(func(sw *metastore.Switches) { sw.Stale = true })
+	s.Compact(string(topic))
+	s.Put(string(topic), "other", []byte("x"))
+	s.Compact(string(topic))
+	time.Sleep(250 * time.Millisecond)
+	is.Equal(r.get("config"), "new")
+	s.Switch(func(sw *metastore.Switches) { sw.Stale = false })
+	until(t, "the rest", func() bool { return r.get("other") == "x" })
+	age, ok := f.Age()
+	is.True(ok)
+	is.True(age < time.Second)
+}
+
+// The store goes silent: the age of what is known grows, on a clock that goes on while
+// the machine is suspended.
+func TestAgeGrowsWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	shift := time.Duration(0)
+	clock := func() boottime.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return boottime.Now().Add(shift)
+	}
+	s, f, r := start(t, follow.WithClock(clock))
+	_, ok := f.Age()
+	is.True(!ok)
+	s.Put(string(topic), "a", []byte("1"))
+	until(t, "the first", func() bool { return r.get("a") == "1" })
+	s.Switch(func(sw *metastore.Switches) { sw.Silent = true })
+	mu.Lock()
+	shift = 10 * time.Second
+	mu.Unlock()
+	age, _ := f.Age()
+	is.True(age >= 9*time.Second)
+	until(t, "the loss", f.Away)
+	s.Switch(func(sw *metastore.Switches) { sw.Silent = false })
+	until(t, "the return", func() bool {
+		age, _ := f.Age()
+		return age < time.Second
+	})
+}
+
+// A confirmation counts from before the call that brought it: a store that takes a
+// second to answer may have been asked a second before a key was withdrawn.
+func TestAgeCountsFromBeforeTheCall(t *testing.T) {
+	is := is.New(t)
+	s, f, r := start(t)
+	s.Put(string(topic), "a", []byte("1"))
+	until(t, "the first", func() bool { return r.get("a") == "1" })
+	s.Switch(func(sw *metastore.Switches) { sw.Delay = 400 * time.Millisecond })
+	time.Sleep(1500 * time.Millisecond)
+	age, _ := f.Age()
+	is.True(age >= 400*time.Millisecond)
+}
--- /dev/null
+++ b/standin/metastore/log.go
@@ -0,0 +1,113 @@
+package metastore
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+)
+
+// answer writes a JSON body.
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func number(r *http.Request, name string) int64 {
+	n, _ := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	return n
+}
+
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var records [][]byte
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		if n > len(body)-4 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		records = append(records, body[4:4+n])
+		body = body[4+n:]
+	}
+	s.mu.Lock()
+	offset := s.append(r.URL.Query().Get("topic"), records)
+	s.mu.Unlock()
+	answer(w, map[string]int64{"offset": offset, "end": offset + int64(len(records))})
+}
+
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
+	from := number(r, "from")
+	deadline := time.Now().Add(time.Duration(number(r, "wait-ms")) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(r.URL.Query().Get("topic"))
+		first, end, changed := t.first, t.first+int64(len(t.records)), s.changed
+		var data []byte
+		if from >= first && from < end {
+			data = frame(t.records[from-first:])
+		}
+		s.mu.Unlock()
+		switch {
+		case from < first:
+			w.WriteHeader(http.StatusGone)
+			answer(w, map[string]int64{"first": first})
+			return
+		case len(data) > 0 || !time.Now().Before(deadline):
+			head := binary.BigEndian.AppendUint64(nil, uint64(end))
+			head = binary.BigEndian.AppendUint64(head, uint64(first))
+			_, _ = w.Write(append(head, data...))
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Until(deadline)):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func frame(records [][]byte) []byte {
+	var out []byte
+	for _, data := range records {
+		out = binary.BigEndian.AppendUint32(out, uint32(len(data)))
+		out = append(out, data...)
+	}
+	return out
+}
+
+// page is how many records one answer with the newest holds; small, so that tests see
+// more than one page.
+const page = 5
+
+func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	from, end := t.newest, t.first+int64(len(t.records))
+	if s.switches.Stale {
+		from, end = t.old, max(0, end-1)
+	}
+	keys := make([]string, 0, len(from))
+	for k := range from {
+		if k > r.URL.Query().Get("after") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > page
+	items := []map[string]any{}
+	for _, k := range keys[:min(page, len(keys))] {
+		items = append(items, map[string]any{"key": k, "value": base64.StdEncoding.EncodeToString(from[k].value), "offset": from[k].offset})
+	}
+	answer(w, map[string]any{"items": items, "more": more, "end": end})
+}
