--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 demo: build
 	bash scenario/demo.sh
+	bash scenario/gateway.sh
 
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/cmd/galenastair-standin/cmd_store.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+
+	"galenastair/standin/metastore"
+)
+
+// runStore serves the users' platform's metadata store. Beside its own protocol it
+// takes POST /put?topic=T&key=K with the value as the body, for the operator and the
+// replicas, and POST /switch?name=N&on=true for its faults.
+func runStore(ctx context.Context, args []string) error {
+	f := flag.NewFlagSet("store", flag.ContinueOnError)
+	address := f.String("listen", "127.0.0.1:0", "address to listen on")
+	if err := f.Parse(args); err != nil {
+		return err
+	}
+	s := metastore.New()
+	mux := http.NewServeMux()
+	mux.Handle("/", s.Handler())
+	mux.HandleFunc("POST /put", func(w http.ResponseWriter, r *http.Request) {
+		value, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Put(r.URL.Query().Get("topic"), r.URL.Query().Get("key"), value)
+	})
+	mux.HandleFunc("POST /switch", func(w http.ResponseWriter, r *http.Request) {
+		on := r.URL.Query().Get("on") == "true"
+		switch r.URL.Query().Get("name") {
+		case "refuse":
+			s.Switch(func(sw *metastore.Switches) { sw.Refuse = on })
+		case "silent":
+			s.Switch(func(sw *metastore.Switches) { sw.Silent = on })
+		default:
+			http.Error(w, "name is refuse or silent", http.StatusBadRequest)
+		}
+	})
+	l, err := listen(*address)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, l, mux, func() {})
+}
--- a/cmd/galenastair/cmd_check.go
+++ b/cmd/galenastair/cmd_check.go
@@ -49,7 +49,15 @@
 	if err != nil {
 		return err
 	}
-	if !isContract(text) {
+	switch firstSection(text) {
+	case "[Contract]":
+	case "[Gateway]":
+		if _, err := settings.ParseGateway(text); err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(out, "%s: valid settings of a gateway\n", path)
+		return err
+	default:
 		if _, err := settings.Parse(text); err != nil {
 			return err
 		}
@@ -64,13 +72,13 @@
 	return err
 }
 
-// isContract tells a contract from settings by its first section.
-func isContract(text []byte) bool {
+// firstSection tells contracts and both kinds of settings from each other.
+func firstSection(text []byte) string {
 	for line := range bytes.Lines(text) {
 		line = bytes.TrimSpace(line)
 		if bytes.HasPrefix(line, []byte("[")) {
-			return bytes.Equal(line, []byte("[Contract]"))
+			return string(line)
 		}
 	}
-	return false
+	return ""
 }
--- /dev/null
+++ b/cmd/galenastair/cmd_explain.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"galenastair/explain"
+)
+
+var cmdExplain = command{
+	name:    "explain",
+	summary: "tell one request's way from the instances' logs, and what they went by",
+	usage:   "-id ID FILE...",
+	run:     runExplain,
+}
+
+func runExplain(_ context.Context, args []string, out, errOut io.Writer) error {
+	f := flag.NewFlagSet("explain", flag.ContinueOnError)
+	f.SetOutput(errOut)
+	id := f.String("id", "", "the request's id")
+	if err := parseFlags(f, args); err != nil {
+		return err
+	}
+	if *id == "" || f.NArg() == 0 {
+		return usageError("explain", "-id or a FILE is missing")
+	}
+	var lines []explain.Line
+	for _, path := range f.Args() {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, readLines(text)...)
+	}
+	story := explain.Find(lines, *id)
+	if len(story.Request) == 0 {
+		return eris.Errorf("no line names request %s; are these the logs of all instances, and of that time?", *id)
+	}
+	for _, l := range story.Beliefs {
+		fmt.Fprintln(out, "before  ", l)
+	}
+	for _, l := range story.Request {
+		fmt.Fprintln(out, "request ", l)
+	}
+	fmt.Fprintln(out, "cause:  ", story.Cause())
+	return nil
+}
+
+// readLines reads the lines one by one, so that one that was cut, or is not ours, costs
+// no other.
+func readLines(text []byte) []explain.Line {
+	var out []explain.Line
+	for line := range bytes.Lines(text) {
+		read, err := explain.Read(bytes.NewReader(line))
+		if err != nil {
+			continue
+		}
+		out = append(out, read...)
+	}
+	return out
+}
--- a/cmd/galenastair/commands.go
+++ b/cmd/galenastair/commands.go
@@ -13,6 +13,7 @@
 		cmdKey,
 		cmdCall,
 		cmdStatus,
+		cmdExplain,
 		cmdLoad,
 		cmdMeasure,
 		cmdVersion,
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,34 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const logs = `ts=2026-01-01T10:00:00Z instance=n1 event="dependency lost" peer=127.0.0.1:1 err=timeout
+ts=2026-01-01T10:00:01Z instance=n2 event=holder holder=127.0.0.1:2
+not a line of ours = = "
+ts=2026-01-01T10:00:02.5Z instance=n1 event=refused request=r1 organisation=org status=429 code=RateExceeded cause="over"
+ts=2026-01-01T10:00:02Z instance=n1 event=route request=r1 server=s1 foretold=20ms
+ts=2026-01-01T10:00:03Z instance=n1 event=answered request=r2 status=200 code= cause=null
+`
+
+// An engineer has a request's id and the logs of all instances: its lines come in order,
+// with what its own instance had lost before, and nothing of the others.
+func TestFind(t *testing.T) {
+	is := is.New(t)
+	lines, err := Read(strings.NewReader(strings.Replace(logs, "not a line of ours = = \"\n", "", 1)))
+	is.NoErr(err)
+	s := Find(lines, "r1")
+	is.Equal(len(s.Request), 2)
+	is.Equal(s.Request[0].Event, "route")
+	is.Equal(len(s.Beliefs), 1)
+	is.Equal(s.Beliefs[0].Event, "dependency lost")
+	is.True(strings.Contains(s.Cause(), "RateExceeded"))
+	is.True(strings.Contains(s.Request[0].String(), "server=s1"))
+	is.True(strings.Contains(Find(lines, "r2").Cause(), "own answer"))
+	is.Equal(len(Find(lines, "none").Request), 0)
+	is.True(strings.Contains(Find(lines, "none").Cause(), "not logged"))
+}
--- /dev/null
+++ b/settings/gateway_test.go
@@ -0,0 +1,91 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair/inifile"
+)
+
+const gatewayText = `[Gateway]
+ID = front-1
+Region = r
+AvailabilityZone = z
+CallerAddress = 127.0.0.1:8221
+ReadyAddress = 127.0.0.1:8224
+PeerAddress = 127.0.0.1:7600
+MetricsAddress = 127.0.0.1:7601
+StoreAddress = 127.0.0.1:8225
+[Limits]
+MemoryMB = 284
+[Bounds]
+KeyLife = 5000ms
+StopTimeout = 8s
+BetweenHolders = 3000ms
+LeaveTimeout = 2000ms
+RetryRatio = 0.2
+RetrySlack = 52
+QuotaWindow = 8s
+QuotaOver = 0.1
+QuotaSlack = 17000
+FencesChecked = true
+`
+
+func TestParseGateway(t *testing.T) {
+	is := is.New(t)
+	g, err := ParseGateway([]byte(gatewayText))
+	is.NoErr(err)
+	is.Equal(int64(g.Memory), int64(284_000_000))
+	is.Equal(g.Bounds.KeyLife, 5*time.Second)
+	is.True(g.Bounds.FencesChecked)
+}
+
+// A platform that fills in nothing for a field must be told so at the start: the bound
+// would else be zero, and no key ever admitted.
+func TestParseGatewayRefuses(t *testing.T) {
+	for name, text := range map[string]string{
+		"missing":    strings.Replace(gatewayText, "KeyLife = 5000ms\n", "", 1),
+		"empty":      strings.Replace(gatewayText, "5000ms", "ms", 1),
+		"unknown":    gatewayText + "Other = 1\n",
+		"no boolean": strings.Replace(gatewayText, "= true", "= yes", 1),
+		"host name":  strings.Replace(gatewayText, "127.0.0.1:8225", "store:8225", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := ParseGateway([]byte(text))
+			is.True(errors.Is(err, inifile.ErrInvalid))
+		})
+	}
+}
+
+// The template that the platform fills in names each key that must be there.
+func TestTemplateNamesAllKeys(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../deploy/gateway.ini")
+	is.NoErr(err)
+	filled := regexp.MustCompile(`\{\{[a-z0-9.-]+\}\}`).ReplaceAllStringFunc(string(text), func(p string) string {
+		switch {
+		case strings.Contains(p, "listen") || strings.Contains(p, "address"):
+			return "127.0.0.1:1"
+		case p == "{{ip}}":
+			return "127.0.0.1"
+		case strings.Contains(p, "required"):
+			return "true"
+		case strings.Contains(p, "-ratio") || strings.Contains(p, "-over"):
+			return "0.1"
+		case strings.Contains(p, "-ms"):
+			return "3000"
+		case strings.Contains(p, "-s}}"):
+			return "8"
+		}
+		return "100"
+	})
+	_, err = ParseGateway([]byte(filled))
+	is.NoErr(err)
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -21,6 +21,8 @@
 	CutAfter int
 	// Hang runs the request and never answers.
 	Hang bool
+	// Die closes the connection of a request that it runs, without an answer.
+	Die bool
 	// LoseOrders takes orders and gives no answer.
 	LoseOrders bool
 	// EventGap passes between two events.
@@ -179,6 +181,8 @@
 	case sw.Hang:
 		<-req.Context().Done()
 		r.left(run)
+	case sw.Die:
+		panic(http.ErrAbortHandler)
 	case sw.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case model != "":
