--- a/cmd/galenastair/cmd_gateway.go
+++ b/cmd/galenastair/cmd_gateway.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -51,7 +53,9 @@
 	go func() { written <- lines.Run(writing) }()
 	defer func() {
 		endWriting()
-		<-written
+		if err := <-written; !errors.Is(err, context.Canceled) {
+			fmt.Fprintln(errOut, "galenastair gateway: logs:", err)
+		}
 	}()
 	logger := log.With(log.NewLogfmtLogger(lines), "ts", log.DefaultTimestampUTC, "instance", s.ID)
 	logger.Log("event", "start", "zone", s.AvailabilityZone, "store", s.StoreAddress, "memory", int64(s.Memory))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,7 +44,7 @@
 	r := &run{g: g, call: c, sink: sink, begun: c.Received}
 	err = r.serve(ctx)
 	if err != nil {
-		err = r.refusal(ctx, err)
+		err = r.refusal(err)
 	}
 	r.record(err)
 	return r.headed, err
@@ -176,7 +176,7 @@
 }
 
 // refusal turns what ended the request into what its caller is told.
-func (r *run) refusal(ctx context.Context, err error) *galenastair.Refusal {
+func (r *run) refusal(err error) *galenastair.Refusal {
 	var told *galenastair.Refusal
 	outcome := galenastair.NotRun
 	if r.runs > 0 {
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -47,7 +47,7 @@
 		return nil, err
 	}
 	for range maxForeign {
-		resp, err := k.head(r.Method)
+		resp, err := k.head(r.Method) //nolint:bodyclose // its body is closed with the answer's, or with the connection
 		if err != nil {
 			stop()
 			k.Discard()
--- a/planner/order.go
+++ b/planner/order.go
@@ -54,7 +54,7 @@
 // send gives one order. The duty is checked once more right before: this process may
 // have stood still since it was planned.
 func (p *Planner) send(s *site, e *engine, t task, o galenastair.EngineOrder, held string) {
-	answer, err := galenastair.OrderWrong, error(ErrNotPlanner)
+	answer, err := galenastair.OrderWrong, ErrNotPlanner
 	fence, ok := p.duty.Order()
 	sent := ok && fence == o.Fence
 	if sent {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -46,21 +46,17 @@
 	return f
 }
 
-// exchange is one instance's exchange with the lender; a lost answer voids its loans.
-func (f *fleet) exchange(i int, lost bool) {
+// exchange is one instance's exchange with the lender.
+func (f *fleet) exchange(i int) {
 	s := f.shares[i]
 	asks := s.Asks(f.now)
 	n := f.lender.Heard(f.now, galenastair.InstanceID(strconv.Itoa(i)), s.Fleet())
 	for _, a := range asks {
 		lent := f.lender.Lend(f.now, a)
-		if lent > 0 && !lost {
+		if lent > 0 {
 			s.Lent(f.now, a.Organisation, lent)
 		}
 	}
-	if lost {
-		s.Unheard(f.now)
-		return
-	}
 	s.SetFleet(f.now, n)
 }
 
@@ -148,7 +144,7 @@
 			if !f.now.Before(next[i]) {
 				next[i] = f.now.Add(300 * time.Millisecond)
 				if reached {
-					f.exchange(i, false)
+					f.exchange(i)
 				} else {
 					f.shares[i].Unheard(f.now)
 				}
@@ -180,7 +176,7 @@
 			if !f.now.Before(next[i]) {
 				next[i] = f.now.Add(300 * time.Millisecond)
 				if up {
-					f.exchange(i, false)
+					f.exchange(i)
 				} else {
 					f.shares[i].Unheard(f.now)
 				}
@@ -247,13 +243,13 @@
 	is := is.New(t)
 	f := newFleet(1, 10000, 10000)
 	f.now = f.now.Add(5 * time.Second)
-	f.exchange(0, false)
+	f.exchange(0)
 	before := f.lender.accounts["org"].level
 	f.shares[0].Lent(f.now, "org", f.lender.LendAll(f.now, Ask{"org", 5000}))
 	f.now = f.now.Add(loanLife)
 	f.shares[0].SetFleet(f.now, 1)
 	is.True(!f.shares[0].Take(f.now, "org", 5000))
-	f.exchange(0, false)
+	f.exchange(0)
 	is.True(f.lender.accounts["org"].level >= before)
 }
 
--- a/turn/turn_test.go
+++ b/turn/turn_test.go
@@ -129,9 +129,12 @@
 	}
 }
 
-func held(now boottime.Time) *Turn {
+// begun is when the turns of the tests begin.
+const begun = boottime.Time(time.Hour)
+
+func held() *Turn {
 	t := New(DefaultBounds(between, true))
-	t.Joined(now, now, true)
+	t.Joined(begun, begun, true)
 	t.SetFence(t.Term(), 5, Nobody)
 	return t
 }
@@ -140,8 +143,8 @@
 // after. Another may have ordered meanwhile with a higher fence: the term has ended.
 func TestSuspendedHolderBeginsAnew(t *testing.T) {
 	is := is.New(t)
-	now := boottime.Time(time.Hour)
-	h := held(now)
+	now := begun
+	h := held()
 	_, ok := h.Order(now)
 	is.True(ok)
 	later := now.Add(10 * time.Second)
@@ -156,8 +159,8 @@
 // may have passed the duty on right after it answered.
 func TestLeaseCountsFromBeforeTheCall(t *testing.T) {
 	is := is.New(t)
-	now := boottime.Time(time.Hour)
-	h := held(now)
+	now := begun
+	h := held()
 	sent := now.Add(time.Second)
 	h.Joined(sent, sent.Add(lease), true)
 	is.True(!h.Holds(sent.Add(lease)))
@@ -166,8 +169,8 @@
 // An engine has seen a higher fence: this instance's term is over, whatever its joins say.
 func TestRefusedFenceEndsTheTerm(t *testing.T) {
 	is := is.New(t)
-	now := boottime.Time(time.Hour)
-	h := held(now)
+	now := begun
+	h := held()
 	h.Refused(4)
 	is.True(h.Holds(now))
 	h.Refused(5)
@@ -178,8 +181,8 @@
 // A stopping holder orders no more, and lends until it has left.
 func TestRestingHolderLends(t *testing.T) {
 	is := is.New(t)
-	now := boottime.Time(time.Hour)
-	h := held(now)
+	now := begun
+	h := held()
 	h.Rest()
 	_, ok := h.Order(now)
 	is.True(!ok)
