--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -169,3 +169,74 @@
 	age, _ := f.Age()
 	is.True(age >= 400*time.Millisecond)
 }
+
+// One instance reads the store and tells another, which then has no need to ask: it
+// takes in the changes and the age, and asks for itself once nobody tells it any more.
+func TestHintsSpareTheStore(t *testing.T) {
+	is := is.New(t)
+	s, f, r := start(t)
+	s.Put(string(topic), "a", []byte("1"))
+	until(t, "the first", func() bool { return r.get("a") == "1" })
+	from, ok := f.Position()
+	is.True(ok)
+	var tail follow.Tail
+	tail.Add(galenastair.KeyedBatch{Next: from, End: from}, true)
+	record := galenastair.KeyedRecord{Key: "a", Value: []byte("2"), Offset: from}
+	tail.Add(galenastair.KeyedBatch{Records: []galenastair.KeyedRecord{record}, Next: from + 1, End: from + 1}, false)
+	told := func() {
+		at, _ := f.Position()
+		f.Tell(follow.Hint{KeyedBatch: tail.Since(at), AsOf: boottime.Now()})
+	}
+	// a poll may be under way yet
+	told()
+	until(t, "the change that was told", func() bool { told(); return r.get("a") == "2" })
+	calls := s.Calls("/v1/log-read")
+	for range 30 {
+		told()
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.True(s.Calls("/v1/log-read")-calls <= 1)
+	age, _ := f.Age()
+	is.True(age < 200*time.Millisecond)
+	s.Put(string(topic), "a", []byte("3"))
+	s.Put(string(topic), "a", []byte("4"))
+	until(t, "the store is asked again", func() bool { return r.get("a") == "4" })
+}
+
+// Whoever gives hints has lost the store itself: its word grows old, and must not make
+// another's view look fresh.
+func TestOldHintConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	s, f, r := start(t)
+	s.Put(string(topic), "a", []byte("1"))
+	until(t, "the first", func() bool { return r.get("a") == "1" })
+	s.Switch(func(sw *metastore.Switches) { sw.Refuse = true })
+	until(t, "the loss", f.Away)
+	at, _ := f.Position()
+	for range 20 {
+		f.Tell(follow.Hint{KeyedBatch: galenastair.KeyedBatch{Next: at, End: at}, AsOf: boottime.Now().Add(-5 * time.Second)})
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(f.Away())
+	age, _ := f.Age()
+	is.True(age >= 200*time.Millisecond)
+}
+
+// A tail passes on what follows a position, nothing across a gap, and no large record.
+func TestTail(t *testing.T) {
+	is := is.New(t)
+	var tail follow.Tail
+	rec := func(key string, size int) galenastair.KeyedRecord {
+		return galenastair.KeyedRecord{Key: key, Value: make([]byte, size)}
+	}
+	tail.Add(galenastair.KeyedBatch{Next: 10, End: 10}, true)
+	tail.Add(galenastair.KeyedBatch{Records: []galenastair.KeyedRecord{rec("a", 1), rec("b", 1), rec("c", 100000), rec("d", 1)}, Next: 14, End: 14}, false)
+	is.Equal(len(tail.Since(11).Records), 1)
+	is.Equal(tail.Since(11).Next, galenastair.Offset(12))
+	is.Equal(tail.Since(11).End, galenastair.Offset(14))
+	is.Equal(len(tail.Since(9).Records), 0)
+	is.Equal(len(tail.Since(15).Records), 0)
+	tail.Add(galenastair.KeyedBatch{Records: []galenastair.KeyedRecord{rec("e", 1)}, Next: 20, End: 20}, false)
+	is.Equal(len(tail.Since(13).Records), 0)
+	is.Equal(tail.Since(20).End, galenastair.Offset(20))
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -34,8 +34,8 @@
 	store  galenastair.Store
 	topic  galenastair.Topic
 	apply  Apply
-	wait   time.Duration
-	pace   time.Duration
+	wait   func() time.Duration
+	pace   func() time.Duration
 	clock  boottime.Clock
 	logger log.Logger
 
@@ -43,22 +43,30 @@
 	answered  atomic.Int64
 	started   atomic.Bool
 	away      atomic.Bool
+	// position is the offset to go on from, plus one.
+	position atomic.Int64
+	hints    chan Hint
 
 	// owned by Run
 	from    galenastair.Offset
 	know    bool
 	shorter int
+	// hinted is as of when the last useful hint was.
+	hinted boottime.Time
 }
 
 // Option varies a Follower.
 type Option func(*Follower)
 
 // WithWait sets how long a poll waits for a record.
-func WithWait(d time.Duration) Option { return func(f *Follower) { f.wait = d } }
+func WithWait(d time.Duration) Option { return WithWaits(func() time.Duration { return d }) }
+
+// WithWaits is WithWait for a time that changes.
+func WithWaits(wait func() time.Duration) Option { return func(f *Follower) { f.wait = wait } }
 
 // WithPace sets the least time from records to the next call. Without it, each of many
 // changes in a row costs every instance a call of its own.
-func WithPace(d time.Duration) Option { return func(f *Follower) { f.pace = d } }
+func WithPace(pace func() time.Duration) Option { return func(f *Follower) { f.pace = pace } }
 
 // WithClock replaces the machine's clock.
 func WithClock(c boottime.Clock) Option { return func(f *Follower) { f.clock = c } }
@@ -68,7 +76,9 @@
 
 // New returns a follower that does nothing until Run.
 func New(s galenastair.Store, t galenastair.Topic, apply Apply, opts ...Option) *Follower {
-	f := &Follower{store: s, topic: t, apply: apply, wait: defaultWait, clock: boottime.Now, logger: log.NewNopLogger()}
+	f := &Follower{store: s, topic: t, apply: apply, clock: boottime.Now, logger: log.NewNopLogger(), hints: make(chan Hint, 1)}
+	WithWait(defaultWait)(f)
+	WithPace(func() time.Duration { return 0 })(f)
 	for _, o := range opts {
 		o(f)
 	}
@@ -97,11 +107,14 @@
 func (f *Follower) Run(ctx context.Context) error {
 	pause := firstPause
 	for ctx.Err() == nil {
+		if f.rest(ctx) {
+			continue
+		}
 		got, err := f.round(ctx)
 		if err == nil {
 			pause = firstPause
 			if got > 0 {
-				timer.Wait(ctx, f.pace)
+				timer.Wait(ctx, f.pace())
 			}
 			continue
 		}
@@ -114,6 +127,29 @@
 	return ctx.Err()
 }
 
+// rest waits for a hint while hints spare the store a call; false if it is to be asked.
+func (f *Follower) rest(ctx context.Context) bool {
+	spared := f.spared()
+	if spared <= 0 {
+		select {
+		case h := <-f.hints:
+			return f.take(h)
+		default:
+			return false
+		}
+	}
+	next := time.NewTimer(spared)
+	defer next.Stop()
+	select {
+	case h := <-f.hints:
+		return f.take(h)
+	case <-next.C:
+		return false
+	case <-ctx.Done():
+		return true
+	}
+}
+
 // round makes one call, takes in its answer and returns how many records came.
 func (f *Follower) round(ctx context.Context) (int, error) {
 	sent := f.clock()
@@ -132,14 +168,11 @@
 	}
 	f.shorter = 0
 	f.apply(batch, whole)
-	f.from, f.know = batch.Next, true
+	f.moveTo(batch.Next)
 	if f.from >= batch.End {
 		f.confirm(sent)
 	}
-	f.answered.Store(int64(f.clock()))
-	if f.away.Swap(false) {
-		f.logger.Log("event", "dependency regained", "topic", f.topic, "offset", f.from)
-	}
+	f.heard(f.clock())
 	return len(batch.Records), nil
 }
 
@@ -147,7 +180,7 @@
 	if !f.know {
 		return f.store.Newest(ctx, f.topic)
 	}
-	return f.store.Follow(ctx, f.topic, f.from, f.wait)
+	return f.store.Follow(ctx, f.topic, f.from, f.wait())
 }
 
 // stale counts an answer that knows less than what was read before.
@@ -162,6 +195,8 @@
 }
 
 func (f *Follower) confirm(sent boottime.Time) {
-	f.confirmed.Store(int64(sent))
+	if int64(sent) > f.confirmed.Load() {
+		f.confirmed.Store(int64(sent))
+	}
 	f.started.Store(true)
 }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"galenastair"
+	"galenastair/boottime"
 	"galenastair/claim"
 	"galenastair/peer/planning"
 	"galenastair/planner"
@@ -38,6 +39,7 @@
 	poison  *claim.Poison
 	logger  log.Logger
 	address string
+	topics  func() []followed
 
 	mu      sync.Mutex
 	demands map[galenastair.ModelName]float64
@@ -75,6 +77,7 @@
 // round makes one exchange and says whether the next is due soon.
 func (x *exchange) round(ctx context.Context) bool {
 	r := x.report()
+	sent := boottime.Now()
 	busy := len(r.Loads)+len(r.Demands)+len(r.Asks)+len(r.Poisons) > 0
 	news, err := x.hear(ctx, r)
 	if err != nil {
@@ -83,6 +86,7 @@
 		return true
 	}
 	x.take(news)
+	tell(x.topics(), news.Tails, sent)
 	return busy
 }
 
@@ -92,6 +96,7 @@
 	x.demands, x.poisons = map[galenastair.ModelName]float64{}, nil
 	x.mu.Unlock()
 	r.Loads = x.pool.Loads()
+	r.Positions = positions(x.topics())
 	r.Asks, r.Fleet = x.share.Asks(time.Now()), x.share.Fleet()
 	return r
 }
--- a/node/listen.go
+++ b/node/listen.go
@@ -40,7 +40,7 @@
 
 func (n *Node) listen(g *run.Group) error {
 	peers := http.NewServeMux()
-	peers.Handle(planning.PathPrefix, planning.NewServer(n.planner))
+	peers.Handle(planning.PathPrefix, planning.NewServer(teller{n.planner, n.topics}))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
 	callers := newServer(n.conns.handler(platform.NewHandler(n.gateway, n.views, n.stopping.Load)))
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,9 @@
 	// view in quiet times; the second how long a silent connection hides a leaving server.
 	viewWait   = 1700 * time.Millisecond
 	serverWait = 2 * time.Second
+	// plannerWait is the first for the instance that tells the others.
+	plannerWait = 700 * time.Millisecond
+	plannerPace = 400 * time.Millisecond
 	// viewPace and serverPace gather changes that come in a row into one call; they stay
 	// well below the times in which a version, or a server's leaving, must be in force.
 	viewPace   = 150 * time.Millisecond
@@ -55,15 +58,18 @@
 	loop     *control.Loop
 	views    *views
 	servers  *servers
-	pool     *pool.Pool
-	share    *quota.Share
-	backends *httpconn.Client
-	keeper   *turn.Keeper
-	duty     duty
-	planner  *planner.Planner
-	exchange *exchange
-	gateway  *gateway.Gateway
-	metrics  *metrics
+	// viewTail and serverTail are what is passed on of the store's topics.
+	viewTail   follow.Tail
+	serverTail follow.Tail
+	pool       *pool.Pool
+	share      *quota.Share
+	backends   *httpconn.Client
+	keeper     *turn.Keeper
+	duty       duty
+	planner    *planner.Planner
+	exchange   *exchange
+	gateway    *gateway.Gateway
+	metrics    *metrics
 	// stopping is set by the signal, closing when new connections have ended.
 	stopping atomic.Bool
 	closing  atomic.Bool
@@ -107,6 +113,7 @@
 		logger:  n.logger,
 		address: s.PeerAddress,
 		demands: map[galenastair.ModelName]float64{},
+		topics:  n.topics,
 	}
 	n.exchange.poison = claim.NewPoison(n.exchange.poisoned, claim.WithTrials(poisonTrials, poisonTerm))
 	n.follow(store)
@@ -131,11 +138,37 @@
 // follow makes what reads the store's topics.
 func (n *Node) follow(store galenastair.Store) {
 	n.views = &views{logger: n.logger}
-	n.views.follower = follow.New(store, platform.ConfigurationTopic, n.views.apply,
-		follow.WithWait(viewWait), follow.WithPace(viewPace), follow.WithLogger(n.logger))
+	n.views.follower = follow.New(store, platform.ConfigurationTopic, noting(&n.viewTail, n.views.apply),
+		follow.WithWaits(func() time.Duration { return n.pollWait(viewWait) }), follow.WithPace(func() time.Duration { return viewPace }), follow.WithLogger(n.logger))
 	n.servers = newServers(n.logger, func(pool.Server) {}, func(galenastair.BackendServerID) {})
 }
 
+// pollWait is how long a poll waits. All others go by the age that the instance that
+// plans tells them, so that it looks more often.
+func (n *Node) pollWait(usual time.Duration) time.Duration {
+	if n.duty.Holds() {
+		return plannerWait
+	}
+	return usual
+}
+
+// serverPace is the least time between two reads of the registrations; the instance that
+// plans reads for all, and what it tells is on its way for an exchange more.
+func (n *Node) serverPace() time.Duration {
+	if n.duty.Holds() {
+		return plannerPace
+	}
+	return serverPace
+}
+
+// topics are what this instance reads of the store; none before Run.
+func (n *Node) topics() []followed {
+	return []followed{
+		{platform.ConfigurationTopic, n.views.follower, &n.viewTail},
+		{platform.RegistrationTopic, n.servers.follower, &n.serverTail},
+	}
+}
+
 // Run serves until the context ends, then stops without cutting a request.
 func (n *Node) Run(ctx context.Context) error {
 	var g run.Group
@@ -176,8 +209,8 @@
 		n.post(n.planner.RemoveServer(ctx, id))
 	}
 	store := platform.NewStore(n.settings.StoreAddress)
-	n.servers.follower = follow.New(store, platform.RegistrationTopic, n.servers.apply(ctx),
-		follow.WithWait(serverWait), follow.WithPace(serverPace), follow.WithLogger(n.logger))
+	n.servers.follower = follow.New(store, platform.RegistrationTopic, noting(&n.serverTail, n.servers.apply(ctx)),
+		follow.WithWaits(func() time.Duration { return n.pollWait(serverWait) }), follow.WithPace(n.serverPace), follow.WithLogger(n.logger))
 }
 
 // keepTurn keeps the turn until the instance is told to stop, and ends with the rest.
--- /dev/null
+++ b/node/tails.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"context"
+
+	"galenastair"
+	"galenastair/boottime"
+	"galenastair/follow"
+	"galenastair/planner"
+)
+
+// followed is one topic that this instance reads, and the end of it for others.
+type followed struct {
+	topic    galenastair.Topic
+	follower *follow.Follower
+	tail     *follow.Tail
+}
+
+// teller answers the instances' reports: the planner's news, with what this instance
+// has read of the store beyond what they have.
+type teller struct {
+	*planner.Planner
+	topics func() []followed
+}
+
+// Hear takes in a report.
+func (t teller) Hear(ctx context.Context, r planner.Report) (planner.News, error) {
+	news, err := t.Planner.Hear(ctx, r)
+	if err != nil {
+		return news, err
+	}
+	for _, f := range t.topics() {
+		from, asked := r.Positions[f.topic]
+		age, known := f.follower.Age()
+		if asked && known {
+			news.Tails = append(news.Tails, planner.Tail{Topic: f.topic, KeyedBatch: f.tail.Since(from), Age: age})
+		}
+	}
+	return news, nil
+}
+
+// positions returns how far this instance has read.
+func positions(topics []followed) map[galenastair.Topic]galenastair.Offset {
+	out := make(map[galenastair.Topic]galenastair.Offset, len(topics))
+	for _, f := range topics {
+		if from, ok := f.follower.Position(); ok {
+			out[f.topic] = from
+		}
+	}
+	return out
+}
+
+// tell hands what the planner has read to the followers; sent is from before the call
+// that brought it.
+func tell(topics []followed, tails []planner.Tail, sent boottime.Time) {
+	for _, t := range tails {
+		for _, f := range topics {
+			if f.topic == t.Topic {
+				f.follower.Tell(follow.Hint{KeyedBatch: t.KeyedBatch, AsOf: sent.Add(-t.Age)})
+			}
+		}
+	}
+}
+
+// noting adds what is applied to a tail.
+func noting(t *follow.Tail, apply follow.Apply) follow.Apply {
+	return func(b galenastair.KeyedBatch, whole bool) {
+		apply(b, whole)
+		t.Add(b, whole)
+	}
+}
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -86,6 +86,23 @@
 	for _, d := range r.Poisons {
 		out.Poisons = append(out.Poisons, string(d))
 	}
+	for topic, from := range r.Positions {
+		out.Positions = append(out.Positions, &planningpb.Position{Topic: string(topic), From: int64(from)})
+	}
+	return out
+}
+
+func decodeTails(ts []*planningpb.Tail) []planner.Tail {
+	var out []planner.Tail
+	for _, t := range ts {
+		tail := planner.Tail{Topic: galenastair.Topic(t.Topic), Age: time.Duration(t.AgeMs) * time.Millisecond}
+		tail.Next, tail.End = galenastair.Offset(t.From), galenastair.Offset(t.End)
+		for _, r := range t.Records {
+			tail.Records = append(tail.Records, galenastair.KeyedRecord{Key: r.Key, Value: r.Value, Offset: tail.Next})
+			tail.Next++
+		}
+		out = append(out, tail)
+	}
 	return out
 }
 
@@ -118,6 +135,7 @@
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.Ask{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
+	out.Tails = decodeTails(r.Tails)
 	out.Placed, out.Dropped = decodePlacements(r.Placed), decodePlacements(r.Dropped)
 	for _, d := range r.Poisons {
 		out.Poisons = append(out.Poisons, claim.Digest(d))
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -27,10 +27,11 @@
 // Exchange takes in a report.
 func (s *server) Exchange(ctx context.Context, req *planningpb.ExchangeRequest) (*planningpb.ExchangeReply, error) {
 	r := planner.Report{
-		Instance: galenastair.InstanceID(req.Instance),
-		Fleet:    int(req.Fleet),
-		Loads:    decodeLoads(req.Loads),
-		Demands:  make(map[galenastair.ModelName]float64, len(req.Demands)),
+		Instance:  galenastair.InstanceID(req.Instance),
+		Fleet:     int(req.Fleet),
+		Loads:     decodeLoads(req.Loads),
+		Positions: make(map[galenastair.Topic]galenastair.Offset, len(req.Positions)),
+		Demands:   make(map[galenastair.ModelName]float64, len(req.Demands)),
 	}
 	for _, d := range req.Demands {
 		r.Demands[galenastair.ModelName(d.Name)] = float64(d.Work)
@@ -41,6 +42,9 @@
 	for _, d := range req.Poisons {
 		r.Poisons = append(r.Poisons, claim.Digest(d))
 	}
+	for _, p := range req.Positions {
+		r.Positions[galenastair.Topic(p.Topic)] = galenastair.Offset(p.From)
+	}
 	news, err := s.planner.Hear(ctx, r)
 	if errors.Is(err, planner.ErrNotPlanner) {
 		return &planningpb.ExchangeReply{}, nil
@@ -56,6 +60,7 @@
 	for _, l := range n.Loans {
 		out.Loans = append(out.Loans, &planningpb.Loan{Organisation: string(l.Organisation), Amount: l.Amount})
 	}
+	out.Tails = encodeTails(n.Tails)
 	out.Placed, out.Dropped = encodePlacements(n.Placed), encodePlacements(n.Dropped)
 	for _, d := range n.Poisons {
 		out.Poisons = append(out.Poisons, string(d))
@@ -63,6 +68,23 @@
 	return out
 }
 
+func encodeTails(ts []planner.Tail) []*planningpb.Tail {
+	var out []*planningpb.Tail
+	for _, t := range ts {
+		tail := &planningpb.Tail{
+			Topic: string(t.Topic),
+			From:  int64(t.Next) - int64(len(t.Records)),
+			End:   int64(t.End),
+			AgeMs: uint32(t.Age.Milliseconds()) + 1,
+		}
+		for _, r := range t.Records {
+			tail.Records = append(tail.Records, &planningpb.Record{Key: r.Key, Value: r.Value})
+		}
+		out = append(out, tail)
+	}
+	return out
+}
+
 func encodePlacements(ps []planner.Placement) []*planningpb.Placement {
 	var out []*planningpb.Placement
 	for _, p := range ps {
--- a/planner/message.go
+++ b/planner/message.go
@@ -19,6 +19,8 @@
 	Asks    []quota.Ask
 	// Fleet is the number of instances that it was told of last.
 	Fleet int
+	// Positions are how far it has read the store's topics.
+	Positions map[galenastair.Topic]galenastair.Offset
 	// Poisons are requests that stopped a backend server since the last report.
 	Poisons []claim.Digest
 }
@@ -35,6 +37,17 @@
 	Placed  []Placement
 	Dropped []Placement
 	Poisons []claim.Digest
+	// Tails are what the planner has read of the store's topics beyond the instance's
+	// positions.
+	Tails []Tail
+}
+
+// Tail is the end of one topic.
+type Tail struct {
+	Topic galenastair.Topic
+	galenastair.KeyedBatch
+	// Age is how long ago the store confirmed the end.
+	Age time.Duration
 }
 
 // Placement is a model or adapter on a backend server.
