node: only small fleets are told what the store holds

Ruled out: the processor (0.03 cores), the lender. Change: up to 24 instances; polls of the planner 0.45 s.

--- a/node/node.go
+++ b/node/node.go
@@ -36,7 +36,7 @@
 	viewWait   = 1700 * time.Millisecond
 	serverWait = 2 * time.Second
 	// plannerWait is the first for the instance that tells the others.
-	plannerWait = 700 * time.Millisecond
+	plannerWait = 450 * time.Millisecond
 	plannerPace = 400 * time.Millisecond
 	// viewPace and serverPace gather changes that come in a row into one call; they stay
 	// well below the times in which a version, or a server's leaving, must be in force.
--- a/node/tails.go
+++ b/node/tails.go
@@ -23,10 +23,16 @@
 	topics func() []followed
 }
 
+// tellMost is the largest fleet that is told what the store holds. Registrations change
+// some ten times a second at 90 engines, 700 bytes each: told to 77 instances they took
+// 5 Mbit/s of the link of the one that plans, which may have 10, its answers came too
+// late, and the served share of a calm day fell from 0.92 to 0.67.
+const tellMost = 24
+
 // Hear takes in a report.
 func (t teller) Hear(ctx context.Context, r planner.Report) (planner.News, error) {
 	news, err := t.Planner.Hear(ctx, r)
-	if err != nil {
+	if err != nil || news.Fleet == 0 || news.Fleet > tellMost {
 		return news, err
 	}
 	for _, f := range t.topics() {
