--- a/place/leader_test.go
+++ b/place/leader_test.go
@@ -48,6 +48,13 @@
 			galenastair.Weight{Name: name, Memory: 10},
 			galenastair.Weight{Name: name + "-a", Base: name, Memory: 1})
 	}
+	var list []route.Server
+	for i := range engines {
+		address := fmt.Sprint("a", i)
+		id := galenastair.BackendServerID(fmt.Sprint("e", i))
+		b.engines[address] = &galenastair.EngineReport{BackendServer: id, MemoryTotal: 26}
+		list = append(list, route.Server{ID: id, Address: address})
+	}
 	s := DefaultSettings()
 	s.LoadsPerSecond, s.LoadsInFlight = 100, 100
 	loop := control.NewLoop()
@@ -68,13 +75,6 @@
 		stopLoop()
 		<-ended
 	})
-	var list []route.Server
-	for i := range engines {
-		address := fmt.Sprint("a", i)
-		id := galenastair.BackendServerID(fmt.Sprint("e", i))
-		b.engines[address] = &galenastair.EngineReport{BackendServer: id, MemoryTotal: 26}
-		list = append(list, route.Server{ID: id, Address: address})
-	}
 	if err := b.leader.SetServers(ctx, list); err != nil {
 		t.Fatal(err)
 	}
