--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,7 +11,7 @@
 	"galenastair/pool"
 )
 
-// errStopped says that a request ended for the caller's sake or for lack of time.
+// errLeft says that the caller closed its connection.
 var errLeft = errors.New("the caller left")
 
 // run is one request under way.
