--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 type Node struct {
 	settings settings.Gateway
 	logger   log.Logger
+	store    galenastair.Store
 	loop     *control.Loop
 	views    *views
 	servers  *servers
@@ -92,7 +93,7 @@
 	for _, o := range opts {
 		o(n)
 	}
-	store := platform.NewStore(s.StoreAddress)
+	n.store = platform.NewStore(s.StoreAddress)
 	n.pool = pool.New(s.AvailabilityZone, pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-leaveLag)))
 	terms := quota.Terms{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
 	n.share = quota.NewShare(terms)
@@ -100,27 +101,40 @@
 	backend := platform.NewReplicas(n.backends)
 	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.duty = duty{t}
-	n.keeper = turn.NewKeeper(store, t, s.PeerAddress, turn.WithLogger(n.logger))
+	n.keeper = turn.NewKeeper(n.store, t, s.PeerAddress, turn.WithLogger(n.logger))
 	n.planner = planner.New(string(s.ID), terms, backend, n.duty, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
-	n.exchange = &exchange{
-		self:    s.ID,
+	n.views = &views{logger: n.logger}
+	n.servers = newServers(n.logger)
+	n.exchange = n.newExchange()
+	n.gateway = n.newGateway(backend)
+	n.metrics.watch(n)
+	return n
+}
+
+func (n *Node) newExchange() *exchange {
+	x := &exchange{
+		self:    n.settings.ID,
 		keeper:  n.keeper,
 		client:  planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
 		local:   n.planner,
 		pool:    n.pool,
 		share:   n.share,
 		logger:  n.logger,
-		address: s.PeerAddress,
+		address: n.settings.PeerAddress,
 		demands: map[galenastair.ModelName]float64{},
 		topics:  n.topics,
 	}
-	n.exchange.poison = claim.NewPoison(n.exchange.poisoned, claim.WithTrials(poisonTrials, poisonTerm))
-	n.follow(store)
-	n.gateway = gateway.New(gateway.Settings{
-		ViewLife:   s.Bounds.KeyLife - viewMargin,
-		RetryRatio: s.Bounds.RetryRatio,
-		RetrySlack: s.Bounds.RetrySlack,
+	x.poison = claim.NewPoison(x.poisoned, claim.WithTrials(poisonTrials, poisonTerm))
+	return x
+}
+
+func (n *Node) newGateway(backend galenastair.Backend) *gateway.Gateway {
+	b := n.settings.Bounds
+	return gateway.New(gateway.Settings{
+		ViewLife:   b.KeyLife - viewMargin,
+		RetryRatio: b.RetryRatio,
+		RetrySlack: b.RetrySlack,
 		Fleet:      n.share.Fleet,
 		Closing:    n.closing.Load,
 	}, gateway.Ports{
@@ -131,16 +145,6 @@
 		Placement: n.exchange,
 		Poison:    n.exchange.poison,
 	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
-	n.metrics.watch(n)
-	return n
-}
-
-// follow makes what reads the store's topics.
-func (n *Node) follow(store galenastair.Store) {
-	n.views = &views{logger: n.logger}
-	n.views.follower = follow.New(store, platform.ConfigurationTopic, noting(&n.viewTail, n.views.apply),
-		follow.WithWaits(func() time.Duration { return n.pollWait(viewWait) }), follow.WithPace(func() time.Duration { return viewPace }), follow.WithLogger(n.logger))
-	n.servers = newServers(n.logger, func(pool.Server) {}, func(galenastair.BackendServerID) {})
 }
 
 // pollWait is how long a poll waits. All others go by the age that the instance that
@@ -208,9 +212,14 @@
 		n.pool.Remove(id)
 		n.post(n.planner.RemoveServer(ctx, id))
 	}
-	store := platform.NewStore(n.settings.StoreAddress)
-	n.servers.follower = follow.New(store, platform.RegistrationTopic, noting(&n.serverTail, n.servers.apply(ctx)),
-		follow.WithWaits(func() time.Duration { return n.pollWait(serverWait) }), follow.WithPace(n.serverPace), follow.WithLogger(n.logger))
+	n.views.follower = follow.New(n.store, platform.ConfigurationTopic, noting(&n.viewTail, n.views.apply),
+		follow.WithWaits(func() time.Duration { return n.pollWait(viewWait) }),
+		follow.WithPace(func() time.Duration { return viewPace }),
+		follow.WithLogger(n.logger))
+	n.servers.follower = follow.New(n.store, platform.RegistrationTopic, noting(&n.serverTail, n.servers.apply(ctx)),
+		follow.WithWaits(func() time.Duration { return n.pollWait(serverWait) }),
+		follow.WithPace(n.serverPace),
+		follow.WithLogger(n.logger))
 }
 
 // keepTurn keeps the turn until the instance is told to stop, and ends with the rest.
--- a/node/servers.go
+++ b/node/servers.go
@@ -43,12 +43,12 @@
 	whole bool
 }
 
-func newServers(logger log.Logger, set func(pool.Server), remove func(galenastair.BackendServerID)) *servers {
+// newServers returns what knows no registration; its owner sets the follower, set and
+// remove before it runs.
+func newServers(logger log.Logger) *servers {
 	return &servers{
 		logger:  logger,
 		clock:   galenastair.SystemClock{},
-		set:     set,
-		remove:  remove,
 		batches: make(chan serverBatch),
 		known:   map[galenastair.BackendServerID]galenastair.Offset{},
 		lapsed:  map[galenastair.BackendServerID]time.Time{},
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -198,8 +198,9 @@
 	}
 	p.step(now)
 	_, orders := p.duty.Order()
+	loads := p.loads(now, "")
 	for _, s := range p.sites {
-		p.gatherLoads(now, s)
+		s.loads = loads
 		if orders && now.Sub(p.since) >= firstRound {
 			s.round(now)
 		}
@@ -234,19 +235,21 @@
 	}
 }
 
-func (p *Planner) gatherLoads(now time.Time, s *site) {
-	clear(s.loads)
-	for _, r := range p.reports {
-		if now.Sub(r.at) > reportLife {
+// loads adds up what all instances but one put on each backend server.
+func (p *Planner) loads(now time.Time, but galenastair.InstanceID) map[galenastair.BackendServerID]pool.Load {
+	out := map[galenastair.BackendServerID]pool.Load{}
+	for id, r := range p.reports {
+		if id == but || now.Sub(r.at) > reportLife {
 			continue
 		}
-		for id, l := range r.loads {
-			sum := s.loads[id]
+		for server, l := range r.loads {
+			sum := out[server]
 			sum.Flights += l.Flights
 			sum.Unread += l.Unread
-			s.loads[id] = sum
+			out[server] = sum
 		}
 	}
+	return out
 }
 
 // Hear takes in one instance's report and answers with what the others see.
@@ -275,7 +278,7 @@
 	for _, d := range r.Poisons {
 		p.poisons = append(p.poisons, poisonAt{d, r.Instance, now})
 	}
-	news := News{Fleet: p.lender.Heard(now, r.Instance, r.Fleet), Loads: p.others(now, r.Instance)}
+	news := News{Fleet: p.lender.Heard(now, r.Instance, r.Fleet), Loads: p.loads(now, r.Instance)}
 	for _, a := range r.Asks {
 		if n := p.lender.Lend(now, a); n > 0 {
 			news.Loans = append(news.Loans, quota.Ask{Organisation: a.Organisation, Amount: n})
@@ -303,22 +306,6 @@
 	p.news = append(p.news, newsAt{at, dropped, now})
 }
 
-func (p *Planner) others(now time.Time, self galenastair.InstanceID) map[galenastair.BackendServerID]pool.Load {
-	out := map[galenastair.BackendServerID]pool.Load{}
-	for id, r := range p.reports {
-		if id == self || now.Sub(r.at) > reportLife {
-			continue
-		}
-		for server, l := range r.loads {
-			sum := out[server]
-			sum.Flights += l.Flights
-			sum.Unread += l.Unread
-			out[server] = sum
-		}
-	}
-	return out
-}
-
 func (p *Planner) forgetNews(now time.Time) {
 	for len(p.news) > 0 && now.Sub(p.news[0].at) > newsLife {
 		p.news = p.news[1:]
