--- a/planner/engine.go
+++ b/planner/engine.go
@@ -51,6 +51,8 @@
 	unseen = 5 * time.Second
 	// longestUse is how long the requests run that use an adapter which is to go.
 	longestUse = 6 * time.Second
+	// longestLate is how long an order without an answer may act after it was sent.
+	longestLate = 12 * time.Second
 	// lateBeat is how long a registration may still show what was before an order: it
 	// is written every heartbeat of about a second, and was on its way for a while.
 	lateBeat = 2500 * time.Millisecond
@@ -66,9 +68,13 @@
 	// an engine's answer "busy" shows that it is wrong.
 	sequence int64
 	accepts  time.Time
-	models   map[galenastair.ModelName]*item
-	adapters map[galenastair.ModelName]*item
-	tasks    []task
+	// lost is the count that the last order without an answer presumes, and lostUntil
+	// until when it may act.
+	lost      int64
+	lostUntil time.Time
+	models    map[galenastair.ModelName]*item
+	adapters  map[galenastair.ModelName]*item
+	tasks     []task
 	// running says that an order is under way, unsure that the outcome of one is not
 	// known, so that its state must be asked for before the next.
 	running bool
@@ -276,8 +282,11 @@
 	}
 	delete(items, t.name())
 	if t.adapter != "" {
-		e.sequence++
-		e.accepts = now
+		// Failure: the answer is the same whether the adapter was unloaded now, which
+		// counts, or was not there. Counted too high, an order without an answer waits
+		// for a count that a later order brings, and acts on top of it: the engine then
+		// holds more than it can. Counted too low, an order is only refused.
+		e.unsure = true
 	}
 }
 
--- a/planner/order.go
+++ b/planner/order.go
@@ -100,6 +100,7 @@
 		// sequence, so it can't act once another was accepted; the engine's state
 		// tells whether it has, and the same order is given again if not.
 		e.unsure, e.rest = true, now.Add(lostRest)
+		e.lost, e.lostUntil = o.Sequence, now.Add(longestLate)
 		return
 	}
 	switch a {
@@ -185,6 +186,10 @@
 		e.rest = now.Add(busyRest)
 		return
 	}
+	if state.Sequence < e.lost && now.Before(e.lostUntil) {
+		e.rest = e.lostUntil
+		return
+	}
 	if state.Sequence > e.sequence && len(e.tasks) > 0 {
 		p.acted(now, e, state)
 	}
--- a/planner/site.go
+++ b/planner/site.go
@@ -190,9 +190,20 @@
 // set adds an engine or takes in its registration.
 func (s *site) set(now time.Time, srv pool.Server) {
 	e := s.engines[srv.ID]
+	if e != nil && srv.Born < e.server.Born {
+		return
+	}
 	if e == nil || e.server.Born != srv.Born {
-		s.engines[srv.ID] = newEngine(srv)
-		s.engines[srv.ID].strict = s.strict
+		fresh := newEngine(srv)
+		fresh.strict = s.strict
+		if e != nil && now.Before(e.lostUntil) {
+			// Failure: an order without an answer presumes the count of the start
+			// before. Once orders of the new start have brought it to that count, the
+			// late one acts on top of them, and the engine holds more than it can. So
+			// it is given none until that one can no longer act.
+			fresh.rest, fresh.lost, fresh.lostUntil = e.lostUntil, e.lost, e.lostUntil
+		}
+		s.engines[srv.ID] = fresh
 		return
 	}
 	e.registered(now, srv)
