--- a/cmd/galenastair-standin/cmd_replica.go
+++ b/cmd/galenastair-standin/cmd_replica.go
@@ -80,7 +80,7 @@
 
 // beat registers until the context ends; a store that is away is asked again.
 func beat(ctx context.Context, r *replica.Replica, store, id string) {
-	target := "http://" + store + "/put?topic=keyed.servers&key=" + url.QueryEscape(id)
+	target := "http://" + store + "/put?topic=" + replica.RegistrationTopic + "&key=" + url.QueryEscape(id)
 	for ctx.Err() == nil {
 		if err := putRegistration(ctx, target, r.Registration()); err != nil && ctx.Err() == nil {
 			fmt.Fprintln(os.Stderr, "galenastair-standin replica:", err)
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -15,8 +15,8 @@
 }
 
 // burstUse is the part of the bounds that goes into the burst. Rates are drawn up for
-// windows of seconds, and requests of thousands of tokens come in clumps: a bucket of
-// the bare burst refused a quarter of an organisation's requests at half of its rate.
+// windows of seconds, and requests of thousands of tokens come in clumps, which a bucket
+// of the bare burst refuses though the window has room.
 // The rest is for what a change of the lender, or a cut, can add.
 const burstUse = 0.45
 
--- a/standin/replica/order.go
+++ b/standin/replica/order.go
@@ -109,6 +109,9 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.list(), "busy": false, "sequence": r.sequence, "coming": []string{}})
 }
 
+// RegistrationTopic is where replicas register.
+const RegistrationTopic = "keyed.servers"
+
 // Registration returns what it writes into the store: a new one each time.
 func (r *Replica) Registration() []byte {
 	r.mu.Lock()
