place, ledger: engines that check fences get orders without a record, also in an outage

Cause looked into: copies die in an outage of the own log, in which the leader gave no orders since none could be read back. Change: a new leader raises its fence at the engines that check it by an order that changes nothing; a report that shows it shows all that former leaders' orders will ever do, so that the leader may count its own in memory. The planner passes by engines that cannot be ordered now.

--- a/entry/place.go
+++ b/entry/place.go
@@ -12,6 +12,7 @@
 	"galenastair/engine"
 	"galenastair/httpclient"
 	"galenastair/logservice"
+	"galenastair/member"
 	"galenastair/peer/demand"
 	"galenastair/place"
 	"galenastair/settings"
@@ -69,7 +70,8 @@
 		Store:  logservice.New(s.Platform.WeightStoreAddress),
 		Duty:   e.leads,
 		Loop:   loop,
-	}, place.WithLogger(e.logger), place.WithSettings(planner), place.WithOrdered(e.metrics.Ordered))
+	}, place.WithLogger(e.logger), place.WithSettings(planner), place.WithOrdered(e.metrics.Ordered),
+		place.WithRecords(func(now time.Time) bool { return e.members.Status().LogReach(now) == member.Reached }))
 }
 
 func (e *Entry) leads(now time.Time) (galenastair.Fence, bool) {
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -12,6 +12,12 @@
 //     shows a newer one: what has not arrived by then is refused;
 //   - Life has passed since it was superseded or sent without an answer.
 //
+// Orders to an engine that checks fences need no record. A leader first raises the
+// fence there by an order that changes nothing; a report that shows it shows all that
+// former leaders' orders have done and will ever do. From then on the leader counts its
+// own orders in its memory, until a report shows their effect or a higher fence. So
+// such engines can be given orders while the log is down.
+//
 // Life bounds a pause of the process that recorded the order: between the check of
 // its lease and the send it can be stopped for any time, and nothing tells an
 // engine that ignores fencing numbers that the order is old. Ten minutes are
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,10 @@
 	// report taken after that: the answer to an order may come before a report that
 	// does not show its effect yet.
 	settled time.Time
+	// unrecorded is set for an own order to an engine that checks fences, and begun is
+	// when it was decided on.
+	unrecorded bool
+	begun      time.Time
 }
 
 // account is what is known of one backend server's memory.
@@ -102,12 +107,25 @@
 	}
 	a.at, a.report = at, r
 	for id, e := range l.orders {
-		if e.order.BackendServer == r.BackendServer && !e.settled.IsZero() && at.After(e.settled) {
+		if e.order.BackendServer == r.BackendServer && l.shown(e, a) {
 			delete(l.orders, id)
 		}
 	}
 }
 
+// shown says whether a report shows all that an order will ever do.
+func (l *Ledger) shown(e *entry, a *account) bool {
+	if !e.settled.IsZero() && a.at.After(e.settled) {
+		return true
+	}
+	return e.unrecorded && (a.refuses(e.order.Fence) || a.at.Sub(e.begun) > l.life)
+}
+
+// refuses says whether orders of a fence that have not arrived never will.
+func (a *account) refuses(f galenastair.Fence) bool {
+	return a.report.ChecksFence && a.report.HighestFence > f
+}
+
 // Forget drops a backend server that is gone for good; its orders stay until settled.
 func (l *Ledger) Forget(id galenastair.BackendServerID) { delete(l.accounts, id) }
 
@@ -133,12 +151,12 @@
 func (l *Ledger) Settleable(now time.Time) []Settled {
 	var out []Settled
 	for id, e := range l.orders {
-		if !e.settled.IsZero() || e.superseded.IsZero() {
+		if e.unrecorded || !e.settled.IsZero() || e.superseded.IsZero() {
 			continue
 		}
 		a := l.accounts[e.order.BackendServer]
 		switch {
-		case a != nil && a.report.ChecksFence && a.report.HighestFence > e.order.Fence:
+		case a != nil && a.refuses(e.order.Fence):
 			out = append(out, Settled{id, l.leader.Fence, Superseded})
 		case now.Sub(e.superseded) >= l.life:
 			out = append(out, Settled{id, l.leader.Fence, Expired})
@@ -152,7 +170,7 @@
 func (l *Ledger) Snapshot() (json.RawMessage, error) {
 	var orders []galenastair.Order
 	for _, e := range l.orders {
-		if e.settled.IsZero() {
+		if e.settled.IsZero() && !e.unrecorded {
 			orders = append(orders, e.order)
 		}
 	}
@@ -160,8 +178,9 @@
 	return json.Marshal(orders)
 }
 
-// Restore replaces the orders by those of a snapshot. Orders settled just before
-// it are not in it, so reports from before now no longer count.
+// Restore replaces the orders by those of a snapshot, but for those that only this
+// process knows. Orders settled just before it are not in it, so reports from before
+// now no longer count.
 func (l *Ledger) Restore(now time.Time, raw json.RawMessage, leader Leader) error {
 	var orders []galenastair.Order
 	if raw != nil {
@@ -169,7 +188,7 @@
 			return err
 		}
 	}
-	clear(l.orders)
+	maps.DeleteFunc(l.orders, func(_ galenastair.OrderID, e *entry) bool { return !e.unrecorded })
 	clear(l.accounts)
 	l.restored = now
 	l.leader = leader
--- a/place/board.go
+++ b/place/board.go
@@ -21,9 +21,12 @@
 	swap bool
 }
 
-// stays says whether new copies may go there and those there count.
+// stays says whether the copies there count.
 func (s *boardServer) stays() bool { return !s.Leaving && !s.Slow }
 
+// takes says whether it may be ordered to load or unload.
+func (s *boardServer) takes() bool { return s.stays() && !s.Closed }
+
 type boardModel struct {
 	weight   galenastair.Weight
 	work     float64
--- a/place/input.go
+++ b/place/input.go
@@ -32,6 +32,8 @@
 	Leaving          bool
 	// Slow says that the routers keep it out: its copies answer nobody in time.
 	Slow bool
+	// Closed says that it can be given no order now; its copies go on answering.
+	Closed bool
 	// Free is the memory that no order can take any more.
 	Free   galenastair.Bytes
 	Copies []Copy
--- a/place/leader.go
+++ b/place/leader.go
@@ -41,12 +41,13 @@
 
 // Leader carries out the planner's steps while this instance leads.
 //
-// While the log is down it orders nothing new, as no order could be read back: what
-// is loaded stays and goes on serving, and an order already read back may still be
-// sent under the lease. Weighed against recording orders at the leader's watcher in
-// an outage: a successor would have to learn them from a member that may die with
-// the leader, and memory would hang on that; a model whose only backend server dies
-// in an outage waits for its end instead. Second copies (Spare) are there for that.
+// Engines that check fences are given orders without a record, also while the log is
+// down, once they show this leader's fence (see ledger). The others are given nothing
+// new then, as no order could be read back: what is loaded there stays and goes on
+// serving. Weighed against recording orders at the leader's watcher in an outage: a
+// successor would have to learn them from a member that may die with the leader, and
+// memory would hang on that. Second copies (Spare) are there for models that only such
+// an engine has room for.
 type Leader struct {
 	self     galenastair.InstanceID
 	stream   galenastair.Stream
@@ -59,6 +60,7 @@
 	logger   log.Logger
 	settings Settings
 	ordered  func(galenastair.OrderKind, Reason)
+	records  func(time.Time) bool
 	life     time.Duration
 	tasks    sync.WaitGroup
 
@@ -96,6 +98,10 @@
 	return func(l *Leader) { l.ordered = f }
 }
 
+// WithRecords sets what says whether the log is in touch, so that an order for an engine
+// that ignores fences could be read back.
+func WithRecords(f func(time.Time) bool) Option { return func(l *Leader) { l.records = f } }
+
 // WithLife sets how long an order may still arrive at an engine that ignores fences.
 func WithLife(d time.Duration) Option { return func(l *Leader) { l.life = d } }
 
@@ -122,6 +128,7 @@
 		logger:   log.NewNopLogger(),
 		settings: DefaultSettings(),
 		ordered:  func(galenastair.OrderKind, Reason) {},
+		records:  func(time.Time) bool { return true },
 		life:     ledger.DefaultLife,
 		forecast: forecast.New(),
 		servers:  map[galenastair.BackendServerID]route.Server{},
--- a/place/order.go
+++ b/place/order.go
@@ -19,16 +19,19 @@
 	errNoRoom    = eris.New("the backend server's memory is taken or reserved")
 	errLastCopy  = eris.New("no other backend server has a ready copy")
 	errNotValid  = eris.New("the order was not read back as valid")
+	errNotRaised = eris.New("the backend server does not show this leader's fence yet")
 	errGone      = eris.New("the backend server is no longer listed")
 )
 
 // settleRetry keeps a log whose answers get lost from being flooded.
 const settleRetry = 5 * time.Second
 
-// ownOrder is an order that this process has recorded.
+// ownOrder is an order that this process has decided on.
 type ownOrder struct {
-	order   galenastair.Order
-	verdict chan ledger.Verdict
+	order galenastair.Order
+	// unrecorded is set for an engine that checks fences; verdict is for the others.
+	unrecorded bool
+	verdict    chan ledger.Verdict
 	// sent is when it was sent without an answer.
 	sent time.Time
 	// ended says why no copy of it can arrive any more, once that is so.
@@ -36,20 +39,35 @@
 	tried time.Time
 }
 
-// carryOut looks, records, reads back, checks the lease and sends.
+// carryOut looks, records and reads back where that is needed, checks the lease and sends.
 func (l *Leader) carryOut(ctx context.Context, s Step) error {
 	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
 	if err := l.look(ctx, s); err != nil {
 		return err
 	}
-	o, err := l.record(ctx, s)
+	o, err := l.prepare(ctx, s)
 	if err != nil {
 		return err
 	}
 	return l.send(ctx, s, o)
 }
 
+// prepare makes sure that a successor will know of the order: from the engine, if that
+// checks fences, else from a record.
+func (l *Leader) prepare(ctx context.Context, s Step) (*ownOrder, error) {
+	var o *ownOrder
+	var refused error
+	err := l.loop.Do(ctx, func() { o, refused = l.newOrder(s) })
+	if err = errors.Join(err, refused); err != nil {
+		return nil, err
+	}
+	if o.unrecorded {
+		return o, nil
+	}
+	return o, l.record(ctx, o)
+}
+
 // look asks the engine itself right before an order, and before an unload also one
 // that has another copy: the reports that were planned with are some seconds old.
 func (l *Leader) look(ctx context.Context, s Step) error {
@@ -122,32 +140,26 @@
 }
 
 // record appends the order and waits until it is read back.
-func (l *Leader) record(ctx context.Context, s Step) (*ownOrder, error) {
-	var o *ownOrder
-	var refused error
-	err := l.loop.Do(ctx, func() { o, refused = l.newOrder(s) })
-	if err = errors.Join(err, refused); err != nil {
-		return nil, err
-	}
+func (l *Leader) record(ctx context.Context, o *ownOrder) error {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err = l.append(call, ledger.KindIssued, ledger.Issued{Order: o.order})
+	err := l.append(call, ledger.KindIssued, ledger.Issued{Order: o.order})
 	if errors.Is(err, galenastair.ErrAppendRefused) {
 		l.end(ctx, o, ledger.NeverSent)
-		return nil, err
+		return err
 	}
 	// an append whose answer was lost is resolved by reading back, like any other
 	select {
 	case v := <-o.verdict:
 		if v == ledger.Valid {
-			return o, nil
+			return nil
 		}
 		err = errNotValid
 	case <-call.Done():
 		err = errors.Join(errNotValid, err)
 	}
 	l.end(ctx, o, ledger.NeverSent)
-	return nil, err
+	return err
 }
 
 func (l *Leader) newOrder(s Step) (*ownOrder, error) {
@@ -162,9 +174,17 @@
 		Kind:          s.Kind,
 		Weight:        s.Weight,
 	}
+	checks := l.reports[s.Server].ChecksFence
+	if checks && !l.ledger.Raised(s.Server, fence) {
+		return nil, errNotRaised
+	}
 	if !l.ledger.Fits(o) {
 		return nil, errNoRoom
 	}
+	if checks {
+		l.ledger.Expect(l.clock.Now(), o)
+		return &ownOrder{order: o, unrecorded: true}, nil
+	}
 	own := &ownOrder{order: o, verdict: make(chan ledger.Verdict, 1)}
 	l.orders[o.ID] = own
 	return own, nil
@@ -208,7 +228,12 @@
 // end notes that no copy of an order can arrive any more. It must not be lost with
 // the step's context, or the memory would stay reserved for all of Life.
 func (l *Leader) end(ctx context.Context, o *ownOrder, why ledger.Settlement) {
-	_ = l.loop.Post(context.WithoutCancel(ctx), func() { o.ended = why })
+	_ = l.loop.Post(context.WithoutCancel(ctx), func() {
+		o.ended = why
+		if o.unrecorded {
+			l.ledger.End(l.clock.Now(), o.order.ID, why)
+		}
+	})
 }
 
 func (l *Leader) append(ctx context.Context, k galenastair.RecordKind, body any) error {
--- a/place/planner.go
+++ b/place/planner.go
@@ -139,7 +139,7 @@
 func (p *Planner) roomFor(m *boardModel) *boardServer {
 	var best *boardServer
 	for _, s := range p.board.servers {
-		if !s.stays() || s.swap || s.Free < m.need(s) || m.on(s) != nil || !p.mayLoadOn(m, s) {
+		if !s.takes() || s.swap || s.Free < m.need(s) || m.on(s) != nil || !p.mayLoadOn(m, s) {
 			continue
 		}
 		if best == nil || cmp.Or(atHand(m, best, s), cmp.Compare(s.load, best.load), cmp.Compare(best.Free, s.Free)) < 0 {
@@ -170,7 +170,7 @@
 func (p *Planner) packAdapter(a *boardModel, first bool) {
 	for _, c := range a.base.copies {
 		s := c.server
-		if c.state != Ready || !s.stays() || s.swap || a.on(s) != nil || s.Free < a.weight.Memory {
+		if c.state != Ready || !s.takes() || s.swap || a.on(s) != nil || s.Free < a.weight.Memory {
 			continue
 		}
 		if p.small <= 0 {
@@ -209,7 +209,7 @@
 func (p *Planner) spareFor(m *boardModel) *boardServer {
 	var best *boardServer
 	for _, s := range p.board.servers {
-		if !s.stays() || s.swap || s.Free < m.need(s) || m.on(s) != nil {
+		if !s.takes() || s.swap || s.Free < m.need(s) || m.on(s) != nil {
 			continue
 		}
 		if best == nil || p.sameZone(m, s) < p.sameZone(m, best) ||
@@ -234,6 +234,9 @@
 // the new version answers.
 func (p *Planner) dropOldVersions(in Input) {
 	for _, s := range in.Servers {
+		if s.Closed {
+			continue
+		}
 		for _, c := range s.Copies {
 			m := p.board.byName[c.Weight.Name]
 			if m == nil || m.weight.Version == c.Weight.Version || c.State != Ready || !m.readyBeside(nil) {
--- a/place/relief.go
+++ b/place/relief.go
@@ -76,7 +76,7 @@
 		if taken < p.settings.Gain*hot.load {
 			return false
 		}
-		if !s.stays() || s.swap || m.on(s) != nil {
+		if !s.takes() || s.swap || m.on(s) != nil {
 			continue
 		}
 		if s.Free >= m.need(s) {
--- a/place/round.go
+++ b/place/round.go
@@ -30,6 +30,7 @@
 		_ = l.logger.Log("event", "leads", "fence", fence)
 	}
 	l.settle(ctx, now)
+	l.raiseFences(ctx, now)
 	l.lookAfter(ctx, now)
 	if len(l.catalogue) == 0 || len(l.reports) == 0 {
 		return
@@ -137,6 +138,7 @@
 		AvailabilityZone: l.servers[id].AvailabilityZone,
 		Leaving:          l.servers[id].Leaving,
 		Slow:             slices.Contains(l.slow, id),
+		Closed:           !l.takesOrders(now, id),
 	}
 	for _, o := range l.ledger.Pending(id) {
 		if o.Kind == galenastair.LoadModel && v.copies[key(o.Weight)] == nil && now.Sub(l.since(now, o.ID)) > orderPatience {
--- a/place/swap.go
+++ b/place/swap.go
@@ -36,7 +36,7 @@
 	var evict []*boardModel
 	var cost float64
 	for _, s := range p.board.servers {
-		if !s.stays() || s.swap || m.on(s) != nil {
+		if !s.takes() || s.swap || m.on(s) != nil {
 			continue
 		}
 		models, lost, ok := p.evictable(s, m, why)
@@ -137,7 +137,7 @@
 		if sw == nil {
 			continue
 		}
-		if !s.stays() || p.now.Sub(sw.begun) > swapPatience {
+		if !s.takes() || p.now.Sub(sw.begun) > swapPatience {
 			delete(p.swaps, s.ID)
 			continue
 		}
