quota: the burst of each window comes in with the rate

The bucket gave the burst once and then the rate alone, while the quota allows a burst in every window. Ruled out: a window counted exactly instead of a bucket: a new lender could not know what the last one lent, and two of them could lend the window twice. Change: the burst comes in with the rate over the window; what a window can get at most, size + rate x window, stays. Requests larger than the bucket are lent from a full one.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -35,6 +35,20 @@
 	return true
 }
 
+// takeWhole takes n for one request, from a full bucket also more than it holds, up to
+// largest: a request larger than the bucket would be refused for good. What it lacks
+// comes in before anything else is taken.
+func (b *bucket) takeWhole(now time.Time, n, largest float64) bool {
+	if b.take(now, n) {
+		return true
+	}
+	if n > largest || b.level < b.most {
+		return false
+	}
+	b.level -= n
+	return true
+}
+
 // upTo takes as much of n as there is.
 func (b *bucket) upTo(now time.Time, n float64) float64 {
 	b.fill(now)
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -20,7 +20,9 @@
 
 type credit struct {
 	bucket
-	full, size float64
+	// fullRate and fullSize are those of a bucket with no instance missed, and largest is the
+	// most that one request may take.
+	fullRate, fullSize, largest float64
 }
 
 // NewLender returns a lender whose buckets are empty.
@@ -41,7 +43,8 @@
 			a = &credit{}
 			l.accounts[o.Name] = a
 		}
-		a.full, a.size = o.Rate, l.terms.most(o)
+		a.fullRate, a.fullSize = l.terms.lending(o)
+		a.largest = l.terms.most(o)
 		l.deal(now, a)
 	})
 	for name := range l.accounts {
@@ -54,7 +57,7 @@
 // deal leaves out of the lending what missed instances may spend on their own.
 func (l *Lender) deal(now time.Time, a *credit) {
 	lent := 1 - ownPart*l.missed(now)
-	a.set(now, a.full*lent, a.size*lent)
+	a.set(now, a.fullRate*lent, a.fullSize*lent)
 }
 
 // missed is the part of the fleet that may be alive and alone.
@@ -134,7 +137,7 @@
 func (l *Lender) LendAll(now time.Time, a Ask) float64 {
 	b := l.accounts[a.Organisation]
 	// before the first report of a term nobody is known to be missed
-	if b == nil || len(l.heard) == 0 || !b.take(now, a.Amount) {
+	if b == nil || len(l.heard) == 0 || !b.takeWhole(now, a.Amount, b.largest) {
 		return 0
 	}
 	return a.Amount
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -271,3 +271,34 @@
 	s.SetContracts(start, contract(200000, 200000))
 	is.True(s.Take(start, "org", 500))
 }
+
+// An operator lowers an organisation's rate to below what it sends. In each window it
+// asks for no more than rate and burst allow there, and yet a quarter of its requests
+// were refused, the large ones first: the bucket gave the burst once and then the rate
+// alone. Seen failing with the bare rate and burst (0.25 refused).
+func TestSteadyDemandGetsTheBurstOfEachWindow(t *testing.T) {
+	is := is.New(t)
+	const rate, burst, asked = 7400.0, 26700.0, 10000.0
+	is.True(asked*terms.Window.Seconds() < rate*terms.Window.Seconds()+burst)
+	f := newFleet(3, rate, burst)
+	refused := play(f, []float64{0.5, 0.3, 0.2}, asked, 1, 1500, func(time.Time) bool { return true })
+	is.True(refused < 0.03)
+	is.True(f.most() <= bound(rate, burst))
+}
+
+// A request is larger than the bucket but within the burst. It waits for a full bucket
+// and is served; refused each time it would never come through.
+func TestRequestLargerThanTheBucketIsServed(t *testing.T) {
+	is := is.New(t)
+	const rate, burst = 1000.0, 60000.0
+	f := newFleet(2, rate, burst)
+	_, size := terms.lending(&catalog.Organisation{Rate: rate, Burst: burst})
+	is.True(size < burst)
+	for range 200 {
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.exchange(0)
+	}
+	is.True(f.request(0, burst, true))
+	is.True(!f.request(0, 1000, true)) // what it lacked comes in first
+	is.True(f.most() <= bound(rate, burst))
+}
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -20,9 +20,26 @@
 // The rest is for what a change of the lender, or a cut, can add.
 const burstUse = 0.45
 
-// most is the size of an organisation's bucket.
-func (t Terms) most(o *catalog.Organisation) float64 {
-	return o.Burst + burstUse*(t.Over*(t.Window.Seconds()*o.Rate+o.Burst)+t.Slack)
+// use is what an organisation gets of the bounds.
+func (t Terms) use(o *catalog.Organisation) float64 {
+	return burstUse * (t.Over*(t.Window.Seconds()*o.Rate+o.Burst) + t.Slack)
+}
+
+// most is the most that an organisation may take at one moment.
+func (t Terms) most(o *catalog.Organisation) float64 { return o.Burst + t.use(o) }
+
+// lending returns the rate and size of the bucket that an organisation borrows from.
+//
+// Load: an organisation that goes on asking somewhat above its rate, as after an
+// operator has lowered it. Harm: the quota allows a burst in every window, but a bucket
+// of rate and burst gives the burst once and then the rate alone, so that requests within
+// the quota are refused, the large ones first. So the burst comes in with the rate, over
+// the window, as far as the bounds leave a bucket for clumps; what a window can get at
+// most, size + rate x window, stays the same. Mean worth of eight days, four plays
+// each: 0.646 before, 0.668 with it.
+func (t Terms) lending(o *catalog.Organisation) (rate, size float64) {
+	size = max(t.use(o), o.Burst-t.use(o))
+	return o.Rate + (t.most(o)-size)/t.Window.Seconds(), size
 }
 
 // reserveUse is the part of the bounds that instances begin with when the lender falls
