quota: buckets begin a term with a part of the slack; a new term counts who is cut off

Change: 0.12 of the platform's bounds at the beginning; burstUse 0.45 -> 0.40 in exchange. Cause 2, found by playing 6,000 floods in place of 300: in 12 of them a window got more than contract and slack, before and after the last change alike. Change: for the first 12 s of a term the larger count that instances were told before holds.

--- a/quota/lender.go
+++ b/quota/lender.go
@@ -21,8 +21,8 @@
 type credit struct {
 	bucket
 	// fullRate and fullSize are those of a bucket with no instance missed, and largest is the
-	// most that one request may take.
-	fullRate, fullSize, largest float64
+	// most that one request may take; first is what it holds as a term begins.
+	fullRate, fullSize, largest, first float64
 }
 
 // NewLender returns a lender whose buckets are empty.
@@ -45,6 +45,7 @@
 		}
 		a.fullRate, a.fullSize = l.terms.lending(o)
 		a.largest = l.terms.most(o)
+		a.first = l.terms.first(o)
 		l.deal(now, a)
 	})
 	for name := range l.accounts {
@@ -80,12 +81,12 @@
 	return float64(missed) / float64(here+missed)
 }
 
-// Reset empties all buckets, at the beginning of a term: the one before may have lent
-// all that they would hold.
+// Reset empties all buckets but for a part of the bounds, at the beginning of a term:
+// the one before may have lent all that they would hold.
 func (l *Lender) Reset(now time.Time) {
 	for _, a := range l.accounts {
 		a.fill(now)
-		a.level = 0
+		a.level = min(a.first, a.most)
 	}
 	clear(l.heard)
 	l.began, l.told = now, 0
@@ -110,6 +111,12 @@
 	if now.Sub(l.began) < silentAfter {
 		return 0
 	}
+	if now.Sub(l.began) < missedFor {
+		// An instance that is cut off as the term begins is counted by those that knew
+		// it. Told a fleet without it, each of the others would spend its part as well
+		// when it is alone itself.
+		return max(len(l.heard), l.told)
+	}
 	return len(l.heard)
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -102,14 +103,25 @@
 // An organisation sends far more than its rate through all instances while some are cut
 // off from the lender, exchanges are lost, the lender changes and instances restart. In
 // no window may it get more than the contract and the platform's slack.
+//
+// Seeds 1512 and 2423 found instances told a fleet without one that was cut off as the
+// term began (4 and 9 % over). FLOODS sets how many seeds are played.
 func TestNoWindowExceedsTheContract(t *testing.T) {
-	for seed := range uint64(300) {
+	floods := uint64(300)
+	if s := os.Getenv("FLOODS"); s != "" {
+		floods, _ = strconv.ParseUint(s, 10, 64)
+	}
+	seeds := []uint64{1512, 2423}
+	for seed := range floods {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		n := 2 + rng.IntN(8)
 		rate := 4000 + rng.Float64()*86000
 		f := flood(rng, n, rate)
 		if got, most := f.most(), bound(rate, rate); got > most {
-			t.Fatalf("seed %d: %.0f tokens in a window, at most %.0f allowed (rate %.0f, %d instances)", seed, got, most, rate, n)
+			t.Errorf("seed %d: %.0f tokens in a window, at most %.0f allowed (rate %.0f, %d instances)", seed, got, most, rate, n)
 		}
 	}
 }
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -18,13 +18,25 @@
 // windows of seconds, and requests of thousands of tokens come in clumps, which a bucket
 // of the bare burst refuses though the window has room.
 // The rest is for what a change of the lender, or a cut, can add.
-const burstUse = 0.45
+const burstUse = 0.4
 
-// use is what an organisation gets of the bounds.
-func (t Terms) use(o *catalog.Organisation) float64 {
-	return burstUse * (t.Over*(t.Window.Seconds()*o.Rate+o.Burst) + t.Slack)
+// bounds is what the platform allows beyond the quota in a window.
+func (t Terms) bounds(o *catalog.Organisation) float64 {
+	return t.Over*(t.Window.Seconds()*o.Rate+o.Burst) + t.Slack
 }
 
+// use is what an organisation gets of the bounds.
+func (t Terms) use(o *catalog.Organisation) float64 { return burstUse * t.bounds(o) }
+
+// firstUse is the part of the bounds that a bucket holds as a term begins. What the
+// lender before may have lent forbids more, but from nothing every organisation is
+// refused its first requests: mean worth of eight days, four plays each, 0.668 without
+// it, 0.673 with it (and with burstUse lowered from 0.45 to make room for it).
+const firstUse = 0.12
+
+// first is what an organisation's bucket holds as a term begins.
+func (t Terms) first(o *catalog.Organisation) float64 { return firstUse * t.bounds(o) }
+
 // most is the most that an organisation may take at one moment.
 func (t Terms) most(o *catalog.Organisation) float64 { return o.Burst + t.use(o) }
 
@@ -49,7 +61,7 @@
 
 // reserve is what all instances together may begin alone with.
 func (t Terms) reserve(o *catalog.Organisation) float64 {
-	return reserveUse * (t.Over*(t.Window.Seconds()*o.Rate+o.Burst) + t.Slack)
+	return reserveUse * t.bounds(o)
 }
 
 const (
