node: a stop waits until its port accepts no more before it counts connections

Finding: go test ./node took 150 s once, 120 s more than usual. Traced with ten runs at a time and a timeout: TestStopWaitsForFirstRequest waits for the idle timeout of 2 minutes. Cause: the stop counted connections before the server had accepted the one that the test had just opened, found none and returned; the test's caller was then answered and kept. In the product the listener is closed before, but the connection that is being accepted at that moment could be missed in the same way, and cut when the process ends. Ruled out: load alone; the old test hangs within 200 runs on an idle machine. Change: the stop waits for the accept loop's end, and then counts; the test waits until its connection is accepted (one that is not is reset by the closed port, with nothing read).

--- a/node/conns_test.go
+++ b/node/conns_test.go
@@ -72,6 +72,22 @@
 	}
 }
 
+// waitAccepted waits until the server knows a connection. One that is still waiting to
+// be accepted when the listener is closed is reset, and its caller knows that nothing
+// was read.
+func waitAccepted(t *testing.T, s *callerConns) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		n := len(s.conns)
+		s.mu.Unlock()
+		if n > 0 {
+			return
+		}
+	}
+	t.Fatal("not accepted in 5 s")
+}
+
 // A caller opens a connection just before the stop, and its first request is still on
 // its way: it must find the connection open.
 func TestStopWaitsForFirstRequest(t *testing.T) {
@@ -82,6 +98,7 @@
 	c, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
 	defer c.Close()
+	waitAccepted(t, conns)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	drained := make(chan int, 1)
--- a/node/listen.go
+++ b/node/listen.go
@@ -59,10 +59,10 @@
 		if err != nil {
 			return eris.Wrapf(err, "%s port: is %s in use, or not an address of this machine?", p.name, p.address)
 		}
+		served := serve(g, p.server, l)
 		if p.name == callersPort {
-			n.callers = l
+			n.callers, n.callersServed = l, served
 		}
-		serve(g, p.server, l)
 	}
 	n.logger.Log("event", "listening", "callers", n.settings.CallerAddress, "peers", n.settings.PeerAddress, "metrics", n.settings.MetricsAddress)
 	return nil
@@ -74,11 +74,14 @@
 
 // serve adds a port to the group. Its goroutine waits for the group's end also when
 // its listener was closed: else the callers' port, which closes first, would stop the
-// group while the last requests still run.
-func serve(g *run.Group, s *http.Server, l net.Listener) {
-	ended := make(chan struct{})
+// group while the last requests still run. The channel is closed once the server
+// accepts no more and knows every connection that it has accepted.
+func serve(g *run.Group, s *http.Server, l net.Listener) <-chan struct{} {
+	ended, served := make(chan struct{}), make(chan struct{})
 	g.Add(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		err := s.Serve(l)
+		close(served)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 		<-ended
@@ -87,6 +90,7 @@
 		close(ended)
 		_ = s.Close()
 	})
+	return served
 }
 
 // ready returns nil if new connections are welcome, else why not.
@@ -117,6 +121,11 @@
 	if err := n.callers.Close(); err != nil {
 		n.logger.Log("event", "callers' port", "err", err)
 	}
+	// a connection that was just being accepted would be missed, and cut at the end
+	select {
+	case <-n.callersServed:
+	case <-ctx.Done():
+	}
 	left := n.conns.drain(ctx)
 	n.logger.Log("event", "stopped", "left", left)
 	return nil
--- a/node/node.go
+++ b/node/node.go
@@ -75,7 +75,9 @@
 	stopping atomic.Bool
 	closing  atomic.Bool
 	callers  net.Listener
-	conns    *callerConns
+	// callersServed is closed when the callers' port accepts no more.
+	callersServed <-chan struct{}
+	conns         *callerConns
 }
 
 // Option varies a Node.
