--- a/cmd/galenastair/cmd_status.go
+++ b/cmd/galenastair/cmd_status.go
@@ -23,7 +23,7 @@
 var cmdStatus = command{
 	name:    "status",
 	summary: "show members, leader, backend servers, what is loaded where, and each instance's configuration offset",
-	usage:   "-operators ADDRESS[,ADDRESS...] [-json]",
+	usage:   "-operators ADDRESS[,ADDRESS...] | -metrics ADDRESS[,ADDRESS...] [-json]",
 	run:     runStatus,
 }
 
@@ -31,17 +31,26 @@
 	f := flag.NewFlagSet("status", flag.ContinueOnError)
 	f.SetOutput(errOut)
 	operators := f.String("operators", "", "operators' ports of the instances to ask, with commas between them")
+	gateways := f.String("metrics", "", "metrics ports of the gateways to ask, with commas between them")
 	asJSON := f.Bool("json", false, "print one JSON object for each instance")
 	if err := parseFlags(f, args); err != nil {
 		return err
 	}
-	if *operators == "" {
-		return usageError("status", "-operators is missing")
+	if (*operators == "") == (*gateways == "") {
+		return usageError("status", "one of -operators and -metrics is needed")
 	}
-	var all []operator.Status
+	if *gateways != "" {
+		return showAll(ctx, *gateways, "a metrics", out, errOut, *asJSON, printGateways)
+	}
+	return showAll(ctx, *operators, "an operators'", out, errOut, *asJSON, printEntries)
+}
+
+// showAll asks each address and prints the answers, as a table or one object each.
+func showAll[S any](ctx context.Context, addresses, port string, out, errOut io.Writer, asJSON bool, table func(io.Writer, []S)) error {
+	var all []S
 	failed := 0
-	for address := range strings.SplitSeq(*operators, ",") {
-		s, err := fetchStatus(ctx, address)
+	for address := range strings.SplitSeq(addresses, ",") {
+		s, err := fetchStatus[S](ctx, address)
 		if err != nil {
 			failed++
 			fmt.Fprintf(errOut, "%s: %v\n", address, err)
@@ -49,36 +58,37 @@
 		}
 		all = append(all, s)
 	}
-	if err := printStatus(out, all, *asJSON); err != nil {
+	if err := printStatus(out, all, asJSON, table); err != nil {
 		return err
 	}
 	if failed > 0 {
-		return eris.Errorf("%d instances did not answer; is each address an operators' port?", failed)
+		return eris.Errorf("%d instances did not answer; is each address %s port?", failed, port)
 	}
 	return nil
 }
 
-func fetchStatus(ctx context.Context, address string) (operator.Status, error) {
+func fetchStatus[S any](ctx context.Context, address string) (S, error) {
+	var s S
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
 	if err != nil {
-		return operator.Status{}, err
+		return s, err
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return operator.Status{}, err
+		return s, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		// the callers' port answers with an object too, which would read as an empty status
-		return operator.Status{}, eris.Errorf("status %d", resp.StatusCode)
+		return s, eris.Errorf("status %d", resp.StatusCode)
 	}
-	var s operator.Status
-	return s, json.NewDecoder(resp.Body).Decode(&s)
+	err = json.NewDecoder(resp.Body).Decode(&s)
+	return s, err
 }
 
-func printStatus(out io.Writer, all []operator.Status, asJSON bool) error {
+func printStatus[S any](out io.Writer, all []S, asJSON bool, table func(io.Writer, []S)) error {
 	if asJSON {
 		encoder := json.NewEncoder(out)
 		for _, s := range all {
@@ -89,11 +99,15 @@
 		return nil
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	table(w, all)
+	return w.Flush()
+}
+
+func printEntries(w io.Writer, all []operator.Status) {
 	printInstances(w, all)
 	if len(all) > 0 {
 		printBackendServers(w, all[0])
 	}
-	return w.Flush()
 }
 
 func printInstances(w io.Writer, all []operator.Status) {
--- /dev/null
+++ b/cmd/galenastair/gateways.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"galenastair/node"
+)
+
+// printGateways prints a line for each gateway, and the backend servers as the first
+// sees them.
+func printGateways(w io.Writer, all []node.Status) {
+	fmt.Fprintln(w, "INSTANCE\tZONE\tREADY\tVERSION\tAGE\tPLANNER\tFLEET\tLENDER")
+	for _, s := range all {
+		ready := "yes"
+		if !s.Ready {
+			ready = "no: " + s.NotReady
+		}
+		planner := s.Planner
+		if s.Plans {
+			planner = "itself"
+		}
+		lender := "answers"
+		if s.Alone {
+			lender = "silent"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", s.Instance, s.AvailabilityZone, ready,
+			s.Version, s.Age.Round(time.Millisecond), planner, s.Fleet, lender)
+	}
+	if len(all) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\nBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tIN USE\tREQUESTS\tFAILURES\tHOLDS\n")
+	for _, b := range all[0].BackendServers {
+		use := "yes"
+		if b.Out != "" {
+			use = "no: " + string(b.Out)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\n", b.ID, b.Service, b.AvailabilityZone, b.Address,
+			use, b.Flights, 100*b.FailureShare, joinNames(b.Holds))
+	}
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -43,6 +43,7 @@
 	peers.Handle(planning.PathPrefix, planning.NewServer(teller{n.planner, n.topics}))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
+	metrics.HandleFunc(StatusPath, n.serveStatus)
 	callers := newServer(n.conns.handler(platform.NewHandler(n.gateway, n.views, n.stopping.Load)))
 	callers.ConnContext, callers.ConnState = n.conns.context, n.conns.changed
 	for _, p := range []struct {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -14,10 +15,14 @@
 type metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
-	retries  *prometheus.CounterVec
-	orders   *prometheus.CounterVec
-	first    *prometheus.HistogramVec
-	total    *prometheus.HistogramVec
+	// organisations counts the same by organisation.
+	organisations *prometheus.CounterVec
+	named         map[galenastair.Organisation]bool
+	mu            sync.Mutex
+	retries       *prometheus.CounterVec
+	orders        *prometheus.CounterVec
+	first         *prometheus.HistogramVec
+	total         *prometheus.HistogramVec
 }
 
 func newMetrics() *metrics {
@@ -26,6 +31,10 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenastair_requests_total", Help: "Requests by how they ended; code is empty for an answer of a backend server.",
 		}, []string{"kind", "code", "status"}),
+		organisations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_organisation_requests_total", Help: "Requests by organisation and how they ended; further organisations count as other.",
+		}, []string{"organisation", "code"}),
+		named: map[galenastair.Organisation]bool{},
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenastair_retries_total", Help: "Sends beyond the first of a request, by the cause.",
 		}, []string{"cause"}),
@@ -35,7 +44,7 @@
 		first: histogram("galenastair_first_seconds", "Time from a request's arrival to its answer's head or first event."),
 		total: histogram("galenastair_total_seconds", "Time from a request's arrival to its end."),
 	}
-	m.registry.MustRegister(m.requests, m.retries, m.orders, m.first, m.total)
+	m.registry.MustRegister(m.requests, m.organisations, m.retries, m.orders, m.first, m.total)
 	return m
 }
 
@@ -52,12 +61,32 @@
 func (m *metrics) RequestEnded(e gateway.Ending) {
 	kind := kindNames[e.Kind]
 	m.requests.WithLabelValues(kind, string(e.Code), strconv.Itoa(e.Status)).Inc()
+	if e.Organisation != "" {
+		m.organisations.WithLabelValues(m.label(e.Organisation), string(e.Code)).Inc()
+	}
 	if e.First > 0 {
 		m.first.WithLabelValues(kind).Observe(e.First.Seconds())
 	}
 	m.total.WithLabelValues(kind).Observe(e.Total.Seconds())
 }
 
+// namedOrganisations bounds the label's values: the first that come have one of their
+// own, so that a platform with thousands of organisations costs no memory here.
+const namedOrganisations = 32
+
+// otherOrganisations is the label of the rest.
+const otherOrganisations = "other"
+
+func (m *metrics) label(o galenastair.Organisation) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.named[o] && len(m.named) >= namedOrganisations {
+		return otherOrganisations
+	}
+	m.named[o] = true
+	return string(o)
+}
+
 // Retried counts one more send.
 func (m *metrics) Retried(cause string) { m.retries.WithLabelValues(cause).Inc() }
 
--- /dev/null
+++ b/node/metrics_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/gateway"
+)
+
+// A platform has thousands of organisations. Each as a label of its own would fill the
+// memory of an instance, and the page that is fetched each few seconds.
+func TestOrganisationLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := newMetrics()
+	for i := range 10 * namedOrganisations {
+		m.RequestEnded(gateway.Ending{Organisation: galenastair.Organisation(fmt.Sprint("org-", i))})
+	}
+	families, err := m.registry.Gather()
+	is.NoErr(err)
+	counts := map[string]float64{}
+	for _, f := range families {
+		if f.GetName() != "galenastair_organisation_requests_total" {
+			continue
+		}
+		for _, line := range f.GetMetric() {
+			for _, label := range line.GetLabel() {
+				if label.GetName() == "organisation" {
+					counts[label.GetValue()] = line.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	is.Equal(len(counts), namedOrganisations+1)
+	is.Equal(counts[otherOrganisations], 9.0*namedOrganisations)
+}
--- a/scenario/gateway.sh
+++ b/scenario/gateway.sh
@@ -138,7 +138,11 @@
 done
 expect "a request over the quota" "status=429" ask gateway-3 trail-quota /drafts/1 -H "Galenastair-Model: m1" -H "Galenastair-Token-Usage: 2000,20"
 expect "its cause" "refused, status 429, code RateExceeded" explained trail-quota
-expect "the metrics count it" "galenastair_requests_total" sh -c "curl -sf http://127.0.0.1:${metrics_port[gateway-3]}/metrics | grep 'code=\"RateExceeded\"'"
+expect "the metrics count it" "galenastair_requests_total" sh -c "curl -sf http://127.0.0.1:${metrics_port[gateway-3]}/metrics | grep '^galenastair_requests_total.*code=\"RateExceeded\"'"
+expect "the metrics name the organisation" "galenastair_organisation_requests_total" sh -c "curl -sf http://127.0.0.1:${metrics_port[gateway-3]}/metrics | grep 'organisation=\"'"
+all=127.0.0.1:${metrics_port[gateway-1]},127.0.0.1:${metrics_port[gateway-2]},127.0.0.1:${metrics_port[gateway-3]}
+expect "the status shows who plans" "itself" sh -c "bin/galenastair status -metrics $all | grep -o itself"
+expect "and what engines hold" "m1 " sh -c "bin/galenastair status -metrics $all | grep -o 'm1 .*'"
 [ -z "${KEEP_STORIES:-}" ] || cp "$work"/trail-*.story "$KEEP_STORIES"
 
 stop gateway-1 gateway-2 gateway-3
