--- a/node/node_test.go
+++ b/node/node_test.go
@@ -213,12 +213,19 @@
 	n int
 }
 
-// call sends one request to a node as a client does.
-func (x *site) call(n *running, path, model, key string) answer {
+func newAttempt() string {
 	attempts.Lock()
+	defer attempts.Unlock()
 	attempts.n++
-	id := fmt.Sprintf("r%d", attempts.n)
-	attempts.Unlock()
+	return fmt.Sprintf("r%d", attempts.n)
+}
+
+// call sends one request to a node as a client does.
+func (x *site) call(n *running, path, model, key string) answer {
+	return x.attempt(newAttempt(), n, path, model, key)
+}
+
+func (x *site) attempt(id string, n *running, path, model, key string) answer {
 	req, err := http.NewRequestWithContext(x.t.Context(), http.MethodPost, "http://"+n.settings.CallerAddress+path, strings.NewReader("body of "+id))
 	if err != nil {
 		x.t.Fatal(err)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -38,6 +38,8 @@
 	After  string
 	// Key says that a caller's key came with it.
 	Key bool
+	// At is when it began.
+	At time.Time
 	// Left says that the caller's side closed the connection before the end.
 	Left bool
 }
@@ -173,6 +175,7 @@
 		Body:   string(body[:n]),
 		After:  req.Header.Get("Last-Event-Id"),
 		Key:    req.Header.Get("Authorization") != "",
+		At:     time.Now(),
 	}
 	r.runs = append(r.runs, run)
 	r.mu.Unlock()
