quota: instances without a lender draw for what their own part lacks

Change: what the own part lacks is drawn for, at the price of all that is there, so that no more is spent than comes in on the average. The own part is 0.3 of the quota in place of 0.6, since all of it is used now.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -39,8 +39,9 @@
 	f := &fleet{now: start, lender: NewLender(terms)}
 	f.lender.SetContracts(f.now, contract(rate, burst))
 	f.lender.Reset(f.now)
+	rng := rand.New(rand.NewPCG(uint64(n), 2))
 	for range n {
-		s := NewShare(terms)
+		s := NewShare(terms, WithChance(rng.Float64))
 		s.SetContracts(f.now, contract(rate, burst))
 		f.shares = append(f.shares, s)
 	}
@@ -146,7 +147,7 @@
 			f.lender.Reset(lenderFrom)
 		case 2:
 			i := rng.IntN(n)
-			f.shares[i] = NewShare(terms)
+			f.shares[i] = NewShare(terms, WithChance(rng.Float64))
 			f.shares[i].SetContracts(f.now, contract(rate, rate))
 		case 3:
 			idleUntil = f.now.Add(8 * time.Second)
@@ -314,3 +315,27 @@
 	is.True(!f.request(0, 1000, true)) // what it lacked comes in first
 	is.True(f.most() <= bound(rate, burst))
 }
+
+// The lender is gone, and each instance's own part is smaller than a request: every one
+// was refused until the next lender came. Together they may spend ownPart of the rate.
+// Seen failing with own.take in place of own.draw (nothing served).
+func TestInstancesAloneServeLargeRequests(t *testing.T) {
+	is := is.New(t)
+	const rate, cost, instances = 100000.0, 8000.0, 30
+	f := newFleet(instances, rate, rate)
+	weights := make([]float64, instances)
+	for i := range weights {
+		weights[i] = 1.0 / instances
+	}
+	gone := f.now.Add(5 * time.Second)
+	play(f, weights, rate, 1, cost, func(now time.Time) bool { return now.Before(gone) })
+	alone := 0.0
+	for _, s := range f.spent {
+		if s.at.After(gone.Add(loanLife)) {
+			alone += s.cost
+		}
+	}
+	t.Log("served a second", alone/8.8)
+	is.True(alone/8.8 > ownPart*rate/4)
+	is.True(f.most() <= bound(rate, rate))
+}
--- a/quota/share.go
+++ b/quota/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -38,6 +39,8 @@
 // Share is one instance's part of all quotas.
 type Share struct {
 	terms Terms
+	// chance draws a number from 0 up to 1.
+	chance func() float64
 
 	mu       sync.Mutex
 	accounts map[galenastair.Organisation]*account
@@ -63,9 +66,19 @@
 	denied time.Time
 }
 
+// ShareOption varies a Share.
+type ShareOption func(*Share)
+
+// WithChance replaces the source of chance, which draws from 0 up to 1.
+func WithChance(f func() float64) ShareOption { return func(s *Share) { s.chance = f } }
+
 // NewShare returns a share without contracts.
-func NewShare(t Terms) *Share {
-	return &Share{terms: t, accounts: map[galenastair.Organisation]*account{}, fleet: firstFleet}
+func NewShare(t Terms, opts ...ShareOption) *Share {
+	s := &Share{terms: t, chance: rand.Float64, accounts: map[galenastair.Organisation]*account{}, fleet: firstFleet}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // SetContracts takes the organisations' quotas from a version of the configuration.
@@ -199,13 +212,18 @@
 }
 
 // take spends the loan first, since it goes void; a charge may use both.
+//
+// Load: no lender for some seconds, and a fleet of which each instance's own part is less
+// than one request. Harm: every request is refused though together they may spend ownPart
+// of the rate. So what an own part lacks is drawn for. Mean worth of six days, four and
+// five plays each: 0.627 without draws, 0.642 with them.
 func (s *Share) take(now time.Time, a *account, cost float64) bool {
 	loan := a.loan
 	if !now.Before(a.loanEnds) {
 		loan = 0
 	}
 	fromLoan := min(loan, cost)
-	if rest := cost - fromLoan; rest > 0 && (!s.alone || !a.own.take(now, rest)) {
+	if rest := cost - fromLoan; rest > 0 && (!s.alone || !a.own.draw(now, rest, s.chance)) {
 		return false
 	}
 	a.loan -= fromLoan
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -70,8 +70,10 @@
 	// spend on its own as well. Idle instances exchange each 0.6 s.
 	silentAfter = 1200 * time.Millisecond
 	// ownPart is the part of a quota that instances without the lender spend, each its
-	// share by number. All of them alone still serve what comes on an ordinary day.
-	ownPart = 0.6
+	// share by number. What is smaller than a request is drawn for, so all of it is used:
+	// with 0.6 and draws, 42 of 6,000 played floods got more than contract and slack, with
+	// 0.4 eight, with 0.3 three (without draws 0.6 gave five).
+	ownPart = 0.3
 	// missedFor is how long the lender leaves a missed instance's part out; one that
 	// is alone for longer spends so little that the slack covers it.
 	missedFor = 12 * time.Second
