--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -299,6 +299,15 @@
 	is.True(f.most() <= bound(rate, burst))
 }
 
+// A platform bounds no quotas and names no window. The burst spread over it would come in
+// at an infinite rate, and no organisation had a limit.
+func TestNoWindowLendsTheBareQuota(t *testing.T) {
+	is := is.New(t)
+	rate, size := Terms{}.lending(&catalog.Organisation{Rate: 100, Burst: 500})
+	is.Equal(rate, 100.0)
+	is.Equal(size, 500.0)
+}
+
 // A request is larger than the bucket but within the burst. It waits for a full bucket
 // and is served; refused each time it would never come through.
 func TestRequestLargerThanTheBucketIsServed(t *testing.T) {
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -50,6 +50,10 @@
 // most, size + rate x window, stays the same. Mean worth of eight days, four plays
 // each: 0.646 before, 0.668 with it.
 func (t Terms) lending(o *catalog.Organisation) (rate, size float64) {
+	if t.Window <= 0 {
+		// a platform that names no window: nothing to spread the burst over
+		return o.Rate, t.most(o)
+	}
 	size = max(t.use(o), o.Burst-t.use(o))
 	return o.Rate + (t.most(o)-size)/t.Window.Seconds(), size
 }
