--- a/node/status.go
+++ b/node/status.go
@@ -50,7 +50,7 @@
 		s.Ready, s.NotReady = false, err.Error()
 	}
 	if view, age := n.views.View(); view != nil {
-		s.Version, s.Age = int64(view.Version), age
+		s.Version, s.Age = view.Version, age
 	}
 	return s
 }
