--- a/quota/share.go
+++ b/quota/share.go
@@ -223,8 +223,9 @@
 //
 // Load: no lender for some seconds, and a fleet of which each instance's own part never
 // holds one request. Harm: every request is refused though together they may spend ownPart
-// of the rate. So such requests are drawn for. Mean worth of six days, four and five plays
-// each: 0.627 without draws, 0.639 with them.
+// of the rate. So such requests are drawn for. Of what callers' requests are worth, 0.639
+// was earned with draws and 0.627 without (mean of six simulated days, five and four
+// plays each).
 func (s *Share) take(now time.Time, a *account, cost float64) bool {
 	loan := a.loan
 	if !now.Before(a.loanEnds) {
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -30,8 +30,9 @@
 
 // firstUse is the part of the bounds that a bucket holds as a term begins. What the
 // lender before may have lent forbids more, but from nothing every organisation is
-// refused its first requests: mean worth of eight days, four plays each, 0.668 without
-// it, 0.673 with it (and with burstUse lowered from 0.45 to make room for it).
+// refused its first requests: of what callers' requests are worth, 0.673 was earned with
+// it and 0.668 without (mean of eight simulated days, four plays each; burstUse was
+// lowered from 0.45 to make room for it).
 const firstUse = 0.12
 
 // first is what an organisation's bucket holds as a term begins.
@@ -47,8 +48,8 @@
 // of rate and burst gives the burst once and then the rate alone, so that requests within
 // the quota are refused, the large ones first. So the burst comes in with the rate, over
 // the window, as far as the bounds leave a bucket for clumps; what a window can get at
-// most, size + rate x window, stays the same. Mean worth of eight days, four plays
-// each: 0.646 before, 0.668 with it.
+// most, size + rate x window, stays the same. Of what callers' requests are worth, 0.668
+// was earned with it and 0.646 without (mean of eight simulated days, four plays each).
 func (t Terms) lending(o *catalog.Organisation) (rate, size float64) {
 	if t.Window <= 0 {
 		// a platform that names no window: nothing to spread the burst over
