--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 demo: build
 	bash scenario/demo.sh
 	bash scenario/gateway.sh
+	bash scenario/readme.sh
 
 clean:
 	rm -rf bin out
--- a/cmd/galenastair/cmd_status.go
+++ b/cmd/galenastair/cmd_status.go
@@ -113,10 +113,7 @@
 func printInstances(w io.Writer, all []operator.Status) {
 	fmt.Fprintln(w, "INSTANCE\tZONE\tREADY\tLEASE\tEPOCH\tMEMBERS\tLEADER\tCONFIGURATION\tLOG CONTACT\tREQUESTS")
 	for _, s := range all {
-		ready := "yes"
-		if !s.Ready {
-			ready = "no: " + s.NotReady
-		}
+		ready := yesUnless(s.NotReady)
 		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%d\t%d\t%s\t%d\t%s\t%d\n", s.Instance, s.AvailabilityZone, ready, s.HoldsLease,
 			s.Epoch, len(s.Members), s.Leader, s.ConfigurationOffset, s.LogContact.Round(time.Millisecond), s.Requests)
 	}
@@ -137,6 +134,14 @@
 	}
 }
 
+// yesUnless prints yes, or no and the reason that is given.
+func yesUnless(reason string) string {
+	if reason == "" {
+		return "yes"
+	}
+	return "no: " + reason
+}
+
 func joinNames(names []galenastair.ModelName) string {
 	text := make([]string, len(names))
 	for i, n := range names {
--- a/cmd/galenastair/gateways.go
+++ b/cmd/galenastair/gateways.go
@@ -13,10 +13,7 @@
 func printGateways(w io.Writer, all []node.Status) {
 	fmt.Fprintln(w, "INSTANCE\tZONE\tREADY\tVERSION\tAGE\tPLANNER\tFLEET\tLENDER")
 	for _, s := range all {
-		ready := "yes"
-		if !s.Ready {
-			ready = "no: " + s.NotReady
-		}
+		ready := yesUnless(s.NotReady)
 		planner := s.Planner
 		if s.Plans {
 			planner = "itself"
@@ -33,10 +30,7 @@
 	}
 	fmt.Fprintf(w, "\nBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tIN USE\tREQUESTS\tFAILURES\tHOLDS\n")
 	for _, b := range all[0].BackendServers {
-		use := "yes"
-		if b.Out != "" {
-			use = "no: " + string(b.Out)
-		}
+		use := yesUnless(string(b.Out))
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\n", b.ID, b.Service, b.AvailabilityZone, b.Address,
 			use, b.Flights, 100*b.FailureShare, joinNames(b.Holds))
 	}
