rate: a test's list of calls is locked, as limiters call several holders at a time

The limiter sends reports to its holders from several goroutines; the hook of the test appended each call to one slice without a lock. Ruled out: a race of the product (both sides of each report are the test's own line). Change: a lock around the slice, nothing else.

--- a/rate/limiter_test.go
+++ b/rate/limiter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -194,9 +195,12 @@
 	is := is.New(t)
 	c := Contract{Rate: 300, Burst: 9000}
 	f := newFleet(3, c)
+	var mu sync.Mutex // a limiter calls several holders at a time
 	var again []func() (*ratepb.ExchangeReply, error)
 	f.exchange = func(_ galenastair.Peer, call func() (*ratepb.ExchangeReply, error)) (*ratepb.ExchangeReply, error) {
+		mu.Lock()
 		again = append(again, call)
+		mu.Unlock()
 		return call()
 	}
 	f.pass(40 * time.Second)
