quota: instances pass their parts on to the lender; the fleet's count is left on the platform

Each instance took itself for one of 16, and what it spent alone came out of the slack, since the lender lent the same tokens until it missed the instance. Ruled out: too small a burst (a larger one breaks floods), draws by chance (Poisson variance of 40 % in two seconds, replaced by a phase for each instance). Change: an instance's part comes to the lender only by the instance's word that it has not spent it; parts are dealt so that they are never more than the whole, also while an instance comes back; an instance alone grants its first request at a part of its cost and owes the rest; the lender may be asked on after its lease while the store names no other; the fleet's count stands in a record of the platform, which a restarted instance reads.

--- a/node/duty.go
+++ b/node/duty.go
@@ -15,5 +15,8 @@
 // Holds says whether this instance plans and lends.
 func (d duty) Holds() bool { return d.turn.Holds(boottime.Now()) }
 
+// Hosts says whether others may exchange with this instance and borrow from it.
+func (d duty) Hosts() bool { return d.turn.Hosts(boottime.Now()) }
+
 // Refused ends the term of a fence.
 func (d duty) Refused(f galenastair.Fence) { d.turn.Refused(f) }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -97,7 +97,9 @@
 	x.mu.Unlock()
 	r.Loads = x.pool.Loads()
 	r.Positions = positions(x.topics())
-	r.Asks, r.Fleet = x.share.Asks(time.Now()), x.share.Fleet()
+	x.share.Presume(x.keeper.Fleet())
+	now := time.Now()
+	r.Asks, r.Passed = x.share.Asks(now), x.share.Pass(now)
 	return r
 }
 
@@ -145,7 +147,7 @@
 		x.lost = false
 		x.logger.Log("event", "dependency regained", "peer", x.keeper.Holder())
 	}
-	x.share.SetFleet(now, n.Fleet)
+	x.share.SetStanding(now, n.Standing)
 	for _, l := range n.Loans {
 		x.share.Lent(now, l.Organisation, l.Amount)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -103,9 +103,10 @@
 	backend := platform.NewReplicas(n.backends)
 	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.duty = duty{t}
-	n.keeper = turn.NewKeeper(n.store, t, s.PeerAddress, turn.WithLogger(n.logger))
+	n.keeper = turn.NewKeeper(n.store, t, s.PeerAddress, turn.WithLogger(n.logger),
+		turn.WithCount(func() int { return n.planner.Fleet() }))
 	n.planner = planner.New(string(s.ID), terms, backend, n.duty, n.loop,
-		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
+		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered), planner.WithKnownFleet(n.keeper.Fleet))
 	n.views = &views{logger: n.logger}
 	n.servers = newServers(n.logger)
 	n.exchange = n.newExchange()
--- a/node/tails.go
+++ b/node/tails.go
@@ -32,7 +32,7 @@
 // Hear takes in a report.
 func (t teller) Hear(ctx context.Context, r planner.Report) (planner.News, error) {
 	news, err := t.Planner.Hear(ctx, r)
-	if err != nil || news.Fleet == 0 || news.Fleet > tellMost {
+	if err != nil || news.Standing.Fleet == 0 || news.Standing.Fleet > tellMost {
 		return news, err
 	}
 	for _, f := range t.topics() {
--- a/planner/message.go
+++ b/planner/message.go
@@ -17,8 +17,8 @@
 	// Demands is the work asked of each model and adapter since the last report.
 	Demands map[galenastair.ModelName]float64
 	Asks    []quota.Ask
-	// Fleet is the number of instances that it was told of last.
-	Fleet int
+	// Passed is what it leaves to the lender.
+	Passed quota.Passed
 	// Positions are how far it has read the store's topics.
 	Positions map[galenastair.Topic]galenastair.Offset
 	// Poisons are requests that stopped a backend server since the last report.
@@ -27,8 +27,8 @@
 
 // News is what the planner answers.
 type News struct {
-	// Fleet counts the instances; 0 if not known yet.
-	Fleet int
+	// Standing is its place among the instances, as the lender counts them.
+	Standing quota.Standing
 	// Loads is what all other instances' requests put on each backend server.
 	Loads map[galenastair.BackendServerID]pool.Load
 	Loans []quota.Ask
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -44,8 +45,10 @@
 type Duty interface {
 	// Order returns the fence for an order sent now; false if none may be sent.
 	Order() (galenastair.Fence, bool)
-	// Holds says whether this instance hears the others and lends.
+	// Holds says whether this instance has the duty.
 	Holds() bool
+	// Hosts says whether it hears the others and lends, as it may for some time after.
+	Hosts() bool
 	// Refused says that an engine has seen a higher fence than this.
 	Refused(galenastair.Fence)
 }
@@ -61,6 +64,11 @@
 	tasks   sync.WaitGroup
 	ordered func(kind galenastair.OrderKind, reason place.Reason, outcome string)
 
+	// known returns how many instances there were before this term.
+	known func() int
+	// fleet is how many there are; 0 before this term's lender knows.
+	fleet atomic.Int64
+
 	// the rest is owned by the control loop
 	ctx      context.Context
 	sites    map[galenastair.ServiceName]*site
@@ -106,6 +114,9 @@
 	return func(p *Planner) { p.ordered = f }
 }
 
+// WithKnownFleet sets where a new term learns how many instances there were before it.
+func WithKnownFleet(f func() int) Option { return func(p *Planner) { p.known = f } }
+
 // New returns a planner that does nothing until Run and while the duty is another's;
 // self names it in orders.
 func New(self string, t quota.Terms, c galenastair.EngineControl, d Duty, loop *control.Loop, opts ...Option) *Planner {
@@ -117,6 +128,7 @@
 		clock:   galenastair.SystemClock{},
 		logger:  log.NewNopLogger(),
 		ordered: func(galenastair.OrderKind, place.Reason, string) {},
+		known:   func() int { return 0 },
 		ctx:     context.Background(),
 		sites:   map[galenastair.ServiceName]*site{},
 		servers: map[galenastair.BackendServerID]pool.Server{},
@@ -144,7 +156,7 @@
 // SetCatalog takes in a version of the configuration.
 func (p *Planner) SetCatalog(ctx context.Context, c *catalog.Catalog) error {
 	return p.loop.Post(ctx, func() {
-		p.lender.SetContracts(p.clock.Now(), c)
+		p.lender.SetContracts(c)
 		c.Services(func(s *catalog.Service) {
 			if s.Engine == nil {
 				return
@@ -211,7 +223,8 @@
 func (p *Planner) beginOrEnd(now time.Time, holds bool) {
 	p.logger.Log("event", "term", "holds", holds)
 	if holds {
-		p.lender.Reset(now)
+		p.fleet.Store(0)
+		p.lender.Reset(now, p.known())
 		clear(p.reports)
 	}
 	for _, s := range p.sites {
@@ -257,7 +270,7 @@
 	var news News
 	err := ErrNotPlanner
 	doErr := p.loop.Do(ctx, func() {
-		if p.duty.Holds() {
+		if p.duty.Hosts() {
 			news, err = p.hear(r), nil
 		}
 	})
@@ -278,9 +291,10 @@
 	for _, d := range r.Poisons {
 		p.poisons = append(p.poisons, poisonAt{d, r.Instance, now})
 	}
-	news := News{Fleet: p.lender.Heard(now, r.Instance, r.Fleet), Loads: p.loads(now, r.Instance)}
+	news := News{Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads(now, r.Instance)}
+	p.fleet.Store(int64(news.Standing.Fleet))
 	for _, a := range r.Asks {
-		if n := p.lender.Lend(now, a); n > 0 {
+		if n := p.lender.Lend(a); n > 0 {
 			news.Loans = append(news.Loans, quota.Ask{Organisation: a.Organisation, Amount: n})
 		}
 	}
@@ -300,6 +314,14 @@
 	return news
 }
 
+// Fleet returns how many instances there are while this one has the duty; 0 if not known.
+func (p *Planner) Fleet() int {
+	if !p.duty.Holds() {
+		return 0
+	}
+	return int(p.fleet.Load())
+}
+
 // tell adds a change for all instances; it takes back an earlier one of the same.
 func (p *Planner) tell(now time.Time, at Placement, dropped bool) {
 	p.news = slices.DeleteFunc(p.news, func(c newsAt) bool { return c.Placement == at })
@@ -334,8 +356,8 @@
 	var n float64
 	err := ErrNotPlanner
 	doErr := p.loop.Do(ctx, func() {
-		if p.duty.Holds() {
-			n, err = p.lender.LendAll(p.clock.Now(), a), nil
+		if p.duty.Hosts() {
+			n, err = p.lender.LendAll(a), nil
 		}
 	})
 	if doErr != nil {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -32,6 +32,7 @@
 
 func (h *holder) Order() (galenastair.Fence, bool) { return h.fence, h.holds }
 func (h *holder) Holds() bool                      { return h.holds }
+func (h *holder) Hosts() bool                      { return h.holds }
 func (h *holder) Refused(galenastair.Fence)        { h.holds = false }
 
 // errLost says that an order got no answer.
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,33 +1,23 @@
 package quota
 
-import "time"
-
-// bucket is a token bucket that starts empty: a restart must not bring a second burst.
+// bucket holds tokens up to a size; it starts empty, as a restart must not bring a second
+// burst. What comes in is added by its owner, who knows for which time.
 type bucket struct {
 	level float64
-	rate  float64
-	most  float64
-	at    time.Time
+	// rate is in tokens a second.
+	rate float64
+	most float64
 }
 
 // set changes rate and size; a lower size binds at once.
-func (b *bucket) set(now time.Time, rate, most float64) {
-	b.fill(now)
+func (b *bucket) set(rate, most float64) {
 	b.rate, b.most = rate, most
 	b.level = min(b.level, most)
 }
 
-func (b *bucket) fill(now time.Time) {
-	if !b.at.IsZero() && now.After(b.at) {
-		b.level = min(b.most, b.level+b.rate*now.Sub(b.at).Seconds())
-	}
-	if b.at.IsZero() || now.After(b.at) {
-		b.at = now
-	}
-}
+func (b *bucket) add(n float64) { b.level = min(b.most, b.level+n) }
 
-func (b *bucket) take(now time.Time, n float64) bool {
-	b.fill(now)
+func (b *bucket) take(n float64) bool {
 	if b.level < n {
 		return false
 	}
@@ -38,8 +28,8 @@
 // takeWhole takes n for one request, from a full bucket also more than it holds, up to
 // largest: a request larger than the bucket would be refused for good. What it lacks
 // comes in before anything else is taken.
-func (b *bucket) takeWhole(now time.Time, n, largest float64) bool {
-	if b.take(now, n) {
+func (b *bucket) takeWhole(n, largest float64) bool {
+	if b.take(n) {
 		return true
 	}
 	if n > largest || b.level < b.most {
@@ -49,24 +39,8 @@
 	return true
 }
 
-// draw takes n. If the bucket can never hold as much, it takes all that there is for a
-// chance at n that is as large as the part that it pays: over many draws no more is spent
-// than came in.
-func (b *bucket) draw(now time.Time, n float64, chance func() float64) bool {
-	if b.take(now, n) {
-		return true
-	}
-	if n <= b.most {
-		return false
-	}
-	part := max(0, b.level) / n
-	b.level = min(b.level, 0)
-	return chance() < part
-}
-
 // upTo takes as much of n as there is.
-func (b *bucket) upTo(now time.Time, n float64) float64 {
-	b.fill(now)
+func (b *bucket) upTo(n float64) float64 {
 	n = max(0, min(n, b.level))
 	b.level -= n
 	return n
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -7,31 +7,44 @@
 	"galenastair/catalog"
 )
 
-// Lender keeps the organisations' buckets. Its owner keeps it to one goroutine, and
-// asks it only while it holds the duty.
+// Lender keeps what the instances have passed on of their parts of all quotas, and lends
+// it. Its owner keeps it to one goroutine.
+//
+// Failure guarded against: an instance that is cut off spends its own part while the
+// lender lends it out as well, or a second lender begins while the first still lends. It
+// shows as an organisation that gets more than its contract. Here nothing comes in by
+// time alone: an instance says for how long it has left its part to the lender, each
+// moment is passed on to one lender at most, and what a lost message carried is lost.
 type Lender struct {
 	terms    Terms
 	accounts map[galenastair.Organisation]*credit
-	heard    map[galenastair.InstanceID]time.Time
+	heard    map[galenastair.InstanceID]holder
 	began    time.Time
-	// told is the largest fleet that an instance was told of before this term.
-	told int
+	// known is the largest fleet that was known before this term.
+	known int
 }
 
+// holder is an instance that has been heard in this term, and its part of the quotas: what
+// it said last, or what it was told since, if that came through.
+type holder struct {
+	at         time.Time
+	said, told Part
+}
+
+// credit is what there is to lend for one organisation.
 type credit struct {
 	bucket
-	// fullRate and fullSize are those of a bucket with no instance missed, and largest is the
-	// most that one request may take; first is what it holds as a term begins.
-	fullRate, fullSize, largest, first float64
+	// largest is the most that one request may take; first is what a term begins with.
+	largest, first float64
 }
 
-// NewLender returns a lender whose buckets are empty.
+// NewLender returns a lender that has nothing to lend.
 func NewLender(t Terms) *Lender {
-	return &Lender{terms: t, accounts: map[galenastair.Organisation]*credit{}, heard: map[galenastair.InstanceID]time.Time{}}
+	return &Lender{terms: t, accounts: map[galenastair.Organisation]*credit{}, heard: map[galenastair.InstanceID]holder{}}
 }
 
-// SetContracts takes the organisations' quotas.
-func (l *Lender) SetContracts(now time.Time, c *catalog.Catalog) {
+// SetContracts takes the organisations' quotas; a lower one binds at once.
+func (l *Lender) SetContracts(c *catalog.Catalog) {
 	seen := map[galenastair.Organisation]bool{}
 	c.Organisations(func(o *catalog.Organisation) {
 		if o.Rate <= 0 {
@@ -43,10 +56,8 @@
 			a = &credit{}
 			l.accounts[o.Name] = a
 		}
-		a.fullRate, a.fullSize = l.terms.lending(o)
-		a.largest = l.terms.most(o)
-		a.first = l.terms.first(o)
-		l.deal(now, a)
+		a.set(l.terms.lending(o))
+		a.largest, a.first = l.terms.most(o), l.terms.first(o)
 	})
 	for name := range l.accounts {
 		if !seen[name] {
@@ -55,96 +66,103 @@
 	}
 }
 
-// deal leaves out of the lending what missed instances may spend on their own.
-func (l *Lender) deal(now time.Time, a *credit) {
-	lent := 1 - ownPart*l.missed(now)
-	a.set(now, a.fullRate*lent, a.fullSize*lent)
+// Reset begins a term, with a part of the bounds: the lender before may have lent all
+// that had come in. Fleet is the number of instances that the lenders before left on the
+// platform; 0 if there is none.
+func (l *Lender) Reset(now time.Time, fleet int) {
+	for _, a := range l.accounts {
+		a.level = min(a.first, a.most)
+	}
+	clear(l.heard)
+	l.began, l.known = now, fleet
 }
 
-// missed is the part of the fleet that may be alive and alone.
-func (l *Lender) missed(now time.Time) float64 {
-	here, missed := 0, 0
-	for _, at := range l.heard {
-		if now.Sub(at) < silentAfter {
-			here++
-		} else {
-			missed++
-		}
-	}
-	if now.Sub(l.began) < missedFor {
-		// those of the last term that have not come yet
-		missed = max(missed, l.told-here)
+// mostPassed bounds what one exchange passes on; instances exchange each 0.6 s at least.
+const mostPassed = 2 * time.Second
+
+// Heard takes in what an instance passes on of its part, and returns how it stands from
+// now on; nothing, which leaves it as it is, while too little of the term has gone by.
+func (l *Lender) Heard(now time.Time, id galenastair.InstanceID, p Passed) Standing {
+	l.forget(now)
+	l.known = max(l.known, p.Fleet)
+	l.heard[id] = holder{now, p.Part, p.Part}
+	fleet := l.Fleet(now)
+	if p.Fleet == 0 {
+		p.Part = wholeBy(fleet)
 	}
-	if here+missed == 0 {
-		return 0
+	l.credit(p.Time, p.Part)
+	if now.Sub(l.began) < firstCount || l.known == 0 && now.Sub(l.began) < firstStart {
+		return Standing{}
 	}
-	return float64(missed) / float64(here+missed)
+	told := l.deal(now, id)
+	l.heard[id] = holder{now, p.Part, told}
+	return Standing{Fleet: fleet, Part: told}
 }
 
-// Reset empties all buckets but for a part of the bounds, at the beginning of a term:
-// the one before may have lent all that they would hold.
-func (l *Lender) Reset(now time.Time) {
-	for _, a := range l.accounts {
-		a.fill(now)
-		a.level = min(a.first, a.most)
+// deal returns the part that an instance may have.
+//
+// Failure guarded against: an instance comes, or is back after it was given up, and the
+// others are cut off before they hear of it. They go on by a smaller fleet, and the parts
+// are more than the whole for as long as they are alone. So the newcomer gets only what
+// the others do not hold, until each of them has been heard.
+func (l *Lender) deal(now time.Time, id galenastair.InstanceID) Part {
+	fleet := l.Fleet(now)
+	held := Part(fleet-len(l.heard)) * wholeBy(l.known)
+	for other, h := range l.heard {
+		if other != id {
+			held += max(h.said, h.told)
+		}
 	}
-	clear(l.heard)
-	l.began, l.told = now, 0
+	return max(0, min(1-held, wholeBy(fleet)))
 }
 
-// Heard counts an instance, which was told of a fleet before, and returns how many
-// there are; 0 while too little of the term has passed to know. A count of the first
-// few would deal them all there is.
-func (l *Lender) Heard(now time.Time, id galenastair.InstanceID, told int) int {
-	l.heard[id] = now
-	if told != firstFleet {
-		l.told = max(l.told, told)
-	}
-	for other, at := range l.heard {
-		if now.Sub(at) > missedFor {
-			delete(l.heard, other)
+func (l *Lender) forget(now time.Time) {
+	for id, h := range l.heard {
+		if now.Sub(h.at) > missedFor {
+			delete(l.heard, id)
 		}
 	}
-	for _, a := range l.accounts {
-		l.deal(now, a)
-	}
-	if now.Sub(l.began) < silentAfter {
-		return 0
-	}
+}
+
+// Fleet returns how many instances there are, as far as is known by now.
+func (l *Lender) Fleet(now time.Time) int {
 	if now.Sub(l.began) < missedFor {
-		// An instance that is cut off as the term begins is counted by those that knew
-		// it. Told a fleet without it, each of the others would spend its part as well
-		// when it is alone itself.
-		return max(len(l.heard), l.told)
+		// one that is cut off as the term begins counts by what was known before
+		return max(len(l.heard), l.known)
 	}
 	return len(l.heard)
 }
 
+// credit takes in a part for a time.
+func (l *Lender) credit(d time.Duration, p Part) {
+	share := min(d, mostPassed).Seconds() * float64(p)
+	for _, a := range l.accounts {
+		a.add(a.rate * share)
+	}
+}
+
 // keptBack is the part of a bucket that is not lent ahead of need: else one busy
 // instance holds all there is while the requests of the others are refused.
 const keptBack = 0.1
 
 // Lend returns how much of an ask ahead of need is lent; it takes back what an ask
 // gives back.
-func (l *Lender) Lend(now time.Time, a Ask) float64 {
+func (l *Lender) Lend(a Ask) float64 {
 	b := l.accounts[a.Organisation]
 	if b == nil {
 		return 0
 	}
 	if a.Amount < 0 {
-		b.fill(now)
-		b.level = min(b.most, b.level-a.Amount)
+		b.add(-a.Amount)
 		return 0
 	}
-	b.fill(now)
-	return b.upTo(now, min(a.Amount, b.level-keptBack*b.most))
+	return b.upTo(min(a.Amount, b.level-keptBack*b.most))
 }
 
 // LendAll lends an ask whole or not at all: a part would not carry a request.
-func (l *Lender) LendAll(now time.Time, a Ask) float64 {
+func (l *Lender) LendAll(a Ask) float64 {
 	b := l.accounts[a.Organisation]
-	// before the first report of a term nobody is known to be missed
-	if b == nil || len(l.heard) == 0 || !b.takeWhole(now, a.Amount, b.largest) {
+	if b == nil || !b.takeWhole(a.Amount, b.largest) {
 		return 0
 	}
 	return a.Amount
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -28,6 +28,8 @@
 	lender *Lender
 	shares []*Share
 	spent  []spent
+	// recorded is what lenders leave on the platform: how many instances there are.
+	recorded int
 }
 
 type spent struct {
@@ -37,8 +39,8 @@
 
 func newFleet(n int, rate, burst float64) *fleet {
 	f := &fleet{now: start, lender: NewLender(terms)}
-	f.lender.SetContracts(f.now, contract(rate, burst))
-	f.lender.Reset(f.now)
+	f.lender.SetContracts(contract(rate, burst))
+	f.lender.Reset(f.now, 0)
 	rng := rand.New(rand.NewPCG(uint64(n), 2))
 	for range n {
 		s := NewShare(terms, WithChance(rng.Float64))
@@ -51,15 +53,18 @@
 // exchange is one instance's exchange with the lender.
 func (f *fleet) exchange(i int) {
 	s := f.shares[i]
-	asks := s.Asks(f.now)
-	n := f.lender.Heard(f.now, galenastair.InstanceID(strconv.Itoa(i)), s.Fleet())
+	asks, passed := s.Asks(f.now), s.Pass(f.now)
+	told := f.lender.Heard(f.now, galenastair.InstanceID(strconv.Itoa(i)), passed)
 	for _, a := range asks {
-		lent := f.lender.Lend(f.now, a)
+		lent := f.lender.Lend(a)
 		if lent > 0 {
 			s.Lent(f.now, a.Organisation, lent)
 		}
 	}
-	s.SetFleet(f.now, n)
+	s.SetStanding(f.now, told)
+	if told.Fleet > 0 {
+		f.recorded = f.lender.Fleet(f.now)
+	}
 }
 
 // request charges one request at an instance, as the gateway does.
@@ -73,7 +78,7 @@
 			s.Unheard(f.now)
 			ok = s.Retake(f.now, "org", cost)
 		default:
-			s.Lent(f.now, "org", f.lender.LendAll(f.now, Ask{"org", lacks}))
+			s.Lent(f.now, "org", f.lender.LendAll(Ask{"org", lacks}))
 			ok = s.Retake(f.now, "org", cost)
 		}
 	}
@@ -106,13 +111,14 @@
 // no window may it get more than the contract and the platform's slack.
 //
 // Seeds 1512 and 2423 found instances told a fleet without one that was cut off as the
-// term began (4 and 9 % over). FLOODS sets how many seeds are played.
+// term began (4 and 9 % over), the four after them instances that spent their own parts
+// until the lender missed them (1 to 4 % over). FLOODS sets how many seeds are played.
 func TestNoWindowExceedsTheContract(t *testing.T) {
 	floods := uint64(300)
 	if s := os.Getenv("FLOODS"); s != "" {
 		floods, _ = strconv.ParseUint(s, 10, 64)
 	}
-	seeds := []uint64{1512, 2423}
+	seeds := []uint64{1512, 2423, 765, 1772, 5195, 5897}
 	for seed := range floods {
 		seeds = append(seeds, seed)
 	}
@@ -143,8 +149,8 @@
 			// the lender dies; another begins some seconds later
 			lenderFrom = f.now.Add(2500 * time.Millisecond)
 			f.lender = NewLender(terms)
-			f.lender.SetContracts(f.now, contract(rate, rate))
-			f.lender.Reset(lenderFrom)
+			f.lender.SetContracts(contract(rate, rate))
+			f.lender.Reset(lenderFrom, f.recorded)
 		case 2:
 			i := rng.IntN(n)
 			f.shares[i] = NewShare(terms, WithChance(rng.Float64))
@@ -245,7 +251,7 @@
 	is := is.New(t)
 	s := NewShare(terms)
 	s.SetContracts(start, contract(50000, 50000))
-	s.SetFleet(start, 1)
+	s.SetStanding(start, Standing{1, 1})
 	s.Lent(start, "org", 20000)
 	s.SetContracts(start, contract(1000, 1000))
 	is.True(!s.Take(start, "org", 2000))
@@ -258,9 +264,9 @@
 	f.now = f.now.Add(5 * time.Second)
 	f.exchange(0)
 	before := f.lender.accounts["org"].level
-	f.shares[0].Lent(f.now, "org", f.lender.LendAll(f.now, Ask{"org", 5000}))
+	f.shares[0].Lent(f.now, "org", f.lender.LendAll(Ask{"org", 5000}))
 	f.now = f.now.Add(loanLife)
-	f.shares[0].SetFleet(f.now, 1)
+	f.shares[0].SetStanding(f.now, Standing{1, 1})
 	is.True(!f.shares[0].Take(f.now, "org", 5000))
 	f.exchange(0)
 	is.True(f.lender.accounts["org"].level >= before)
@@ -326,7 +332,7 @@
 }
 
 // The lender is gone, and each instance's own part is smaller than a request: every one
-// was refused until the next lender came. Together they may spend ownPart of the rate.
+// was refused until the next lender came. Together they may spend the rate for some seconds.
 // Seen failing with own.take in place of own.draw (nothing served).
 func TestInstancesAloneServeLargeRequests(t *testing.T) {
 	is := is.New(t)
@@ -344,6 +350,6 @@
 			alone += s.cost
 		}
 	}
-	is.True(alone/8.8 > ownPart*rate/4)
+	is.True(alone/8.8 > rate/4)
 	is.True(f.most() <= bound(rate, rate))
 }
--- /dev/null
+++ b/quota/restart_test.go
@@ -0,0 +1,110 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// restartAll plays a fleet all of whose instances lose their state at once while requests
+// come at a part of the rate. A lender begins after a while. It returns the share that is
+// refused in the two seconds from the restart on.
+func restartAll(n, known int, rate, part float64, without time.Duration) float64 {
+	const cost = 2390.0
+	f := newFleet(n, rate, rate)
+	weights := make([]float64, n)
+	for i := range weights {
+		weights[i] = 1 / float64(n)
+	}
+	play(f, weights, rate, part, cost, func(time.Time) bool { return true })
+	restarted := f.now
+	f.lender = NewLender(terms)
+	f.lender.SetContracts(contract(rate, rate))
+	rng := rand.New(rand.NewPCG(1, uint64(n)))
+	for i := range f.shares {
+		f.shares[i] = NewShare(terms, WithChance(rng.Float64))
+		f.shares[i].SetContracts(f.now, contract(rate, rate))
+		f.shares[i].Presume(known)
+	}
+	f.lender.Reset(f.now.Add(without), known)
+	before := len(f.spent)
+	play(f, weights, rate, part, cost, func(now time.Time) bool { return now.Sub(restarted) >= without })
+	served := 0.0
+	for _, s := range f.spent[before:] {
+		if s.at.Sub(restarted) < 2*time.Second {
+			served += s.cost
+		}
+	}
+	return 1 - served/(2*rate*part)
+}
+
+// All instances lose power and come back. None remembers how many there are, nor what was
+// spent, and the next lender takes a second or two. Of requests well within the quota two
+// thirds were refused meanwhile, each instance taking itself for one of many.
+func TestRestartOfAllRefusesLittle(t *testing.T) {
+	is := is.New(t)
+	refused := restartAll(6, 6, 40000, 0.5, 1300*time.Millisecond)
+	unknown := restartAll(6, 0, 40000, 0.5, 1300*time.Millisecond)
+	t.Logf("refused: %.2f, and %.2f where nobody knows how many there are", refused, unknown)
+	is.True(refused < 0.15)
+}
+
+// An instance comes back to a fleet that has given it up, and the others are cut off from
+// the lender before they hear of it. Parts dealt by the new count alone were more than the
+// whole: 1.5 times the rate with two instances.
+func TestPartsAreNeverMoreThanTheWhole(t *testing.T) {
+	is := is.New(t)
+	const rate = 20000.0
+	f := newFleet(2, rate, rate)
+	f.lender.Reset(f.now, 2)
+	for range 10 {
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.exchange(0)
+		f.exchange(1)
+	}
+	is.Equal(f.shares[0].part, wholeBy(2))
+	for range 30 { // the second is cut off, and given up
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.exchange(0)
+		f.shares[1].Unheard(f.now)
+	}
+	is.Equal(f.shares[0].part, Part(1))
+	f.exchange(1)
+	is.Equal(f.shares[1].part, Part(0))
+	f.exchange(0)
+	f.exchange(1)
+	is.Equal(f.shares[1].part, Part(0)) // the first may not have got the answer
+	f.exchange(0)
+	f.exchange(1)
+	is.Equal(f.shares[0].part, wholeBy(2))
+	is.Equal(f.shares[1].part, wholeBy(2))
+}
+
+// Two lenders at once, as when the store moves the duty while the holder is cut off from
+// it: each moment of an instance's part goes to one of them only.
+func TestTwoLendersShareOneRate(t *testing.T) {
+	is := is.New(t)
+	const rate = 20000.0
+	now := start
+	lenders := []*Lender{NewLender(terms), NewLender(terms)}
+	for _, l := range lenders {
+		l.SetContracts(contract(rate, rate))
+		l.Reset(now, 1)
+	}
+	first := lenders[0].accounts["org"].level + lenders[1].accounts["org"].level
+	s := NewShare(terms)
+	s.SetContracts(now, contract(rate, rate))
+	s.Presume(1)
+	s.SetStanding(now, lenders[0].Heard(now, "a", s.Pass(now)))
+	taken := 0.0
+	for i := range 40 {
+		now = now.Add(200 * time.Millisecond)
+		l := lenders[i%2]
+		s.SetStanding(now, l.Heard(now, "a", s.Pass(now)))
+		taken += l.accounts["org"].upTo(1e9)
+	}
+	lent, _ := terms.lending(contract(rate, rate).Organisation("org"))
+	is.True(taken <= first+lent*8+1)
+}
--- a/quota/share.go
+++ b/quota/share.go
@@ -15,14 +15,14 @@
 	// window in which quotas are counted.
 	loanLife = 1200 * time.Millisecond
 	// ahead is for how long a busy instance borrows ahead of its demand.
-	ahead = 600 * time.Millisecond
+	ahead = 450 * time.Millisecond
 	// aheadRequests is how many requests must be expected in that time: below it, what
 	// is borrowed ahead mostly goes void while others lack it.
 	aheadRequests = 4
 	// demandMemory smooths the demand; a burst is seen within an exchange or two.
 	demandMemory = time.Second
-	// firstFleet is the number of instances presumed before the lender tells it; too
-	// high refuses a little in the first second, too low would mint.
+	// firstFleet is the number of instances presumed before anybody tells it; too high
+	// refuses a little in the first second, too low would mint.
 	firstFleet = 16
 	// deniedFor is the longest that an organisation over its quota is kept from asking
 	// the lender again: a hot one would ask for each of its requests.
@@ -44,21 +44,27 @@
 
 	mu       sync.Mutex
 	accounts map[galenastair.Organisation]*account
-	fleet    int
-	heard    time.Time
-	alone    bool
+	// fleet is 0 before anybody tells it.
+	fleet int
+	part  Part
+	heard time.Time
+	alone bool
 	// since is when it last began to be alone.
 	since time.Time
+	// passed is up to when its part was passed on to a lender, or spent alone.
+	passed time.Time
 }
 
+// account is one organisation's quota at this instance.
 type account struct {
+	// rate, in tokens a second, and most are those of all instances together.
 	rate, most float64
 	// reserve is what all instances together may begin alone with, once in a window.
 	reserve  float64
 	wasAlone time.Time
 	alone    bool
-	// own is spent while the lender is silent.
-	own      bucket
+	// own is spent while no lender answers.
+	own      ownBucket
 	loan     float64
 	loanEnds time.Time
 	demand   float64
@@ -76,7 +82,7 @@
 
 // NewShare returns a share without contracts.
 func NewShare(t Terms, opts ...ShareOption) *Share {
-	s := &Share{terms: t, chance: rand.Float64, accounts: map[galenastair.Organisation]*account{}, fleet: firstFleet}
+	s := &Share{terms: t, chance: rand.Float64, accounts: map[galenastair.Organisation]*account{}, part: wholeBy(firstFleet)}
 	for _, o := range opts {
 		o(s)
 	}
@@ -98,12 +104,12 @@
 			a = &account{}
 			s.accounts[o.Name] = a
 		}
-		most := s.terms.most(o)
-		if o.Rate < a.rate || most < a.most {
+		rate, most := s.terms.lending(o)
+		if rate < a.rate || most < a.most {
 			// what was lent under the higher limit must not be spent under the lower
 			a.loan = 0
 		}
-		a.rate, a.most, a.reserve = o.Rate, most, s.terms.reserve(o)
+		a.rate, a.most, a.reserve = rate, most, s.terms.reserve(o)
 		if s.alone {
 			s.beginAlone(now, a)
 		}
@@ -117,37 +123,83 @@
 
 // deal sets an account's own bucket to this instance's part.
 func (s *Share) deal(now time.Time, a *account) {
-	part := ownPart / float64(max(1, s.fleet))
-	if !s.heard.IsZero() && now.Sub(s.heard) > aloneFor {
-		part *= longAlone
+	part := float64(s.part)
+	a.own.fill(now)
+	rate := a.rate * part
+	if now.Sub(s.since) > aloneFor {
+		rate *= longAlone
 	}
-	if now.Sub(s.since) < silentAfter {
-		part *= firstAlone
+	a.own.set(rate, a.own.room(a.most*part, a.largest))
+}
+
+// Presume takes the number of instances that the platform's store knows of. It counts
+// until a lender says how many there are.
+func (s *Share) Presume(fleet int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard.IsZero() && fleet > 0 {
+		s.fleet, s.part = fleet, wholeBy(fleet)
+	}
+}
+
+// Pass returns what has not been passed on yet. The answer counts as passed on whether
+// or not the lender hears of it.
+func (s *Share) Pass(now time.Time) Passed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Passed{Fleet: s.fleet, Part: s.part}
+	if !s.alone && !s.passed.IsZero() {
+		p.Time = max(0, now.Sub(s.passed))
 	}
-	a.own.set(now, a.rate*part, a.most*part)
+	s.passed = now
+	return p
 }
 
-// SetFleet takes the number of instances that the lender counts, told just now; 0 is
-// a lender that does not know yet.
-func (s *Share) SetFleet(now time.Time, n int) {
+// SetStanding takes in what the lender answered just now.
+func (s *Share) SetStanding(now time.Time, told Standing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heard = now
-	if n > 0 {
-		s.fleet = n
+	if told.Fleet > 0 {
+		s.fleet, s.part = told.Fleet, told.Part
 	}
 	if s.alone {
-		s.alone = false
+		s.alone, s.passed = false, now
 		for _, a := range s.accounts {
-			a.own, a.alone = bucket{}, false
+			a.endAlone(now)
 		}
 	}
 }
 
-// Fleet returns the number of instances.
+// endAlone keeps what the own part owes for the next time alone. What it still has, and a
+// loan that has ended meanwhile, are of seconds ago: beside a lender's full bucket they
+// would be a second burst.
+func (a *account) endAlone(now time.Time) {
+	a.own.fill(now)
+	a.own.level = min(a.own.level, 0)
+	a.own.at = time.Time{}
+	a.alone = false
+	if !now.Before(a.loanEnds) {
+		a.loan = 0
+	}
+}
+
+// lend adds to the loan; one that has ended is not spent any more.
+func (a *account) lend(now time.Time, amount float64) {
+	if !now.Before(a.loanEnds) {
+		a.loan = 0
+	}
+	a.loan += amount
+	a.loanEnds = now.Add(loanLife)
+}
+
+// Fleet returns the number of instances, as far as is known.
 func (s *Share) Fleet() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.fleet == 0 {
+		return firstFleet
+	}
 	return s.fleet
 }
 
@@ -167,11 +219,14 @@
 		return true
 	}
 	s.noticeSilence(now)
-	a.note(now, cost)
+	a.largest = max(cost, a.largest*0.95)
+	if s.alone {
+		s.deal(now, a)
+	}
 	return s.take(now, a, cost)
 }
 
-// Retake charges once more after a loan, without counting the demand twice.
+// Retake charges once more after a loan.
 func (s *Share) Retake(now time.Time, o galenastair.Organisation, cost float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -213,39 +268,38 @@
 		return
 	}
 	a.alone = true
+	if a.wasAlone.IsZero() {
+		a.own.phase = s.chance()
+	}
 	if now.Sub(a.wasAlone) > s.terms.Window {
-		a.own.level = min(a.own.most, a.reserve/float64(max(1, s.fleet)))
+		a.own.add(a.reserve * float64(s.part))
 		a.wasAlone = now
 	}
 }
 
 // take spends the loan first, since it goes void; a charge may use both.
-//
-// Load: no lender for some seconds, and a fleet of which each instance's own part never
-// holds one request. Harm: every request is refused though together they may spend ownPart
-// of the rate. So such requests are drawn for. Of what callers' requests are worth, 0.639
-// was earned with draws and 0.627 without (mean of six simulated days, five and four
-// plays each).
 func (s *Share) take(now time.Time, a *account, cost float64) bool {
 	loan := a.loan
 	if !now.Before(a.loanEnds) {
 		loan = 0
 	}
 	fromLoan := min(loan, cost)
-	if rest := cost - fromLoan; rest > 0 && (!s.alone || !a.own.draw(now, rest, s.chance)) {
+	if rest := cost - fromLoan; rest > 0 && (!s.alone || !a.own.grant(rest)) {
 		return false
 	}
 	a.loan -= fromLoan
+	a.note(now, cost)
 	return true
 }
 
+// note counts what was granted. What was refused does not count: an organisation that
+// asks for many times its rate would have all that comes in borrowed ahead, and kept.
 func (a *account) note(now time.Time, cost float64) {
 	a.demand = a.demandNow(now) + cost/demandMemory.Seconds()
 	a.demandAt = now
-	a.largest = max(cost, a.largest*0.95)
 }
 
-// demandNow is the demand in units a second, smoothed.
+// demandNow is the demand that was granted, in units a second, smoothed.
 func (a *account) demandNow(now time.Time) float64 {
 	if a.demandAt.IsZero() {
 		return 0
@@ -301,11 +355,7 @@
 		a.denied = now.Add(min(deniedFor, wait))
 		return
 	}
-	if !now.Before(a.loanEnds) {
-		a.loan = 0
-	}
-	a.loan += amount
-	a.loanEnds = now.Add(loanLife)
+	a.lend(now, amount)
 }
 
 // Wait foretells when an organisation over its quota has room for a request: the time
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -70,21 +70,19 @@
 }
 
 const (
-	// silentAfter is how long without an exchange parts an instance and the lender:
-	// both go by it. Until the lender misses an instance, it lends what that one may
-	// spend on its own as well. Idle instances exchange each 0.6 s.
+	// silentAfter is how long without an exchange, though none failed, parts an instance
+	// from the lender. Idle instances exchange each 0.6 s.
 	silentAfter = 1200 * time.Millisecond
-	// ownPart is the part of a quota that instances without the lender spend, each its
-	// share by number. All of them alone still serve what comes on an ordinary day.
-	ownPart = 0.6
-	// firstAlone is what an own part is multiplied by until the lender misses the instance:
-	// both count it in that time. Of 6,000 played floods four get more than contract and
-	// slack, five with 0.85.
-	firstAlone = 0.7
-	// missedFor is how long the lender leaves a missed instance's part out; one that
-	// is alone for longer spends so little that the slack covers it.
-	missedFor = 12 * time.Second
-	aloneFor  = 8 * time.Second
-	// longAlone is what remains of the own part then.
+	// firstCount is how long a lender listens before it counts the instances: all that
+	// reach it exchange in that time.
+	firstCount = 700 * time.Millisecond
+	// firstStart is the same where nobody knows how many there were before: a system that
+	// starts for the first time, of which some instance may be late.
+	firstStart = 3 * time.Second
+	// aloneFor is for how long an instance alone spends its whole part, longAlone what
+	// remains of it then, and missedFor when the lender deals its part to the others. An
+	// instance goes by its last exchange too, so it has come down to longAlone by then.
+	aloneFor  = 5 * time.Second
+	missedFor = 7 * time.Second
 	longAlone = 0.1
 )
--- a/store.go
+++ b/store.go
@@ -56,6 +56,8 @@
 	Follow(ctx context.Context, t Topic, from Offset, wait time.Duration) (KeyedBatch, error)
 	// Append adds one record to partition 0 of a plain topic.
 	Append(ctx context.Context, t Topic, data []byte) (Offset, error)
+	// Put makes a value the newest of a key in a keyed topic.
+	Put(ctx context.Context, t Topic, key string, value []byte) error
 	// Join renews a member's place in a group for ttl and returns what it holds.
 	Join(ctx context.Context, group, member string, ts []Topic, ttl time.Duration, g Generation) (Assignment, error)
 	// Leave gives up a member's place.
--- a/turn/keeper.go
+++ b/turn/keeper.go
@@ -45,6 +45,8 @@
 	member string
 	clock  boottime.Clock
 	logger log.Logger
+	// count is the fleet as this instance counts it while it holds the duty.
+	count func() int
 
 	mu     sync.Mutex
 	holder string
@@ -55,6 +57,7 @@
 	generation galenastair.Generation
 	asked      boottime.Time
 	held       bool
+	fleet      fleetCount
 }
 
 // Option varies a Keeper.
@@ -66,10 +69,14 @@
 // WithClock replaces the machine's clock.
 func WithClock(c boottime.Clock) Option { return func(k *Keeper) { k.clock = c } }
 
+// WithCount says how many instances this one counts while it holds the duty; 0 if it does
+// not know. The count is left on the platform.
+func WithCount(f func() int) Option { return func(k *Keeper) { k.count = f } }
+
 // NewKeeper returns a keeper for a member, which is named by its peer address so that
 // whoever reads the holder's name can call it.
 func NewKeeper(s galenastair.Store, t *Turn, member string, opts ...Option) *Keeper {
-	k := &Keeper{store: s, turn: t, member: member, clock: boottime.Now, logger: log.NewNopLogger(), unsure: true, wake: make(chan struct{}, 1)}
+	k := &Keeper{store: s, turn: t, member: member, clock: boottime.Now, logger: log.NewNopLogger(), count: func() int { return 0 }, unsure: true, wake: make(chan struct{}, 1)}
 	for _, o := range opts {
 		o(k)
 	}
@@ -78,6 +85,7 @@
 
 // Run joins until the context ends, then leaves.
 func (k *Keeper) Run(ctx context.Context) error {
+	k.fleet.read(ctx, k)
 	for ctx.Err() == nil {
 		k.round(ctx)
 		k.rest(ctx)
@@ -144,6 +152,7 @@
 	}
 	if mine {
 		k.setHolder(k.member)
+		k.leaveCount(ctx)
 		return
 	}
 	k.findHolder(ctx)
@@ -154,6 +163,7 @@
 func (k *Keeper) fence(ctx context.Context) {
 	term := k.turn.Term()
 	before := k.before(ctx)
+	k.fleet.read(ctx, k)
 	offset, err := k.store.Append(ctx, fencesTopic, []byte(k.member))
 	if err != nil {
 		k.logger.Log("event", "fence", "err", err)
@@ -179,16 +189,21 @@
 		k.logger.Log("event", "owners", "err", err)
 		return Unknown
 	}
-	members := map[string]bool{}
-	for _, m := range owners {
-		members[m] = true
-	}
+	members := membersOf(owners)
 	if members[last] || !members[k.member] || len(members) >= len(owners) {
 		return Unknown
 	}
 	return Lapsed
 }
 
+func membersOf(owners map[galenastair.Partition]string) map[string]bool {
+	members := map[string]bool{}
+	for _, m := range owners {
+		members[m] = true
+	}
+	return members
+}
+
 func (k *Keeper) findHolder(ctx context.Context) {
 	k.mu.Lock()
 	unsure := k.unsure
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -22,6 +22,8 @@
 const (
 	// lease covers two joins and the answer of a slow store.
 	lease = 1300 * time.Millisecond
+	// hosting is as long as requests with a key are admitted without the store's word.
+	hosting = 6 * time.Second
 	// margin is for an order that was on its way when its sender stopped.
 	margin = 400 * time.Millisecond
 )
@@ -155,6 +157,18 @@
 	return t.leased(now)
 }
 
+// Hosts says whether others may exchange with this instance and borrow from it, also after
+// its lease: as long as the store has not said that the duty is another's.
+//
+// Failure guarded against: the store is down for seconds, so that nobody can hold the duty.
+// Each instance would spend its own part of the quotas alone, and know of no other's load.
+// Nothing that is lent or told depends on there being one such instance only; orders do.
+func (t *Turn) Hosts(now boottime.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holds && now.Sub(t.confirmed) < hosting
+}
+
 func (t *Turn) leased(now boottime.Time) bool {
 	return t.holds && now.Sub(t.confirmed) < t.bounds.Lease
 }
