explain: -all counts how all requests in the logs ended

Cause: whether each request that was not served has a line that says why could only be asked id by id. Change: galenastair explain -all counts endings by code, names requests without an ending whose instance went on, and adds up the lines that were left out.

--- a/cmd/galenastair/cmd_explain.go
+++ b/cmd/galenastair/cmd_explain.go
@@ -15,8 +15,8 @@
 
 var cmdExplain = command{
 	name:    "explain",
-	summary: "tell one request's way from the instances' logs, and what they went by",
-	usage:   "-id ID FILE...",
+	summary: "tell one request's way from the instances' logs, or how all of them ended",
+	usage:   "-id ID FILE... | -all FILE...",
 	run:     runExplain,
 }
 
@@ -24,11 +24,12 @@
 	f := flag.NewFlagSet("explain", flag.ContinueOnError)
 	f.SetOutput(errOut)
 	id := f.String("id", "", "the request's id")
+	all := f.Bool("all", false, "count how all requests ended, and name those that nothing explains")
 	if err := parseFlags(f, args); err != nil {
 		return err
 	}
-	if *id == "" || f.NArg() == 0 {
-		return usageError("explain", "-id or a FILE is missing")
+	if (*id == "") == !*all || f.NArg() == 0 {
+		return usageError("explain", "give -id or -all, and a FILE")
 	}
 	var lines []explain.Line
 	for _, path := range f.Args() {
@@ -38,6 +39,9 @@
 		}
 		lines = append(lines, readLines(text)...)
 	}
+	if *all {
+		return explain.Count(lines).WriteText(out)
+	}
 	story := explain.Find(lines, *id)
 	if len(story.Request) == 0 {
 		return eris.Errorf("no line names request %s; are these the logs of all instances, and of that time?", *id)
