node: a stop answers the requests that it ends

Change: after the drain the requests still under way are cancelled and answered, 503 if they have not run and 502 if that is not known.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -122,7 +122,8 @@
 	case errors.Is(err, galenastair.ErrNotSent):
 		flight.End(now, pool.Failed)
 		return err
-	case errors.Is(err, context.Canceled) && !errors.Is(err, galenastair.ErrSilent):
+	case errors.Is(err, galenastair.ErrStopping),
+		errors.Is(err, context.Canceled) && !errors.Is(err, galenastair.ErrSilent):
 		r.runs++
 		flight.End(now, pool.Neutral)
 		return err
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -230,6 +230,22 @@
 	is.Equal(len(b.backend.calls), 1)
 }
 
+// An instance is stopped while a bid waits at a backend server, for longer than the stop may
+// take. The bid may have run: it is sent nowhere else and its caller is not told that it
+// has not; the server is not to blame.
+func TestStopEndsARequestTruthfully(t *testing.T) {
+	is := is.New(t)
+	b := newBed(silent, whole(200, "done"))
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(20*time.Millisecond, func() { cancel(galenastair.ErrStopping) })
+	_, err := b.gateway.Serve(ctx, testCall("/bid/1"), &caller{})
+	var r *galenastair.Refusal
+	is.True(errors.As(err, &r))
+	is.True(errors.Is(r, galenastair.ErrStopping))
+	is.Equal(r.Outcome, galenastair.Unknown)
+	is.Equal(len(b.backend.calls), 1)
+}
+
 // A request's time runs out at a dark server. It gets its final answer then, and that
 // does not claim that the request has not run.
 func TestTimeoutIsToldAtOnce(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -185,6 +185,8 @@
 	switch {
 	case errors.As(err, &told):
 		return told.After(outcome)
+	case errors.Is(err, galenastair.ErrStopping):
+		return &galenastair.Refusal{Cause: galenastair.ErrStopping, Outcome: outcome, RetryAfter: leastRetry}
 	case errors.Is(err, context.Canceled):
 		return &galenastair.Refusal{Cause: errLeft, Outcome: outcome}
 	case errors.Is(err, context.DeadlineExceeded):
--- a/node/conns.go
+++ b/node/conns.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"galenastair"
 	"galenastair/timer"
 )
 
@@ -25,6 +26,8 @@
 	opened time.Time
 	// kept says that it has carried a request.
 	kept atomic.Bool
+	// cancel ends the request under way; nil before the first.
+	cancel atomic.Pointer[context.CancelCauseFunc]
 }
 
 // begin marks the connection as busy with a request that has been read; false if it
@@ -85,10 +88,18 @@
 // handler lets only those requests through whose connection is not closed yet.
 func (s *callerConns) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if k, ok := r.Context().Value(connKey{}).(*callerConn); ok && !k.begin() {
+		k, ok := r.Context().Value(connKey{}).(*callerConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if !k.begin() {
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		k.cancel.Store(&cancel)
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
@@ -98,11 +109,33 @@
 	newFor = 300 * time.Millisecond
 	// closePeriod is how often a stop looks for connections to close.
 	closePeriod = 20 * time.Millisecond
+	// lastAnswers is for the answers to requests that a stop ends; it lies within
+	// stopMargin.
+	lastAnswers = 150 * time.Millisecond
 )
 
-// drain closes quiet connections until none is left or the context ends, and returns
-// how many are left.
+// drain closes quiet connections until none is left or the context ends. Then it ends the
+// requests that are still under way, and returns how many connections are left.
+//
+// Failure guarded against: a request that waits at a backend server for longer than a stop
+// may take. Its connection was closed without a word, though it had waited for seconds; its
+// caller is better told, for it to ask elsewhere.
 func (s *callerConns) drain(ctx context.Context) int {
+	if left := s.closeUntil(ctx); left == 0 {
+		return 0
+	}
+	for _, k := range s.list() {
+		if cancel := k.cancel.Load(); cancel != nil {
+			(*cancel)(galenastair.ErrStopping)
+		}
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswers)
+	defer cancel()
+	return s.closeUntil(last)
+}
+
+// closeUntil closes quiet connections until none is left or the context ends.
+func (s *callerConns) closeUntil(ctx context.Context) int {
 	for {
 		left := s.closeQuiet(time.Now().Add(-newFor))
 		if left == 0 || !timer.Wait(ctx, closePeriod) {
@@ -111,13 +144,18 @@
 	}
 }
 
-func (s *callerConns) closeQuiet(before time.Time) int {
+func (s *callerConns) list() []*callerConn {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	list := make([]*callerConn, 0, len(s.conns))
 	for _, k := range s.conns {
 		list = append(list, k)
 	}
-	s.mu.Unlock()
+	return list
+}
+
+func (s *callerConns) closeQuiet(before time.Time) int {
+	list := s.list()
 	for _, k := range list {
 		if k.kept.Load() || k.opened.Before(before) {
 			k.closeQuiet()
--- a/node/conns_test.go
+++ b/node/conns_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"galenastair"
 )
 
 // startCallers serves h on loopback with the connections followed.
@@ -111,3 +113,29 @@
 	is.True(strings.HasSuffix(string(answer), "whole"))
 	is.Equal(<-drained, 0)
 }
+
+// A request waits at a backend server for longer than a planned stop may take. Its caller,
+// who had waited for seconds too, saw the connection close without an answer. It is told
+// that the instance stops. Seen failing with a drain that only waits.
+func TestStopAnswersWhatItEnds(t *testing.T) {
+	is := is.New(t)
+	began := make(chan struct{})
+	conns, l := startCallers(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		if errors.Is(context.Cause(r.Context()), galenastair.ErrStopping) {
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}))
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	is.NoErr(err)
+	<-began
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	is.Equal(conns.drain(ctx), 0)
+	answer, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 502"))
+}
