load: the users' platform; bench of a gateway; metrics compared with what callers saw

Cause: the tool asked the own interface alone, the cost of a gateway and of its log lines was not measured apart from the bench, and no check compared the metrics with callers' answers.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 
 bench: build
 	bash scenario/bench.sh
+	bash scenario/bench-gateway.sh
 
 # the decisions over synthetic loads beside their baselines, and the ways to share a rate
 measure: build
--- a/cmd/galenastair/cmd_load.go
+++ b/cmd/galenastair/cmd_load.go
@@ -18,13 +18,14 @@
 var cmdLoad = command{
 	name:    "load",
 	summary: "put an open-loop load on entries and show latencies and outcomes",
-	usage:   "-entry ADDRESS[,ADDRESS...] -model NAME[,NAME...] [-rate N] [-time D] [-json]",
+	usage:   "-entry ADDRESS[,ADDRESS...] [-model NAME[,NAME...]] [-host HOST -path PATH] [-rate N] [-time D] [-json]",
 	run:     runLoad,
 }
 
 // loadFlags are what the load command is told.
 type loadFlags struct {
 	entries, models string
+	route           load.Route
 	source          load.Source
 	config          load.Config
 	asJSON          bool
@@ -34,6 +35,8 @@
 func (l *loadFlags) set(f *flag.FlagSet) {
 	f.StringVar(&l.entries, "entry", "", "callers' ports of the entries, with commas between them")
 	f.StringVar(&l.models, "model", "", "models to ask, with commas between them")
+	f.StringVar(&l.route.Host, "host", "", "the route's host on the users' platform; the own interface is asked without one")
+	f.StringVar(&l.route.Path, "path", "/", "the route's path there")
 	f.StringVar(&l.source.Key, "key", os.Getenv("GALENASTAIR_KEY"), "the organisation's key; GALENASTAIR_KEY by default")
 	f.StringVar((*string)(&l.source.Organisation), "organisation", "load", "the organisation's name in the result")
 	f.Float64Var(&l.source.Rate, "rate", 10, "requests a second")
@@ -58,11 +61,16 @@
 	if err := parseFlags(f, args); err != nil {
 		return err
 	}
-	if l.entries == "" || l.models == "" {
+	if l.entries == "" || l.models == "" && l.route.Host == "" {
 		return usageError("load", "-entry or -model is missing")
 	}
+	if l.route.Host != "" {
+		l.source.Route = &l.route
+	}
 	for name := range strings.SplitSeq(l.models, ",") {
-		l.source.Models = append(l.source.Models, galenastair.ModelName(name))
+		if name != "" {
+			l.source.Models = append(l.source.Models, galenastair.ModelName(name))
+		}
 	}
 	l.config.Targets = strings.Split(l.entries, ",")
 	l.config.Sources = []load.Source{l.source}
--- a/load/config.go
+++ b/load/config.go
@@ -25,6 +25,8 @@
 	Tokens      int
 	Chat        bool
 	Stream      bool
+	// Route sends requests on the users' platform; nil asks the own interface.
+	Route *Route
 }
 
 // Question is what one request asks.
@@ -75,6 +77,10 @@
 	c.Sources = append([]Source(nil), c.Sources...)
 	for i := range c.Sources {
 		s := &c.Sources[i]
+		if s.Route != nil && len(s.Models) == 0 {
+			// a plain service needs no model
+			s.Models = []galenastair.ModelName{""}
+		}
 		if len(s.Models) == 0 || s.Rate <= 0 {
 			return c, eris.Wrapf(ErrConfig, "source %d needs models and a rate", i)
 		}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 
 	"galenastair"
 	"galenastair/load"
+	"galenastair/platform"
 	"galenastair/standin/engine"
 )
 
@@ -98,3 +102,51 @@
 	is.True(r.All.Count("ClientTimeout") >= 3)
 	is.True(r.All.Count("Dropped") > 0)
 }
+
+// A load on the users' platform: each request has an id of its own, says how long it waits
+// and what it asks of which model, and its answers are counted by how they end.
+func TestRunOnTheUsersPlatform(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	seen := map[galenastair.RequestID]platform.CallerRequest{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := platform.DecodeCaller(r.Header)
+		mu.Lock()
+		seen[c.ID] = c
+		n := len(seen)
+		mu.Unlock()
+		switch {
+		case r.Host != "a.example" || r.URL.Path != "/drafts/1":
+			w.WriteHeader(http.StatusNotFound)
+		case n%3 == 1:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case n%3 == 2:
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n")
+		default:
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "data: x\n")
+		}
+	}))
+	defer server.Close()
+	r, err := load.Run(t.Context(), load.Config{
+		Targets:  []string{server.Listener.Addr().String()},
+		Duration: 400 * time.Millisecond,
+		Timeout:  2 * time.Second,
+		Even:     true,
+		Sources: []load.Source{{
+			Organisation: "mill", Key: "secret", Models: []galenastair.ModelName{"m1/a1"}, Rate: 100, PromptBytes: 400, Tokens: 7,
+			Route: &load.Route{Host: "a.example", Path: "/drafts/1"},
+		}},
+	})
+	is.NoErr(err)
+	is.Equal(len(seen), r.All.Requests)
+	third := r.All.Requests / 3
+	is.True(r.All.Whole() >= third-1 && r.All.Count("Status429") >= third-1 && r.All.Count("CutUntold") >= third-1)
+	is.Equal(r.All.Count("Status404"), 0)
+	for _, c := range seen {
+		is.Equal(c.Key, "secret")
+		is.Equal(c.Hints.Model, galenastair.ModelName("m1/a1"))
+		is.Equal(c.Hints.Output, galenastair.Tokens(7))
+		is.True(c.Left > time.Second)
+	}
+}
--- a/load/send.go
+++ b/load/send.go
@@ -56,6 +56,9 @@
 }
 
 func newRequest(ctx context.Context, target string, a arrival) (*http.Request, error) {
+	if a.source.Route != nil {
+		return newOpaque(ctx, target, a)
+	}
 	b := requestBody{Model: a.question.Model, MaxTokens: a.question.Tokens, Stream: a.source.Stream}
 	path := "/v1/completions"
 	if a.question.Chat {
@@ -94,6 +97,8 @@
 	}
 	defer resp.Body.Close()
 	switch {
+	case a.source.Route != nil:
+		s.readOpaque(ctx, resp, due)
 	case resp.StatusCode != http.StatusOK:
 		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 		s.refused(body)
