--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -20,6 +20,10 @@
 // planner's loop; callers of a request that waits for the answer lose no more.
 const callTimeout = 400 * time.Millisecond
 
+// borrowTimeout is far above what a loan takes, a few milliseconds: requests wait for it, and
+// where the lender is gone all that come until the first has given up.
+const borrowTimeout = 150 * time.Millisecond
+
 // Client calls the instance that plans.
 type Client struct{ http *http.Client }
 
@@ -63,7 +67,7 @@
 
 // Borrow asks for what one request lacks.
 func (c *Client) Borrow(ctx context.Context, address string, a quota.Ask) (float64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	reply, err := c.at(address).Borrow(ctx, &planningpb.Loan{Organisation: string(a.Organisation), Amount: a.Amount})
 	if err != nil {
