quota: one instance's share in three files

A pure move out of a file of 436 lines: share.go keeps charging and borrowing, alone.go what happens without a lender, pass.go what is passed on and told. Tests unchanged, all pass.

--- a/quota/share.go
+++ b/quota/share.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -132,115 +131,6 @@
 	}
 }
 
-// deal sets an account's own bucket to this instance's part.
-func (s *Share) deal(now time.Time, a *account) {
-	part := float64(s.part)
-	a.own.fill(now)
-	rate := a.rate * part
-	if now.Sub(s.since) > aloneFor {
-		rate *= longAlone
-	}
-	size := a.own.room(a.most*part, a.largest)
-	size += a.rate * part * max(0, a.advanced.Sub(now)).Seconds()
-	a.own.set(rate, size)
-}
-
-// Presume takes in what lenders have left on the platform. It counts until a lender says
-// how this instance stands. One that is not named has no part yet: the others hold it all.
-// First says that no process of this instance went by the note before: a second one begins
-// with nothing, or an instance that is started again and again would spend as much each time.
-func (s *Share) Presume(now time.Time, self galenastair.InstanceID, n Note, first bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.heard.IsZero() || len(n.Instances) == 0 {
-		return
-	}
-	s.fleet, s.part = len(n.Instances), 0
-	if slices.Contains(n.Instances, self) {
-		s.part = wholeBy(s.fleet)
-	}
-	if first {
-		s.setModerate(n.Moderate)
-	} else {
-		s.reserveFrom = now.Add(s.terms.Window)
-	}
-}
-
-func (s *Share) setModerate(list []galenastair.Organisation) {
-	clear(s.moderate)
-	for _, o := range list {
-		s.moderate[o] = true
-	}
-}
-
-// Pass returns what has not been passed on yet. The answer counts as passed on whether
-// or not the lender hears of it.
-func (s *Share) Pass(now time.Time) Passed {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := Passed{Fleet: s.fleet, Part: s.part, Version: s.version}
-	if !s.alone && !s.passed.IsZero() {
-		p.Time = max(0, now.Sub(s.passed))
-		p.Advanced = s.advancedIn(now)
-	}
-	s.passed = now
-	return p
-}
-
-// advancedIn returns for how much of the time since the last pass each organisation was
-// granted in advance.
-func (s *Share) advancedIn(now time.Time) map[galenastair.Organisation]time.Duration {
-	var out map[galenastair.Organisation]time.Duration
-	for name, a := range s.accounts {
-		if !a.advanced.After(s.passed) {
-			continue
-		}
-		if out == nil {
-			out = map[galenastair.Organisation]time.Duration{}
-		}
-		out[name] = min(now.Sub(s.passed), a.advanced.Sub(s.passed))
-	}
-	return out
-}
-
-// SetStanding takes in what the lender answered just now.
-func (s *Share) SetStanding(now time.Time, told Standing) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heard = now
-	if told.Fleet > 0 {
-		s.fleet, s.part = told.Fleet, told.Part
-	}
-	if told.Version != s.version {
-		s.version = told.Version
-		s.setModerate(told.Moderate)
-	}
-	if s.alone {
-		s.alone, s.passed = false, now
-		for _, a := range s.accounts {
-			s.endAlone(now, a)
-		}
-	}
-}
-
-// endAlone keeps what the own part owes for the next time alone, and as a loan what it
-// holds in advance of its time, or of the last moment: the lender has little to lend before
-// the next exchange. What it holds besides, and a loan that has ended meanwhile, are of
-// seconds ago: beside a lender's full bucket they would be a second burst.
-func (s *Share) endAlone(now time.Time, a *account) {
-	s.deal(now, a)
-	if !now.Before(a.loanEnds) {
-		a.loan = 0
-	}
-	ahead := a.rate * float64(s.part) * max(untilLent, a.advanced.Sub(now)).Seconds()
-	if n := min(a.own.level, ahead); n > 0 {
-		a.lend(now, n)
-	}
-	a.own.level = min(a.own.level, 0)
-	a.own.at = time.Time{}
-	a.alone = false
-}
-
 // lend adds to the loan; one that has ended is not spent any more.
 func (a *account) lend(now time.Time, amount float64) {
 	if !now.Before(a.loanEnds) {
@@ -291,57 +181,6 @@
 	return a == nil || s.take(now, a, cost)
 }
 
-// noticeSilence goes over to the own buckets once the lender is silent.
-func (s *Share) noticeSilence(now time.Time) {
-	if !s.heard.IsZero() && now.Sub(s.heard) >= silentAfter {
-		s.goAlone(now)
-	}
-}
-
-// Unheard notes that the lender did not answer, or is none any more. The own buckets
-// are spent from then on: waiting until it is certain would refuse all for a second or
-// two each time that the lender changes, and one instance's part in that time is small.
-func (s *Share) Unheard(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.goAlone(now)
-}
-
-func (s *Share) goAlone(now time.Time) {
-	if !s.alone {
-		s.since = now
-	}
-	s.alone = true
-	for name, a := range s.accounts {
-		s.beginAlone(now, name, a)
-	}
-}
-
-// beginAlone lets an account's own bucket be spent. It begins with what comes in later, in
-// advance, or with a part of the reserve, once in a window.
-func (s *Share) beginAlone(now time.Time, name galenastair.Organisation, a *account) {
-	s.deal(now, a)
-	if a.alone {
-		return
-	}
-	a.alone = true
-	if a.wasAlone.IsZero() {
-		a.own.phase = s.chance()
-	}
-	if s.moderate[name] {
-		delete(s.moderate, name)
-		a.advanced = now.Add(advance)
-		s.deal(now, a)
-		a.own.add(a.rate * float64(s.part) * advance.Seconds())
-		a.own.at = a.advanced
-		return
-	}
-	if now.Sub(a.wasAlone) > s.terms.Window && !now.Before(s.reserveFrom) {
-		a.own.add(a.reserve * float64(s.part))
-		a.wasAlone = now
-	}
-}
-
 // take spends the loan first, since it goes void; a charge may use both.
 func (s *Share) take(now time.Time, a *account, cost float64) bool {
 	loan := a.loan
