httpserve, rungroup: one stop and one run group for both interfaces

Cause: the own interface's entry closed its callers' port by the library's shutdown, which can close a connection as idle while a request that has just come on it is being read (the fault that node had mended for itself), and both assemblies had the same code to add parts and ports. Change: node's connections move to a package of their own, which the entry uses as well; one function adds a part to the run group.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +15,7 @@
 	"galenastair/control"
 	"galenastair/dispatch"
 	"galenastair/httpclient"
+	"galenastair/httpserve"
 	"galenastair/logservice"
 	"galenastair/member"
 	"galenastair/operator"
@@ -22,6 +24,7 @@
 	"galenastair/rate"
 	"galenastair/report"
 	"galenastair/request"
+	"galenastair/rungroup"
 	"galenastair/service"
 	"galenastair/settings"
 )
@@ -44,9 +47,12 @@
 	reporter   *report.Reporter
 	server     *request.Server
 	metrics    *operator.Metrics
-	callers    *http.Server
-	fleet      fleet
-	stopping   stopping
+	callers    net.Listener
+	// callersServed is closed when the callers' port accepts no more.
+	callersServed <-chan struct{}
+	conns         *httpserve.Conns
+	fleet         fleet
+	stopping      stopping
 }
 
 // Option changes how an entry is made.
@@ -57,7 +63,7 @@
 
 // New returns an entry that does nothing until Run.
 func New(s settings.Settings, opts ...Option) (*Entry, error) {
-	e := &Entry{settings: s, logger: log.NewNopLogger(), metrics: operator.NewMetrics(), loop: control.NewLoop()}
+	e := &Entry{settings: s, logger: log.NewNopLogger(), metrics: operator.NewMetrics(), loop: control.NewLoop(), conns: httpserve.NewConns()}
 	for _, o := range opts {
 		o(e)
 	}
@@ -122,19 +128,20 @@
 	var g run.Group
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	e.add(work, &g, "control", e.loop.Run)
-	e.add(work, &g, "membership", e.members.Run)
-	e.add(work, &g, "configuration", e.follower.Run)
-	e.add(work, &g, "snapshots", e.republish)
-	e.add(work, &g, "withdrawals", e.endWithdrawn)
-	e.add(work, &g, "instances", e.followList)
-	e.add(work, &g, "reports", e.reporter.Run)
-	e.add(work, &g, "cache events", e.followCacheEvents)
-	e.add(work, &g, "placement", e.leader.Run)
-	e.add(work, &g, "demand", e.tellDemand)
-	e.add(work, &g, "rate", e.limiter.Run)
-	e.add(work, &g, "claims", e.claims.Run)
-	e.add(work, &g, "registration", e.register)
+	add := func(name string, part func(context.Context) error) { rungroup.Add(work, &g, e.logger, name, part) }
+	add("control", e.loop.Run)
+	add("membership", e.members.Run)
+	add("configuration", e.follower.Run)
+	add("snapshots", e.republish)
+	add("withdrawals", e.endWithdrawn)
+	add("instances", e.followList)
+	add("reports", e.reporter.Run)
+	add("cache events", e.followCacheEvents)
+	add("placement", e.leader.Run)
+	add("demand", e.tellDemand)
+	add("rate", e.limiter.Run)
+	add("claims", e.claims.Run)
+	add("registration", e.register)
 	if err := e.listen(&g); err != nil {
 		return err
 	}
@@ -144,19 +151,6 @@
 	return g.Run()
 }
 
-// add runs one part of the instance in the group; it ends with the group.
-func (e *Entry) add(ctx context.Context, g *run.Group, name string, part func(context.Context) error) {
-	ctx, cancel := context.WithCancel(ctx)
-	g.Add(func() error {
-		err := part(ctx)
-		if ctx.Err() == nil {
-			e.logger.Log("event", "ended", "part", name, "err", err)
-			return err
-		}
-		return nil
-	}, func(error) { cancel() })
-}
-
 func (e *Entry) configurationOffset() galenastair.Offset {
 	if v := e.follower.View(); v != nil {
 		return v.Offset()
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 
@@ -10,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair/caller"
+	"galenastair/httpserve"
 	"galenastair/operator"
 	"galenastair/timer"
 )
@@ -36,14 +36,6 @@
 	return &listener{name, server, l}, nil
 }
 
-func (l *listener) serve() error {
-	err := l.server.Serve(l.net)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 func (e *Entry) listen(g *run.Group) error {
 	callers, err := e.listenOn("callers'", e.settings.Instance.CallerAddress, e.sayClose(caller.NewHandler(e.server, caller.WithLimits(e.settings.Callers))))
 	if err != nil {
@@ -57,32 +49,15 @@
 	if err != nil {
 		return err
 	}
-	e.callers = callers.server
-	e.serve(g, callers)
-	e.serve(g, peers)
-	e.serve(g, operators)
+	e.conns.Watch(callers.server)
+	e.callers = callers.net
+	e.callersServed = httpserve.Add(g, callers.server, callers.net)
+	httpserve.Add(g, peers.server, peers.net)
+	httpserve.Add(g, operators.server, operators.net)
 	e.logger.Log("event", "listening", "callers", e.settings.Instance.CallerAddress, "peers", e.settings.Instance.PeerListenAddress, "operators", e.settings.Instance.OperatorAddress)
 	return nil
 }
 
-// serve adds a port to the group. Its goroutine waits for the group's end after
-// a graceful Shutdown too: else the callers' port, which closes first, would
-// stop the group while the last requests still run.
-func (e *Entry) serve(g *run.Group, l *listener) {
-	ended := make(chan struct{})
-	g.Add(func() error {
-		err := l.serve()
-		if err != nil {
-			return err
-		}
-		<-ended
-		return nil
-	}, func(error) {
-		close(ended)
-		_ = l.server.Close()
-	})
-}
-
 // stopOn waits for the signal to stop, then stops in order: tell the platform,
 // so that the balancer sends no more; go on serving meanwhile; let the requests
 // under way end; only then leave.
@@ -97,13 +72,17 @@
 	// when no request is under way: one may be on its way from a balancer that has
 	// not seen it yet.
 	timer.Wait(ctx, s.Notice)
-	// keep-alive connections get "Connection: close" with their next answer
-	e.callers.SetKeepAlivesEnabled(false)
-	err := e.callers.Shutdown(ctx)
+	err := e.callers.Close()
+	// a connection that was just being accepted would be missed, and cut at the end
+	select {
+	case <-e.callersServed:
+	case <-ctx.Done():
+	}
+	left := e.conns.Drain(ctx)
 	// only now: requests under way needed the lease to their end
 	if err := e.members.Leave(ctx); err != nil {
 		e.logger.Log("event", "leave", "err", err)
 	}
-	e.logger.Log("event", "stopped", "requests", e.server.Active().Len(), "err", err)
+	e.logger.Log("event", "stopped", "requests", e.server.Active().Len(), "left", left, "err", err)
 	return err
 }
--- a/node/conns_test.go
+++ b/httpserve/conns_test.go
@@ -1,4 +1,4 @@
-package node
+package httpserve
 
 import (
 	"context"
@@ -16,11 +16,11 @@
 )
 
 // startCallers serves h on loopback with the connections followed.
-func startCallers(t *testing.T, h http.Handler) (*callerConns, net.Listener) {
+func startCallers(t *testing.T, h http.Handler) (*Conns, net.Listener) {
 	t.Helper()
-	conns := newCallerConns()
-	s := newServer(conns.handler(h))
-	s.ConnContext, s.ConnState = conns.context, conns.changed
+	conns := NewConns()
+	s := &http.Server{Handler: h}
+	conns.Watch(s)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -60,7 +60,7 @@
 		<-ran
 		go func() { _, _ = io.WriteString(c, ask) }()
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-		conns.drain(ctx)
+		conns.Drain(ctx)
 		cancel()
 		_ = c.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
 		answer, _ := io.ReadAll(c)
@@ -77,7 +77,7 @@
 // waitAccepted waits until the server knows a connection. One that is still waiting to
 // be accepted when the listener is closed is reset, and its caller knows that nothing
 // was read.
-func waitAccepted(t *testing.T, s *callerConns) {
+func waitAccepted(t *testing.T, s *Conns) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		s.mu.Lock()
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	drained := make(chan int, 1)
-	go func() { drained <- conns.drain(ctx) }()
+	go func() { drained <- conns.Drain(ctx) }()
 	time.Sleep(newFor / 4)
 	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	is.NoErr(err)
@@ -134,7 +134,7 @@
 	<-began
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	is.Equal(conns.drain(ctx), 0)
+	is.Equal(conns.Drain(ctx), 0)
 	answer, err := io.ReadAll(c)
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 502"))
--- a/node/listen.go
+++ b/node/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/httpserve"
 	"galenastair/peer/planning"
 	"galenastair/platform"
 	"galenastair/timer"
@@ -44,8 +44,8 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
 	metrics.HandleFunc(StatusPath, n.serveStatus)
-	callers := newServer(n.conns.handler(platform.NewHandler(n.gateway, n.views, n.stopping.Load)))
-	callers.ConnContext, callers.ConnState = n.conns.context, n.conns.changed
+	callers := newServer(platform.NewHandler(n.gateway, n.views, n.stopping.Load))
+	n.conns.Watch(callers)
 	for _, p := range []struct {
 		name    string
 		address string
@@ -60,7 +60,7 @@
 		if err != nil {
 			return eris.Wrapf(err, "%s port: is %s in use, or not an address of this machine?", p.name, p.address)
 		}
-		served := serve(g, p.server, l)
+		served := httpserve.Add(g, p.server, l)
 		if p.name == callersPort {
 			n.callers, n.callersServed = l, served
 		}
@@ -73,27 +73,6 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
 }
 
-// serve adds a port to the group. Its goroutine waits for the group's end also when
-// its listener was closed: else the callers' port, which closes first, would stop the
-// group while the last requests still run. The channel is closed once the server
-// accepts no more and knows every connection that it has accepted.
-func serve(g *run.Group, s *http.Server, l net.Listener) <-chan struct{} {
-	ended, served := make(chan struct{}), make(chan struct{})
-	g.Add(func() error {
-		err := s.Serve(l)
-		close(served)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			return err
-		}
-		<-ended
-		return nil
-	}, func(error) {
-		close(ended)
-		_ = s.Close()
-	})
-	return served
-}
-
 // ready returns nil if new connections are welcome, else why not.
 func (n *Node) ready() error {
 	view, _ := n.views.View()
@@ -127,7 +106,7 @@
 	case <-n.callersServed:
 	case <-ctx.Done():
 	}
-	left := n.conns.drain(ctx)
+	left := n.conns.Drain(ctx)
 	n.logger.Log("event", "stopped", "left", left)
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -18,11 +18,13 @@
 	"galenastair/gateway"
 	"galenastair/httpclient"
 	"galenastair/httpconn"
+	"galenastair/httpserve"
 	"galenastair/peer/planning"
 	"galenastair/planner"
 	"galenastair/platform"
 	"galenastair/pool"
 	"galenastair/quota"
+	"galenastair/rungroup"
 	"galenastair/settings"
 	"galenastair/turn"
 )
@@ -77,7 +79,7 @@
 	callers  net.Listener
 	// callersServed is closed when the callers' port accepts no more.
 	callersServed <-chan struct{}
-	conns         *callerConns
+	conns         *httpserve.Conns
 }
 
 // Option varies a Node.
@@ -91,7 +93,7 @@
 
 // New returns a node that does nothing until Run.
 func New(s settings.Gateway, opts ...Option) *Node {
-	n := &Node{settings: s, logger: log.NewNopLogger(), loop: control.NewLoop(), metrics: newMetrics(), conns: newCallerConns()}
+	n := &Node{settings: s, logger: log.NewNopLogger(), loop: control.NewLoop(), metrics: newMetrics(), conns: httpserve.NewConns()}
 	for _, o := range opts {
 		o(n)
 	}
@@ -181,16 +183,17 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	n.connect(work)
-	n.add(work, &g, "control", n.loop.Run)
-	n.add(work, &g, "configuration", n.views.run)
-	n.add(work, &g, "registrations", n.servers.follower.Run)
-	n.add(work, &g, "backend servers", n.servers.run)
+	add := func(name string, part func(context.Context) error) { rungroup.Add(work, &g, n.logger, name, part) }
+	add("control", n.loop.Run)
+	add("configuration", n.views.run)
+	add("registrations", n.servers.follower.Run)
+	add("backend servers", n.servers.run)
 	// the duty is given up as soon as the signal comes, for another to take it while
 	// this instance still serves
-	n.add(work, &g, "turn", func(work context.Context) error { return n.keepTurn(ctx, work) })
-	n.add(work, &g, "planner", n.planner.Run)
-	n.add(work, &g, "exchange", n.exchange.run)
-	n.add(work, &g, "connections", n.prune)
+	add("turn", func(work context.Context) error { return n.keepTurn(ctx, work) })
+	add("planner", n.planner.Run)
+	add("exchange", n.exchange.run)
+	add("connections", n.prune)
 	if err := n.listen(&g); err != nil {
 		return err
 	}
@@ -241,19 +244,6 @@
 	}
 }
 
-// add runs one part of the instance in the group; it ends with the group.
-func (n *Node) add(ctx context.Context, g *run.Group, name string, part func(context.Context) error) {
-	ctx, cancel := context.WithCancel(ctx)
-	g.Add(func() error {
-		err := part(ctx)
-		if ctx.Err() == nil {
-			n.logger.Log("event", "ended", "part", name, "err", err)
-			return err
-		}
-		return nil
-	}, func(error) { cancel() })
-}
-
 // prunePeriod is how often expired connections are closed.
 const prunePeriod = 2 * time.Second
 
--- /dev/null
+++ b/rungroup/doc.go
@@ -0,0 +1,2 @@
+// Package rungroup adds the parts of an instance to the group in which they stop together.
+package rungroup
