planner, pool: an engine at whose address nothing listens is replaced at once

Each request tried the only copy of its model there, and the planner began to load another only when the registration had ended. Ruled out: engines at their limit of connections (resets come after an accepted connection, these were refused). Change: a refused connection is an error of its own; the pool leaves such an engine alone for a second, a request whose model nobody else holds asks for a place, and instances tell the planner, which treats it as leaving until nobody has said so for 1.5 s or it starts anew. Tests of pool, planner and connection, the planner's seen failing without the report.

--- a/backend.go
+++ b/backend.go
@@ -60,8 +60,9 @@
 
 // Backend calls backend servers.
 //
-// An error wraps ErrNotSent when no byte of the request can have arrived, ErrSilent when
-// no answer came in time, and ErrAnswerCut or ErrCrossed where the answer was not one.
+// An error wraps ErrNotSent when no byte of the request can have arrived, beside it
+// ErrAbsent when nothing listens at the address, ErrSilent when no answer came in time, and
+// ErrAnswerCut or ErrCrossed where the answer was not one.
 // It never sends a request twice by itself.
 type Backend interface {
 	Call(ctx context.Context, address string, c BackendCall) (*BackendAnswer, error)
--- a/engine.go
+++ b/engine.go
@@ -13,6 +13,8 @@
 	ErrStaleFence = eris.New("the engine has seen a newer fencing number")
 	// ErrNotSent says that no byte of a request can have reached the backend server.
 	ErrNotSent = eris.New("the request was not sent")
+	// ErrAbsent says that nothing listens at the backend server's address.
+	ErrAbsent = eris.New("nothing listens there")
 	// ErrDeclined says that the backend server itself said that it did not run the request.
 	ErrDeclined = eris.New("the backend server declined to run the request")
 	// ErrStreamGone says that an engine no longer knows the stream that was to be resumed.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,6 +119,9 @@
 func (r *run) failed(ctx context.Context, flight *pool.Flight, err error) error {
 	now := r.g.clock.Now()
 	switch {
+	case errors.Is(err, galenastair.ErrAbsent):
+		flight.End(now, pool.Absent)
+		return err
 	case errors.Is(err, galenastair.ErrNotSent):
 		flight.End(now, pool.Failed)
 		return err
--- a/httpconn/client.go
+++ b/httpconn/client.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -86,6 +89,9 @@
 
 func (c *Client) dial(ctx context.Context, address string) (*Conn, error) {
 	n, err := c.dialer.DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, fmt.Errorf("dial %s: %w: %w", address, galenastair.ErrAbsent, galenastair.ErrNotSent)
+	}
 	if err != nil {
 		return nil, eris.Wrapf(galenastair.ErrNotSent, "dial %s: %v", address, err)
 	}
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -214,6 +214,7 @@
 	is.NoErr(l.Close())
 	_, err = ask(t.Context(), NewClient(), address, "1")
 	is.True(errors.Is(err, galenastair.ErrNotSent))
+	is.True(errors.Is(err, galenastair.ErrAbsent))
 }
 
 // A caller leaves while the backend server works: its connection closes at once, which
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -104,7 +104,7 @@
 	r := planner.Report{Instance: x.self, Demands: x.demands, Poisons: x.poisons}
 	x.demands, x.poisons = map[galenastair.ModelName]float64{}, nil
 	x.mu.Unlock()
-	r.Loads = x.pool.Loads()
+	r.Loads, r.Absent = x.pool.Loads(), x.pool.Absent(time.Now())
 	r.Positions = positions(x.topics())
 	now := time.Now()
 	r.Asks, r.Passed = x.share.Asks(now), x.share.Pass(now)
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -85,6 +85,9 @@
 		Loads:    encodeLoads(r.Loads),
 	}
 	encodePassed(out, r.Passed)
+	for _, id := range r.Absent {
+		out.Absent = append(out.Absent, string(id))
+	}
 	for name, work := range r.Demands {
 		out.Demands = append(out.Demands, &planningpb.Demand{Name: string(name), Work: uint32(work)})
 	}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -39,6 +39,9 @@
 	for _, a := range req.Asks {
 		r.Asks = append(r.Asks, quota.Ask{Organisation: galenastair.Organisation(a.Organisation), Amount: a.Amount})
 	}
+	for _, id := range req.Absent {
+		r.Absent = append(r.Absent, galenastair.BackendServerID(id))
+	}
 	for _, d := range req.Poisons {
 		r.Poisons = append(r.Poisons, claim.Digest(d))
 	}
--- a/planner/message.go
+++ b/planner/message.go
@@ -23,6 +23,8 @@
 	Positions map[galenastair.Topic]galenastair.Offset
 	// Poisons are requests that stopped a backend server since the last report.
 	Poisons []claim.Digest
+	// Absent are backend servers at whose addresses nothing listened a moment ago.
+	Absent []galenastair.BackendServerID
 }
 
 // News is what the planner answers.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -67,6 +67,8 @@
 	ctx     context.Context
 	sites   map[galenastair.ServiceName]*site
 	servers map[galenastair.BackendServerID]pool.Server
+	// absent are servers at whose addresses nothing listens, by when that was said last.
+	absent  map[galenastair.BackendServerID]time.Time
 	lender  *quota.Lender
 	reports map[galenastair.InstanceID]report
 	news    []newsAt
@@ -124,6 +126,7 @@
 		ctx:     context.Background(),
 		sites:   map[galenastair.ServiceName]*site{},
 		servers: map[galenastair.BackendServerID]pool.Server{},
+		absent:  map[galenastair.BackendServerID]time.Time{},
 		lender:  quota.NewLender(t),
 		reports: map[galenastair.InstanceID]report{},
 	}
@@ -166,6 +169,10 @@
 }
 
 func (p *Planner) setServer(s pool.Server) {
+	if _, absent := p.absent[s.ID]; absent {
+		// what it held is gone, or soon is: as with one that leaves, copies are made elsewhere
+		s.Leaving = true
+	}
 	if site := p.sites[s.Service]; site != nil {
 		site.set(p.clock.Now(), s)
 	}
@@ -174,6 +181,9 @@
 // SetServer takes in a backend server's registration.
 func (p *Planner) SetServer(ctx context.Context, s pool.Server) error {
 	return p.loop.Post(ctx, func() {
+		if old, ok := p.servers[s.ID]; ok && old.Born != s.Born {
+			delete(p.absent, s.ID)
+		}
 		p.servers[s.ID] = s
 		p.setServer(s)
 	})
@@ -183,6 +193,7 @@
 func (p *Planner) RemoveServer(ctx context.Context, id galenastair.BackendServerID) error {
 	return p.loop.Post(ctx, func() {
 		delete(p.servers, id)
+		delete(p.absent, id)
 		for _, s := range p.sites {
 			delete(s.engines, id)
 		}
@@ -201,6 +212,7 @@
 		return
 	}
 	p.step(now)
+	p.present(now)
 	_, orders := p.duty.Order()
 	loads := p.loads(now, "")
 	for _, s := range p.sites {
@@ -229,6 +241,42 @@
 	}
 }
 
+// absentFor is how long an engine counts as ended after an instance has said so: some
+// exchanges, in which those that ask it say so again.
+const absentFor = 1500 * time.Millisecond
+
+// noteAbsent takes in that nothing listens at some servers' addresses.
+//
+// Failure: an engine's process has crashed. Its registration stays for three of its beats,
+// and until then no copy of its models was made elsewhere: their requests were refused for
+// some four seconds before the load had even begun.
+func (p *Planner) noteAbsent(now time.Time, ids []galenastair.BackendServerID) {
+	for _, id := range ids {
+		s, known := p.servers[id]
+		if !known {
+			continue
+		}
+		_, before := p.absent[id]
+		p.absent[id] = now
+		if !before {
+			p.logger.Log("event", "absent", "server", id, "absent", true)
+			p.setServer(s)
+		}
+	}
+}
+
+// present ends the absence of servers of which nobody says so any more.
+func (p *Planner) present(now time.Time) {
+	for id, at := range p.absent {
+		if now.Sub(at) < absentFor {
+			continue
+		}
+		delete(p.absent, id)
+		p.logger.Log("event", "absent", "server", id, "absent", false)
+		p.setServer(p.servers[id])
+	}
+}
+
 func (p *Planner) step(now time.Time) {
 	if now.Sub(p.foretold) < forecastPeriod {
 		return
@@ -274,6 +322,7 @@
 func (p *Planner) hear(r Report) News {
 	now := p.clock.Now()
 	p.reports[r.Instance] = report{r.Loads, now}
+	p.noteAbsent(now, r.Absent)
 	for name, work := range r.Demands {
 		for _, s := range p.sites {
 			s.asked(now, name, work)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -333,6 +333,38 @@
 	is.True(copies["m7"] >= 1)
 }
 
+// An engine's process crashes, and with it goes the only copy of a model. Its registration
+// stays for seconds. An instance whose request found nobody at its address says so, and the
+// model is loaded elsewhere well before the registration ends. When nobody says so any more
+// the engine counts again. Seen failing with noteAbsent left out: no copy elsewhere.
+func TestAbsentEngineIsReplacedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 4)
+	b.step(time.Second)
+	holders := func(name galenastair.ModelName) (ids []galenastair.BackendServerID) {
+		for _, s := range b.world.sims {
+			if _, ok := s.models[name]; ok {
+				ids = append(ids, s.id)
+			}
+		}
+		return ids
+	}
+	const only = "m3"
+	before := holders(only)
+	is.Equal(len(before), 1)
+	for range 10 {
+		_, err := b.planner.Hear(t.Context(), Report{
+			Instance: "i", Demands: map[galenastair.ModelName]float64{only: 500}, Absent: before,
+		})
+		is.NoErr(err)
+		b.step(200 * time.Millisecond)
+	}
+	is.True(len(holders(only)) > 1)
+	b.do(func() { is.True(b.planner.sites["writer"].engines[before[0]].server.Leaving) })
+	b.step(absentFor)
+	b.do(func() { is.True(!b.planner.sites["writer"].engines[before[0]].server.Leaving) })
+}
+
 // A request needs an adapter that no engine holds: it is promised where it will be, and
 // the engine has it by then.
 func TestNeedFetchesAnAdapter(t *testing.T) {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -49,9 +49,9 @@
 	q.keys = partKeys(q.Hints)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := p.candidates(&q)
+	candidates := p.candidates(now, &q)
 	if len(candidates) == 0 {
-		return Choice{Reason: p.none(&q)}, false
+		return Choice{Reason: p.none(now, &q)}, false
 	}
 	best, reason := p.best(now, &q, candidates)
 	if best == nil {
@@ -69,25 +69,30 @@
 	}, true
 }
 
-func (p *Pool) candidates(q *Query) []*member {
+func (p *Pool) candidates(now time.Time, q *Query) []*member {
 	list := p.byService[q.Service]
 	if q.engine() {
 		list = p.byModel[q.Model]
 	}
 	var out []*member
 	for _, m := range list {
-		if m.Service == q.Service && !slices.Contains(q.Exclude, m.ID) {
-			out = append(out, m)
+		if m.Service != q.Service || slices.Contains(q.Exclude, m.ID) {
+			continue
+		}
+		if q.engine() && m.isAbsent(now) {
+			continue
 		}
+		out = append(out, m)
 	}
 	return out
 }
 
-func (p *Pool) none(q *Query) string {
+func (p *Pool) none(now time.Time, q *Query) string {
+	there := func(m *member) bool { return m.Service == q.Service && !m.isAbsent(now) }
 	switch {
 	case len(p.byService[q.Service]) == 0:
 		return ReasonNoServer
-	case q.engine() && len(q.Exclude) == 0:
+	case q.engine() && !slices.ContainsFunc(p.byModel[q.Model], there):
 		return ReasonNoModel
 	default:
 		return ReasonExcluded
--- a/pool/flight.go
+++ b/pool/flight.go
@@ -26,6 +26,8 @@
 	Succeeded Result = iota
 	// Failed is an answer that was cut, wrong or an error of the server.
 	Failed
+	// Absent is a server at whose address nothing listens: its process has ended.
+	Absent
 	// Erred is a whole answer that says that the server failed.
 	Erred
 	// Full is a server that declined for lack of room.
@@ -87,8 +89,12 @@
 	switch r {
 	case Succeeded:
 		m.health.succeeded()
+		m.absent = time.Time{}
 	case Failed:
 		m.health.failed(now)
+	case Absent:
+		m.health.failed(now)
+		m.absent = now
 	case Erred:
 		m.health.erred(now)
 	case Full:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -40,6 +40,30 @@
 	cache    *cache
 	// leaves is when it was first known to leave; nothing new goes there then.
 	leaves time.Time
+	// absent is when nothing listened at its address; zero if it has answered since.
+	absent time.Time
+}
+
+// absentFor is how long an engine is taken for ended after nothing listened at its address.
+// Its registration stays for seconds; each request that is sent there costs its caller a
+// try, and a model whose only copy it had is loaded elsewhere the sooner.
+const absentFor = time.Second
+
+func (m *member) isAbsent(now time.Time) bool {
+	return !m.absent.IsZero() && now.Sub(m.absent) < absentFor
+}
+
+// Absent returns the backend servers at whose addresses nothing listened a moment ago.
+func (p *Pool) Absent(now time.Time) []galenastair.BackendServerID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []galenastair.BackendServerID
+	for id, m := range p.members {
+		if m.isAbsent(now) {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // Option varies a Pool.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -271,3 +271,31 @@
 		}
 	}
 }
+
+// Nothing listens at an engine's address: its process has crashed, and its registration
+// stays. Requests go to the others for a second, without a try there; where it had the only
+// copy the request asks for another place, in place of a refusal as "all were tried".
+func TestAbsentEngineIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	p := testPool()
+	p.Set(start, Server{ID: "s4", Service: "writer", AvailabilityZone: "z1", Slots: 64, Born: 1, Beat: 1,
+		Models: []galenastair.EngineModel{{Name: "rare"}}})
+	gone := func(id galenastair.BackendServerID, q Query) {
+		p.Begin(start, id, q).End(start, Absent)
+	}
+	gone("s1", testQuery())
+	for range 50 {
+		c, ok := p.Choose(start, testQuery())
+		is.True(ok)
+		is.True(c.ID != "s1")
+	}
+	rare := testQuery()
+	rare.Model = "rare"
+	gone("s4", rare)
+	is.Equal(len(p.Absent(start)), 2)
+	rare.Exclude = []galenastair.BackendServerID{"s4"}
+	c, ok := p.Choose(start, rare)
+	is.True(!ok)
+	is.Equal(c.Reason, ReasonNoModel)
+	is.Equal(len(p.Absent(start.Add(absentFor))), 0)
+}
