--- a/quota/moderate.go
+++ b/quota/moderate.go
@@ -24,8 +24,9 @@
 	advance = 1500 * time.Millisecond
 	// advances is for how long a moderate organisation's use leaves room: what is granted in
 	// advance may be so twice within a window, by instances that lose the lender and are then
-	// started again.
-	advances = 2 * advance
+	// started again. What of the second time is not left room for is in what the platform
+	// allows beyond the quota.
+	advances = 2700 * time.Millisecond
 	// calmUse is the part of moderateMost below which an organisation becomes moderate, and
 	// highUse the one from which it ends to be. The distance between them keeps the record
 	// from being written over and over, and what is above the second is lent until the
