platform: the name of the note's topic

Cause: the prefix that makes the store keep the newest record of a key is the platform's, and stood in turn. Change: the topic is named in platform/, and the keeper is told it; no other behaviour.

--- a/node/note.go
+++ b/node/note.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"galenastair/platform"
 	"galenastair/quota"
 	"galenastair/turn"
 )
@@ -12,6 +13,7 @@
 // note ties what the lender leaves on the platform to those that read it.
 func (n *Node) note(ctx context.Context) turn.Note {
 	return turn.Note{
+		Topic: platform.NoteTopic,
 		Write: func() []byte {
 			note, ok := n.planner.Note(ctx)
 			if !ok {
--- a/turn/note.go
+++ b/turn/note.go
@@ -8,17 +8,19 @@
 	"galenastair"
 )
 
-// The record in which the holder of the duty leaves a note for those that come after it.
+// The records of the note's topic.
 const (
-	noteTopic galenastair.Topic = "keyed.note"
-	noteKey   string            = "Holder"
+	// noteKey is that of the note.
+	noteKey = "Holder"
 	// usedKey, with the member behind it, holds the offset of the note that the member used.
-	usedKey string = "Used/"
+	usedKey = "Used/"
 )
 
 // Note is what a holder of the duty leaves on the platform; this package does not look
 // into it.
 type Note struct {
+	// Topic is the keyed topic in which it stands.
+	Topic galenastair.Topic
 	// Write returns what is to stand there; nil while there is nothing to say.
 	Write func() []byte
 	// Written is told once it certainly stands there.
@@ -49,7 +51,10 @@
 
 // readNote takes in the note.
 func (k *Keeper) readNote(ctx context.Context, starts bool) {
-	b, err := k.store.Newest(ctx, noteTopic)
+	if k.note.Topic == "" {
+		return
+	}
+	b, err := k.store.Newest(ctx, k.note.Topic)
 	if err != nil {
 		k.logger.Log("event", "note", "err", err)
 		return
@@ -79,7 +84,7 @@
 	if used == at {
 		return false
 	}
-	err := k.store.Put(ctx, noteTopic, usedKey+k.member, []byte(at), galenastair.Producer{})
+	err := k.store.Put(ctx, k.note.Topic, usedKey+k.member, []byte(at), galenastair.Producer{})
 	if err != nil {
 		k.logger.Log("event", "note", "used", at, "err", err)
 	}
@@ -103,7 +108,7 @@
 		}
 		n.pending = next
 	}
-	err := k.store.Put(ctx, noteTopic, noteKey, n.pending, n.producer)
+	err := k.store.Put(ctx, k.note.Topic, noteKey, n.pending, n.producer)
 	k.logger.Log("event", "note", "fence", int64(fence), "sequence", n.producer.Sequence, "note", string(n.pending), "err", err)
 	if err != nil {
 		return
--- a/turn/note_test.go
+++ b/turn/note_test.go
@@ -40,6 +40,7 @@
 
 func (n *notes) option() turn.Option {
 	return turn.WithNote(turn.Note{
+		Topic: platform.NoteTopic,
 		Write: func() []byte {
 			n.mu.Lock()
 			defer n.mu.Unlock()
