place: a swap ends with its backend server

Cause: room is made for a model on an engine (a swap); the engine crashes or is taken away. The swap stayed in the plan for swapPatience (30 s), and a model that a swap wants is loaded nowhere else. Ruled out: memory (free places on other engines), the pace of loads (not used up), lost orders. Change: a swap is forgotten when its backend server is no longer planned for.

--- a/place/swap.go
+++ b/place/swap.go
@@ -131,17 +131,23 @@
 }
 
 // continueSwaps goes on with the swaps of earlier rounds.
+//
+// Failure guarded against: a backend server ends while it makes room. Kept, its swap would
+// go on wanting its model, which nobody else would then load, until its patience is over.
 func (p *Planner) continueSwaps() {
+	open := map[galenastair.BackendServerID]*swap{}
 	for _, s := range p.board.servers {
 		sw := p.swaps[s.ID]
-		if sw == nil {
+		if sw == nil || !s.takes() || p.now.Sub(sw.begun) > swapPatience {
 			continue
 		}
-		if !s.takes() || p.now.Sub(sw.begun) > swapPatience {
-			delete(p.swaps, s.ID)
-			continue
+		open[s.ID] = sw
+	}
+	p.swaps = open
+	for _, s := range p.board.servers {
+		if sw := open[s.ID]; sw != nil {
+			p.advance(s, sw)
 		}
-		p.advance(s, sw)
 	}
 	p.board.spread()
 }
