place: only copies stay where all models fit

Cause: DropUnasked lets the only copy of a model that nobody asks for go where an engine is very busy. At the new customer that was nearly always so (its engines were taken for half as fast as they are), though all 31 models fit in half of the memory: demand moved on to models without a copy, and 'no copy is there or coming' was the first reason of 503. Change: an only copy goes only if one copy of each model takes more than three quarters of the engines' memory.

--- a/place/board.go
+++ b/place/board.go
@@ -191,6 +191,33 @@
 	return n
 }
 
+// roomy is the part of the fleet's memory that one copy of each model may take at most for
+// all to keep theirs: what is left holds the further copies of busy models.
+const roomy = 0.75
+
+// scarce says that one copy of each model leaves too little memory for further ones.
+func (b *board) scarce() bool {
+	var all, models galenastair.Bytes
+	for _, s := range b.servers {
+		if s.stays() {
+			all += s.memory()
+		}
+	}
+	for _, m := range b.bases() {
+		models += m.bundle()
+	}
+	return float64(models) > roomy*float64(all)
+}
+
+// memory is all that a backend server has for models.
+func (s *boardServer) memory() galenastair.Bytes {
+	sum := s.Free
+	for _, c := range s.Copies {
+		sum += c.Weight.Memory
+	}
+	return sum
+}
+
 // busiest is the load of the busiest backend server.
 func (b *board) busiest() float64 {
 	most := 0.0
--- a/place/planner.go
+++ b/place/planner.go
@@ -20,7 +20,7 @@
 	// the round that is being planned
 	now   time.Time
 	board *board
-	// drops says that the busiest backend server is so busy that only copies may go.
+	// drops says that a backend server is so busy, and memory so scarce, that only copies may go.
 	drops bool
 	steps []Step
 	loads int
@@ -53,7 +53,7 @@
 	p.pace()
 	p.loads = p.settings.LoadsInFlight - p.board.coming(false)
 	p.small = p.settings.AdaptersInFlight - p.board.coming(true)
-	p.drops = p.settings.DropUnasked > 0 && p.board.busiest() >= p.settings.DropUnasked*p.settings.ServerWork
+	p.drops = p.settings.DropUnasked > 0 && p.board.busiest() >= p.settings.DropUnasked*p.settings.ServerWork && p.board.scarce()
 	p.continueSwaps()
 	p.reachModels(true)
 	p.reachAdapters()
