pool, planner, place: engine time is observed; relief of engines far busier than the rest

Cause: the planner counted demand in prompt tokens against a fixed 20,400 a second of one customer's sheet. Change: each instance observes what a request of each model takes (seconds to the first event for a prompt token, where nothing else waited to be read, and of a slot for an output token) and reports engine time. A copy is made for load only where an engine has twice the load of one on the whole.

--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -116,7 +116,7 @@
 	p.needs++
 	return p.promise, nil
 }
-func (p *placement) Asked(galenastair.ModelName, float64) {}
+func (p *placement) Asked(galenastair.ModelName, time.Duration) {}
 
 // bed is a gateway between one caller and scripted backend servers.
 type bed struct {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"galenastair"
-	"galenastair/planner"
 	"galenastair/pool"
 	"galenastair/timer"
 )
@@ -27,8 +26,6 @@
 	retryNoServer = time.Second
 )
 
-func workOf(h galenastair.Hints) float64 { return planner.Work(h) }
-
 // choose picks the backend server of the next attempt. A choice without a server means
 // that something has changed and the next call may find one.
 func (r *run) choose(ctx context.Context) (pool.Choice, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,8 +33,8 @@
 // Placement finds a place for models and adapters that no backend server is known to hold.
 type Placement interface {
 	Need(ctx context.Context, name galenastair.ModelName) (planner.Promise, error)
-	// Asked notes the work of a request for the planner's forecast.
-	Asked(name galenastair.ModelName, work float64)
+	// Asked notes the engine time of a request for the planner's forecast.
+	Asked(name galenastair.ModelName, work time.Duration)
 }
 
 // Settings are the bounds that the platform sets.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	if r.call.Hints.Model != "" {
-		r.g.placement.Asked(r.call.Hints.Model, workOf(r.call.Hints))
+		r.g.placement.Asked(r.call.Hints.Model, r.g.pool.EngineTime(r.query()))
 	}
 	r.g.earn(r.service)
 	r.deadline = r.begun.Add(r.patience())
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -44,13 +44,13 @@
 	topics  func() []followed
 
 	mu      sync.Mutex
-	demands map[galenastair.ModelName]float64
+	demands map[galenastair.ModelName]time.Duration
 	poisons []claim.Digest
 	lost    bool
 }
 
-// Asked notes the work of a request for the planner's forecast.
-func (x *exchange) Asked(name galenastair.ModelName, work float64) {
+// Asked notes the engine time of a request for the planner's forecast.
+func (x *exchange) Asked(name galenastair.ModelName, work time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.demands[name] += work
@@ -102,7 +102,7 @@
 func (x *exchange) report() planner.Report {
 	x.mu.Lock()
 	r := planner.Report{Instance: x.self, Demands: x.demands, Poisons: x.poisons}
-	x.demands, x.poisons = map[galenastair.ModelName]float64{}, nil
+	x.demands, x.poisons = map[galenastair.ModelName]time.Duration{}, nil
 	x.mu.Unlock()
 	r.Loads, r.Absent = x.pool.Loads(), x.pool.Absent(time.Now())
 	r.Positions = positions(x.topics())
--- a/node/node.go
+++ b/node/node.go
@@ -126,7 +126,7 @@
 		share:   n.share,
 		logger:  n.logger,
 		address: n.settings.PeerAddress,
-		demands: map[galenastair.ModelName]float64{},
+		demands: map[galenastair.ModelName]time.Duration{},
 		topics:  n.topics,
 	}
 	x.poison = claim.NewPoison(x.poisoned, claim.WithTrials(poisonTrials, poisonTerm))
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -89,7 +89,7 @@
 		out.Absent = append(out.Absent, string(id))
 	}
 	for name, work := range r.Demands {
-		out.Demands = append(out.Demands, &planningpb.Demand{Name: string(name), Work: uint32(work)})
+		out.Demands = append(out.Demands, &planningpb.Demand{Name: string(name), WorkUs: uint32(work.Microseconds())})
 	}
 	for _, a := range r.Asks {
 		out.Asks = append(out.Asks, &planningpb.Loan{Organisation: string(a.Organisation), Amount: a.Amount})
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"galenastair"
 	"galenastair/claim"
@@ -31,10 +32,10 @@
 		Passed:    decodePassed(req),
 		Loads:     decodeLoads(req.Loads),
 		Positions: make(map[galenastair.Topic]galenastair.Offset, len(req.Positions)),
-		Demands:   make(map[galenastair.ModelName]float64, len(req.Demands)),
+		Demands:   make(map[galenastair.ModelName]time.Duration, len(req.Demands)),
 	}
 	for _, d := range req.Demands {
-		r.Demands[galenastair.ModelName(d.Name)] = float64(d.Work)
+		r.Demands[galenastair.ModelName(d.Name)] = time.Duration(d.WorkUs) * time.Microsecond
 	}
 	for _, a := range req.Asks {
 		r.Asks = append(r.Asks, quota.Ask{Organisation: galenastair.Organisation(a.Organisation), Amount: a.Amount})
--- a/place/board.go
+++ b/place/board.go
@@ -218,6 +218,18 @@
 	return sum
 }
 
+// mean is the load of a backend server on the whole.
+func (b *board) mean() float64 {
+	sum, n := 0.0, 0
+	for _, s := range b.servers {
+		if s.stays() {
+			sum += s.load
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
+
 // busiest is the load of the busiest backend server.
 func (b *board) busiest() float64 {
 	most := 0.0
--- a/place/relief.go
+++ b/place/relief.go
@@ -9,9 +9,10 @@
 // takes enough load off it.
 //
 // It is made for demand that moves between models: their callers wait at one backend
-// server while others idle. It does nothing below Busy, for gains below Gain, and
-// for a model that was moved within Calm: each move takes a turn at the weight store
-// and cools caches, and the demand may be back before it has paid off.
+// server while others idle. It does nothing below Busy, nor below Uneven times what a
+// backend server has on the whole, for gains below Gain, and for a model that was moved
+// within Calm: each move takes a turn at the weight store and cools caches, and the demand
+// may be back before it has paid off. Where all are as busy, a move helps nobody.
 func (p *Planner) relieve() {
 	for range max(1, p.settings.ReliefsARound) {
 		if !p.relieveOne() {
@@ -23,8 +24,9 @@
 func (p *Planner) relieveOne() bool {
 	order := slices.Clone(p.board.servers)
 	slices.SortStableFunc(order, func(x, y *boardServer) int { return cmp.Compare(y.load, x.load) })
+	least := max(p.settings.Busy*p.settings.ServerWork, p.settings.Uneven*p.board.mean())
 	for _, hot := range order {
-		if hot.load < p.settings.Busy*p.settings.ServerWork {
+		if hot.load < least {
 			return false
 		}
 		if hot.stays() && p.relieveServer(hot, order) {
--- a/place/relief_test.go
+++ b/place/relief_test.go
@@ -78,3 +78,22 @@
 	}
 	is.True(dropsOnly(f))
 }
+
+// All engines are busy, and alike. Copies moved between them all day: each cost a load and
+// what its engine had kept of prompts, and no caller waited less.
+func TestEvenLoadMovesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 6, 0, 30)
+	for i, w := range f.catalogue {
+		f.servers[i].Copies = append(f.servers[i].Copies, Copy{w, Ready})
+		f.servers[i].Free -= w.Memory
+		f.work[w.Name] = 800 + 100*float64(i)
+	}
+	settings := hotSettings
+	settings.Uneven = 2
+	p := NewPlanner(settings)
+	for range 20 {
+		f.round(p, time.Second)
+	}
+	is.Equal(fmt.Sprint(f.steps), "[]")
+}
--- a/place/settings.go
+++ b/place/settings.go
@@ -14,6 +14,9 @@
 	ServerWork float64
 	// Busy is the part of ServerWork below which no copy is moved for load.
 	Busy float64
+	// Uneven is how many times the load of a backend server on the whole the busiest
+	// must have for a copy to be moved for it; 0 is always.
+	Uneven float64
 	// Gain is the part of the busiest backend server's load that a move must take off it.
 	Gain float64
 	// Calm is the least time between two moves for one model.
@@ -27,8 +30,9 @@
 	// its callers are too few to go before those who wait for a busy one.
 	AskedWork float64
 	// DropUnasked is the part of ServerWork from which a backend server is so busy that
-	// the only copy of a model that nobody asks for makes way for it, if some backend server has it at hand: it is back within a load
-	// that takes nothing from the weight store. Without it a fleet that has lost a
+	// the only copy of a model that nobody asks for makes way for it, if memory is scarce
+	// and some backend server has the model at hand: it is back within a load that takes
+	// nothing from the weight store. Without it a fleet that has lost a
 	// third of its memory holds one copy of each model, and the callers of the busiest
 	// all wait at one backend server.
 	// 0 is never.
--- a/planner/adapters.go
+++ b/planner/adapters.go
@@ -18,6 +18,9 @@
 	// adapter gets a further copy: below it, the callers of one adapter do not crowd
 	// the engine that holds it.
 	copyShare = 0.6
+	// leastWork is the part of an engine's time to which the demand of one request has
+	// faded after some fifteen seconds.
+	leastWork = 0.00005
 	// fetchedAtOnce is how many adapters an engine takes on their way together.
 	fetchedAtOnce = 4
 )
@@ -69,7 +72,7 @@
 		if it.state != place.Ready || now.Sub(it.used) < usedLately {
 			continue
 		}
-		if s.forecast.Work(name) > 0.01 && s.adapterCopies(name) < 2 && now.Sub(it.used) < 2*usedLately {
+		if s.forecast.Work(name) > 0 && s.adapterCopies(name) < 2 && now.Sub(it.used) < 2*usedLately {
 			continue
 		}
 		if victim == "" || it.used.Before(oldest) {
@@ -120,7 +123,7 @@
 		for name, work := range s.adapterWork(m) {
 			have := s.adapterCopies(name)
 			want := int(math.Ceil(work / (copyShare * total / float64(copies))))
-			if have >= min(want, copies) || work < 1 {
+			if have >= min(want, copies) || work < leastWork {
 				continue
 			}
 			if s.emptyPlace(m.Name, name) {
--- a/planner/message.go
+++ b/planner/message.go
@@ -14,8 +14,8 @@
 	Instance galenastair.InstanceID
 	// Loads is what its requests put on each backend server now.
 	Loads map[galenastair.BackendServerID]pool.Load
-	// Demands is the work asked of each model and adapter since the last report.
-	Demands map[galenastair.ModelName]float64
+	// Demands is the engine time asked of each model and adapter since the last report.
+	Demands map[galenastair.ModelName]time.Duration
 	Asks    []quota.Ask
 	// Passed is what it leaves to the lender.
 	Passed quota.Passed
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -263,7 +263,10 @@
 	}
 }
 
-func (b *bed) ask(demands map[galenastair.ModelName]float64) {
+// tokens is the time in which an engine of the test reads as many.
+func tokens(n int) time.Duration { return time.Duration(n) * time.Second / 20400 }
+
+func (b *bed) ask(demands map[galenastair.ModelName]time.Duration) {
 	b.t.Helper()
 	if _, err := b.planner.Hear(b.t.Context(), Report{Instance: "i", Demands: demands}); err != nil && !errors.Is(err, ErrNotPlanner) {
 		b.t.Fatal(err)
@@ -284,8 +287,8 @@
 				hot = w.rng.IntN(10)
 			}
 			name := galenastair.ModelName(fmt.Sprintf("m%d", hot))
-			demands := map[galenastair.ModelName]float64{name: 8000, galenastair.ModelName(fmt.Sprintf("m%d", w.rng.IntN(10))): 900}
-			demands[name+"/a1"] = 2000
+			demands := map[galenastair.ModelName]time.Duration{name: tokens(8000), galenastair.ModelName(fmt.Sprintf("m%d", w.rng.IntN(10))): tokens(900)}
+			demands[name+"/a1"] = tokens(2000)
 			b.ask(demands)
 			for _, s := range w.sims {
 				if n%6 == 0 {
@@ -316,7 +319,7 @@
 	is := is.New(t)
 	b := newBed(t, 1, 4)
 	for range 60 {
-		b.ask(map[galenastair.ModelName]float64{"m0": 12000, "m4": 300, "m7": 300})
+		b.ask(map[galenastair.ModelName]time.Duration{"m0": tokens(12000), "m4": tokens(300), "m7": tokens(300)})
 		b.step(200 * time.Millisecond)
 		for _, s := range b.world.sims {
 			is.NoErr(b.planner.SetServer(t.Context(), s.registration()))
@@ -354,7 +357,7 @@
 	is.Equal(len(before), 1)
 	for range 10 {
 		_, err := b.planner.Hear(t.Context(), Report{
-			Instance: "i", Demands: map[galenastair.ModelName]float64{only: 500}, Absent: before,
+			Instance: "i", Demands: map[galenastair.ModelName]time.Duration{only: tokens(500)}, Absent: before,
 		})
 		is.NoErr(err)
 		b.step(200 * time.Millisecond)
--- a/planner/site.go
+++ b/planner/site.go
@@ -15,14 +15,12 @@
 	// demandMemory is over what the demand for models is smoothed: loads take two
 	// seconds and demand moves every five to ten.
 	demandMemory = 2500 * time.Millisecond
-	// engineWork is the prompt tokens that one engine reads in a second, by the users'
-	// sheets; outputWork is what a token of output counts beside one of prompt: a
-	// round of a full batch costs about as much as eight tokens of prompt for each.
-	engineWork = 20400
-	outputWork = 8
 	// busyShare is the part of an engine's work below which no copy is made for load.
 	// Prompts come in bursts; from a third on, callers begin to wait for each other.
 	busyShare = 0.3
+	// uneven: prompts come in bursts, by which engines that share the work alike differ
+	// so much for moments.
+	uneven = 2
 	// leastGain is the part of the busiest engine's load that a move must take off it.
 	leastGain = 0.12
 	// calm and stay keep demand that swings from moving the same copies to and fro;
@@ -31,8 +29,8 @@
 	stay = 5 * time.Second
 	// dropUnasked: from here on more is asked of an engine than it can do.
 	dropUnasked = 1.2
-	// askedWork is a request each ten seconds or so.
-	askedWork = 250
+	// askedWork is the part of an engine's time that one request in some ten seconds takes.
+	askedWork = 0.01
 	// reliefsARound: demand that moves takes several copies at once.
 	reliefsARound = 3
 )
@@ -43,9 +41,6 @@
 // in vain in 30 s of a day with two unloads.
 const unloadNotice = 450 * time.Millisecond
 
-// Work is what a request asks of an engine, in prompt tokens.
-func Work(h galenastair.Hints) float64 { return float64(h.Prompt) + outputWork*float64(h.Output) }
-
 // site is the engines of one service and the plan for them.
 type site struct {
 	contents *contents
@@ -77,8 +72,9 @@
 	return place.NewPlanner(place.Settings{
 		LoadsPerSecond: e.LoadsPerSecond,
 		LoadsInFlight:  max(1, int(e.LoadsPerSecond*longest.Seconds())),
-		ServerWork:     engineWork,
+		ServerWork:     1,
 		Busy:           busyShare,
+		Uneven:         uneven,
 		Gain:           leastGain,
 		Calm:           calm,
 		Stay:           stay,
@@ -171,12 +167,12 @@
 }
 
 // asked takes in demand for a model or adapter, and marks adapters as used.
-func (s *site) asked(now time.Time, name galenastair.ModelName, work float64) {
+func (s *site) asked(now time.Time, name galenastair.ModelName, work time.Duration) {
 	model, adapter := splitName(name)
 	if !s.contents.knows(model, adapter) {
 		return
 	}
-	s.forecast.Observe(name, work)
+	s.forecast.Observe(name, work.Seconds())
 	if adapter == "" {
 		return
 	}
--- a/pool/flight.go
+++ b/pool/flight.go
@@ -15,6 +15,9 @@
 	nominal time.Duration
 	started bool
 	ended   bool
+	// first says that nothing else waited to be read when it was sent.
+	first     bool
+	startedAt time.Time
 }
 
 // Result says how a flight ended, as far as the server is to blame or to praise.
@@ -49,6 +52,7 @@
 	}
 	f.member = m
 	f.nominal = m.nominal(now, &q)
+	f.first = q.engine() && m.unread == 0 && m.othersUnread(now) < 1
 	m.flights++
 	m.unread += q.Prompt
 	m.health.sent(now)
@@ -63,9 +67,10 @@
 	if f.ended || f.started {
 		return
 	}
-	f.started = true
+	f.started, f.startedAt = true, now
 	f.member.unread -= f.query.Prompt
 	f.member.health.started(now)
+	f.learnRead(now)
 	ratio := float64(now.Sub(f.begun)) / float64(f.nominal)
 	model := f.pool.paceOf(&f.query)
 	f.member.pace.learn(ratio/(f.member.pace.value()*model.value()), fastLearning)
@@ -88,6 +93,9 @@
 	}
 	switch r {
 	case Succeeded:
+		if f.started {
+			f.learnRun(now)
+		}
 		m.health.succeeded()
 		m.absent = time.Time{}
 	case Failed:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -21,6 +21,9 @@
 	byService map[galenastair.ServiceName][]*member
 	byModel   map[galenastair.ModelName][]*member
 	paces     map[galenastair.ModelName]*pace
+	costs     map[galenastair.ModelName]*cost
+	// usual is what requests take over all models.
+	usual cost
 }
 
 // member is what the pool keeps of one backend server.
@@ -85,6 +88,8 @@
 		byService: map[galenastair.ServiceName][]*member{},
 		byModel:   map[galenastair.ModelName][]*member{},
 		paces:     map[galenastair.ModelName]*pace{},
+		costs:     map[galenastair.ModelName]*cost{},
+		usual:     firstCost(),
 	}
 	for _, o := range opts {
 		o(p)
