turn: only an instance that misses the holder joins the duty's group

Cause: the store deals a group's partitions anew for each member that comes, and gives the duty to it. Ruled out: membership time and lease (the holder was sound and joined in time). Change: an instance joins only if it has not heard the holder for a second, or was told by it that it holds the duty no more (also where it goes on lending without the store); one candidate at a time (the list of owners is read twice, a quarter of a second apart at most); a holder whose membership may have lapsed asks first. Partitions of nobody are listed with an empty name and don't count. Tests: TestWhoComesDoesNotTakeTheDuty failed first.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -141,7 +141,11 @@
 
 // failed doubts the holder and logs the loss once.
 func (x *exchange) failed(err error) {
-	x.keeper.Doubt()
+	if errors.Is(err, planner.ErrNotPlanner) {
+		x.keeper.Denied()
+	} else {
+		x.keeper.Doubt()
+	}
 	x.share.Unheard(time.Now())
 	if !x.lost {
 		x.lost = true
@@ -151,6 +155,11 @@
 
 func (x *exchange) take(n planner.News) {
 	now := time.Now()
+	if n.Lapsed {
+		x.keeper.Denied()
+	} else {
+		x.keeper.Heard()
+	}
 	if x.lost {
 		x.lost = false
 		x.logger.Log("event", "dependency regained", "peer", x.keeper.Holder())
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -143,7 +143,7 @@
 }
 
 func decodeNews(r *planningpb.ExchangeReply) planner.News {
-	out := planner.News{Standing: decodeStanding(r), Loads: decodeLoads(r.Loads)}
+	out := planner.News{Lapsed: r.Lapsed, Standing: decodeStanding(r), Loads: decodeLoads(r.Loads)}
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.Ask{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
--- a/planner/message.go
+++ b/planner/message.go
@@ -29,6 +29,9 @@
 
 // News is what the planner answers.
 type News struct {
+	// Lapsed says that the instance that answers lends and tells on, but may hold the duty
+	// no more.
+	Lapsed bool
 	// Standing is its place among the instances, as the lender counts them.
 	Standing quota.Standing
 	// Loads is what all other instances' requests put on each backend server.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -331,7 +331,7 @@
 	for _, d := range r.Poisons {
 		p.poisons = append(p.poisons, poisonAt{d, r.Instance, now})
 	}
-	news := News{Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads(now, r.Instance)}
+	news := News{Lapsed: !p.duty.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads(now, r.Instance)}
 	for _, a := range r.Asks {
 		if n := p.lender.Lend(now, a); n > 0 {
 			news.Loans = append(news.Loans, quota.Ask{Organisation: a.Organisation, Amount: n})
--- a/standin/metastore/group.go
+++ b/standin/metastore/group.go
@@ -56,8 +56,9 @@
 	}
 }
 
-// deal gives each partition an owner; those that still live keep theirs as far as the
-// partitions stay even.
+// deal gives each partition an owner. Those that still live keep theirs as far as the
+// partitions stay even; of what one has too many the first go, so that a member that comes
+// gets what has been held for longest, as on the users' platform.
 func (g *group) deal() {
 	g.generation++
 	var slots []slot
@@ -77,7 +78,7 @@
 	}
 	most := (len(slots) + len(names) - 1) / len(names)
 	count := map[string]int{}
-	for _, at := range slots {
+	for _, at := range slices.Backward(slots) {
 		owner := g.owners[at]
 		if _, ok := g.members[owner]; !ok || count[owner] >= most {
 			delete(g.owners, at)
@@ -141,8 +142,11 @@
 	g := s.group(r.URL.Query().Get("group"))
 	g.lapse(time.Now())
 	rows := [][]any{}
-	for at, owner := range g.owners {
-		rows = append(rows, []any{at.topic, at.part, owner, 0})
+	for _, t := range g.topics {
+		for p := range partitions {
+			// nobody's partition is listed too, with an empty name
+			rows = append(rows, []any{t, p, g.owners[slot{t, p}], 0})
+		}
 	}
 	answer(w, map[string]any{"owners": rows})
 }
--- /dev/null
+++ b/turn/candidate_test.go
@@ -0,0 +1,118 @@
+package turn_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair/platform"
+	"galenastair/turn"
+)
+
+// instance is a keeper of the duty beside an exchange with whoever holds it.
+type instance struct {
+	keeper *turn.Keeper
+	turn   *turn.Turn
+	ended  chan error
+	cancel context.CancelFunc
+}
+
+// run starts an instance; its exchange reaches those of the fleet that are listed.
+func run(t *testing.T, address, member string, fleet map[string]*instance) *instance {
+	t.Helper()
+	x := &instance{turn: turn.New(turn.DefaultBounds(between, true)), ended: make(chan error, 1)}
+	x.keeper = turn.NewKeeper(platform.NewStore(address), x.turn, member)
+	ctx, cancel := context.WithCancel(t.Context())
+	x.cancel = cancel
+	go func() { x.ended <- x.keeper.Run(ctx) }()
+	fleet[member] = x
+	t.Cleanup(cancel)
+	return x
+}
+
+// exchange is a moment of all instances' exchanges with the holder.
+func exchange(fleet map[string]*instance) {
+	for _, x := range fleet {
+		holder := fleet[x.keeper.Holder()]
+		switch {
+		case holder == nil:
+			x.keeper.Doubt()
+		case holder.holds():
+			x.keeper.Heard()
+		default:
+			x.keeper.Denied()
+		}
+	}
+}
+
+func (x *instance) holds() bool {
+	_, ok := x.turn.Fence()
+	return ok
+}
+
+// holder waits until one instance holds the duty, and returns its name.
+func holder(t *testing.T, fleet map[string]*instance) string {
+	t.Helper()
+	name := ""
+	until(t, "a holder", func() bool {
+		exchange(fleet)
+		for member, x := range fleet {
+			if x.holds() {
+				name = member
+			}
+		}
+		return name != ""
+	})
+	return name
+}
+
+// Instances are started again one after the other. Each that came back took the duty from
+// its sound holder, as the store deals the partitions anew for each member, and engines got
+// no orders for seconds each time: models that were asked for had no copy meanwhile.
+func TestWhoComesDoesNotTakeTheDuty(t *testing.T) {
+	is := is.New(t)
+	_, address := newStore(t)
+	fleet := map[string]*instance{}
+	run(t, address, "one", fleet)
+	first := holder(t, fleet)
+	for _, member := range []string{"two", "three", "four"} {
+		run(t, address, member, fleet)
+		for range 20 {
+			exchange(fleet)
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(holder(t, fleet), first)
+		is.Equal(fleet[member].keeper.Holder(), first)
+	}
+}
+
+// The holder is stopped as planned, and the next is there within three seconds: one
+// that missed it, and not one after the other of all that did.
+func TestDutyIsTakenOverOnce(t *testing.T) {
+	is := is.New(t)
+	_, address := newStore(t)
+	fleet := map[string]*instance{}
+	run(t, address, "one", fleet)
+	first := holder(t, fleet)
+	for _, member := range []string{"two", "three", "four"} {
+		run(t, address, member, fleet)
+	}
+	for range 20 {
+		exchange(fleet)
+		time.Sleep(50 * time.Millisecond)
+	}
+	fleet[first].cancel()
+	is.True(errors.Is(<-fleet[first].ended, context.Canceled))
+	delete(fleet, first)
+	left := time.Now()
+	next := holder(t, fleet)
+	is.True(time.Since(left) < 3*time.Second)
+	for range 30 {
+		exchange(fleet)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(holder(t, fleet), next)
+}
--- a/turn/keeper.go
+++ b/turn/keeper.go
@@ -52,9 +52,12 @@
 	mu     sync.Mutex
 	holder string
 	unsure bool
-	wake   chan struct{}
+	// heard is when the holder answered last; 0 if it denied the duty.
+	heard boottime.Time
+	wake  chan struct{}
 
-	// owned by Run
+	// owned by Run; joined says that this instance may be a member of the group
+	joined     bool
 	generation galenastair.Generation
 	asked      boottime.Time
 	held       bool
@@ -107,10 +110,8 @@
 		cancel()
 	}
 	k.turn.Joined(0, 0, false)
-	call, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := k.store.Leave(call, group, k.member); err != nil {
-		k.logger.Log("event", "leave", "err", err)
+	if k.joined {
+		k.leaveGroup(ctx)
 	}
 }
 
@@ -122,6 +123,9 @@
 		select {
 		case <-k.wake:
 			k.findHolder(ctx)
+			if !k.joined && k.needed() {
+				return
+			}
 			timer.Wait(ctx, ownerPeriod/4)
 		case <-next.C:
 			return
@@ -132,6 +136,18 @@
 }
 
 func (k *Keeper) round(ctx context.Context) {
+	k.lapse()
+	if !k.needed() {
+		if k.joined {
+			k.leaveGroup(ctx)
+		}
+		k.findHolder(ctx)
+		return
+	}
+	if !k.joined && !k.vacant(ctx) {
+		return
+	}
+	k.joined = true
 	sent := k.clock()
 	a, err := k.store.Join(ctx, group, k.member, topics, membership, k.generation)
 	if err != nil {
@@ -196,10 +212,13 @@
 	return Lapsed
 }
 
+// membersOf returns those that own a partition; the store lists partitions of nobody too.
 func membersOf(owners map[galenastair.Partition]string) map[string]bool {
 	members := map[string]bool{}
 	for _, m := range owners {
-		members[m] = true
+		if m != "" {
+			members[m] = true
+		}
 	}
 	return members
 }
@@ -228,10 +247,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.unsure = false
-	if holder != k.holder {
-		k.logger.Log("event", "holder", "holder", holder, "before", k.holder)
+	if holder == k.holder {
+		return
 	}
+	k.logger.Log("event", "holder", "holder", holder, "before", k.holder)
 	k.holder = holder
+	// it has the time of an exchange to answer
+	k.heard = k.clock()
 }
 
 // Holder returns the peer address of the instance that plans and lends; empty if unknown.
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -176,6 +176,13 @@
 	return t.holds && now.Sub(t.confirmed) < hosting
 }
 
+// confirmedAt is when the last join was sent that gave the duty.
+func (t *Turn) confirmedAt() boottime.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmed
+}
+
 func (t *Turn) leased(now boottime.Time) bool {
 	return t.holds && now.Sub(t.confirmed) < t.bounds.Lease
 }
