turn: large instances take the duty first, one at a time in a large fleet; a late call is no doubt

A request that waits 150 ms for a loan in vain made its instance ask, though its exchange with the holder went on; and at each change of the duty up to 80 instances joined its group at once, each of which may take it from the one before. The holder's link (10 Mbit/s on most machines, 200 on six) is filled by the exchanges. Change: a failed call counts as doubt only if the holder was not heard for half a second; an instance waits before it asks for a vacancy, longer in a larger fleet and on a smaller link (a new setting, LinkMbps, which the platform fills in). Tests: TestLateCallsDoNotAskTheStore, TestLargeLinksComeFirst.

--- a/node/node.go
+++ b/node/node.go
@@ -105,7 +105,8 @@
 	backend := platform.NewReplicas(n.backends)
 	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.duty = duty{t}
-	n.keeper = turn.NewKeeper(n.store, t, s.PeerAddress, turn.WithLogger(n.logger), turn.WithNote(n.note(context.Background())))
+	n.keeper = turn.NewKeeper(n.store, t, s.PeerAddress, turn.WithLogger(n.logger), turn.WithNote(n.note(context.Background())),
+		turn.WithFleet(n.share.Fleet), turn.WithLink(s.LinkMbps))
 	n.planner = planner.New(string(s.ID), terms, backend, n.duty, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
 	n.views = &views{logger: n.logger}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -23,7 +23,9 @@
 	StoreAddress   string
 	// Memory is the process's limit.
 	Memory galenastair.Bytes
-	Bounds Bounds
+	// LinkMbps is what the instance's own link carries, in Mbit a second; 0 if not known.
+	LinkMbps float64
+	Bounds   Bounds
 }
 
 // Bounds are the figures that the users' platform holds the system to.
@@ -64,6 +66,7 @@
 		address("Gateway", "MetricsAddress", &g.MetricsAddress),
 		address("Gateway", "StoreAddress", &g.StoreAddress),
 		required(memory),
+		decimal("Limits", "LinkMbps", &g.LinkMbps, 0, 1e6),
 		required(duration("Bounds", "KeyLife", &b.KeyLife, 500*time.Millisecond, time.Hour)),
 		required(duration("Bounds", "StopTimeout", &b.StopTimeout, time.Second, time.Hour)),
 		required(duration("Bounds", "BetweenHolders", &b.BetweenHolders, 0, time.Hour)),
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -24,6 +24,7 @@
 StoreAddress = 127.0.0.1:8225
 [Limits]
 MemoryMB = 284
+LinkMbps = 1000.0
 [Bounds]
 KeyLife = 5000ms
 StopTimeout = 8s
@@ -44,6 +45,7 @@
 	is.Equal(int64(g.Memory), int64(284_000_000))
 	is.Equal(g.Bounds.KeyLife, 5*time.Second)
 	is.True(g.Bounds.FencesChecked)
+	is.Equal(g.LinkMbps, 1000.0)
 }
 
 // A platform that fills in nothing for a field must be told so at the start: the bound
--- a/turn/candidate.go
+++ b/turn/candidate.go
@@ -12,11 +12,36 @@
 	// heardFor is how long a holder counts as there after it was heard; instances exchange
 	// with it each 0.6 s at least.
 	heardFor = 1000 * time.Millisecond
-	// firstWait is the longest that an instance waits before it joins, so that one of those
-	// that miss the holder comes first and the others see it.
-	firstWait = 250 * time.Millisecond
+	// firstWait is the longest that one of a few instances waits before it joins, so that
+	// one of those that miss the holder comes first and the others see it; more instances
+	// wait longer, so that as few come at once.
+	firstWait  = 250 * time.Millisecond
+	fewMembers = 8
+	// doubtAfter is how long a holder must not have been heard to be doubted for a call
+	// that failed: one call of many may be late.
+	doubtAfter = 500 * time.Millisecond
+	// slowestLink and linkWait are for an instance whose link carries little: it comes a
+	// second behind the others, and so much less as its link carries more.
+	slowestLink = 10
+	linkWait    = time.Second
 )
 
+// WithFleet says how many instances there are.
+func WithFleet(fleet func() int) Option { return func(k *Keeper) { k.fleet = fleet } }
+
+// WithLink says what this instance's link carries, in Mbit a second; 0 is not known.
+//
+// Load: a fleet of large and small instances, with one that hears and tells all. Harm: where
+// it is a small one, its link is full of the others' exchanges; requests wait for loans in
+// vain, and each instance asks the store for itself.
+func WithLink(mbps float64) Option {
+	return func(k *Keeper) {
+		if mbps > 0 {
+			k.behind = time.Duration(min(1, slowestLink/mbps) * float64(linkWait))
+		}
+	}
+}
+
 // needed says whether this instance is to be in the group.
 //
 // Failure guarded against: the store deals the partitions anew for each member that comes,
@@ -43,16 +68,14 @@
 	k.Doubt()
 }
 
-// vacant says that nobody else is there to hold the duty. It asks twice: of several
-// instances that miss the holder at once, the second answer shows the first.
+// vacant says that nobody else is there to hold the duty. It waits before it asks: of several
+// instances that miss the holder at once, the answer shows them the first.
 func (k *Keeper) vacant(ctx context.Context) bool {
-	if !k.ownerless(ctx) {
-		return false
-	}
-	if !timer.Wait(ctx, time.Duration(rand.Int64N(int64(firstWait)))) {
+	longest := firstWait * time.Duration(max(1, k.fleet()/fewMembers))
+	if !timer.Wait(ctx, k.behind+time.Duration(rand.Int64N(int64(longest)))) {
 		return false
 	}
-	return k.ownerless(ctx)
+	return k.needed() && k.ownerless(ctx)
 }
 
 func (k *Keeper) ownerless(ctx context.Context) bool {
--- a/turn/candidate_test.go
+++ b/turn/candidate_test.go
@@ -21,16 +21,15 @@
 }
 
 // run starts an instance; its exchange reaches those of the fleet that are listed.
-func run(t *testing.T, address, member string, fleet map[string]*instance) *instance {
+func run(t *testing.T, address, member string, fleet map[string]*instance, opts ...turn.Option) {
 	t.Helper()
 	x := &instance{turn: turn.New(turn.DefaultBounds(between, true)), ended: make(chan error, 1)}
-	x.keeper = turn.NewKeeper(platform.NewStore(address), x.turn, member)
+	x.keeper = turn.NewKeeper(platform.NewStore(address), x.turn, member, opts...)
 	ctx, cancel := context.WithCancel(t.Context())
 	x.cancel = cancel
 	go func() { x.ended <- x.keeper.Run(ctx) }()
 	fleet[member] = x
 	t.Cleanup(cancel)
-	return x
 }
 
 // exchange is a moment of all instances' exchanges with the holder.
@@ -116,3 +115,37 @@
 	}
 	is.Equal(holder(t, fleet), next)
 }
+
+// Many requests of a burst wait for a loan in vain, while exchanges with the lender go on.
+// Each that failed asked the store who holds the duty: with 87 instances that was two of
+// five calls of a day.
+func TestLateCallsDoNotAskTheStore(t *testing.T) {
+	is := is.New(t)
+	store, address := newStore(t)
+	fleet := map[string]*instance{}
+	run(t, address, "one", fleet)
+	holder(t, fleet)
+	run(t, address, "two", fleet)
+	for range 20 {
+		exchange(fleet)
+		time.Sleep(50 * time.Millisecond)
+	}
+	before := store.Calls("/v1/log-owners")
+	for range 40 {
+		exchange(fleet)
+		fleet["two"].keeper.Doubt()
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(store.Calls("/v1/log-owners"), before)
+}
+
+// Two instances start, one with a link of a twentieth of the other's. The small one held the
+// duty by chance, and the exchanges of a large fleet filled its link.
+func TestLargeLinksComeFirst(t *testing.T) {
+	is := is.New(t)
+	_, address := newStore(t)
+	fleet := map[string]*instance{}
+	run(t, address, "small", fleet, turn.WithLink(10))
+	run(t, address, "large", fleet, turn.WithLink(200))
+	is.Equal(holder(t, fleet), "large")
+}
--- a/turn/keeper.go
+++ b/turn/keeper.go
@@ -46,6 +46,9 @@
 	clock  boottime.Clock
 	logger log.Logger
 	note   Note
+	fleet  func() int
+	// behind is how long this instance leaves the duty to others.
+	behind time.Duration
 	// started is closed once the note was asked for.
 	started chan struct{}
 
@@ -78,7 +81,7 @@
 func NewKeeper(s galenastair.Store, t *Turn, member string, opts ...Option) *Keeper {
 	k := &Keeper{store: s, turn: t, member: member, clock: boottime.Now, logger: log.NewNopLogger(), unsure: true, wake: make(chan struct{}, 1),
 		note:    Note{Write: func() []byte { return nil }, Written: func([]byte) {}, Read: func([]byte, bool) {}},
-		started: make(chan struct{})}
+		started: make(chan struct{}), fleet: func() int { return 1 }}
 	for _, o := range opts {
 		o(k)
 	}
@@ -263,10 +266,15 @@
 	return k.holder
 }
 
-// Doubt says that the holder may be another by now: it did not answer, or denied it.
+// Doubt says that the holder may be another by now, as it did not answer. It does not count
+// soon after the holder was heard: asking the store for each call that is late costs more
+// calls than all the rest.
 func (k *Keeper) Doubt() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.heard != 0 && k.clock().Sub(k.heard) < doubtAfter {
+		return
+	}
 	k.unsure = true
 	select {
 	case k.wake <- struct{}{}:
