node: what is read is told also while the fleet is counted

Change: as long as the fleet is not counted, it is told as a large one. Test: TestTailsAreToldBeforeTheFleetIsCounted.

--- a/node/tails.go
+++ b/node/tails.go
@@ -37,16 +37,18 @@
 // Hear takes in a report.
 func (t teller) Hear(ctx context.Context, r planner.Report) (planner.News, error) {
 	news, err := t.Planner.Hear(ctx, r)
-	if err != nil || news.Standing.Fleet == 0 {
+	if err != nil {
 		return news, err
 	}
+	// a fleet that has not been counted yet may be large
+	large := news.Standing.Fleet == 0 || news.Standing.Fleet > tellMost
 	for _, f := range t.topics() {
 		from, asked := r.Positions[f.topic]
 		age, known := f.follower.Age()
 		if !asked || !known {
 			continue
 		}
-		if f.urgent != nil && news.Standing.Fleet > tellMost {
+		if f.urgent != nil && large {
 			news.Tails = append(news.Tails, f.lazy(from, age))
 			continue
 		}
--- /dev/null
+++ b/node/tails_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/control"
+	"galenastair/follow"
+	"galenastair/planner"
+	"galenastair/platform"
+	"galenastair/quota"
+	"galenastair/standin/metastore"
+)
+
+// holding is the duty of an instance that has just got it.
+type holding struct{}
+
+func (holding) Order() (galenastair.Fence, bool) { return 0, false }
+func (holding) Holds() bool                      { return true }
+func (holding) Hosts() bool                      { return true }
+func (holding) Refused(galenastair.Fence)        {}
+
+// The duty has changed hands, and for the first seconds the new holder doesn't know how many
+// instances there are. It told them nothing of what it read meanwhile, so that each of a
+// large fleet asked the store for itself.
+func TestTailsAreToldBeforeTheFleetIsCounted(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	server := httptest.NewServer(metastore.New().Handler())
+	defer server.Close()
+	loop := control.NewLoop()
+	go func() { _ = loop.Run(ctx) }()
+	p := planner.New("me", quota.Terms{Window: time.Second}, nil, holding{}, loop)
+	var tail follow.Tail
+	f := follow.New(platform.NewStore(server.Listener.Addr().String()), platform.ConfigurationTopic,
+		noting(&tail, func(galenastair.KeyedBatch, bool) {}))
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	for {
+		if _, ok := f.Age(); ok {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	told := teller{p, func() []followed { return []followed{{platform.ConfigurationTopic, f, &tail, nil}} }}
+	news, err := told.Hear(ctx, planner.Report{Instance: "i", Positions: map[galenastair.Topic]galenastair.Offset{platform.ConfigurationTopic: 0}})
+	is.NoErr(err)
+	is.Equal(news.Standing.Fleet, 0)
+	is.Equal(len(news.Tails), 1)
+	cancel()
+	<-ended
+}
