--- a/node/tails_test.go
+++ b/node/tails_test.go
@@ -37,17 +37,18 @@
 	loop := control.NewLoop()
 	go func() { _ = loop.Run(ctx) }()
 	p := planner.New("me", quota.Terms{Window: time.Second}, nil, holding{}, loop)
+	planned := make(chan error, 1)
+	go func() { planned <- p.Run(ctx) }()
 	var tail follow.Tail
 	f := follow.New(platform.NewStore(server.Listener.Addr().String()), platform.ConfigurationTopic,
 		noting(&tail, func(galenastair.KeyedBatch, bool) {}))
 	ended := make(chan error, 1)
 	go func() { ended <- f.Run(ctx) }()
-	for {
-		if _, ok := f.Age(); ok {
-			break
-		}
+	for _, known := f.Age(); !known; _, known = f.Age() {
 		time.Sleep(5 * time.Millisecond)
 	}
+	// its term begins with the planner's first round
+	time.Sleep(300 * time.Millisecond)
 	told := teller{p, func() []followed { return []followed{{platform.ConfigurationTopic, f, &tail, nil}} }}
 	news, err := told.Hear(ctx, planner.Report{Instance: "i", Positions: map[galenastair.Topic]galenastair.Offset{platform.ConfigurationTopic: 0}})
 	is.NoErr(err)
@@ -55,4 +56,5 @@
 	is.Equal(len(news.Tails), 1)
 	cancel()
 	<-ended
+	<-planned
 }
