planner, gateway: a model without a copy is worth asking for after a load

Change: the planner says when a model may be loaded though nothing is planned (its load, and a second for room), and that is when callers are to come back, up to a third of their time. Tests: TestModelWithoutACopyIsWorthAskingForAfterALoad (failed first), TestNeedForetellsALoad.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -16,8 +16,7 @@
 	// serveMargin is kept of the time left when a request waits for a load: the answer
 	// takes some time too.
 	serveMargin = 400 * time.Millisecond
-	// retryModel is when to come back for a model that nobody has promised: a load
-	// from the weight store takes two to three seconds.
+	// retryModel is the least time after which to come back for a model without a copy.
 	retryModel = 1500 * time.Millisecond
 	// retryAdapter is when to come back for an adapter without a place: the planner
 	// changes hands within some seconds, a place gets free sooner.
@@ -73,7 +72,7 @@
 	left := r.deadline.Sub(r.g.clock.Now())
 	r.g.logger.Log("event", "need", "request", r.call.ID, "model", name, "server", promise.Server, "ready", promise.Ready, "left", left)
 	if promise.Server == "" {
-		return galenastair.Refuse(galenastair.ErrNoBackendServer, min(retryModel, left/3), "no copy is there or coming")
+		return galenastair.Refuse(galenastair.ErrNoBackendServer, min(max(retryModel, promise.Ready), left/3), "no copy is there or coming")
 	}
 	if promise.Ready > left-serveMargin {
 		return galenastair.Refuse(galenastair.ErrNoBackendServer, min(promise.Ready, left/3), "its copy comes too late")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -206,6 +206,29 @@
 	is.True(time.Since(begun) < 200*time.Millisecond)
 }
 
+// A model has no copy, and a load takes six seconds. Its caller was told to come back after
+// one and a half, was refused again and gave up; it is told the time of a load now, as far as
+// a third of its own time goes.
+func TestModelWithoutACopyIsWorthAskingForAfterALoad(t *testing.T) {
+	is := is.New(t)
+	b := newBed()
+	call := testCall("/stream/1")
+	call.Hints.Model = "other"
+	b.views.catalog.Match(call.Host, call.Path).Timeout = time.Minute
+	retry := func(ready, left time.Duration) time.Duration {
+		b.placement.promise = planner.Promise{Ready: ready}
+		call.Left, call.Received = left, time.Now()
+		_, err := b.gateway.Serve(t.Context(), call, &caller{})
+		var r *galenastair.Refusal
+		is.True(errors.As(err, &r))
+		is.Equal(r.Outcome, galenastair.NotRun)
+		return r.RetryAfter.Round(100 * time.Millisecond)
+	}
+	is.Equal(retry(0, 30*time.Second), retryModel)
+	is.Equal(retry(3*time.Second, 30*time.Second), 3*time.Second)
+	is.Equal(retry(6*time.Second, 3*time.Second), time.Second)
+}
+
 // An organisation over its quota is told when there is room again; nothing is sent.
 func TestOverQuotaIsRefused(t *testing.T) {
 	is := is.New(t)
--- a/planner/message.go
+++ b/planner/message.go
@@ -67,6 +67,7 @@
 // Promise says where a model or adapter will be ready, and when.
 type Promise struct {
 	Server galenastair.BackendServerID
-	// Ready is the time from now; Server is empty if nothing can be promised.
+	// Ready is the time from now; Server is empty if nothing can be promised, and Ready then
+	// when it is worth to ask again, if that is known.
 	Ready time.Duration
 }
--- a/planner/need.go
+++ b/planner/need.go
@@ -82,7 +82,10 @@
 	return Promise{Server: best.server.ID, Ready: ready}, true
 }
 
-// foretellModel says when a model that is being loaded will answer.
+// foretellModel says when a model that is being loaded will answer, or may be loaded.
+//
+// Load: rare models that are asked for now and then, and loads of seconds. Harm: a caller that
+// is told to come back sooner is refused again, and gives up.
 func (s *site) foretellModel(now time.Time, m galenastair.ModelName) Promise {
 	for _, e := range s.engines {
 		it := e.models[m]
@@ -92,9 +95,13 @@
 		left := it.since.Add(s.contents.models[m].Load).Sub(now)
 		return Promise{Server: e.server.ID, Ready: max(0, left)}
 	}
-	return Promise{}
+	return Promise{Ready: makingRoom + s.contents.models[m].Load}
 }
 
+// makingRoom is what it usually takes until a model that nobody has can be loaded: a round,
+// the notice of an unload, and the end of the requests that use what goes.
+const makingRoom = time.Second
+
 // fetch orders an adapter for a request that waits, and returns what tells its end.
 func (p *Planner) fetch(now time.Time, s *site, name galenastair.ModelName) (Promise, <-chan bool) {
 	if _, ok := p.duty.Order(); !ok {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -385,6 +385,18 @@
 	is.Equal(none.Server, galenastair.BackendServerID(""))
 }
 
+// A model is known, but no engine is there to load it: it may be there after a load, and
+// that is when its callers are to come back.
+func TestNeedForetellsALoad(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 2)
+	b.do(func() { clear(b.planner.sites["writer"].engines) })
+	promise, err := b.planner.Need(t.Context(), "m3")
+	is.NoErr(err)
+	is.Equal(promise.Server, galenastair.BackendServerID(""))
+	is.Equal(promise.Ready, makingRoom+time.Second)
+}
+
 // Nobody but the holder of the duty answers for all.
 func TestOnlyTheHolderAnswers(t *testing.T) {
 	is := is.New(t)
