planner: an unload is not announced half a second ahead

Requests that arrive meanwhile are declined, unserved, and sent on. Change: the order goes out at once; its 'after' goes too.

--- a/planner/engine.go
+++ b/planner/engine.go
@@ -29,8 +29,6 @@
 	model   galenastair.ModelName
 	adapter string
 	reason  place.Reason
-	// after is when it may be sent at the earliest.
-	after time.Time
 	// done is told once the order was accepted or given up; it may be nil.
 	done chan<- bool
 }
--- a/planner/need.go
+++ b/planner/need.go
@@ -99,7 +99,7 @@
 }
 
 // makingRoom is what it usually takes until a model that nobody has can be loaded: a round,
-// the notice of an unload, and the end of the requests that use what goes.
+// an unload, and the end of the requests that use what goes.
 const makingRoom = time.Second
 
 // fetch orders an adapter for a request that waits, and returns what tells its end.
--- a/planner/order.go
+++ b/planner/order.go
@@ -29,9 +29,6 @@
 		return
 	}
 	t := e.tasks[0]
-	if now.Before(t.after) {
-		return
-	}
 	if !e.fits(s.contents, t) {
 		p.logger.Log("event", "order dropped", "kind", t.kind, "name", t.name(), "server", e.server.ID, "reason", t.reason)
 		p.drop(e, t)
--- a/planner/site.go
+++ b/planner/site.go
@@ -35,12 +35,6 @@
 	reliefsARound = 3
 )
 
-// unloadNotice is how long before its order all instances are told of an unload: one
-// exchange and some. An engine declines requests for a model that it is to give up, and
-// the unload waits for those that run; without notice, 300 of 2,300 requests were sent
-// in vain in 30 s of a day with two unloads.
-const unloadNotice = 450 * time.Millisecond
-
 // site is the engines of one service and the plan for them.
 type site struct {
 	contents *contents
@@ -92,11 +86,7 @@
 	}
 	for _, step := range s.plan.Plan(in) {
 		if e := s.engines[step.Server]; e != nil {
-			t := task{kind: step.Kind, model: step.Weight.Name, reason: step.Reason}
-			if t.kind == galenastair.UnloadModel {
-				t.after = now.Add(unloadNotice)
-			}
-			e.add(now, t)
+			e.add(now, task{kind: step.Kind, model: step.Weight.Name, reason: step.Reason})
 		}
 	}
 	s.spreadAdapters(now)
