planner: copies for load are made sooner where loads are quick

Change: the unevenness from which a copy is made goes with the longest load of the configuration, 2 at most, 1 at three seconds.

--- a/planner/site.go
+++ b/planner/site.go
@@ -18,9 +18,11 @@
 	// busyShare is the part of an engine's work below which no copy is made for load.
 	// Prompts come in bursts; from a third on, callers begin to wait for each other.
 	busyShare = 0.3
-	// uneven: prompts come in bursts, by which engines that share the work alike differ
-	// so much for moments.
-	uneven = 2
+	// mostUneven is how many times the load of an engine on the whole one may have before
+	// a copy is made for it, where loads take long: engines that share the work alike differ
+	// so much for moments. quickLoad is a load that takes no longer than such a moment.
+	mostUneven = 2
+	quickLoad  = 3 * time.Second
 	// leastGain is the part of the busiest engine's load that a move must take off it.
 	leastGain = 0.12
 	// calm and stay keep demand that swings from moving the same copies to and fro;
@@ -68,7 +70,7 @@
 		LoadsInFlight:  max(1, int(e.LoadsPerSecond*longest.Seconds())),
 		ServerWork:     1,
 		Busy:           busyShare,
-		Uneven:         uneven,
+		Uneven:         min(mostUneven, longest.Seconds()/quickLoad.Seconds()),
 		Gain:           leastGain,
 		Calm:           calm,
 		Stay:           stay,
