--- a/turn/candidate.go
+++ b/turn/candidate.go
@@ -17,6 +17,8 @@
 	// wait longer, so that as few come at once.
 	firstWait  = 250 * time.Millisecond
 	fewMembers = 8
+	// mostWait bounds that: one that waits does not learn of the next holder meanwhile.
+	mostWait = 3 * time.Second
 	// doubtAfter is how long a holder must not have been heard to be doubted for a call
 	// that failed: one call of many may be late.
 	doubtAfter = 500 * time.Millisecond
@@ -71,7 +73,7 @@
 // vacant says that nobody else is there to hold the duty. It waits before it asks: of several
 // instances that miss the holder at once, the answer shows them the first.
 func (k *Keeper) vacant(ctx context.Context) bool {
-	longest := firstWait * time.Duration(max(1, k.fleet()/fewMembers))
+	longest := min(mostWait, firstWait*time.Duration(max(1, k.fleet()/fewMembers)))
 	if !timer.Wait(ctx, k.behind+time.Duration(rand.Int64N(int64(longest)))) {
 		return false
 	}
--- a/turn/candidate_test.go
+++ b/turn/candidate_test.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// exchanges goes on for a number of them, one each 50 ms.
+func exchanges(fleet map[string]*instance, n int) {
+	for range n {
+		exchange(fleet)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func (x *instance) holds() bool {
 	_, ok := x.turn.Fence()
 	return ok
@@ -79,10 +87,7 @@
 	first := holder(t, fleet)
 	for _, member := range []string{"two", "three", "four"} {
 		run(t, address, member, fleet)
-		for range 20 {
-			exchange(fleet)
-			time.Sleep(50 * time.Millisecond)
-		}
+		exchanges(fleet, 20)
 		is.Equal(holder(t, fleet), first)
 		is.Equal(fleet[member].keeper.Holder(), first)
 	}
@@ -99,20 +104,14 @@
 	for _, member := range []string{"two", "three", "four"} {
 		run(t, address, member, fleet)
 	}
-	for range 20 {
-		exchange(fleet)
-		time.Sleep(50 * time.Millisecond)
-	}
+	exchanges(fleet, 20)
 	fleet[first].cancel()
 	is.True(errors.Is(<-fleet[first].ended, context.Canceled))
 	delete(fleet, first)
 	left := time.Now()
 	next := holder(t, fleet)
 	is.True(time.Since(left) < 3*time.Second)
-	for range 30 {
-		exchange(fleet)
-		time.Sleep(50 * time.Millisecond)
-	}
+	exchanges(fleet, 30)
 	is.Equal(holder(t, fleet), next)
 }
 
@@ -126,10 +125,7 @@
 	run(t, address, "one", fleet)
 	holder(t, fleet)
 	run(t, address, "two", fleet)
-	for range 20 {
-		exchange(fleet)
-		time.Sleep(50 * time.Millisecond)
-	}
+	exchanges(fleet, 20)
 	before := store.Calls("/v1/log-owners")
 	for range 40 {
 		exchange(fleet)
