planner: an order is sent to the address that it was planned for

Cause: the goroutine that sends an order read the engine's registration (send, order.go) while the control loop wrote it (registered). Ruled out: the stop itself (the race needs only an order and a registration at the same time). Change: the address is taken on the loop when the order is started.

--- a/planner/order.go
+++ b/planner/order.go
@@ -45,17 +45,19 @@
 	}
 	e.running = true
 	held := e.counts()
-	p.tasks.Go(func() { p.send(s, e, t, order, held) })
+	// the engine's registration is the loop's: it may be written while the order is sent
+	address := e.server.Address
+	p.tasks.Go(func() { p.send(s, e, t, address, order, held) })
 }
 
 // send gives one order. The duty is checked once more right before: this process may
 // have stood still since it was planned.
-func (p *Planner) send(s *site, e *engine, t task, o galenastair.EngineOrder, held string) {
+func (p *Planner) send(s *site, e *engine, t task, address string, o galenastair.EngineOrder, held string) {
 	answer, err := galenastair.OrderWrong, ErrNotPlanner
 	fence, ok := p.duty.Order()
 	sent := ok && fence == o.Fence
 	if sent {
-		answer, err = p.control.Order(p.ctx, e.server.Address, o)
+		answer, err = p.control.Order(p.ctx, address, o)
 	}
 	p.logger.Log("event", "order", "kind", t.kind, "name", t.name(), "server", o.Expect, "reason", t.reason,
 		"fence", int64(o.Fence), "sequence", o.Sequence, "held", held, "answer", outcome(answer, err), "err", err)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -385,6 +385,41 @@
 	is.Equal(none.Server, galenastair.BackendServerID(""))
 }
 
+// An engine registers anew in the moment in which an order to it is sent. The order's own
+// goroutine read the registration's address while the control loop wrote it: the order may
+// have gone to half of an address. Seen once, under the race detector beside load.
+func TestRegistrationWhileAnOrderIsSent(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 2)
+	b.step(time.Second)
+	b.step(time.Second)
+	var models [2][]galenastair.EngineModel
+	for i := range models {
+		models[i] = b.world.sims[fmt.Sprintf("e%d", i)].list()
+	}
+	beat := int64(1000)
+	registrations := func() {
+		for i := range models {
+			id := fmt.Sprintf("e%d", i)
+			beat++
+			is.NoErr(b.planner.SetServer(t.Context(), pool.Server{
+				ID: galenastair.BackendServerID(id), Service: "writer", Address: id, Slots: 64, Born: 1, Beat: beat, Models: models[i],
+			}))
+		}
+	}
+	for range 10 {
+		b.do(func() {
+			site := b.planner.sites["writer"]
+			for _, e := range site.engines {
+				e.add(b.planner.clock.Now(), task{kind: galenastair.UnloadModel, model: "other"})
+				b.planner.startEngine(b.planner.clock.Now(), site, e)
+			}
+		})
+		registrations()
+		b.settle()
+	}
+}
+
 // A model is known, but no engine is there to load it: it may be there after a load, and
 // that is when its callers are to come back.
 func TestNeedForetellsALoad(t *testing.T) {
