--- a/scenario/lib.sh
+++ b/scenario/lib.sh
@@ -28,6 +28,10 @@
 		kill -9 "$p" 2>/dev/null
 	done
 	wait 2>/dev/null
+	# a check that failed once may not fail again: its cause is in these lines
+	if [ "$failed" -gt 0 ]; then
+		grep -hE 'event=(refused|need|duty|holder|order)|broken off|dependency' "$work"/*.out 2>/dev/null | tail -n 60
+	fi
 	rm -rf "$work"
 }
 trap cleanup EXIT
