lease: a conditional write elects the leader, in place of a group's first partition

Cause: the store deals a group's partitions anew for each member that joins and gives the duty to it. Ruled out: longer waits before joining, which only thin the herd out. Change: the lease is one key of keyed.lease, taken and renewed by appends on the condition that the topic ends where the writer knows it to; of any number of candidates one succeeds and a starter never unseats a leader that renews. Replies of the leader carry the newest renewal, so that a takeover waits for the ttl alone. Join, Leave and Owners go from the store's client and its stand-in. Package turn is lease now: Keeper -> Elector, Turn -> Lease, Joined -> Renewed, Rest -> Retire, Holder -> Leader, Heard -> Answered; Doubt is gone. Tests: 60 instances started at once elect one; a lost answer of a renewal; a killed leader replaced within 3 s; ports of the node tests below the ephemeral range (one was taken between choice and use, seen once).

--- a/turn/turn_test.go
+++ b/lease/lease_test.go
@@ -1,4 +1,4 @@
-package turn
+package lease
 
 import (
 	"math/rand/v2"
@@ -15,7 +15,7 @@
 const between = 3 * time.Second
 
 // group plays the store's side of the duty: it belongs to the member that last got it
-// until that has been silent for its membership, and may move without any reason.
+// until that has been silent for its ttl, and may move without any reason.
 type storeGroup struct {
 	holder int
 	heard  map[int]boottime.Time
@@ -24,7 +24,7 @@
 func (g *storeGroup) join(now boottime.Time, member int) bool {
 	g.heard[member] = now
 	last, ok := g.heard[g.holder]
-	if !ok || now.Sub(last) >= membership {
+	if !ok || now.Sub(last) >= ttl {
 		delete(g.heard, g.holder)
 		g.holder = member
 	}
@@ -39,7 +39,7 @@
 
 // member is one instance: its turn, and the answer to a join that is on its way.
 type member struct {
-	turn     *Turn
+	lease    *Lease
 	next     boottime.Time
 	sent     boottime.Time
 	answer   boottime.Time
@@ -58,7 +58,7 @@
 		g := &storeGroup{heard: map[int]boottime.Time{}}
 		members := make([]*member, 2+rng.IntN(3))
 		for i := range members {
-			members[i] = &member{turn: New(DefaultBounds(between, false))}
+			members[i] = &member{lease: New(DefaultBounds(between, false))}
 		}
 		var fences galenastair.Fence
 		var orders []order
@@ -77,7 +77,7 @@
 					continue
 				}
 				// an order may be planned before a standstill's answer is looked at
-				if f, ok := m.turn.Order(now); ok {
+				if f, ok := m.lease.Order(now); ok {
 					orders = append(orders, order{now, i, f})
 				}
 				m.step(rng, g, now, i, &fences)
@@ -95,15 +95,15 @@
 func (m *member) step(rng *rand.Rand, g *storeGroup, now boottime.Time, i int, fences *galenastair.Fence) {
 	if m.waiting && now >= m.answer {
 		m.waiting = false
-		if m.turn.Joined(m.sent, now, m.mine) {
+		if m.lease.Renewed(m.sent, now, m.mine) {
 			*fences++
-			m.turn.SetFence(m.turn.Term(), *fences, Unknown)
+			m.lease.SetFence(m.lease.Term(), *fences, Unknown)
 		}
 	}
 	if m.waiting || now < m.next {
 		return
 	}
-	m.next = now.Add(joinPeriod)
+	m.next = now.Add(renewPeriod)
 	m.mine = g.join(now, i)
 	m.sent, m.waiting = now, true
 	m.answer = now.Add(time.Duration(rng.IntN(1200)) * time.Millisecond)
@@ -132,9 +132,9 @@
 // begun is when the turns of the tests begin.
 const begun = boottime.Time(time.Hour)
 
-func held() *Turn {
+func held() *Lease {
 	t := New(DefaultBounds(between, true))
-	t.Joined(begun, begun, true)
+	t.Renewed(begun, begun, true)
 	t.SetFence(t.Term(), 5, Nobody)
 	return t
 }
@@ -150,7 +150,7 @@
 	later := now.Add(10 * time.Second)
 	_, ok = h.Order(later)
 	is.True(!ok)
-	is.True(h.Joined(later, later, true))
+	is.True(h.Renewed(later, later, true))
 	_, ok = h.Order(later)
 	is.True(!ok)
 }
@@ -162,7 +162,7 @@
 	now := begun
 	h := held()
 	sent := now.Add(time.Second)
-	h.Joined(sent, sent.Add(lease), true)
+	h.Renewed(sent, sent.Add(lease), true)
 	is.True(!h.Holds(sent.Add(lease)))
 }
 
@@ -183,7 +183,7 @@
 	is := is.New(t)
 	now := begun
 	h := held()
-	h.Rest()
+	h.Retire()
 	_, ok := h.Order(now)
 	is.True(!ok)
 	is.True(h.Holds(now))
@@ -194,10 +194,10 @@
 	is := is.New(t)
 	now := boottime.Time(time.Hour)
 	h := New(DefaultBounds(between, true))
-	h.Joined(now, now, true)
+	h.Renewed(now, now, true)
 	term := h.Term()
-	h.Joined(now, now, false)
-	h.Joined(now, now, true)
+	h.Renewed(now, now, false)
+	h.Renewed(now, now, true)
 	h.SetFence(term, 7, Nobody)
 	_, ok := h.Order(now.Add(time.Millisecond))
 	is.True(!ok)
@@ -208,8 +208,8 @@
 func TestBounds(t *testing.T) {
 	is := is.New(t)
 	b := DefaultBounds(between, true)
-	is.True(b.Quiet >= between+joinPeriod)
-	is.True(b.QuietLapsed+membership-joinPeriod >= between)
+	is.True(b.Quiet >= between+renewPeriod)
+	is.True(b.QuietLapsed+ttl-renewPeriod >= between)
 	strict := DefaultBounds(between, false)
 	is.True(strict.Quiet >= between+lease)
 	is.True(slices.Max([]time.Duration{b.QuietLapsed, b.Quiet, strict.QuietLapsed}) <= strict.Quiet)
--- a/turn/note_test.go
+++ b/lease/note_test.go
@@ -1,4 +1,4 @@
-package turn_test
+package lease_test
 
 import (
 	"context"
@@ -10,9 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"galenastair/lease"
 	"galenastair/platform"
 	"galenastair/standin/metastore"
-	"galenastair/turn"
 )
 
 const between = 3 * time.Second
@@ -38,8 +38,8 @@
 	return n.written, n.read, n.first
 }
 
-func (n *notes) option() turn.Option {
-	return turn.WithNote(turn.Note{
+func (n *notes) option() lease.Option {
+	return lease.WithNote(lease.Note{
 		Topic: platform.NoteTopic,
 		Write: func() []byte {
 			n.mu.Lock()
@@ -62,10 +62,10 @@
 	})
 }
 
-// startKeeper runs a keeper until the returned function is called.
-func startKeeper(t *testing.T, address, member string, n *notes) func() {
+// startElector runs an elector until the returned function is called.
+func startElector(t *testing.T, address, member string, n *notes) func() {
 	t.Helper()
-	k := turn.NewKeeper(platform.NewStore(address), turn.New(turn.DefaultBounds(between, true)), member, n.option())
+	k := lease.NewElector(platform.NewStore(address), platform.LeaseTopic, lease.New(lease.DefaultBounds(between, true)), member, n.option())
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- k.Run(ctx) }()
@@ -107,13 +107,13 @@
 	is := is.New(t)
 	_, address := newStore(t)
 	holder := &notes{}
-	stop := startKeeper(t, address, "one", holder)
+	stop := startElector(t, address, "one", holder)
 	holder.set("six instances")
 	until(t, "the note", func() bool { w, _, _ := holder.look(); return len(w) == 1 })
 	stop()
 	for _, want := range []bool{true, false} {
 		n := &notes{}
-		stop := startKeeper(t, address, "one", n)
+		stop := startElector(t, address, "one", n)
 		_, read, first := n.look()
 		stop()
 		is.True(len(read) > 0)
@@ -121,7 +121,7 @@
 		is.Equal(first[0], want)
 	}
 	other := &notes{}
-	defer startKeeper(t, address, "two", other)()
+	defer startElector(t, address, "two", other)()
 	_, _, first := other.look()
 	is.True(first[0])
 }
@@ -134,20 +134,20 @@
 	is := is.New(t)
 	s, address := newStore(t)
 	n := &notes{}
-	defer startKeeper(t, address, "one", n)()
+	defer startElector(t, address, "one", n)()
 	n.set("first")
 	until(t, "the first note", func() bool { w, _, _ := n.look(); return len(w) == 1 })
-	appends := s.Calls("/v1/log-append")
+	appends := s.Calls("/v1/log-append?keyed.note")
 	s.Switch(func(sw *metastore.Switches) { sw.LoseAnswers, sw.Only = true, "/v1/log-append" })
 	n.set("second")
-	until(t, "a write without an answer", func() bool { return s.Calls("/v1/log-append") > appends })
+	until(t, "a write without an answer", func() bool { return s.Calls("/v1/log-append?keyed.note") > appends })
 	n.set("third")
 	s.Switch(func(sw *metastore.Switches) { sw.LoseAnswers = false })
 	until(t, "the third note", func() bool { w, _, _ := n.look(); return len(w) == 3 })
-	appends = s.Calls("/v1/log-append")
+	appends = s.Calls("/v1/log-append?keyed.note")
 	s.Switch(func(sw *metastore.Switches) { sw.Refuse = true })
 	n.set("fourth")
-	until(t, "a refused write", func() bool { return s.Calls("/v1/log-append") > appends })
+	until(t, "a refused write", func() bool { return s.Calls("/v1/log-append?keyed.note") > appends })
 	s.Switch(func(sw *metastore.Switches) { sw.Refuse = false })
 	until(t, "the fourth note", func() bool { w, _, _ := n.look(); return len(w) == 4 })
 	w, _, _ := n.look()
--- a/node/duty.go
+++ b/node/duty.go
@@ -3,20 +3,20 @@
 import (
 	"galenastair"
 	"galenastair/boottime"
-	"galenastair/turn"
+	"galenastair/lease"
 )
 
-// duty reads the turn by the machine's clock.
-type duty struct{ turn *turn.Turn }
+// duty reads the lease by the machine's clock.
+type duty struct{ lease *lease.Lease }
 
 // Order returns the fence for an order sent now.
-func (d duty) Order() (galenastair.Fence, bool) { return d.turn.Order(boottime.Now()) }
+func (d duty) Order() (galenastair.Fence, bool) { return d.lease.Order(boottime.Now()) }
 
 // Holds says whether this instance plans and lends.
-func (d duty) Holds() bool { return d.turn.Holds(boottime.Now()) }
+func (d duty) Holds() bool { return d.lease.Holds(boottime.Now()) }
 
 // Hosts says whether others may exchange with this instance and borrow from it.
-func (d duty) Hosts() bool { return d.turn.Hosts(boottime.Now()) }
+func (d duty) Hosts() bool { return d.lease.Hosts(boottime.Now()) }
 
 // Refused ends the term of a fence.
-func (d duty) Refused(f galenastair.Fence) { d.turn.Refused(f) }
+func (d duty) Refused(f galenastair.Fence) { d.lease.Refused(f) }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -11,12 +11,12 @@
 	"galenastair"
 	"galenastair/boottime"
 	"galenastair/claim"
+	"galenastair/lease"
 	"galenastair/peer/planning"
 	"galenastair/planner"
 	"galenastair/pool"
 	"galenastair/quota"
 	"galenastair/timer"
-	"galenastair/turn"
 )
 
 const (
@@ -33,7 +33,7 @@
 // exchange keeps this instance and the one that plans in touch.
 type exchange struct {
 	self    galenastair.InstanceID
-	keeper  *turn.Keeper
+	elector *lease.Elector
 	client  *planning.Client
 	local   *planner.Planner
 	pool    *pool.Pool
@@ -68,7 +68,7 @@
 // sound store.
 func (x *exchange) run(ctx context.Context) error {
 	select {
-	case <-x.keeper.Started():
+	case <-x.elector.Started():
 	case <-time.After(startWait):
 	case <-ctx.Done():
 	}
@@ -121,7 +121,7 @@
 
 // at returns the planner's address; the second result says that it is this instance.
 func (x *exchange) at() (string, bool) {
-	holder := x.keeper.Holder()
+	holder := x.elector.Leader()
 	return holder, holder == x.address
 }
 
@@ -139,30 +139,28 @@
 	return x.client.Exchange(ctx, holder, r)
 }
 
-// failed doubts the holder and logs the loss once.
+// failed goes on without the leader and logs the loss once.
 func (x *exchange) failed(err error) {
 	if errors.Is(err, planner.ErrNotPlanner) {
-		x.keeper.Denied()
-	} else {
-		x.keeper.Doubt()
+		x.elector.Denied()
 	}
 	x.share.Unheard(time.Now())
 	if !x.lost {
 		x.lost = true
-		x.logger.Log("event", "dependency lost", "peer", x.keeper.Holder(), "err", err)
+		x.logger.Log("event", "dependency lost", "peer", x.elector.Leader(), "err", err)
 	}
 }
 
 func (x *exchange) take(n planner.News) {
 	now := time.Now()
 	if n.Lapsed {
-		x.keeper.Denied()
+		x.elector.Denied()
 	} else {
-		x.keeper.Heard()
+		x.elector.Answered(n.Renewal)
 	}
 	if x.lost {
 		x.lost = false
-		x.logger.Log("event", "dependency regained", "peer", x.keeper.Holder())
+		x.logger.Log("event", "dependency regained", "peer", x.elector.Leader())
 	}
 	x.share.SetStanding(now, n.Standing)
 	for _, l := range n.Loans {
@@ -189,11 +187,7 @@
 	case holder == "":
 		return planner.Promise{}, errNoHolder
 	}
-	p, err := x.client.Need(ctx, holder, name)
-	if err != nil {
-		x.keeper.Doubt()
-	}
-	return p, err
+	return x.client.Need(ctx, holder, name)
 }
 
 // quotas charges organisations, borrowing what is missing.
@@ -211,7 +205,6 @@
 	}
 	n, err := q.exchange.borrow(ctx, quota.Ask{Organisation: o, Amount: lacks})
 	if err != nil {
-		q.exchange.keeper.Doubt()
 		q.exchange.logger.Log("event", "borrow", "organisation", o, "err", err)
 		q.Unheard(time.Now())
 		return q.Retake(time.Now(), o, cost)
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"galenastair/httpclient"
 	"galenastair/httpconn"
 	"galenastair/httpserve"
+	"galenastair/lease"
 	"galenastair/peer/planning"
 	"galenastair/planner"
 	"galenastair/platform"
@@ -26,7 +27,6 @@
 	"galenastair/quota"
 	"galenastair/rungroup"
 	"galenastair/settings"
-	"galenastair/turn"
 )
 
 const (
@@ -67,7 +67,7 @@
 	pool       *pool.Pool
 	share      *quota.Share
 	backends   *httpconn.Client
-	keeper     *turn.Keeper
+	elector    *lease.Elector
 	duty       duty
 	planner    *planner.Planner
 	exchange   *exchange
@@ -103,10 +103,10 @@
 	n.share = quota.NewShare(terms)
 	n.backends = httpconn.NewClient()
 	backend := platform.NewReplicas(n.backends)
-	t := turn.New(turn.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
-	n.duty = duty{t}
-	n.keeper = turn.NewKeeper(n.store, t, s.PeerAddress, turn.WithLogger(n.logger), turn.WithNote(n.note(context.Background())),
-		turn.WithFleet(n.share.Fleet), turn.WithLink(s.LinkMbps))
+	l := lease.New(lease.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
+	n.duty = duty{l}
+	n.elector = lease.NewElector(n.store, platform.LeaseTopic, l, s.PeerAddress, lease.WithLogger(n.logger),
+		lease.WithNote(n.note(context.Background())), lease.WithFleet(n.share.Fleet), lease.WithLink(s.LinkMbps))
 	n.planner = planner.New(string(s.ID), terms, backend, n.duty, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
 	n.views = &views{logger: n.logger}
@@ -120,7 +120,7 @@
 func (n *Node) newExchange() *exchange {
 	x := &exchange{
 		self:    n.settings.ID,
-		keeper:  n.keeper,
+		elector: n.elector,
 		client:  planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
 		local:   n.planner,
 		pool:    n.pool,
@@ -189,9 +189,9 @@
 	add("configuration", n.views.run)
 	add("registrations", n.servers.follower.Run)
 	add("backend servers", n.servers.run)
-	// the duty is given up as soon as the signal comes, for another to take it while
-	// this instance still serves
-	add("turn", func(work context.Context) error { return n.keepTurn(ctx, work) })
+	// the lease is released as soon as the signal comes, for another to take it while this
+	// instance still serves
+	add("lease", func(work context.Context) error { return n.keepLease(ctx, work) })
 	add("planner", n.planner.Run)
 	add("exchange", n.exchange.run)
 	add("connections", n.prune)
@@ -228,12 +228,12 @@
 		follow.WithLogger(n.logger))
 }
 
-// keepTurn keeps the turn until the instance is told to stop, and ends with the rest.
-func (n *Node) keepTurn(signal, work context.Context) error {
+// keepLease runs for the lease until the instance is told to stop, and ends with the rest.
+func (n *Node) keepLease(signal, work context.Context) error {
 	both, cancel := context.WithCancel(work)
 	defer cancel()
 	defer context.AfterFunc(signal, cancel)()
-	err := n.keeper.Run(both)
+	err := n.elector.Run(both)
 	<-work.Done()
 	return err
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -145,14 +147,25 @@
 	x.store.Put("keyed.op", "config", data)
 }
 
+// nextPort counts through ports below those that outgoing connections take: a port that was
+// free a moment ago would else be another's by the time that a node listens.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(20000 + rand.Int32N(10000)) }
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func (x *site) node() *running {
--- a/node/note.go
+++ b/node/note.go
@@ -5,14 +5,14 @@
 	"encoding/json"
 	"time"
 
+	"galenastair/lease"
 	"galenastair/platform"
 	"galenastair/quota"
-	"galenastair/turn"
 )
 
 // note ties what the lender leaves on the platform to those that read it.
-func (n *Node) note(ctx context.Context) turn.Note {
-	return turn.Note{
+func (n *Node) note(ctx context.Context) lease.Note {
+	return lease.Note{
 		Topic: platform.NoteTopic,
 		Write: func() []byte {
 			note, ok := n.planner.Note(ctx)
--- a/node/status.go
+++ b/node/status.go
@@ -40,7 +40,7 @@
 		Instance:         n.settings.ID,
 		AvailabilityZone: n.settings.AvailabilityZone,
 		Ready:            true,
-		Planner:          n.keeper.Holder(),
+		Planner:          n.elector.Leader(),
 		Plans:            n.duty.Holds(),
 		Fleet:            n.share.Fleet(),
 		Alone:            n.share.Alone(),
--- a/node/tails.go
+++ b/node/tails.go
@@ -7,6 +7,7 @@
 	"galenastair"
 	"galenastair/boottime"
 	"galenastair/follow"
+	"galenastair/lease"
 	"galenastair/planner"
 )
 
@@ -25,6 +26,8 @@
 type teller struct {
 	*planner.Planner
 	topics func() []followed
+	// renewal returns the newest renewal of this instance's lease.
+	renewal func() lease.Renewal
 }
 
 // tellMost is the largest fleet that is told all that the store holds; a larger one is told
@@ -40,6 +43,7 @@
 	if err != nil {
 		return news, err
 	}
+	news.Renewal = t.renewal()
 	// a fleet that has not been counted yet may be large
 	large := news.Standing.Fleet == 0 || news.Standing.Fleet > tellMost
 	for _, f := range t.topics() {
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -7,6 +7,7 @@
 
 	"galenastair"
 	"galenastair/claim"
+	"galenastair/lease"
 	"galenastair/peer/planningpb"
 	"galenastair/planner"
 	"galenastair/pool"
@@ -147,6 +148,7 @@
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.Ask{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
+	out.Renewal = lease.Renewal{Offset: galenastair.Offset(r.Renewal), Age: time.Duration(r.RenewalAgeMs) * time.Millisecond}
 	out.Tails = decodeTails(r.Tails)
 	out.Placed, out.Dropped = decodePlacements(r.Placed), decodePlacements(r.Dropped)
 	for _, d := range r.Poisons {
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -61,6 +61,7 @@
 
 func encodeNews(n planner.News) *planningpb.ExchangeReply {
 	out := &planningpb.ExchangeReply{Holds: true, Lapsed: n.Lapsed, Loads: encodeLoads(n.Loads)}
+	out.Renewal, out.RenewalAgeMs = int64(n.Renewal.Offset), uint32(n.Renewal.Age.Milliseconds())
 	encodeStanding(out, n.Standing)
 	for _, l := range n.Loans {
 		out.Loans = append(out.Loans, &planningpb.Loan{Organisation: string(l.Organisation), Amount: l.Amount})
--- a/planner/message.go
+++ b/planner/message.go
@@ -5,6 +5,7 @@
 
 	"galenastair"
 	"galenastair/claim"
+	"galenastair/lease"
 	"galenastair/pool"
 	"galenastair/quota"
 )
@@ -32,6 +33,8 @@
 	// Lapsed says that the instance that answers lends and tells on, but may hold the duty
 	// no more.
 	Lapsed bool
+	// Renewal is the newest renewal of the answering instance's lease.
+	Renewal lease.Renewal
 	// Standing is its place among the instances, as the lender counts them.
 	Standing quota.Standing
 	// Loads is what all other instances' requests put on each backend server.
--- a/standin/metastore/log.go
+++ b/standin/metastore/log.go
@@ -39,6 +39,13 @@
 		body = body[4+n:]
 	}
 	s.mu.Lock()
+	end, there := s.endsThere(r)
+	if !there {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusPreconditionFailed)
+		answer(w, map[string]int64{"end": end})
+		return
+	}
 	offset, refused := s.appendNumbered(r, records)
 	s.mu.Unlock()
 	if refused != nil {
@@ -49,6 +56,13 @@
 	answer(w, map[string]int64{"offset": offset, "end": offset + int64(len(records))})
 }
 
+// endsThere says whether a topic ends where the call presumes it to, if it does, and where.
+func (s *Store) endsThere(r *http.Request) (int64, bool) {
+	t := s.topic(r.URL.Query().Get("topic"))
+	end := t.first + int64(len(t.records))
+	return end, !r.URL.Query().Has("at") || number(r, "at") == end
+}
+
 // producer is the state of one producer's writes to a topic.
 type producer struct {
 	epoch, sequence int64
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -8,9 +8,6 @@
 	"github.com/gorilla/mux"
 )
 
-// partitions is how many each topic has.
-const partitions = 8
-
 // Switches are what a test changes while the store runs.
 type Switches struct {
 	// Refuse answers 503 to every call: nothing was done.
@@ -49,7 +46,6 @@
 	mu       sync.Mutex
 	switches Switches
 	topics   map[string]*topic
-	groups   map[string]*group
 	// producers are those of numbered writes, by topic and name.
 	producers map[string]producer
 	changed   chan struct{}
@@ -58,7 +54,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{topics: map[string]*topic{}, groups: map[string]*group{}, producers: map[string]producer{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{topics: map[string]*topic{}, producers: map[string]producer{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // Switch changes the switches.
@@ -68,7 +64,7 @@
 	f(&s.switches)
 }
 
-// Calls returns how often a path was called.
+// Calls returns how often a path was called, or one topic of it: "/v1/log-append?keyed.x".
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,9 +135,6 @@
 		"/v1/log-append": s.handleAppend,
 		"/v1/log-read":   s.handleRead,
 		"/v1/log-newest": s.handleNewest,
-		"/v1/log-join":   s.handleJoin,
-		"/v1/log-leave":  s.handleLeave,
-		"/v1/log-owners": s.handleOwners,
 	} {
 		r.Path(path).HandlerFunc(s.faulty(path, h))
 	}
@@ -156,6 +149,7 @@
 		s.mu.Lock()
 		sw := s.switches
 		s.calls[path]++
+		s.calls[path+"?"+r.URL.Query().Get("topic")]++
 		s.mu.Unlock()
 		if sw.Delay > 0 {
 			time.Sleep(sw.Delay)
--- a/store.go
+++ b/store.go
@@ -10,9 +10,6 @@
 // Topic names one partitioned sequence of records in the platform's store.
 type Topic string
 
-// Generation numbers the changes of a group's members; it only grows.
-type Generation int64
-
 // KeyedRecord is the newest value of one key; an empty value says that the key is gone.
 type KeyedRecord struct {
 	Key    string
@@ -29,17 +26,8 @@
 	End  Offset
 }
 
-// Partition is one partition of a topic.
-type Partition struct {
-	Topic  Topic
-	Number int
-}
-
-// Assignment is what a member of a group holds after it joined.
-type Assignment struct {
-	Generation Generation
-	Partitions []Partition
-}
+// ErrConflict says that the store did nothing, since the topic ends elsewhere than presumed.
+var ErrConflict = eris.New("the topic ends elsewhere")
 
 // ErrStoreRefused says that the store certainly did nothing.
 var ErrStoreRefused = eris.New("the store refused the call")
@@ -63,15 +51,10 @@
 	Newest(ctx context.Context, t Topic) (KeyedBatch, error)
 	// Follow returns the records from an offset on, waiting up to wait for the first.
 	Follow(ctx context.Context, t Topic, from Offset, wait time.Duration) (KeyedBatch, error)
-	// Append adds one record to partition 0 of a plain topic.
-	Append(ctx context.Context, t Topic, data []byte) (Offset, error)
 	// Put makes a value the newest of a key in a keyed topic, once for each number of its
 	// producer.
 	Put(ctx context.Context, t Topic, key string, value []byte, p Producer) error
-	// Join renews a member's place in a group for ttl and returns what it holds.
-	Join(ctx context.Context, group, member string, ts []Topic, ttl time.Duration, g Generation) (Assignment, error)
-	// Leave gives up a member's place.
-	Leave(ctx context.Context, group, member string) error
-	// Owners returns the member that holds each partition of a group.
-	Owners(ctx context.Context, group string) (map[Partition]string, error)
+	// PutAt makes a value the newest of a key in a keyed topic if the topic ends at the offset,
+	// and returns the record's offset; else ErrConflict.
+	PutAt(ctx context.Context, t Topic, key string, value []byte, at Offset) (Offset, error)
 }
