registry: the leader tells what changed of registrations; nobody else reads them

Change: a table of registrations with the offset at which each part last changed; the leader tells an instance what changed since its position, some 40 bytes for an adapter; offsets mean the same at all instances, so the next leader goes on from there. The word may be as old as the platform's bounds allow (setting ApplyTimeout) less 0.4 s before an instance asks for itself, and the leader's polls wait accordingly. A new leader reads all anew.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,30 +204,42 @@
 	until(t, "the store is asked again", func() bool { return r.get("a") == "4" })
 }
 
-// Records come all the time that may wait, and the instance that reads them tells only that
-// they are there: the store is spared a call for each. One that is urgent is read at once.
-func TestLazyHintsSpareTheStore(t *testing.T) {
+// Changes come all the time, and each that is told costs a call all the same, or one that is
+// read beyond what the others know starts a poll that never ends.
+func TestToldChangesSpareTheStore(t *testing.T) {
 	is := is.New(t)
 	s, f, r := start(t)
 	s.Put(string(topic), "a", []byte("1"))
 	until(t, "the first", func() bool { return r.get("a") == "1" })
 	at, _ := f.Position()
-	hint := func(end, urgent galenastair.Offset) {
-		f.Tell(follow.Hint{KeyedBatch: galenastair.KeyedBatch{Next: at, End: end}, AsOf: boottime.Now(), Lazy: true, Urgent: urgent})
+	var told atomic.Int64
+	hint := func(end galenastair.Offset) {
+		f.Tell(follow.Hint{KeyedBatch: galenastair.KeyedBatch{Next: at, End: end}, AsOf: boottime.Now(), Changes: func() { told.Add(1) }})
 	}
-	spared := func() bool {
+	spared := func(end galenastair.Offset) bool {
 		calls := s.Calls("/v1/log-read")
 		for range 15 {
-			hint(at+1, at-1)
+			hint(end)
 			time.Sleep(20 * time.Millisecond)
 		}
 		return s.Calls("/v1/log-read") == calls
 	}
-	until(t, "the poll under way ends", spared)
-	s.Put(string(topic), "a", []byte("2"))
-	is.True(spared())
-	is.Equal(r.get("a"), "1")
-	until(t, "the urgent record", func() bool { hint(at+1, at); return r.get("a") == "2" })
+	until(t, "the poll under way ends", func() bool { return spared(at + 1) })
+	is.Equal(told.Load(), int64(1))
+	is.True(spared(at + 1))
+	is.True(spared(at))
+	age, _ := f.Age()
+	is.True(age < 200*time.Millisecond)
+}
+
+// The next leader goes on by what it was told, and never reads what others need not know.
+func TestRefreshReadsAllAnew(t *testing.T) {
+	s, f, r := start(t)
+	s.Put(string(topic), "a", []byte("1"))
+	until(t, "the first", func() bool { return r.get("a") == "1" })
+	newest := s.Calls("/v1/log-newest")
+	f.Refresh()
+	until(t, "a whole reading", func() bool { return s.Calls("/v1/log-newest") > newest })
 }
 
 // Whoever gives hints has lost the store itself: its word grows old, and must not make
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -31,13 +31,17 @@
 
 // Follower follows one topic.
 type Follower struct {
-	store  galenastair.Store
-	topic  galenastair.Topic
-	apply  Apply
-	wait   func() time.Duration
-	pace   func() time.Duration
-	clock  boottime.Clock
-	logger log.Logger
+	store galenastair.Store
+	topic galenastair.Topic
+	apply Apply
+	wait  func() time.Duration
+	pace  func() time.Duration
+	// hintLife is how old the store's word may be by which this follower goes without asking
+	// the store itself; leads says that it goes by no hints at all.
+	hintLife time.Duration
+	leads    func() bool
+	clock    boottime.Clock
+	logger   log.Logger
 
 	confirmed atomic.Int64
 	answered  atomic.Int64
@@ -46,14 +50,16 @@
 	// position is the offset to go on from, plus one.
 	position atomic.Int64
 	hints    chan Hint
+	// refresh says that all is to be read anew.
+	refresh atomic.Bool
+	woken   chan struct{}
 
 	// owned by Run
 	from    galenastair.Offset
 	know    bool
 	shorter int
-	// hinted is as of when the last useful hint was, and read when the store was last asked.
+	// hinted is as of when the last useful hint was.
 	hinted boottime.Time
-	read   boottime.Time
 }
 
 // Option varies a Follower.
@@ -69,6 +75,13 @@
 // changes in a row costs every instance a call of its own.
 func WithPace(pace func() time.Duration) Option { return func(f *Follower) { f.pace = pace } }
 
+// WithHintLife sets how old the store's word may be, as told by another instance, that spares
+// the store a call.
+func WithHintLife(d time.Duration) Option { return func(f *Follower) { f.hintLife = d } }
+
+// WithLeads says when this follower reads for all others, and goes by no hints.
+func WithLeads(leads func() bool) Option { return func(f *Follower) { f.leads = leads } }
+
 // WithClock replaces the machine's clock.
 func WithClock(c boottime.Clock) Option { return func(f *Follower) { f.clock = c } }
 
@@ -77,7 +90,8 @@
 
 // New returns a follower that does nothing until Run.
 func New(s galenastair.Store, t galenastair.Topic, apply Apply, opts ...Option) *Follower {
-	f := &Follower{store: s, topic: t, apply: apply, clock: boottime.Now, logger: log.NewNopLogger(), hints: make(chan Hint, 1)}
+	f := &Follower{store: s, topic: t, apply: apply, clock: boottime.Now, logger: log.NewNopLogger(), hints: make(chan Hint, 1),
+		hintLife: defaultHintLife, leads: func() bool { return false }, woken: make(chan struct{}, 1)}
 	WithWait(defaultWait)(f)
 	WithPace(func() time.Duration { return 0 })(f)
 	for _, o := range opts {
@@ -130,6 +144,9 @@
 
 // rest waits for a hint while hints spare the store a call; false if it is to be asked.
 func (f *Follower) rest(ctx context.Context) bool {
+	if f.refresh.Swap(false) {
+		f.know = false
+	}
 	spared := f.spared()
 	if spared <= 0 {
 		select {
@@ -146,11 +163,22 @@
 		return f.take(h)
 	case <-next.C:
 		return false
+	case <-f.woken:
+		return true
 	case <-ctx.Done():
 		return true
 	}
 }
 
+// Refresh has the newest record of each key read again, as by one that has just started.
+func (f *Follower) Refresh() {
+	f.refresh.Store(true)
+	select {
+	case f.woken <- struct{}{}:
+	default:
+	}
+}
+
 // round makes one call, takes in its answer and returns how many records came.
 func (f *Follower) round(ctx context.Context) (int, error) {
 	sent := f.clock()
@@ -168,7 +196,6 @@
 		return 0, galenastair.ErrStoreUnavailable
 	}
 	f.shorter = 0
-	f.read = sent
 	f.apply(batch, whole)
 	f.moveTo(batch.Next)
 	if f.from >= batch.End {
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -53,6 +53,8 @@
 	logger log.Logger
 	note   Note
 	fleet  func() int
+	// elected is told of each term that begins.
+	elected func()
 	// deference is how long this instance leaves the lease to others.
 	deference time.Duration
 	// started is closed once the store was asked for the record.
@@ -92,6 +94,9 @@
 // WithFleet says how many instances there are.
 func WithFleet(fleet func() int) Option { return func(e *Elector) { e.fleet = fleet } }
 
+// WithElected sets what is told of each term of this instance that begins.
+func WithElected(f func()) Option { return func(e *Elector) { e.elected = f } }
+
 // NewElector returns an elector for a member, which is named by its peer address so that
 // whoever reads the leader's name can call it; the topic is for the lease alone.
 func NewElector(s galenastair.Store, topic galenastair.Topic, l *Lease, member string, opts ...Option) *Elector {
@@ -104,6 +109,7 @@
 		logger:  log.NewNopLogger(),
 		note:    Note{Write: func() []byte { return nil }, Written: func([]byte) {}, Read: func([]byte, bool) {}},
 		fleet:   func() int { return 1 },
+		elected: func() {},
 		started: make(chan struct{}),
 		known:   Record{Offset: -1},
 		wake:    make(chan struct{}, 1),
@@ -248,6 +254,7 @@
 // beginTerm fences the term with an offset that no earlier term had.
 func (e *Elector) beginTerm(ctx context.Context, r Record, before Before) {
 	term := e.lease.Term()
+	e.elected()
 	e.readNote(ctx, false)
 	fence := galenastair.Fence(r.Offset) + 1
 	e.lease.SetFence(term, fence, before)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -95,7 +95,7 @@
 		return true
 	}
 	x.take(news)
-	tell(x.topics(), news.Tails, sent)
+	hint(x.topics(), news.Tails, sent)
 	return busy
 }
 
--- a/node/listen.go
+++ b/node/listen.go
@@ -23,10 +23,10 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	headerBytes   = 64 << 10
-	// readySilence is how long the store may give no answer while new connections are
-	// welcome: a poll's wait and some time beyond. After it the view soon is too old to
-	// admit a key, and callers are better served elsewhere.
-	readySilence = viewWait + 900*time.Millisecond
+	// readySlack is how long beyond the time at which this instance asks the store itself the
+	// store may give no answer while new connections are welcome. After it the view soon is
+	// too old to admit a key, and callers are better served elsewhere.
+	readySlack = time.Second
 	// notice is how long an instance that has been told to stop still takes requests:
 	// the balancer asks each second and goes by two answers. Taking them for longer
 	// would leave long streams too little of the time to stop.
@@ -80,7 +80,7 @@
 	switch {
 	case n.stopping.Load():
 		return galenastair.ErrStopping
-	case view == nil || !ok || silence > readySilence:
+	case view == nil || !ok || silence > n.hintLife()+readySlack:
 		return galenastair.ErrConfiguration
 	default:
 		return nil
--- a/node/node.go
+++ b/node/node.go
@@ -37,16 +37,21 @@
 	// view in quiet times; the second how long a silent connection hides a leaving server.
 	viewWait   = 1700 * time.Millisecond
 	serverWait = 2 * time.Second
-	// plannerWait is the first for the instance that tells the others.
-	plannerWait = 450 * time.Millisecond
+	// plannerPace is the least time between two reads of the instance that reads for all.
 	plannerPace = 400 * time.Millisecond
+	// hintMargin is kept of the time in which a change must be in force, for the call that an
+	// instance makes when the leader's word has grown old.
+	hintMargin = 400 * time.Millisecond
+	// exchangeLag is how long the leader's word is on its way at most, with one exchange lost.
+	exchangeLag = 700 * time.Millisecond
+	// leastPoll is for a platform whose bounds leave no time at all.
+	leastPoll = 100 * time.Millisecond
 	// viewPace and serverPace gather changes that come in a row into one call; they stay
 	// well below the times in which a version, or a server's leaving, must be in force.
 	viewPace   = 150 * time.Millisecond
 	serverPace = time.Second
-	// leaveLag is how late a server's leaving may be known here, and a request for it on
-	// its way: the pace of reading, a slow store's answer, and a busy machine.
-	leaveLag = serverPace + 600*time.Millisecond
+	// leaveLag is how long a request for a leaving server may be on its way here.
+	leaveLag = 600 * time.Millisecond
 	// poisonTrials and poisonTerm: a request that has broken three connections of
 	// backend servers without an answer is refused for a while.
 	poisonTrials = 3
@@ -61,18 +66,17 @@
 	loop     *control.Loop
 	views    *views
 	servers  *servers
-	// viewTail and serverTail are what is passed on of the store's topics.
-	viewTail   follow.Tail
-	serverTail follow.Tail
-	pool       *pool.Pool
-	share      *quota.Share
-	backends   *httpconn.Client
-	elector    *lease.Elector
-	duty       duty
-	planner    *planner.Planner
-	exchange   *exchange
-	gateway    *gateway.Gateway
-	metrics    *metrics
+	// viewTail is what is passed on of the configuration.
+	viewTail follow.Tail
+	pool     *pool.Pool
+	share    *quota.Share
+	backends *httpconn.Client
+	elector  *lease.Elector
+	duty     duty
+	planner  *planner.Planner
+	exchange *exchange
+	gateway  *gateway.Gateway
+	metrics  *metrics
 	// stopping is set by the signal, closing when new connections have ended.
 	stopping atomic.Bool
 	closing  atomic.Bool
@@ -106,7 +110,7 @@
 	l := lease.New(lease.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.duty = duty{l}
 	n.elector = lease.NewElector(n.store, platform.LeaseTopic, l, s.PeerAddress, lease.WithLogger(n.logger),
-		lease.WithNote(n.note(context.Background())), lease.WithFleet(n.share.Fleet), lease.WithLink(s.LinkMbps))
+		lease.WithNote(n.note(context.Background())), lease.WithFleet(n.share.Fleet), lease.WithLink(s.LinkMbps), lease.WithElected(n.elected))
 	n.planner = planner.New(string(s.ID), terms, backend, n.duty, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
 	n.views = &views{logger: n.logger}
@@ -152,11 +156,17 @@
 	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
 }
 
-// pollWait is how long a poll waits. All others go by the age that the instance that
-// plans tells them, so that it looks more often.
+// hintLife is how old the store's word may be by which this instance goes without asking the
+// store itself.
+func (n *Node) hintLife() time.Duration {
+	return max(leastPoll, min(n.settings.Bounds.ApplyTimeout, n.settings.Bounds.LeaveTimeout)-hintMargin)
+}
+
+// pollWait is how long a poll waits. All others go by the age that the leader tells them, so
+// that it looks more often.
 func (n *Node) pollWait(usual time.Duration) time.Duration {
 	if n.duty.Holds() {
-		return plannerWait
+		return max(leastPoll, (n.hintLife()-exchangeLag)/2)
 	}
 	return usual
 }
@@ -173,8 +183,8 @@
 // topics are what this instance reads of the store; none before Run.
 func (n *Node) topics() []followed {
 	return []followed{
-		{platform.ConfigurationTopic, n.views.follower, &n.viewTail, nil},
-		{platform.RegistrationTopic, n.servers.follower, &n.serverTail, n.servers.urgentAt},
+		{topic: platform.ConfigurationTopic, follower: n.views.follower, tail: &n.viewTail},
+		{topic: platform.RegistrationTopic, follower: n.servers.follower, since: n.servers.table.Since, apply: n.servers.applyChanges},
 	}
 }
 
@@ -221,13 +231,23 @@
 	n.views.follower = follow.New(n.store, platform.ConfigurationTopic, noting(&n.viewTail, n.views.apply),
 		follow.WithWaits(func() time.Duration { return n.pollWait(viewWait) }),
 		follow.WithPace(func() time.Duration { return viewPace }),
+		follow.WithHintLife(n.hintLife()),
+		follow.WithLeads(n.duty.Holds),
 		follow.WithLogger(n.logger))
-	n.servers.follower = follow.New(n.store, platform.RegistrationTopic, noting(&n.serverTail, n.servers.apply(ctx)),
+	n.servers.follower = follow.New(n.store, platform.RegistrationTopic, n.servers.apply,
 		follow.WithWaits(func() time.Duration { return n.pollWait(serverWait) }),
 		follow.WithPace(n.serverPace),
+		follow.WithHintLife(n.hintLife()),
+		follow.WithLeads(n.duty.Holds),
 		follow.WithLogger(n.logger))
 }
 
+// elected has all registrations read: what others tell leaves out what only the planner needs.
+func (n *Node) elected() {
+	n.views.follower.Refresh()
+	n.servers.follower.Refresh()
+}
+
 // keepLease runs for the lease until the instance is told to stop, and ends with the rest.
 func (n *Node) keepLease(signal, work context.Context) error {
 	both, cancel := context.WithCancel(work)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -173,7 +173,7 @@
 		ID: galenastair.InstanceID(fmt.Sprintf("n%d", len(x.nodes)+1)), Region: "r", AvailabilityZone: "z1",
 		CallerAddress: freeAddress(x.t), ReadyAddress: freeAddress(x.t), PeerAddress: freeAddress(x.t), MetricsAddress: freeAddress(x.t),
 		StoreAddress: x.address, Memory: 1 << 30,
-		Bounds: settings.Bounds{KeyLife: 5 * time.Second, StopTimeout: 8 * time.Second, LeaveTimeout: 2 * time.Second, FencesChecked: true,
+		Bounds: settings.Bounds{KeyLife: 5 * time.Second, StopTimeout: 8 * time.Second, ApplyTimeout: 2 * time.Second, LeaveTimeout: 2 * time.Second, FencesChecked: true,
 			RetryRatio: 0.2, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaOver: 0.1, QuotaSlack: 17000},
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(x.t.Context()))
--- a/node/servers.go
+++ b/node/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -11,6 +10,7 @@
 	"galenastair/follow"
 	"galenastair/platform"
 	"galenastair/pool"
+	"galenastair/registry"
 )
 
 const (
@@ -30,29 +30,26 @@
 	remove   func(galenastair.BackendServerID)
 
 	batches chan serverBatch
-	// urgent is the offset of the last record of a server that came, left or was gone.
-	urgent atomic.Int64
+	// ended is closed when run has returned.
+	ended chan struct{}
+	// table is what others are told of.
+	table *registry.Table
 
 	// owned by run
 	known   map[galenastair.BackendServerID]galenastair.Offset
 	lapsed  map[galenastair.BackendServerID]time.Time
 	foreign map[galenastair.BackendServerID]bool
-	told    map[galenastair.BackendServerID]identity
 	back    time.Time
 	away    bool
 }
 
-// identity is what all instances must know of a server at once; what it holds may wait.
-type identity struct {
-	service galenastair.ServiceName
-	address string
-	born    int64
-	leaving bool
-}
-
+// serverBatch is what was read, or told by another instance.
 type serverBatch struct {
 	galenastair.KeyedBatch
-	whole bool
+	whole   bool
+	changes []registry.Change
+	// taken is closed once the batch has been taken in.
+	taken chan struct{}
 }
 
 // newServers returns what knows no registration; its owner sets the follower, set and
@@ -62,31 +59,44 @@
 		logger:  logger,
 		clock:   galenastair.SystemClock{},
 		batches: make(chan serverBatch),
+		ended:   make(chan struct{}),
 		known:   map[galenastair.BackendServerID]galenastair.Offset{},
 		lapsed:  map[galenastair.BackendServerID]time.Time{},
 		foreign: map[galenastair.BackendServerID]bool{},
-		told:    map[galenastair.BackendServerID]identity{},
+		table:   registry.NewTable(),
 	}
 }
 
-// apply hands a batch to run; it is called by the follower.
-func (s *servers) apply(ctx context.Context) follow.Apply {
-	return func(b galenastair.KeyedBatch, whole bool) {
-		select {
-		case s.batches <- serverBatch{b, whole}:
-		case <-ctx.Done():
-		}
+// apply has a batch taken in by run; it is called by the follower.
+func (s *servers) apply(b galenastair.KeyedBatch, whole bool) {
+	s.hand(serverBatch{KeyedBatch: b, whole: whole})
+}
+
+// applyChanges has what another instance told taken in, up to an offset.
+func (s *servers) applyChanges(changes []registry.Change, end galenastair.Offset) {
+	s.hand(serverBatch{KeyedBatch: galenastair.KeyedBatch{Next: end, End: end}, changes: changes})
+}
+
+func (s *servers) hand(b serverBatch) {
+	b.taken = make(chan struct{})
+	select {
+	case s.batches <- b:
+	case <-s.ended:
+		return
 	}
+	<-b.taken
 }
 
 // run takes in batches and sweeps lapsed entries until the context ends.
 func (s *servers) run(ctx context.Context) error {
+	defer close(s.ended)
 	tick := time.NewTicker(sweepPeriod)
 	defer tick.Stop()
 	for {
 		select {
 		case b := <-s.batches:
 			s.take(s.clock.Now(), b)
+			close(b.taken)
 		case <-tick.C:
 			s.sweep(s.clock.Now(), s.follower.Away())
 		case <-ctx.Done():
@@ -106,19 +116,51 @@
 		s.known[id] = r.Offset
 		s.takeRecord(now, id, r)
 	}
-	if !b.whole {
-		return
+	for _, c := range b.changes {
+		s.takeChange(now, c, b.Next)
 	}
-	for id := range s.known {
-		if !seen[id] {
-			s.lapse(now, id)
+	if b.whole {
+		for id := range s.known {
+			if !seen[id] {
+				s.lapse(now, id)
+			}
 		}
 	}
+	s.table.MoveTo(b.Next, b.whole)
+}
+
+// takeChange takes in what another instance knows of a server. That one has waited for
+// entries that an outage of the store has cost.
+func (s *servers) takeChange(now time.Time, c registry.Change, end galenastair.Offset) {
+	if c.Gone {
+		if _, there := s.known[c.ID]; there {
+			s.forget(c.ID)
+		}
+		return
+	}
+	srv, ok := s.table.Apply(c, end)
+	if !ok {
+		return
+	}
+	s.known[c.ID] = end - 1
+	delete(s.lapsed, c.ID)
+	s.set(s.since(now, srv))
+}
+
+// since says when a server that leaves may have said so first: when the store was last known
+// not to have heard it yet.
+func (s *servers) since(now time.Time, srv pool.Server) pool.Server {
+	if !srv.Leaving {
+		return srv
+	}
+	if age, known := s.follower.Age(); known {
+		srv.LeavingSince = now.Add(-age)
+	}
+	return srv
 }
 
 func (s *servers) takeRecord(now time.Time, id galenastair.BackendServerID, r galenastair.KeyedRecord) {
 	if len(r.Value) == 0 {
-		s.hurry(id, r.Offset, identity{})
 		s.lapse(now, id)
 		return
 	}
@@ -131,27 +173,12 @@
 		return
 	}
 	delete(s.lapsed, id)
-	s.hurry(id, r.Offset, identity{srv.Service, srv.Address, srv.Born, srv.Leaving})
-	s.set(srv)
-}
-
-// hurry notes a record as urgent unless it says of its server what was known.
-func (s *servers) hurry(id galenastair.BackendServerID, at galenastair.Offset, now identity) {
-	if before, ok := s.told[id]; ok && before == now {
-		return
-	}
-	s.told[id] = now
-	s.urgent.Store(max(s.urgent.Load(), int64(at)))
+	s.table.Set(r.Offset, srv)
+	s.set(s.since(now, srv))
 }
 
-// urgentAt returns the offset of the last record that all must know at once.
-func (s *servers) urgentAt() galenastair.Offset { return galenastair.Offset(s.urgent.Load()) }
-
-// lapse notes that an entry is gone. Right after an outage it may only have expired
-// while its owner could not renew it; else its owner is gone or leaving.
-//
-// Failure: after an outage of the store all entries are gone for a moment. Taken at its
-// word, the list would leave no backend server, and every request would be refused.
+// lapse notes that an entry is gone. Right after an outage of the store all are gone for a
+// moment, as their owners could not renew them.
 func (s *servers) lapse(now time.Time, id galenastair.BackendServerID) {
 	if _, ok := s.lapsed[id]; ok {
 		return
@@ -166,7 +193,7 @@
 func (s *servers) forget(id galenastair.BackendServerID) {
 	delete(s.known, id)
 	delete(s.lapsed, id)
-	delete(s.told, id)
+	s.table.Remove(id)
 	s.logger.Log("event", "backend server gone", "server", id)
 	s.remove(id)
 }
--- /dev/null
+++ b/peer/planning/changes.go
@@ -0,0 +1,88 @@
+package planning
+
+import (
+	"galenastair"
+	"galenastair/peer/planningpb"
+	"galenastair/pool"
+	"galenastair/registry"
+)
+
+func encodeChanges(cs []registry.Change) []*planningpb.Change {
+	var out []*planningpb.Change
+	for _, c := range cs {
+		out = append(out, &planningpb.Change{
+			Server:   string(c.ID),
+			Gone:     c.Gone,
+			Fresh:    c.Fresh,
+			Identity: encodeIdentity(c.Identity),
+			Beat:     c.Beat,
+			Added:    encodeNames(c.Added),
+			Dropped:  encodeNames(c.Dropped),
+		})
+	}
+	return out
+}
+
+func encodeIdentity(s *pool.Server) *planningpb.Identity {
+	if s == nil {
+		return nil
+	}
+	return &planningpb.Identity{
+		Service: string(s.Service),
+		Address: s.Address,
+		Zone:    string(s.AvailabilityZone),
+		Slots:   uint32(s.Slots),
+		Leaving: s.Leaving,
+		Born:    s.Born,
+	}
+}
+
+func encodeNames(names []galenastair.ModelName) []string {
+	var out []string
+	for _, n := range names {
+		out = append(out, string(n))
+	}
+	return out
+}
+
+func decodeChanges(cs []*planningpb.Change) []registry.Change {
+	var out []registry.Change
+	for _, c := range cs {
+		id := galenastair.BackendServerID(c.Server)
+		out = append(out, registry.Change{
+			ID:       id,
+			Gone:     c.Gone,
+			Fresh:    c.Fresh,
+			Identity: decodeIdentity(id, c),
+			Beat:     c.Beat,
+			Added:    decodeNames(c.Added),
+			Dropped:  decodeNames(c.Dropped),
+		})
+	}
+	return out
+}
+
+func decodeIdentity(id galenastair.BackendServerID, c *planningpb.Change) *pool.Server {
+	i := c.Identity
+	if i == nil {
+		return nil
+	}
+	return &pool.Server{
+		ID:               id,
+		Service:          galenastair.ServiceName(i.Service),
+		Address:          i.Address,
+		AvailabilityZone: galenastair.AvailabilityZone(i.Zone),
+		Slots:            int(i.Slots),
+		Leaving:          i.Leaving,
+		Born:             i.Born,
+		Beat:             c.Beat,
+	}
+}
+
+func decodeNames(names []string) []galenastair.ModelName {
+	var out []galenastair.ModelName
+	for _, n := range names {
+		out = append(out, galenastair.ModelName(n))
+	}
+	return out
+}
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -108,7 +108,7 @@
 	var out []planner.Tail
 	for _, t := range ts {
 		tail := planner.Tail{Topic: galenastair.Topic(t.Topic), Age: time.Duration(t.AgeMs) * time.Millisecond}
-		tail.Lazy, tail.Urgent = t.Lazy, galenastair.Offset(t.Urgent)
+		tail.Changes, tail.Changed = decodeChanges(t.Changes), t.Changed
 		tail.Next, tail.End = galenastair.Offset(t.From), galenastair.Offset(t.End)
 		for _, r := range t.Records {
 			tail.Records = append(tail.Records, galenastair.KeyedRecord{Key: r.Key, Value: r.Value, Offset: tail.Next})
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -78,12 +78,12 @@
 	var out []*planningpb.Tail
 	for _, t := range ts {
 		tail := &planningpb.Tail{
-			Topic:  string(t.Topic),
-			From:   int64(t.Next) - int64(len(t.Records)),
-			End:    int64(t.End),
-			AgeMs:  uint32(t.Age.Milliseconds()) + 1,
-			Lazy:   t.Lazy,
-			Urgent: int64(t.Urgent),
+			Topic:   string(t.Topic),
+			From:    int64(t.Next) - int64(len(t.Records)),
+			End:     int64(t.End),
+			AgeMs:   uint32(t.Age.Milliseconds()) + 1,
+			Changed: t.Changed,
+			Changes: encodeChanges(t.Changes),
 		}
 		for _, r := range t.Records {
 			tail.Records = append(tail.Records, &planningpb.Record{Key: r.Key, Value: r.Value})
--- a/planner/message.go
+++ b/planner/message.go
@@ -8,6 +8,7 @@
 	"galenastair/lease"
 	"galenastair/pool"
 	"galenastair/quota"
+	"galenastair/registry"
 )
 
 // Report is what one instance tells the planner.
@@ -56,9 +57,9 @@
 	galenastair.KeyedBatch
 	// Age is how long ago the store confirmed the end.
 	Age time.Duration
-	// Lazy says that no records are passed on, and that those behind Urgent may wait.
-	Lazy   bool
-	Urgent galenastair.Offset
+	// Changes are told in place of records, where Changed says so.
+	Changes []registry.Change
+	Changed bool
 }
 
 // Placement is a model or adapter on a backend server.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -41,7 +41,7 @@
 	pace     pace
 	health   health
 	cache    *cache
-	// leaves is when it was first known to leave; nothing new goes there then.
+	// leaves is when it may have begun to leave.
 	leaves time.Time
 	// absent is when nothing listened at its address; zero if it has answered since.
 	absent time.Time
@@ -113,7 +113,7 @@
 		p.byService[s.Service] = append(p.byService[s.Service], m)
 	}
 	if s.Leaving && !m.Leaving {
-		m.leaves = now
+		m.leaves = s.LeavingSince
 	}
 	if s.Beat < m.Beat {
 		return
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -175,7 +175,7 @@
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	is := is.New(t)
 	p := testPool(WithLeaveGrace(400 * time.Millisecond))
-	p.Set(start, Server{ID: "s1", Service: "writer", Slots: 64, Born: 1, Beat: 2, Leaving: true, Models: []galenastair.EngineModel{{Name: "m"}}})
+	p.Set(start, Server{ID: "s1", Service: "writer", Slots: 64, Born: 1, Beat: 2, Leaving: true, LeavingSince: start, Models: []galenastair.EngineModel{{Name: "m"}}})
 	for range 20 {
 		c, ok := p.Choose(start, testQuery())
 		is.True(ok)
--- a/pool/server.go
+++ b/pool/server.go
@@ -1,6 +1,10 @@
 package pool
 
-import "galenastair"
+import (
+	"time"
+
+	"galenastair"
+)
 
 // Server is a backend server as it registered.
 type Server struct {
@@ -11,6 +15,8 @@
 	// Slots is how many requests it runs at the same time.
 	Slots   int
 	Leaving bool
+	// LeavingSince is not later than when it began to leave; zero if that is not known.
+	LeavingSince time.Time
 	// Born tells one start of it from the next, since an id may come back.
 	Born int64
 	// Beat counts what it has registered since its start.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -38,6 +38,8 @@
 	BetweenHolders time.Duration
 	// FencesChecked says that engines refuse an order with an old fence.
 	FencesChecked bool
+	// ApplyTimeout is how long after its publication a configuration must be in force.
+	ApplyTimeout time.Duration
 	// LeaveTimeout is how long after its leaving a backend server may get new work.
 	LeaveTimeout time.Duration
 	// RetryRatio and RetrySlack bound what is sent once more, over all instances.
@@ -71,6 +73,7 @@
 		required(duration("Bounds", "StopTimeout", &b.StopTimeout, time.Second, time.Hour)),
 		required(duration("Bounds", "BetweenHolders", &b.BetweenHolders, 0, time.Hour)),
 		required(boolean("Bounds", "FencesChecked", &b.FencesChecked)),
+		required(duration("Bounds", "ApplyTimeout", &b.ApplyTimeout, 500*time.Millisecond, time.Hour)),
 		required(duration("Bounds", "LeaveTimeout", &b.LeaveTimeout, 100*time.Millisecond, time.Hour)),
 		required(decimal("Bounds", "RetryRatio", &b.RetryRatio, 0, 10)),
 		required(decimal("Bounds", "RetrySlack", &b.RetrySlack, 0, 1e6)),
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -29,6 +29,7 @@
 KeyLife = 5000ms
 StopTimeout = 8s
 BetweenHolders = 3000ms
+ApplyTimeout = 2000ms
 LeaveTimeout = 2000ms
 RetryRatio = 0.2
 RetrySlack = 52
