account: an organisation's quota is kept by one owner in a large fleet

Cause: one instance lent for all. Ruled out by reckoning: parts passed to owners with each request (each brings some 200 of 3,000 tokens), a direct exchange of all with 40 owners (20,000 messages a second). Change: organisations are dealt to 64 shards and shards to instances by the leader, which leaves the table on the platform before it tells it. Owners charge at the full rate for 1 s after the leader confirmed them, at half to 6 s, then not; one that replaces a lost owner is at half until then, so both together never grant more than the rate. Fleets of up to 24 keep loans. Charges carry who leads, so that a new leader is known without the store.

--- a/lease/elector.go
+++ b/lease/elector.go
@@ -124,7 +124,7 @@
 func (e *Elector) Run(ctx context.Context) error {
 	timer.Wait(ctx, rand.N(startJitter))
 	e.load(ctx)
-	if e.Fleet() <= mostPresuming {
+	if e.Fleet() <= MostPresuming {
 		e.readNote(ctx, true)
 	}
 	close(e.started)
@@ -166,6 +166,24 @@
 	return Renewal{e.known.Offset, max(0, e.clock().Sub(e.renewed))}
 }
 
+// Known returns the newest record known here, for others to learn from.
+func (e *Elector) Known() Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known
+}
+
+// Learn takes in a record that another instance knows of.
+func (e *Elector) Learn(r Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.Offset > e.known.Offset && e.read {
+		r.Fence, r.Fleet = e.known.Fence, e.known.Fleet
+		e.learn(r, e.clock().Add(ttl))
+		e.denied = false
+	}
+}
+
 // Answered says that the leader has answered just now, and the renewal that it named.
 func (e *Elector) Answered(r Renewal) {
 	e.mu.Lock()
--- a/lease/note.go
+++ b/lease/note.go
@@ -16,11 +16,12 @@
 	usedKey = "Used/"
 	// noteProducer numbers the note's writes.
 	noteProducer = "galenastair"
-	// mostPresuming is the largest fleet whose instances go by the note when they start: the
-	// part of one of a larger fleet does not carry a request.
-	mostPresuming = 24
 )
 
+// MostPresuming is the largest fleet whose instances go by the note when they start: the part
+// of one of a larger fleet does not carry a request.
+const MostPresuming = 24
+
 // Note is what a leader leaves on the platform; this package does not look
 // into it.
 type Note struct {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"galenastair"
+	"galenastair/account"
 	"galenastair/boottime"
 	"galenastair/claim"
 	"galenastair/lease"
@@ -32,16 +33,18 @@
 
 // exchange keeps this instance and the one that plans in touch.
 type exchange struct {
-	self    galenastair.InstanceID
-	elector *lease.Elector
-	client  *planning.Client
-	local   *planner.Planner
-	pool    *pool.Pool
-	share   *quota.Share
-	poison  *claim.Poison
-	logger  log.Logger
-	address string
-	topics  func() []followed
+	self     galenastair.InstanceID
+	elector  *lease.Elector
+	client   *planning.Client
+	local    *planner.Planner
+	pool     *pool.Pool
+	share    *quota.Share
+	accounts *account.Accounts
+	stopping func() bool
+	poison   *claim.Poison
+	logger   log.Logger
+	address  string
+	topics   func() []followed
 
 	mu      sync.Mutex
 	demands map[galenastair.ModelName]time.Duration
@@ -72,6 +75,9 @@
 	case <-time.After(startWait):
 	case <-ctx.Done():
 	}
+	if fleet := x.elector.Fleet(); fleet > lease.MostPresuming {
+		x.share.SetFleet(fleet)
+	}
 	for ctx.Err() == nil {
 		busy := x.round(ctx)
 		wait := idlePeriod
@@ -95,6 +101,7 @@
 		return true
 	}
 	x.take(news)
+	x.takeOwners(news, sent)
 	hint(x.topics(), news.Tails, sent)
 	return busy
 }
@@ -106,6 +113,7 @@
 	x.mu.Unlock()
 	r.Loads, r.Absent = x.pool.Loads(), x.pool.Absent(time.Now())
 	r.Positions = positions(x.topics())
+	r.Address, r.TableVersion, r.Stopping = x.address, x.accounts.Table().Version, x.stopping()
 	now := time.Now()
 	r.Asks, r.Passed = x.share.Asks(now), x.share.Pass(now)
 	return r
@@ -178,48 +186,28 @@
 	}
 }
 
-// Need asks the planner for a place for a model or adapter.
-func (x *exchange) Need(ctx context.Context, name galenastair.ModelName) (planner.Promise, error) {
-	holder, own := x.at()
-	switch {
-	case own:
-		return x.local.Need(ctx, name)
-	case holder == "":
-		return planner.Promise{}, errNoHolder
+// takeOwners takes in who owns what; sent is from before the call that brought it. Only a
+// leader whose lease has not expired confirms it.
+func (x *exchange) takeOwners(n planner.News, sent boottime.Time) {
+	if n.Lapsed || n.TableVersion == 0 {
+		return
 	}
-	return x.client.Need(ctx, holder, name)
-}
-
-// quotas charges organisations, borrowing what is missing.
-type quotas struct {
-	*quota.Share
-	exchange *exchange
-}
-
-// Borrow asks the lender for what one request lacks, and charges it if it was lent.
-func (q quotas) Borrow(ctx context.Context, o galenastair.Organisation, cost float64) bool {
-	now := time.Now()
-	lacks, ok := q.Lacks(now, o, cost)
-	if !ok || q.Alone() {
-		return false
+	if n.Table.Version == n.TableVersion {
+		x.accounts.SetTable(n.Table)
 	}
-	n, err := q.exchange.borrow(ctx, quota.Ask{Organisation: o, Amount: lacks})
-	if err != nil {
-		q.exchange.logger.Log("event", "borrow", "organisation", o, "err", err)
-		q.Unheard(time.Now())
-		return q.Retake(time.Now(), o, cost)
+	if x.accounts.Table().Version == n.TableVersion {
+		x.accounts.Confirm(sent, boottime.Now(), n.Grants)
 	}
-	q.Lent(time.Now(), o, n)
-	return n > 0 && q.Retake(time.Now(), o, cost)
 }
 
-func (x *exchange) borrow(ctx context.Context, a quota.Ask) (float64, error) {
+// Need asks the planner for a place for a model or adapter.
+func (x *exchange) Need(ctx context.Context, name galenastair.ModelName) (planner.Promise, error) {
 	holder, own := x.at()
 	switch {
 	case own:
-		return x.local.Borrow(ctx, a)
+		return x.local.Need(ctx, name)
 	case holder == "":
-		return 0, errNoHolder
+		return planner.Promise{}, errNoHolder
 	}
-	return x.client.Borrow(ctx, holder, a)
+	return x.client.Need(ctx, holder, name)
 }
--- a/node/listen.go
+++ b/node/listen.go
@@ -40,7 +40,7 @@
 
 func (n *Node) listen(g *run.Group) error {
 	peers := http.NewServeMux()
-	peers.Handle(planning.PathPrefix, planning.NewServer(teller{n.planner, n.topics, n.elector.Renewal}))
+	peers.Handle(planning.PathPrefix, planning.NewServer(teller{n.planner, n.topics, n.elector, n.accounts}))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
 	metrics.HandleFunc(StatusPath, n.serveStatus)
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 
 	"galenastair"
+	"galenastair/account"
 	"galenastair/catalog"
 	"galenastair/claim"
 	"galenastair/control"
@@ -70,6 +71,7 @@
 	viewTail follow.Tail
 	pool     *pool.Pool
 	share    *quota.Share
+	accounts *account.Accounts
 	backends *httpconn.Client
 	elector  *lease.Elector
 	duty     duty
@@ -105,6 +107,7 @@
 	n.pool = pool.New(s.AvailabilityZone, pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-leaveLag)))
 	terms := quota.Terms{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
 	n.share = quota.NewShare(terms)
+	n.accounts = account.New(s.PeerAddress, terms)
 	n.backends = httpconn.NewClient()
 	backend := platform.NewReplicas(n.backends)
 	l := lease.New(lease.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
@@ -123,16 +126,18 @@
 
 func (n *Node) newExchange() *exchange {
 	x := &exchange{
-		self:    n.settings.ID,
-		elector: n.elector,
-		client:  planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
-		local:   n.planner,
-		pool:    n.pool,
-		share:   n.share,
-		logger:  n.logger,
-		address: n.settings.PeerAddress,
-		demands: map[galenastair.ModelName]time.Duration{},
-		topics:  n.topics,
+		self:     n.settings.ID,
+		elector:  n.elector,
+		client:   planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
+		local:    n.planner,
+		pool:     n.pool,
+		share:    n.share,
+		accounts: n.accounts,
+		stopping: n.stopping.Load,
+		logger:   n.logger,
+		address:  n.settings.PeerAddress,
+		demands:  map[galenastair.ModelName]time.Duration{},
+		topics:   n.topics,
 	}
 	x.poison = claim.NewPoison(x.poisoned, claim.WithTrials(poisonTrials, poisonTerm))
 	return x
@@ -150,7 +155,7 @@
 		Views:     n.views,
 		Pool:      n.pool,
 		Backend:   backend,
-		Quota:     quotas{n.share, n.exchange},
+		Quota:     quotas{n.share, n.accounts, n.exchange},
 		Placement: n.exchange,
 		Poison:    n.exchange.poison,
 	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
@@ -218,6 +223,7 @@
 func (n *Node) connect(ctx context.Context) {
 	n.views.changed = func(c *catalog.Catalog) {
 		n.share.SetContracts(time.Now(), c)
+		n.accounts.SetContracts(c)
 		n.post(n.planner.SetCatalog(ctx, c))
 	}
 	n.servers.set = func(s pool.Server) {
--- a/node/note.go
+++ b/node/note.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"galenastair/lease"
+	"galenastair/planner"
 	"galenastair/platform"
-	"galenastair/quota"
 )
 
 // note ties what the lender leaves on the platform to those that read it.
@@ -36,13 +36,13 @@
 				return
 			}
 			n.post(n.planner.SetNote(ctx, note))
-			n.share.Presume(time.Now(), n.settings.ID, note, first)
+			n.share.Presume(time.Now(), n.settings.ID, note.Note, first)
 		},
 	}
 }
 
-func (n *Node) decodeNote(data []byte) (quota.Note, bool) {
-	var note quota.Note
+func (n *Node) decodeNote(data []byte) (planner.Note, bool) {
+	var note planner.Note
 	err := json.Unmarshal(data, &note)
 	if err != nil {
 		n.logger.Log("event", "note", "note", string(data), "err", err)
--- a/node/tails.go
+++ b/node/tails.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/account"
 	"galenastair/boottime"
 	"galenastair/follow"
 	"galenastair/lease"
@@ -27,9 +28,15 @@
 // has read of the store beyond what they have.
 type teller struct {
 	*planner.Planner
-	topics func() []followed
-	// renewal returns the newest renewal of this instance's lease.
-	renewal func() lease.Renewal
+	topics   func() []followed
+	elector  *lease.Elector
+	accounts *account.Accounts
+}
+
+// Charge answers for an organisation that this instance may own.
+func (t teller) Charge(o galenastair.Organisation, cost float64, known lease.Record) (account.Verdict, lease.Record) {
+	t.elector.Learn(known)
+	return t.accounts.Charge(boottime.Now(), o, cost), t.elector.Known()
 }
 
 // Hear takes in a report.
@@ -38,7 +45,7 @@
 	if err != nil {
 		return news, err
 	}
-	news.Renewal = t.renewal()
+	news.Renewal = t.elector.Renewal()
 	for _, f := range t.topics() {
 		from, asked := r.Positions[f.topic]
 		age, known := f.follower.Age()
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -82,8 +82,11 @@
 
 func encodeReport(r planner.Report) *planningpb.ExchangeRequest {
 	out := &planningpb.ExchangeRequest{
-		Instance: string(r.Instance),
-		Loads:    encodeLoads(r.Loads),
+		Instance:     string(r.Instance),
+		Address:      r.Address,
+		TableVersion: r.TableVersion,
+		Stopping:     r.Stopping,
+		Loads:        encodeLoads(r.Loads),
 	}
 	encodePassed(out, r.Passed)
 	for _, id := range r.Absent {
@@ -150,6 +153,7 @@
 	}
 	out.Renewal = lease.Renewal{Offset: galenastair.Offset(r.Renewal), Age: time.Duration(r.RenewalAgeMs) * time.Millisecond}
 	out.Tails = decodeTails(r.Tails)
+	decodeOwners(r, &out)
 	out.Placed, out.Dropped = decodePlacements(r.Placed), decodePlacements(r.Dropped)
 	for _, d := range r.Poisons {
 		out.Poisons = append(out.Poisons, claim.Digest(d))
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"galenastair"
+	"galenastair/account"
 	"galenastair/claim"
+	"galenastair/lease"
 	"galenastair/peer/planningpb"
 	"galenastair/planner"
 	"galenastair/quota"
@@ -18,6 +20,8 @@
 	Hear(ctx context.Context, r planner.Report) (planner.News, error)
 	Need(ctx context.Context, name galenastair.ModelName) (planner.Promise, error)
 	Borrow(ctx context.Context, a quota.Ask) (float64, error)
+	// Charge also takes in and returns who leads.
+	Charge(o galenastair.Organisation, cost float64, known lease.Record) (account.Verdict, lease.Record)
 }
 
 type server struct{ planner Planner }
@@ -28,11 +32,14 @@
 // Exchange takes in a report.
 func (s *server) Exchange(ctx context.Context, req *planningpb.ExchangeRequest) (*planningpb.ExchangeReply, error) {
 	r := planner.Report{
-		Instance:  galenastair.InstanceID(req.Instance),
-		Passed:    decodePassed(req),
-		Loads:     decodeLoads(req.Loads),
-		Positions: make(map[galenastair.Topic]galenastair.Offset, len(req.Positions)),
-		Demands:   make(map[galenastair.ModelName]time.Duration, len(req.Demands)),
+		Instance:     galenastair.InstanceID(req.Instance),
+		Address:      req.Address,
+		TableVersion: req.TableVersion,
+		Stopping:     req.Stopping,
+		Passed:       decodePassed(req),
+		Loads:        decodeLoads(req.Loads),
+		Positions:    make(map[galenastair.Topic]galenastair.Offset, len(req.Positions)),
+		Demands:      make(map[galenastair.ModelName]time.Duration, len(req.Demands)),
 	}
 	for _, d := range req.Demands {
 		r.Demands[galenastair.ModelName(d.Name)] = time.Duration(d.WorkUs) * time.Microsecond
@@ -63,6 +70,7 @@
 	out := &planningpb.ExchangeReply{Holds: true, Lapsed: n.Lapsed, Loads: encodeLoads(n.Loads)}
 	out.Renewal, out.RenewalAgeMs = int64(n.Renewal.Offset), uint32(n.Renewal.Age.Milliseconds())
 	encodeStanding(out, n.Standing)
+	encodeOwners(out, n)
 	for _, l := range n.Loans {
 		out.Loans = append(out.Loans, &planningpb.Loan{Organisation: string(l.Organisation), Amount: l.Amount})
 	}
--- a/planner/message.go
+++ b/planner/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/account"
 	"galenastair/claim"
 	"galenastair/lease"
 	"galenastair/pool"
@@ -14,6 +15,11 @@
 // Report is what one instance tells the planner.
 type Report struct {
 	Instance galenastair.InstanceID
+	// Address is its peer address, TableVersion that of the owners that it goes by, and
+	// Stopping says that it is about to end.
+	Address      string
+	TableVersion int64
+	Stopping     bool
 	// Loads is what its requests put on each backend server now.
 	Loads map[galenastair.BackendServerID]pool.Load
 	// Demands is the engine time asked of each model and adapter since the last report.
@@ -41,6 +47,11 @@
 	// Loads is what all other instances' requests put on each backend server.
 	Loads map[galenastair.BackendServerID]pool.Load
 	Loans []quota.Ask
+	// TableVersion is that of the owners in force, and Table names them if the instance goes
+	// by others. Grants are what it owns itself.
+	TableVersion int64
+	Table        account.Table
+	Grants       []account.Grant
 	// Placed says what backend servers hold since a moment ago, Dropped what they no
 	// longer hold or are about to give up.
 	Placed  []Placement
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -10,6 +10,8 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/account"
+	"galenastair/boottime"
 	"galenastair/catalog"
 	"galenastair/claim"
 	"galenastair/control"
@@ -74,8 +76,12 @@
 	news    []newsAt
 	poisons []poisonAt
 	held    bool
-	// note is what the holder before left.
-	note     quota.Note
+	// note is what the leader before left.
+	note Note
+	// owned says that organisations have owners, whom the assigner deals them to.
+	owned    bool
+	assigner *account.Assigner
+	boot     boottime.Clock
 	since    time.Time
 	foretold time.Time
 }
@@ -116,19 +122,21 @@
 // self names it in orders.
 func New(self string, t quota.Terms, c galenastair.EngineControl, d Duty, loop *control.Loop, opts ...Option) *Planner {
 	p := &Planner{
-		self:    self,
-		control: c,
-		duty:    d,
-		loop:    loop,
-		clock:   galenastair.SystemClock{},
-		logger:  log.NewNopLogger(),
-		ordered: func(galenastair.OrderKind, place.Reason, string) {},
-		ctx:     context.Background(),
-		sites:   map[galenastair.ServiceName]*site{},
-		servers: map[galenastair.BackendServerID]pool.Server{},
-		absent:  map[galenastair.BackendServerID]time.Time{},
-		lender:  quota.NewLender(t),
-		reports: map[galenastair.InstanceID]report{},
+		self:     self,
+		control:  c,
+		duty:     d,
+		loop:     loop,
+		clock:    galenastair.SystemClock{},
+		logger:   log.NewNopLogger(),
+		ordered:  func(galenastair.OrderKind, place.Reason, string) {},
+		ctx:      context.Background(),
+		sites:    map[galenastair.ServiceName]*site{},
+		servers:  map[galenastair.BackendServerID]pool.Server{},
+		absent:   map[galenastair.BackendServerID]time.Time{},
+		lender:   quota.NewLender(t),
+		assigner: account.NewAssigner(),
+		boot:     boottime.Now,
+		reports:  map[galenastair.InstanceID]report{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -227,7 +235,8 @@
 func (p *Planner) beginOrEnd(now time.Time, holds bool) {
 	p.logger.Log("event", "term", "holds", holds)
 	if holds {
-		p.lender.Reset(now, p.note)
+		p.lender.Reset(now, p.note.Note)
+		p.beginOwners()
 		clear(p.reports)
 	}
 	for _, s := range p.sites {
@@ -331,8 +340,13 @@
 	for _, d := range r.Poisons {
 		p.poisons = append(p.poisons, poisonAt{d, r.Instance, now})
 	}
+	p.decideOwners(now)
 	news := News{Lapsed: !p.duty.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads(now, r.Instance)}
+	p.tellOwners(r, &news)
 	for _, a := range r.Asks {
+		if p.owned {
+			break
+		}
 		if n := p.lender.Lend(now, a); n > 0 {
 			news.Loans = append(news.Loans, quota.Ask{Organisation: a.Organisation, Amount: n})
 		}
@@ -387,7 +401,7 @@
 	var n float64
 	err := ErrNotPlanner
 	doErr := p.loop.Do(ctx, func() {
-		if p.duty.Hosts() {
+		if p.duty.Hosts() && !p.owned {
 			n, err = p.lender.LendAll(p.clock.Now(), a), nil
 		}
 	})
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -63,8 +63,8 @@
 			a = &credit{}
 			l.accounts[o.Name] = a
 		}
-		a.set(l.terms.lending(o))
-		a.largest = l.terms.most(o)
+		a.set(l.terms.Lending(o))
+		a.largest = l.terms.Most(o)
 	})
 	for name := range l.accounts {
 		if !seen[name] {
@@ -112,6 +112,9 @@
 	return l.tell(p, Standing{Fleet: fleet, Part: told})
 }
 
+// Counted says whether enough of the term has gone by to know how many instances there are.
+func (l *Lender) Counted(now time.Time) bool { return !l.began.IsZero() && !l.counting(now) }
+
 // counting says that too little of the term has gone by to know how many there are.
 func (l *Lender) counting(now time.Time) bool {
 	return now.Sub(l.began) < firstCount || l.known == 0 && now.Sub(l.began) < firstStart
--- a/quota/pass.go
+++ b/quota/pass.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// SetFleet says how many instances there are where this one has no part of the quotas.
+func (s *Share) SetFleet(fleet int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet, s.part = fleet, 0
+}
+
 func (s *Share) setModerate(list []galenastair.Organisation) {
 	clear(s.moderate)
 	for _, o := range list {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -336,7 +336,7 @@
 // at an infinite rate, and no organisation had a limit.
 func TestNoWindowLendsTheBareQuota(t *testing.T) {
 	is := is.New(t)
-	rate, size := Terms{}.lending(&catalog.Organisation{Rate: 100, Burst: 500})
+	rate, size := Terms{}.Lending(&catalog.Organisation{Rate: 100, Burst: 500})
 	is.Equal(rate, 100.0)
 	is.Equal(size, 500.0)
 }
@@ -347,7 +347,7 @@
 	is := is.New(t)
 	const rate, burst = 1000.0, 60000.0
 	f := newFleet(2, rate, burst)
-	_, size := terms.lending(&catalog.Organisation{Rate: rate, Burst: burst})
+	_, size := terms.Lending(&catalog.Organisation{Rate: rate, Burst: burst})
 	is.True(size < burst)
 	for range 200 {
 		f.now = f.now.Add(300 * time.Millisecond)
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -110,7 +110,7 @@
 		s.SetStanding(now, l.Heard(now, "a", s.Pass(now)))
 		taken += l.accounts["org"].upTo(1e9)
 	}
-	lent, _ := terms.lending(contract(rate, rate).Organisation("org"))
+	lent, _ := terms.Lending(contract(rate, rate).Organisation("org"))
 	is.True(taken <= lent*8+1)
 }
 
--- a/quota/share.go
+++ b/quota/share.go
@@ -114,7 +114,7 @@
 			a = &account{}
 			s.accounts[o.Name] = a
 		}
-		rate, most := s.terms.lending(o)
+		rate, most := s.terms.Lending(o)
 		if rate < a.rate || most < a.most {
 			// what was lent under the higher limit must not be spent under the lower
 			a.loan = 0
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -28,10 +28,10 @@
 // use is what an organisation gets of the bounds.
 func (t Terms) use(o *catalog.Organisation) float64 { return burstUse * t.bounds(o) }
 
-// most is the most that an organisation may take at one moment.
-func (t Terms) most(o *catalog.Organisation) float64 { return o.Burst + t.use(o) }
+// Most is the most that an organisation may take at one moment.
+func (t Terms) Most(o *catalog.Organisation) float64 { return o.Burst + t.use(o) }
 
-// lending returns the rate and size of the bucket that an organisation borrows from.
+// Lending returns the rate and size of the bucket that an organisation borrows from.
 //
 // Load: an organisation that goes on asking somewhat above its rate, as after an
 // operator has lowered it. Harm: the quota allows a burst in every window, but a bucket
@@ -39,13 +39,13 @@
 // the quota are refused, the large ones first. So the burst comes in with the rate, over
 // the window, as far as the bounds leave a bucket for clumps; what a window can get at
 // most, size + rate x window, stays the same.
-func (t Terms) lending(o *catalog.Organisation) (rate, size float64) {
+func (t Terms) Lending(o *catalog.Organisation) (rate, size float64) {
 	if t.Window <= 0 {
 		// a platform that names no window: nothing to spread the burst over
-		return o.Rate, t.most(o)
+		return o.Rate, t.Most(o)
 	}
 	size = max(t.use(o), o.Burst-t.use(o))
-	return o.Rate + (t.most(o)-size)/t.Window.Seconds(), size
+	return o.Rate + (t.Most(o)-size)/t.Window.Seconds(), size
 }
 
 // reserveUse is the part of the bounds that instances begin with when the lender falls
