planner, node: loads in a short form, changes of placement once; store calls counted and logged

Change: loads as packed keys of 4 bytes, requests and prompt tokens in units of 64; the sum is kept and a report's part replaced; a change of placement is told to each instance once.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -50,6 +50,10 @@
 	demands map[galenastair.ModelName]time.Duration
 	poisons []claim.Digest
 	lost    bool
+
+	// owned by run: seen is the newest change of placement that seenOf has told
+	seen   int64
+	seenOf string
 }
 
 // Asked notes the engine time of a request for the planner's forecast.
@@ -94,12 +98,17 @@
 	r := x.report()
 	sent := boottime.Now()
 	busy := len(r.Loads)+len(r.Demands)+len(r.Asks)+len(r.Poisons) > 0
+	leader, _ := x.at()
+	if leader == x.seenOf {
+		r.Seen = x.seen
+	}
 	news, err := x.hear(ctx, r)
 	if err != nil {
 		x.failed(err)
 		x.giveBack(r)
 		return true
 	}
+	x.seen, x.seenOf = news.Newest, leader
 	x.take(news)
 	x.takeOwners(news, sent)
 	hint(x.topics(), news.Tails, sent)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,6 +9,7 @@
 	"galenastair"
 	"galenastair/gateway"
 	"galenastair/place"
+	"galenastair/platform"
 )
 
 // metrics counts how requests and orders end.
@@ -23,6 +24,8 @@
 	orders        *prometheus.CounterVec
 	first         *prometheus.HistogramVec
 	total         *prometheus.HistogramVec
+	stored        *prometheus.CounterVec
+	storeTook     *prometheus.HistogramVec
 }
 
 func newMetrics() *metrics {
@@ -43,8 +46,15 @@
 		}, []string{"kind", "reason", "outcome"}),
 		first: histogram("galenastair_first_seconds", "Time from a request's arrival to its answer's head or first event."),
 		total: histogram("galenastair_total_seconds", "Time from a request's arrival to its end."),
+		stored: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_store_calls_total", Help: "Calls to the platform's store, by call, topic and outcome.",
+		}, []string{"call", "topic", "outcome"}),
+		storeTook: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "galenastair_store_seconds", Help: "Time that a call to the platform's store took; reads wait for records.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
+		}, []string{"call"}),
 	}
-	m.registry.MustRegister(m.requests, m.organisations, m.retries, m.orders, m.first, m.total)
+	m.registry.MustRegister(m.requests, m.organisations, m.retries, m.orders, m.first, m.total, m.stored, m.storeTook)
 	return m
 }
 
@@ -87,6 +97,11 @@
 	return string(o)
 }
 
+func (m *metrics) storeCalled(c platform.StoreCall) {
+	m.stored.WithLabelValues(c.Call, string(c.Topic), storeOutcome(c.Err)).Inc()
+	m.storeTook.WithLabelValues(c.Call).Observe(c.Took.Seconds())
+}
+
 // Retried counts one more send.
 func (m *metrics) Retried(cause string) { m.retries.WithLabelValues(cause).Inc() }
 
--- a/node/node.go
+++ b/node/node.go
@@ -103,8 +103,8 @@
 	for _, o := range opts {
 		o(n)
 	}
-	n.store = platform.NewStore(s.StoreAddress)
-		terms := quota.Terms{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
+	n.store = platform.NewStore(s.StoreAddress, platform.WithObserver(n.observeStore))
+	terms := quota.Terms{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
 	n.share = quota.NewShare(terms)
 	n.pool = pool.New(s.AvailabilityZone, pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-leaveLag)), pool.WithFleet(n.share.Fleet))
 	n.accounts = account.New(s.PeerAddress, terms)
@@ -124,6 +124,12 @@
 	return n
 }
 
+// observeStore counts a call to the store.
+func (n *Node) observeStore(c platform.StoreCall) {
+	n.metrics.storeCalled(c)
+	n.storeCalls.observe(c)
+}
+
 func (n *Node) newExchange() *exchange {
 	x := &exchange{
 		self:     n.settings.ID,
@@ -210,6 +216,7 @@
 	add("planner", n.planner.Run)
 	add("exchange", n.exchange.run)
 	add("connections", n.prune)
+	add("store calls", n.logStoreCalls)
 	if err := n.listen(&g); err != nil {
 		return err
 	}
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -86,6 +86,7 @@
 		Address:      r.Address,
 		TableVersion: r.TableVersion,
 		Stopping:     r.Stopping,
+		Seen:         r.Seen,
 		Loads:        encodeLoads(r.Loads),
 	}
 	encodePassed(out, r.Passed)
@@ -147,7 +148,7 @@
 }
 
 func decodeNews(r *planningpb.ExchangeReply) planner.News {
-	out := planner.News{Lapsed: r.Lapsed, Standing: decodeStanding(r), Loads: decodeLoads(r.Loads)}
+	out := planner.News{Lapsed: r.Lapsed, Standing: decodeStanding(r), Loads: decodeKeyedLoads(r), Newest: r.Newest}
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.Ask{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
--- /dev/null
+++ b/peer/planning/loads.go
@@ -0,0 +1,29 @@
+package planning
+
+import (
+	"math"
+
+	"galenastair/peer/planningpb"
+	"galenastair/pool"
+)
+
+// unreadUnit is the prompt tokens that one unit of a message counts for.
+const unreadUnit = 64
+
+func encodeKeyedLoads(out *planningpb.ExchangeReply, loads map[pool.ServerKey]pool.Load) {
+	for key, l := range loads {
+		out.LoadKeys = append(out.LoadKeys, uint32(key))
+		out.LoadFlights = append(out.LoadFlights, uint32(l.Flights))
+		out.LoadUnread = append(out.LoadUnread, uint32(math.Round(l.Unread/unreadUnit)))
+	}
+}
+
+func decodeKeyedLoads(r *planningpb.ExchangeReply) map[pool.ServerKey]pool.Load {
+	out := make(map[pool.ServerKey]pool.Load, len(r.LoadKeys))
+	for i, key := range r.LoadKeys {
+		if i < len(r.LoadFlights) && i < len(r.LoadUnread) {
+			out[pool.ServerKey(key)] = pool.Load{Flights: float64(r.LoadFlights[i]), Unread: unreadUnit * float64(r.LoadUnread[i])}
+		}
+	}
+	return out
+}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -36,6 +36,7 @@
 		Address:      req.Address,
 		TableVersion: req.TableVersion,
 		Stopping:     req.Stopping,
+		Seen:         req.Seen,
 		Passed:       decodePassed(req),
 		Loads:        decodeLoads(req.Loads),
 		Positions:    make(map[galenastair.Topic]galenastair.Offset, len(req.Positions)),
@@ -67,7 +68,8 @@
 }
 
 func encodeNews(n planner.News) *planningpb.ExchangeReply {
-	out := &planningpb.ExchangeReply{Holds: true, Lapsed: n.Lapsed, Loads: encodeLoads(n.Loads)}
+	out := &planningpb.ExchangeReply{Holds: true, Lapsed: n.Lapsed, Newest: n.Newest}
+	encodeKeyedLoads(out, n.Loads)
 	out.Renewal, out.RenewalAgeMs = int64(n.Renewal.Offset), uint32(n.Renewal.Age.Milliseconds())
 	encodeStanding(out, n.Standing)
 	encodeOwners(out, n)
--- a/planner/message.go
+++ b/planner/message.go
@@ -33,6 +33,8 @@
 	Poisons []claim.Digest
 	// Absent are backend servers at whose addresses nothing listened a moment ago.
 	Absent []galenastair.BackendServerID
+	// Seen is the number of the newest change of placement that it was told by this planner.
+	Seen int64
 }
 
 // News is what the planner answers.
@@ -45,7 +47,7 @@
 	// Standing is its place among the instances, as the lender counts them.
 	Standing quota.Standing
 	// Loads is what all other instances' requests put on each backend server.
-	Loads map[galenastair.BackendServerID]pool.Load
+	Loads map[pool.ServerKey]pool.Load
 	Loans []quota.Ask
 	// TableVersion is that of the owners in force, and Table names them if the instance goes
 	// by others. Grants are what it owns itself.
@@ -56,6 +58,8 @@
 	// longer hold or are about to give up.
 	Placed  []Placement
 	Dropped []Placement
+	// Newest numbers the newest of these changes.
+	Newest  int64
 	Poisons []claim.Digest
 	// Tails are what the planner has read of the store's topics beyond the instance's
 	// positions.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -73,7 +73,11 @@
 	absent  map[galenastair.BackendServerID]time.Time
 	lender  *quota.Lender
 	reports map[galenastair.InstanceID]report
-	news    []newsAt
+	// loads is the sum of all reports.
+	loads loads
+	news  []newsAt
+	// newest numbers the changes in the news, over all terms of this process.
+	newest  int64
 	poisons []poisonAt
 	held    bool
 	// note is what the leader before left.
@@ -96,6 +100,7 @@
 	Placement
 	dropped bool
 	at      time.Time
+	number  int64
 }
 
 type poisonAt struct {
@@ -134,6 +139,7 @@
 		servers:  map[galenastair.BackendServerID]pool.Server{},
 		absent:   map[galenastair.BackendServerID]time.Time{},
 		lender:   quota.NewLender(t),
+		loads:    loads{},
 		assigner: account.NewAssigner(),
 		boot:     boottime.Now,
 		reports:  map[galenastair.InstanceID]report{},
@@ -222,9 +228,9 @@
 	p.step(now)
 	p.present(now)
 	_, orders := p.duty.Order()
-	loads := p.loads(now, "")
+	p.expire(now)
 	for _, s := range p.sites {
-		s.loads = loads
+		s.loads = p.loads
 		if orders && now.Sub(p.since) >= firstRound {
 			s.round(now)
 		}
@@ -238,6 +244,7 @@
 		p.lender.Reset(now, p.note.Note)
 		p.beginOwners()
 		clear(p.reports)
+		clear(p.loads)
 	}
 	for _, s := range p.sites {
 		s.strict = holds
@@ -296,21 +303,14 @@
 	}
 }
 
-// loads adds up what all instances but one put on each backend server.
-func (p *Planner) loads(now time.Time, but galenastair.InstanceID) map[galenastair.BackendServerID]pool.Load {
-	out := map[galenastair.BackendServerID]pool.Load{}
+// expire forgets reports of instances that have fallen silent.
+func (p *Planner) expire(now time.Time) {
 	for id, r := range p.reports {
-		if id == but || now.Sub(r.at) > reportLife {
-			continue
-		}
-		for server, l := range r.loads {
-			sum := out[server]
-			sum.Flights += l.Flights
-			sum.Unread += l.Unread
-			out[server] = sum
+		if now.Sub(r.at) > reportLife {
+			p.loads.subtract(r.loads)
+			delete(p.reports, id)
 		}
 	}
-	return out
 }
 
 // Hear takes in one instance's report and answers with what the others see.
@@ -330,6 +330,7 @@
 
 func (p *Planner) hear(r Report) News {
 	now := p.clock.Now()
+	p.loads.subtract(p.reports[r.Instance].loads)
 	p.reports[r.Instance] = report{r.Loads, now}
 	p.noteAbsent(now, r.Absent)
 	for name, work := range r.Demands {
@@ -341,7 +342,8 @@
 		p.poisons = append(p.poisons, poisonAt{d, r.Instance, now})
 	}
 	p.decideOwners(now)
-	news := News{Lapsed: !p.duty.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads(now, r.Instance)}
+	news := News{Lapsed: !p.duty.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads.keyed()}
+	p.loads.add(r.Loads)
 	p.tellOwners(r, &news)
 	for _, a := range r.Asks {
 		if p.owned {
@@ -352,7 +354,15 @@
 		}
 	}
 	p.forgetNews(now)
+	news.Newest = p.newest
+	if r.Seen > p.newest {
+		// it was told by a process before this one
+		r.Seen = 0
+	}
 	for _, c := range p.news {
+		if c.number <= r.Seen {
+			continue
+		}
 		if c.dropped {
 			news.Dropped = append(news.Dropped, c.Placement)
 		} else {
@@ -370,7 +380,16 @@
 // tell adds a change for all instances; it takes back an earlier one of the same.
 func (p *Planner) tell(now time.Time, at Placement, dropped bool) {
 	p.news = slices.DeleteFunc(p.news, func(c newsAt) bool { return c.Placement == at })
-	p.news = append(p.news, newsAt{at, dropped, now})
+	p.newest++
+	p.news = append(p.news, newsAt{at, dropped, now, p.newest})
+}
+
+// tellGoing tells of what engines are about to give up, once.
+func (p *Planner) tellGoing(now time.Time, at Placement) {
+	known := func(c newsAt) bool { return c.Placement == at && c.dropped }
+	if !slices.ContainsFunc(p.news, known) {
+		p.tell(now, at, true)
+	}
 }
 
 func (p *Planner) forgetNews(now time.Time) {
@@ -381,7 +400,7 @@
 		for id, e := range s.engines {
 			for name, it := range e.models {
 				if it.state == place.Going {
-					p.tell(now, Placement{id, name}, true)
+					p.tellGoing(now, Placement{id, name})
 				}
 			}
 		}
@@ -389,11 +408,6 @@
 	for len(p.poisons) > 0 && now.Sub(p.poisons[0].at) > newsLife {
 		p.poisons = p.poisons[1:]
 	}
-	for id, r := range p.reports {
-		if now.Sub(r.at) > 10*reportLife {
-			delete(p.reports, id)
-		}
-	}
 }
 
 // Borrow lends what one request lacks.
--- a/planner/site.go
+++ b/planner/site.go
@@ -43,7 +43,7 @@
 	engines  map[galenastair.BackendServerID]*engine
 	plan     *place.Planner
 	forecast *forecast.Forecast
-	loads    map[galenastair.BackendServerID]pool.Load
+	loads    loads
 	// strict says that this instance orders.
 	strict bool
 }
@@ -54,7 +54,7 @@
 		engines:  map[galenastair.BackendServerID]*engine{},
 		plan:     newPlan(s.Engine),
 		forecast: forecast.New(forecast.WithMemory(demandMemory)),
-		loads:    map[galenastair.BackendServerID]pool.Load{},
+		loads:    loads{},
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -31,6 +31,7 @@
 // member is what the pool keeps of one backend server.
 type member struct {
 	Server
+	key   ServerKey
 	holds map[galenastair.ModelName]bool
 	// told is when something was learned of a model otherwise than by registration.
 	told map[galenastair.ModelName]time.Time
@@ -114,7 +115,7 @@
 		m = nil
 	}
 	if m == nil {
-		m = &member{holds: map[galenastair.ModelName]bool{}, told: map[galenastair.ModelName]time.Time{}, full: map[galenastair.ModelName]time.Time{}, cache: newCache()}
+		m = &member{key: KeyOf(s.ID), holds: map[galenastair.ModelName]bool{}, told: map[galenastair.ModelName]time.Time{}, full: map[galenastair.ModelName]time.Time{}, cache: newCache()}
 		p.members[s.ID] = m
 		p.byService[s.Service] = append(p.byService[s.Service], m)
 	}
@@ -231,11 +232,11 @@
 }
 
 // SetOthers takes in what the other instances' requests put on each server.
-func (p *Pool) SetOthers(now time.Time, loads map[galenastair.BackendServerID]Load) {
+func (p *Pool) SetOthers(now time.Time, loads map[ServerKey]Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, m := range p.members {
-		m.others, m.othersAt = loads[id], now
+	for _, m := range p.members {
+		m.others, m.othersAt = loads[m.key], now
 	}
 }
 
--- a/pool/server.go
+++ b/pool/server.go
@@ -1,11 +1,23 @@
 package pool
 
 import (
+	"hash/fnv"
 	"time"
 
 	"galenastair"
 )
 
+// ServerKey is a short form of a backend server's id for messages. Two servers share one by
+// a chance of some millionths at hundreds of servers, and then their loads are added up.
+type ServerKey uint32
+
+// KeyOf returns the short form of an id.
+func KeyOf(id galenastair.BackendServerID) ServerKey {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return ServerKey(h.Sum32())
+}
+
 // Server is a backend server as it registered.
 type Server struct {
 	ID               galenastair.BackendServerID
--- a/pool/stale_test.go
+++ b/pool/stale_test.go
@@ -49,11 +49,11 @@
 
 // exchange tells one instance of the others' requests.
 func (c *crowd) exchange(now time.Time, p *Pool) {
-	loads := map[galenastair.BackendServerID]Load{}
+	loads := map[ServerKey]Load{}
 	for _, r := range c.running {
 		if r.pool != p {
-			l := loads[r.id]
-			loads[r.id] = Load{l.Flights + 1, l.Unread + 2000}
+			l := loads[KeyOf(r.id)]
+			loads[KeyOf(r.id)] = Load{l.Flights + 1, l.Unread + 2000}
 		}
 	}
 	p.SetOthers(now, loads)
