--- a/node/node.go
+++ b/node/node.go
@@ -68,17 +68,18 @@
 	views    *views
 	servers  *servers
 	// viewTail is what is passed on of the configuration.
-	viewTail follow.Tail
-	pool     *pool.Pool
-	share    *quota.Share
-	accounts *account.Accounts
-	backends *httpconn.Client
-	elector  *lease.Elector
-	duty     duty
-	planner  *planner.Planner
-	exchange *exchange
-	gateway  *gateway.Gateway
-	metrics  *metrics
+	viewTail   follow.Tail
+	pool       *pool.Pool
+	share      *quota.Share
+	accounts   *account.Accounts
+	backends   *httpconn.Client
+	elector    *lease.Elector
+	duty       duty
+	planner    *planner.Planner
+	exchange   *exchange
+	gateway    *gateway.Gateway
+	metrics    *metrics
+	storeCalls storeCalls
 	// stopping is set by the signal, closing when new connections have ended.
 	stopping atomic.Bool
 	closing  atomic.Bool
