node: a large configuration is passed on inside its zone

Change: the leader directs: one instance of a zone reads the store, the others of the zone get the record from it (Fetch), or wait for at most 0.8 s for one that is reading. Only in fleets of more than 24 and where the bounds leave 2.9 s.

--- a/follow/hint.go
+++ b/follow/hint.go
@@ -19,6 +19,10 @@
 	// Changes takes in what was told in another form than records, from Next to End; nil if
 	// nothing was.
 	Changes func()
+	// Wait says that the records which this instance lacks will be had elsewhere soon.
+	Wait bool
+	// Fetch gets them from another instance; nil if only the store has them.
+	Fetch func(from galenastair.Offset) (galenastair.KeyedBatch, error)
 }
 
 // Position returns the offset to go on from; false before the first answer.
@@ -54,8 +58,8 @@
 		f.apply(fresh, false)
 		f.moveTo(h.Next)
 	}
-	if f.from < h.End {
-		return false
+	if f.from < h.End && !f.fetch(h) {
+		return h.Wait
 	}
 	f.confirm(h.AsOf)
 	f.heard(h.AsOf)
@@ -63,6 +67,21 @@
 	return true
 }
 
+// fetch gets the records before a hint's end from another instance; false if it can't.
+func (f *Follower) fetch(h Hint) bool {
+	if h.Fetch == nil {
+		return false
+	}
+	b, err := h.Fetch(f.from)
+	if err != nil || b.Next-galenastair.Offset(len(b.Records)) != f.from {
+		f.logger.Log("event", "fetch", "topic", f.topic, "offset", f.from, "err", err)
+		return false
+	}
+	f.apply(b, false)
+	f.moveTo(b.Next)
+	return f.from >= h.End
+}
+
 func (f *Follower) moveTo(next galenastair.Offset) {
 	f.from, f.know = next, true
 	f.position.Store(int64(next) + 1)
--- a/follow/tail.go
+++ b/follow/tail.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"math"
 	"sync"
 
 	"galenastair"
@@ -47,6 +48,13 @@
 
 // Since returns the records from an offset on, as far as they are kept and small.
 func (t *Tail) Since(from galenastair.Offset) galenastair.KeyedBatch {
+	return t.since(from, largestPassed)
+}
+
+// All returns the records from an offset on, as far as they are kept.
+func (t *Tail) All(from galenastair.Offset) galenastair.KeyedBatch { return t.since(from, math.MaxInt) }
+
+func (t *Tail) since(from galenastair.Offset, largest int) galenastair.KeyedBatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := galenastair.KeyedBatch{Next: from, End: t.next}
@@ -54,7 +62,7 @@
 		return b
 	}
 	for _, r := range t.records[from-t.from:] {
-		if len(r.Value) > largestPassed {
+		if len(r.Value) > largest {
 			break
 		}
 		b.Records = append(b.Records, r)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -44,6 +44,7 @@
 	poison   *claim.Poison
 	logger   log.Logger
 	address  string
+	zone     galenastair.AvailabilityZone
 	topics   func() []followed
 
 	mu      sync.Mutex
@@ -111,7 +112,9 @@
 	x.seen, x.seenOf = news.Newest, leader
 	x.take(news)
 	x.takeOwners(news, sent)
-	hint(x.topics(), news.Tails, sent)
+	hint(x.topics(), news.Tails, sent, func(peer string, t galenastair.Topic, from galenastair.Offset) (galenastair.KeyedBatch, error) {
+		return x.client.Fetch(ctx, peer, t, from)
+	})
 	return busy
 }
 
@@ -122,6 +125,7 @@
 	x.mu.Unlock()
 	r.Loads, r.Absent = x.pool.Loads(), x.pool.Absent(time.Now())
 	r.Positions = positions(x.topics())
+	r.Zone = x.zone
 	r.Address, r.TableVersion, r.Stopping = x.address, x.accounts.Table().Version, x.stopping()
 	now := time.Now()
 	r.Asks, r.Passed = x.share.Asks(now), x.share.Pass(now)
--- a/node/listen.go
+++ b/node/listen.go
@@ -40,7 +40,7 @@
 
 func (n *Node) listen(g *run.Group) error {
 	peers := http.NewServeMux()
-	peers.Handle(planning.PathPrefix, planning.NewServer(teller{n.planner, n.topics, n.elector, n.accounts}))
+	peers.Handle(planning.PathPrefix, planning.NewServer(n.teller()))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
 	metrics.HandleFunc(StatusPath, n.serveStatus)
@@ -69,6 +69,18 @@
 	return nil
 }
 
+// directTime is what a new configuration takes to arrive by way of another instance of the
+// zone: three exchanges and a reading.
+const directTime = 2500 * time.Millisecond
+
+func (n *Node) teller() teller {
+	t := teller{Planner: n.planner, topics: n.topics, elector: n.elector, accounts: n.accounts}
+	if n.settings.Bounds.ApplyTimeout >= directTime+hintMargin {
+		t.sources = &sources{}
+	}
+	return t
+}
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -144,6 +144,7 @@
 		stopping: n.stopping.Load,
 		logger:   n.logger,
 		address:  n.settings.PeerAddress,
+		zone:     n.settings.AvailabilityZone,
 		demands:  map[galenastair.ModelName]time.Duration{},
 		topics:   n.topics,
 	}
--- a/node/tails.go
+++ b/node/tails.go
@@ -31,6 +31,9 @@
 	topics   func() []followed
 	elector  *lease.Elector
 	accounts *account.Accounts
+	// sources direct the instances of a large fleet; nil where the platform's bounds leave no
+	// time for it.
+	sources *sources
 }
 
 // Charge answers for an organisation that this instance may own.
@@ -50,12 +53,35 @@
 		from, asked := r.Positions[f.topic]
 		age, known := f.follower.Age()
 		if asked && known {
-			news.Tails = append(news.Tails, f.tell(from, age))
+			news.Tails = append(news.Tails, t.direct(r, news.Standing.Fleet, f.tell(from, age)))
 		}
 	}
 	return news, nil
 }
 
+// direct adds where the records are to be had that are not told.
+func (t teller) direct(r planner.Report, fleet int, tail planner.Tail) planner.Tail {
+	if t.sources == nil || fleet <= directed || tail.Changed || r.Address == "" {
+		return tail
+	}
+	d := t.sources.direct(boottime.Now(), r.Zone, r.Address, tail.Next, tail.End)
+	tail.Peer, tail.Wait = d.Peer, d.Wait
+	return tail
+}
+
+// directed is the largest fleet whose instances all read the store.
+const directed = 24
+
+// Fetch returns what this instance has read of a topic from an offset on.
+func (t teller) Fetch(topic galenastair.Topic, from galenastair.Offset) galenastair.KeyedBatch {
+	for _, f := range t.topics() {
+		if f.topic == topic && f.tail != nil {
+			return f.tail.All(from)
+		}
+	}
+	return galenastair.KeyedBatch{Next: from}
+}
+
 // tell returns what follows a position; the age is from before it is looked up.
 func (f followed) tell(from galenastair.Offset, age time.Duration) planner.Tail {
 	if f.tail != nil {
@@ -82,15 +108,21 @@
 	return out
 }
 
+// fetcher gets records from another instance.
+type fetcher func(peer string, t galenastair.Topic, from galenastair.Offset) (galenastair.KeyedBatch, error)
+
 // hint hands what the leader has read to the followers; sent is from before the call that
 // brought it.
-func hint(topics []followed, tails []planner.Tail, sent boottime.Time) {
+func hint(topics []followed, tails []planner.Tail, sent boottime.Time, fetch fetcher) {
 	for _, t := range tails {
 		for _, f := range topics {
 			if f.topic != t.Topic {
 				continue
 			}
-			h := follow.Hint{KeyedBatch: t.KeyedBatch, AsOf: sent.Add(-t.Age)}
+			h := follow.Hint{KeyedBatch: t.KeyedBatch, AsOf: sent.Add(-t.Age), Wait: t.Wait}
+			if t.Peer != "" {
+				h.Fetch = func(from galenastair.Offset) (galenastair.KeyedBatch, error) { return fetch(t.Peer, t.Topic, from) }
+			}
 			if t.Changed {
 				h.Changes = func() { f.apply(t.Changes, t.End) }
 			}
--- a/node/tails_test.go
+++ b/node/tails_test.go
@@ -50,7 +50,7 @@
 	}
 	// its term begins with the planner's first round
 	time.Sleep(300 * time.Millisecond)
-	told := teller{p, func() []followed { return []followed{{topic: platform.ConfigurationTopic, follower: f, tail: &tail}} }, lease.NewElector(nil, platform.LeaseTopic, lease.New(lease.Bounds{}), "me"), nil}
+	told := teller{p, func() []followed { return []followed{{topic: platform.ConfigurationTopic, follower: f, tail: &tail}} }, lease.NewElector(nil, platform.LeaseTopic, lease.New(lease.Bounds{}), "me"), nil, nil}
 	news, err := told.Hear(ctx, planner.Report{Instance: "i", Positions: map[galenastair.Topic]galenastair.Offset{platform.ConfigurationTopic: 0}})
 	is.NoErr(err)
 	is.Equal(news.Standing.Fleet, 0)
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -84,6 +84,7 @@
 	out := &planningpb.ExchangeRequest{
 		Instance:     string(r.Instance),
 		Address:      r.Address,
+		Zone:         string(r.Zone),
 		TableVersion: r.TableVersion,
 		Stopping:     r.Stopping,
 		Seen:         r.Seen,
@@ -113,6 +114,7 @@
 	for _, t := range ts {
 		tail := planner.Tail{Topic: galenastair.Topic(t.Topic), Age: time.Duration(t.AgeMs) * time.Millisecond}
 		tail.Changes, tail.Changed = decodeChanges(t.Changes), t.Changed
+		tail.Peer, tail.Wait = t.Peer, t.Wait
 		tail.Next, tail.End = galenastair.Offset(t.From), galenastair.Offset(t.End)
 		for _, r := range t.Records {
 			tail.Records = append(tail.Records, galenastair.KeyedRecord{Key: r.Key, Value: r.Value, Offset: tail.Next})
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -22,6 +22,8 @@
 	Borrow(ctx context.Context, a quota.Ask) (float64, error)
 	// Charge also takes in and returns who leads.
 	Charge(o galenastair.Organisation, cost float64, known lease.Record) (account.Verdict, lease.Record)
+	// Fetch returns what this instance has read of a topic from an offset on.
+	Fetch(t galenastair.Topic, from galenastair.Offset) galenastair.KeyedBatch
 }
 
 type server struct{ planner Planner }
@@ -34,6 +36,7 @@
 	r := planner.Report{
 		Instance:     galenastair.InstanceID(req.Instance),
 		Address:      req.Address,
+		Zone:         galenastair.AvailabilityZone(req.Zone),
 		TableVersion: req.TableVersion,
 		Stopping:     req.Stopping,
 		Seen:         req.Seen,
@@ -94,6 +97,8 @@
 			AgeMs:   uint32(t.Age.Milliseconds()) + 1,
 			Changed: t.Changed,
 			Changes: encodeChanges(t.Changes),
+			Peer:    t.Peer,
+			Wait:    t.Wait,
 		}
 		for _, r := range t.Records {
 			tail.Records = append(tail.Records, &planningpb.Record{Key: r.Key, Value: r.Value})
--- a/planner/message.go
+++ b/planner/message.go
@@ -18,6 +18,7 @@
 	// Address is its peer address, TableVersion that of the owners that it goes by, and
 	// Stopping says that it is about to end.
 	Address      string
+	Zone         galenastair.AvailabilityZone
 	TableVersion int64
 	Stopping     bool
 	// Loads is what its requests put on each backend server now.
@@ -75,6 +76,10 @@
 	// Changes are told in place of records, where Changed says so.
 	Changes []registry.Change
 	Changed bool
+	// Peer is an instance that has the records which the others lack, and Wait says that one
+	// will have them soon.
+	Peer string
+	Wait bool
 }
 
 // Placement is a model or adapter on a backend server.
