place: many copies at once where many are missing; nothing granted by a started instance

A model gets one copy in 1.2 s, waits for the swap under way, and its work was dealt in eighths, so that a ninth copy counted as useless. Now a third of what is missing at once, dealt in four parts a copy, and a relief a round for each 24 engines. A started instance holds no part until a leader or its note tells. Ruled out: two owners at once (the new leader had the table). Also: a term begins for the planner only when the note of the leader before is read.

--- a/lease/elector.go
+++ b/lease/elector.go
@@ -273,7 +273,10 @@
 func (e *Elector) beginTerm(ctx context.Context, r Record, before Before) {
 	term := e.lease.Term()
 	e.elected()
-	e.readNote(ctx, false)
+	if !e.readNote(ctx, false) {
+		// the next renewal tries again
+		return
+	}
 	fence := galenastair.Fence(r.Offset) + 1
 	e.lease.SetFence(term, fence, before)
 	e.logger.Log("event", "lease", "holds", true, "fence", int64(fence), "term", term, "before", int(before))
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -141,7 +141,7 @@
 func (l *Lease) Order(now boottime.Time) (galenastair.Fence, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.leased(now) || !l.fenced || l.resting || now < l.begins {
+	if !l.leased(now) || l.resting || now < l.begins {
 		return 0, false
 	}
 	return l.fence, true
@@ -168,7 +168,7 @@
 func (l *Lease) Hosts(now boottime.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.holds && now.Sub(l.confirmed) < hosting
+	return l.holds && l.fenced && now.Sub(l.confirmed) < hosting
 }
 
 // confirmedAt is when the last accepted renewal was sent.
@@ -178,6 +178,8 @@
 	return l.confirmed
 }
 
+// leased is false before the term's fence is known: what the leader before has left is read
+// by then.
 func (l *Lease) leased(now boottime.Time) bool {
-	return l.holds && now.Sub(l.confirmed) < l.bounds.Lease
+	return l.holds && l.fenced && now.Sub(l.confirmed) < l.bounds.Lease
 }
--- a/lease/note.go
+++ b/lease/note.go
@@ -51,15 +51,15 @@
 	written, pending []byte
 }
 
-// readNote takes in the note.
-func (e *Elector) readNote(ctx context.Context, starts bool) {
+// readNote takes in the note; false if the store did not answer.
+func (e *Elector) readNote(ctx context.Context, starts bool) bool {
 	if e.note.Topic == "" {
-		return
+		return true
 	}
 	b, err := e.store.Newest(ctx, e.note.Topic)
 	if err != nil {
 		e.logger.Log("event", "note", "err", err)
-		return
+		return false
 	}
 	var note galenastair.KeyedRecord
 	used := ""
@@ -71,10 +71,10 @@
 			used = string(r.Value)
 		}
 	}
-	if note.Key == "" {
-		return
+	if note.Key != "" {
+		e.note.Read(note.Value, starts && e.use(ctx, note.Offset, used))
 	}
-	e.note.Read(note.Value, starts && e.use(ctx, note.Offset, used))
+	return true
 }
 
 // use marks a note as used by this member, and says whether it was not before.
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -27,8 +27,8 @@
 	// idlePeriod is the same for an instance without requests; the lender misses one
 	// that it hears nothing of for twice as long.
 	idlePeriod = 600 * time.Millisecond
-	// startWait is for three calls of a sound store, and then some.
-	startWait = 150 * time.Millisecond
+	// startWait is for the first calls of the elector to a sound store, and then some.
+	startWait = 700 * time.Millisecond
 )
 
 // exchange keeps this instance and the one that plans in touch.
@@ -80,9 +80,6 @@
 	case <-time.After(startWait):
 	case <-ctx.Done():
 	}
-	if fleet := x.elector.Fleet(); fleet > lease.MostPresuming {
-		x.share.SetFleet(fleet)
-	}
 	for ctx.Err() == nil {
 		busy := x.round(ctx)
 		wait := idlePeriod
--- a/node/node.go
+++ b/node/node.go
@@ -108,6 +108,8 @@
 	n.store = platform.NewStore(s.StoreAddress, platform.WithObserver(n.observeStore))
 	terms := quota.Terms{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
 	n.share = quota.NewShare(terms)
+	// until a leader or its note tells, the others may hold all parts
+	n.share.SetFleet(0)
 	n.pool = pool.New(s.AvailabilityZone, pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-leaveLag)), pool.WithFleet(n.share.Fleet))
 	n.accounts = account.New(s.PeerAddress, terms)
 	n.backends = httpconn.NewClient()
--- a/place/board.go
+++ b/place/board.go
@@ -128,9 +128,12 @@
 	return false
 }
 
-// spreadParts is in how many parts a model's work is dealt to its copies; eighths
-// are finer than the least gain that counts.
-const spreadParts = 8
+// spreadParts is in how many parts a model's work is dealt at least, and partsACopy how many
+// there are for each copy: fewer would leave copies without work that routers do send them.
+const (
+	spreadParts = 8
+	partsACopy  = 4
+)
 
 // spread deals the work of each model to its copies as the routers would: to the
 // less loaded ones, those with few copies to choose from first.
@@ -151,8 +154,9 @@
 	for _, c := range m.copies {
 		c.share = 0
 	}
-	part := m.demand() / spreadParts
-	for range spreadParts {
+	parts := max(spreadParts, partsACopy*len(m.copies))
+	part := m.demand() / float64(parts)
+	for range parts {
 		var least *boardCopy
 		for _, c := range m.copies {
 			if c.lasting() && (least == nil || c.server.load < least.server.load) {
--- a/place/planner.go
+++ b/place/planner.go
@@ -12,7 +12,7 @@
 type Planner struct {
 	settings Settings
 	added    map[copyKey]time.Time
-	moved    map[galenastair.ModelName]time.Time
+	moved    map[galenastair.ModelName]moves
 	swaps    map[galenastair.BackendServerID]*swap
 	tokens   float64
 	paced    time.Time
@@ -32,12 +32,18 @@
 	model  galenastair.ModelName
 }
 
+// moves is how many copies of a model were added for load since a moment.
+type moves struct {
+	at time.Time
+	n  int
+}
+
 // NewPlanner returns a planner that has moved nothing yet.
 func NewPlanner(s Settings) *Planner {
 	return &Planner{
 		settings: s,
 		added:    map[copyKey]time.Time{},
-		moved:    map[galenastair.ModelName]time.Time{},
+		moved:    map[galenastair.ModelName]moves{},
 		swaps:    map[galenastair.BackendServerID]*swap{},
 	}
 }
@@ -254,8 +260,8 @@
 			delete(p.added, k)
 		}
 	}
-	for m, at := range p.moved {
-		if p.now.Sub(at) > p.settings.Calm {
+	for m, made := range p.moved {
+		if p.now.Sub(made.at) > p.settings.Calm {
 			delete(p.moved, m)
 		}
 	}
--- a/place/relief.go
+++ b/place/relief.go
@@ -14,7 +14,7 @@
 // within Calm: each move takes a turn at the weight store and cools caches, and the demand
 // may be back before it has paid off. Where all are as busy, a move helps nobody.
 func (p *Planner) relieve() {
-	for range max(1, p.settings.ReliefsARound) {
+	for range max(1, p.settings.ReliefsARound, len(p.board.servers)/serversARelief) {
 		if !p.relieveOne() {
 			return
 		}
@@ -41,10 +41,7 @@
 	var models []*boardModel
 	for _, m := range p.board.bases() {
 		c := m.on(hot)
-		if c == nil || c.share < p.settings.Gain*hot.load || p.wanted(m) {
-			continue
-		}
-		if at, ok := p.moved[m.weight.Name]; ok && p.now.Sub(at) < p.settings.Calm {
+		if c == nil || c.share < p.settings.Gain*hot.load || !p.mayGrow(m) {
 			continue
 		}
 		models = append(models, m)
@@ -54,13 +51,58 @@
 	})
 	for _, m := range models {
 		if p.copyTo(m, hot, order) {
-			p.moved[m.weight.Name] = p.now
+			p.noteMove(m)
 			return true
 		}
 	}
 	return false
 }
 
+const (
+	// serversARelief is for how many backend servers a round may add a copy.
+	serversARelief = 24
+	// missingAtOnce is for how many missing copies one more is added at once.
+	missingAtOnce = 3
+)
+
+// mayGrow says whether one more copy of a model may be added for load: one in the time of
+// Calm, or several where many are missing. It is made for a model whose callers become some
+// tens of times as many among hundreds of backend servers.
+func (p *Planner) mayGrow(m *boardModel) bool {
+	atOnce := p.missing(m) / missingAtOnce
+	if atOnce <= 1 {
+		made, ok := p.moved[m.weight.Name]
+		return !p.wanted(m) && (!ok || p.now.Sub(made.at) >= p.settings.Calm)
+	}
+	made := p.moved[m.weight.Name]
+	return made.n < atOnce || p.now.Sub(made.at) >= p.settings.Calm
+}
+
+// missing is how many copies a model lacks to load each no more than backend servers are on
+// the whole, besides those that are being made room for.
+func (p *Planner) missing(m *boardModel) int {
+	each := max(p.settings.Busy*p.settings.ServerWork, p.board.mean())
+	if each <= 0 {
+		return 0
+	}
+	missing := int(m.demand()/each) - m.lasting()
+	for _, s := range p.swaps {
+		if s.want == m.weight.Name {
+			missing--
+		}
+	}
+	return missing
+}
+
+func (p *Planner) noteMove(m *boardModel) {
+	made := p.moved[m.weight.Name]
+	if p.now.Sub(made.at) >= p.settings.Calm {
+		made = moves{at: p.now}
+	}
+	made.n++
+	p.moved[m.weight.Name] = made
+}
+
 // copyTo loads a model on the least loaded backend server that gains enough, one that
 // has it at hand before the others.
 func (p *Planner) copyTo(m *boardModel, hot *boardServer, order []*boardServer) bool {
--- a/place/relief_test.go
+++ b/place/relief_test.go
@@ -97,3 +97,27 @@
 	}
 	is.Equal(fmt.Sprint(f.steps), "[]")
 }
+
+// A model becomes some tens of times as busy among a hundred engines, and gets one copy more
+// each second, and no more than eight, while its callers wait at a few engines.
+func TestManyCopiesForAModelOfManyCallers(t *testing.T) {
+	is := is.New(t)
+	f := hotFleet(120, 120, 30)
+	f.work["m0"] = 20_000
+	settings := hotSettings
+	settings.LoadsPerSecond, settings.LoadsInFlight, settings.Calm = 30, 60, 1200*time.Millisecond
+	p := NewPlanner(settings)
+	for range 10 {
+		f.round(p, time.Second)
+	}
+	copies := 0
+	for _, s := range f.servers {
+		for _, c := range s.Copies {
+			if c.Weight.Name == "m0" {
+				copies++
+			}
+		}
+	}
+	// each engine does a thousand
+	is.True(copies >= 20)
+}
