lease, planning: small links lead last in a large fleet; idle engines are left out of loads

Change: an instance is also behind by the part of its link that the fleet's exchanges take, up to 3 s. Loads of engines with fewer than 6 requests and nothing to read are not told. Servers that are gone are logged in one line a batch. explain reads the new events' names.

--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -8,7 +8,7 @@
 )
 
 const logs = `ts=2026-01-01T10:00:00Z instance=n1 event="dependency lost" peer=127.0.0.1:1 err=timeout
-ts=2026-01-01T10:00:01Z instance=n2 event=holder holder=127.0.0.1:2
+ts=2026-01-01T10:00:01Z instance=n2 event=leader leader=127.0.0.1:2
 not a line of ours = = "
 ts=2026-01-01T10:00:02.5Z instance=n1 event=refused request=r1 organisation=org status=429 code=RateExceeded cause="over"
 ts=2026-01-01T10:00:02Z instance=n1 event=route request=r1 server=s1 foretold=20ms
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -29,16 +29,25 @@
 	// second behind the others, and so much less as its link carries more.
 	slowestLink = 10
 	linkWait    = time.Second
+	// memberMbps is what the exchanges of one instance take of the leader's link, and fullWait
+	// how long one is behind whose link they would fill.
+	memberMbps = 0.08
+	fullWait   = 2 * time.Second
+	mostFull   = 1.5
 )
 
-// WithLink says what this instance's link carries, in Mbit a second; 0 is not known. The
-// exchanges of a large fleet fill a small link.
-func WithLink(mbps float64) Option {
-	return func(e *Elector) {
-		if mbps > 0 {
-			e.deference = time.Duration(min(1, slowestLink/mbps) * float64(linkWait))
-		}
+// WithLink says what this instance's link carries, in Mbit a second; 0 is not known.
+func WithLink(mbps float64) Option { return func(e *Elector) { e.mbps = mbps } }
+
+// deference is how long this instance leaves the lease to others, so that the exchanges of a
+// large fleet do not fill a small link.
+func (e *Elector) deference() time.Duration {
+	if e.mbps <= 0 {
+		return 0
 	}
+	own := min(1, slowestLink/e.mbps) * float64(linkWait)
+	full := min(mostFull, memberMbps*float64(e.Fleet())/e.mbps) * float64(fullWait)
+	return time.Duration(own + full)
 }
 
 // follow waits until the lease seems to have ended, and then runs for it.
@@ -47,7 +56,7 @@
 		e.sleep(ctx, left)
 		return
 	}
-	if !timer.Wait(ctx, e.deference+e.jitter()) || e.leased() > 0 {
+	if !timer.Wait(ctx, e.deference()+e.jitter()) || e.leased() > 0 {
 		return
 	}
 	if !e.load(ctx) {
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -55,8 +55,8 @@
 	fleet  func() int
 	// elected is told of each term that begins.
 	elected func()
-	// deference is how long this instance leaves the lease to others.
-	deference time.Duration
+	// mbps is what this instance's link carries; 0 is not known.
+	mbps float64
 	// started is closed once the store was asked for the record.
 	started chan struct{}
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -43,6 +44,17 @@
 	away    bool
 	// next is where the reading goes on.
 	next galenastair.Offset
+	// gone are those that were dropped and are not logged yet.
+	gone []string
+}
+
+// logGone logs the servers dropped since the last time, in one line: after a loss of power a
+// line for each at each instance would be the fleet times the servers.
+func (s *servers) logGone() {
+	if len(s.gone) > 0 {
+		s.logger.Log("event", "backend server gone", "count", len(s.gone), "server", strings.Join(s.gone, ","))
+		s.gone = nil
+	}
 }
 
 // serverBatch is what was read, or told by another instance.
@@ -99,8 +111,10 @@
 		case b := <-s.batches:
 			s.take(s.clock.Now(), b)
 			close(b.taken)
+			s.logGone()
 		case <-tick.C:
 			s.sweep(s.clock.Now(), s.follower.Away())
+			s.logGone()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -198,7 +212,7 @@
 	delete(s.known, id)
 	delete(s.lapsed, id)
 	s.table.Remove(at, id)
-	s.logger.Log("event", "backend server gone", "server", id)
+	s.gone = append(s.gone, string(id))
 	s.remove(id)
 }
 
--- a/peer/planning/loads.go
+++ b/peer/planning/loads.go
@@ -7,11 +7,18 @@
 	"galenastair/pool"
 )
 
+// fewFlights is how many requests, of which none waits to be read, make no difference to the
+// choice of a backend server: each adds some tenths of a millisecond to a token.
+const fewFlights = 6
+
 // unreadUnit is the prompt tokens that one unit of a message counts for.
 const unreadUnit = 64
 
 func encodeKeyedLoads(out *planningpb.ExchangeReply, loads map[pool.ServerKey]pool.Load) {
 	for key, l := range loads {
+		if l.Unread < unreadUnit/2 && l.Flights < fewFlights {
+			continue
+		}
 		out.LoadKeys = append(out.LoadKeys, uint32(key))
 		out.LoadFlights = append(out.LoadFlights, uint32(l.Flights))
 		out.LoadUnread = append(out.LoadUnread, uint32(math.Round(l.Unread/unreadUnit)))
