place: half of the missing copies at once, where that is a small part of all engines

Change: half of what is missing, and no more at once than one for each 24 engines, so that fleets below 48 go on as they are.

--- a/place/relief.go
+++ b/place/relief.go
@@ -61,15 +61,16 @@
 const (
 	// serversARelief is for how many backend servers a round may add a copy.
 	serversARelief = 24
-	// missingAtOnce is for how many missing copies one more is added at once.
-	missingAtOnce = 3
+	// missingAtOnce is for how many missing copies one is added at once.
+	missingAtOnce = 2
 )
 
 // mayGrow says whether one more copy of a model may be added for load: one in the time of
-// Calm, or several where many are missing. It is made for a model whose callers become some
-// tens of times as many among hundreds of backend servers.
+// Calm, or several where many are missing and a few more are a small part of all backend
+// servers. It is made for a model whose callers become some tens of times as many among
+// hundreds of backend servers.
 func (p *Planner) mayGrow(m *boardModel) bool {
-	atOnce := p.missing(m) / missingAtOnce
+	atOnce := min(p.missing(m)/missingAtOnce, len(p.board.servers)/serversARelief)
 	if atOnce <= 1 {
 		made, ok := p.moved[m.weight.Name]
 		return !p.wanted(m) && (!ok || p.now.Sub(made.at) >= p.settings.Calm)
