lease, node: a fleet that starts again serves sooner

Change: an instance whose own process led before takes the lease at once; the wait by which small links come behind is for taking the lease and no longer for finding out who has it, and the wait by chance ends at 1 s; callers of an organisation without a known owner are told to come back after 1.5 s; requests at an instance that has just started wait for its first configuration, up to 1 s after its start. Test: first requests wait.

--- a/account/accounts.go
+++ b/account/accounts.go
@@ -95,10 +95,11 @@
 }
 
 // Wait returns when an organisation probably has room, by its owner's last denial.
-func (a *Accounts) Wait(o galenastair.Organisation) time.Duration {
+func (a *Accounts) Wait(now boottime.Time, o galenastair.Organisation) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.denials[o].wait
+	d := a.denials[o]
+	return max(0, d.at.Add(d.wait).Sub(now))
 }
 
 // SetContracts takes the organisations' quotas; a lower one binds at once.
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -95,6 +95,14 @@
 type views struct {
 	catalog *catalog.Catalog
 	age     time.Duration
+	// first comes while a request waits for it.
+	first *catalog.Catalog
+}
+
+func (v *views) Await(context.Context) {
+	if v.catalog == nil {
+		v.catalog = v.first
+	}
 }
 
 func (v *views) View() (*catalog.Catalog, time.Duration) { return v.catalog, v.age }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,8 @@
 // there is no newer one; nil before the first.
 type Views interface {
 	View() (*catalog.Catalog, time.Duration)
+	// Await waits for the first configuration of an instance that has just started.
+	Await(context.Context)
 }
 
 // Quota charges organisations.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -325,3 +325,14 @@
 	is.NoErr(err)
 	is.Equal(to.status, 200)
 }
+
+// An instance that has just started refuses all that come before it has read the
+// configuration, a moment later.
+func TestFirstRequestsWaitForTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	b := newBed(whole(200, "page"))
+	b.views.first, b.views.catalog = b.views.catalog, nil
+	to, _, err := b.serve(t, "/read/1")
+	is.NoErr(err)
+	is.Equal(to.status, 200)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -51,6 +51,7 @@
 }
 
 func (r *run) serve(ctx context.Context) error {
+	r.g.views.Await(ctx)
 	a, err := r.g.authorise(&r.call)
 	r.admission = a
 	if err != nil {
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -18,7 +18,7 @@
 	// more instances wait longer, so that as few come at once.
 	firstWait  = 250 * time.Millisecond
 	fewMembers = 8
-	mostWait   = 3 * time.Second
+	mostWait   = time.Second
 	// startJitter spreads the first reads of instances that start together, so that most of
 	// them find the leader that the first ones elect.
 	startJitter = 400 * time.Millisecond
@@ -56,7 +56,12 @@
 		e.sleep(ctx, left)
 		return
 	}
-	if !timer.Wait(ctx, e.deference()+e.jitter()) || e.leased() > 0 {
+	if e.Leader() == e.member && e.asked() {
+		// the process before this one led
+		e.campaign(ctx)
+		return
+	}
+	if !timer.Wait(ctx, e.jitter()) || e.leased() > 0 {
 		return
 	}
 	if !e.load(ctx) {
@@ -64,11 +69,18 @@
 		return
 	}
 	e.backoff = 0
-	if e.leased() <= 0 {
+	if e.leased() <= 0 && timer.Wait(ctx, e.deference()) && e.leased() <= 0 {
 		e.campaign(ctx)
 	}
 }
 
+// asked says whether the store has answered what the record is.
+func (e *Elector) asked() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.read
+}
+
 // leased is for how long the lease certainly needs no other holder.
 func (e *Elector) leased() time.Duration {
 	e.mu.Lock()
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -91,7 +91,7 @@
 // WithClock replaces the machine's clock.
 func WithClock(c boottime.Clock) Option { return func(e *Elector) { e.clock = c } }
 
-// WithFleet says how many instances there are.
+// WithFleet says how many instances there are; 0 is not known.
 func WithFleet(fleet func() int) Option { return func(e *Elector) { e.fleet = fleet } }
 
 // WithElected sets what is told of each term of this instance that begins.
@@ -124,7 +124,7 @@
 func (e *Elector) Run(ctx context.Context) error {
 	timer.Wait(ctx, rand.N(startJitter))
 	e.load(ctx)
-	if known := e.Known(); known.Offset >= 0 && known.Fleet <= MostPresuming {
+	if known := e.Known(); known.Fleet > 0 && known.Fleet <= MostPresuming {
 		e.readNote(ctx, true)
 	}
 	close(e.started)
--- a/node/node.go
+++ b/node/node.go
@@ -117,10 +117,10 @@
 	l := lease.New(lease.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.duty = duty{l}
 	n.elector = lease.NewElector(n.store, platform.LeaseTopic, l, s.PeerAddress, lease.WithLogger(n.logger),
-		lease.WithNote(n.note(context.Background())), lease.WithFleet(n.share.Fleet), lease.WithLink(s.LinkMbps), lease.WithElected(n.elected))
+		lease.WithNote(n.note(context.Background())), lease.WithFleet(n.share.Told), lease.WithLink(s.LinkMbps), lease.WithElected(n.elected))
 	n.planner = planner.New(string(s.ID), terms, backend, n.duty, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
-	n.views = &views{logger: n.logger}
+	n.views = newViews(n.logger)
 	n.servers = newServers(n.logger)
 	n.exchange = n.newExchange()
 	n.gateway = n.newGateway(backend)
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -10,6 +10,10 @@
 	"galenastair/quota"
 )
 
+// ownerTime is about what it takes until an organisation whose owner is lost has another, or
+// an instance that has started knows it.
+const ownerTime = 1500 * time.Millisecond
+
 // quotas charges organisations: at their owners in a large fleet, else by borrowing what is
 // missing from the one lender.
 type quotas struct {
@@ -49,12 +53,17 @@
 // charge asks an organisation's owner.
 func (q quotas) charge(ctx context.Context, owner string, o galenastair.Organisation, cost float64) bool {
 	now := boottime.Now()
-	if owner == "" || q.accounts.Denied(now, o) {
+	if q.accounts.Denied(now, o) {
+		return false
+	}
+	if owner == "" {
+		q.accounts.Deny(now, o, ownerTime)
 		return false
 	}
 	v, err := q.exchange.charge(ctx, owner, o, cost)
 	if err != nil || !v.Owned {
 		q.exchange.logger.Log("event", "charge", "organisation", o, "owner", owner, "owned", v.Owned, "err", err)
+		q.accounts.Deny(now, o, ownerTime)
 		return false
 	}
 	if !v.Granted {
@@ -65,7 +74,10 @@
 
 // Wait foretells when an organisation over its quota has room for a request.
 func (q quotas) Wait(o galenastair.Organisation, cost float64) time.Duration {
-	return max(q.accounts.Wait(o), q.Share.Wait(o, cost))
+	if q.Told() == 0 {
+		return ownerTime
+	}
+	return max(q.accounts.Wait(boottime.Now(), o), q.Share.Wait(o, cost))
 }
 
 func (x *exchange) charge(ctx context.Context, owner string, o galenastair.Organisation, cost float64) (account.Verdict, error) {
--- a/node/views.go
+++ b/node/views.go
@@ -19,6 +19,37 @@
 	follower *follow.Follower
 	logger   log.Logger
 	changed  func(*catalog.Catalog)
+	// known is closed once there is a configuration.
+	known chan struct{}
+	// started is when the instance did.
+	started time.Time
+}
+
+// firstView is how long after its start an instance usually has read its first configuration.
+const firstView = time.Second
+
+func newViews(logger log.Logger) *views {
+	return &views{logger: logger, known: make(chan struct{}), started: time.Now()}
+}
+
+// Await waits for the first configuration of an instance that has just started.
+func (v *views) Await(ctx context.Context) {
+	select {
+	case <-v.known:
+		return
+	default:
+	}
+	left := firstView - time.Since(v.started)
+	if left <= 0 {
+		return
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-v.known:
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 // View returns the configuration in force and how old the store's word on it is.
@@ -62,6 +93,9 @@
 		return
 	}
 	v.current.Store(c)
+	if old == nil {
+		close(v.known)
+	}
 	v.logger.Log("event", "configuration", "version", c.Version)
 	v.logQuotas(old, c)
 	v.changed(c)
--- a/quota/share.go
+++ b/quota/share.go
@@ -150,6 +150,13 @@
 	return s.fleet
 }
 
+// Told returns the number of instances that a lender has told; 0 if none has.
+func (s *Share) Told() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet
+}
+
 // Alone says whether this instance spends its own part, since no lender answers.
 func (s *Share) Alone() bool {
 	s.mu.Lock()
