pool, gateway: a long pace is forgotten; the longest pause of a stream is logged

Change: a pace above one decays within some 3 s. Test: an idle engine that was slow is preferred to one with a queue; it failed first.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -280,5 +280,10 @@
 	if len(whole) == 0 {
 		return nil
 	}
+	now := r.g.clock.Now()
+	if !r.passed.IsZero() {
+		r.pause = max(r.pause, now.Sub(r.passed))
+	}
+	r.passed = now
 	return r.sink.Write(whole)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -32,6 +32,9 @@
 	// headed says that the caller has the head of an answer.
 	headed bool
 	first  time.Time
+	// passed is when the caller last got events, and pause the longest time between two such.
+	passed time.Time
+	pause  time.Duration
 	events events
 	needed int
 	status int
@@ -241,7 +244,7 @@
 		}
 	}
 	r.g.logger.Log("event", event, "request", e.ID, "organisation", e.Organisation, "route", e.Route, "status", e.Status,
-		"code", e.Code, "outcome", e.Outcome, "sends", e.Sends, "runs", r.runs, "first", e.First, "total", e.Total,
+		"code", e.Code, "outcome", e.Outcome, "sends", e.Sends, "runs", r.runs, "first", e.First, "total", e.Total, "pause", r.pause,
 		"version", r.admission.version, "age", r.admission.age, "model", r.call.Hints.Model, "tokens", int64(r.call.Hints.Prompt+r.call.Hints.Output), "cause", err)
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -193,7 +193,7 @@
 }
 
 func (p *Pool) foretell(now time.Time, m *member, q *Query) time.Duration {
-	return time.Duration(float64(m.nominal(now, q)) * m.pace.value() * p.paceOf(q).value())
+	return time.Duration(float64(m.nominal(now, q)) * m.pace.value(now) * p.paceOf(q).value(now))
 }
 
 // paceOf returns the pace of a model, or of a plain service.
--- a/pool/flight.go
+++ b/pool/flight.go
@@ -73,8 +73,8 @@
 	f.learnRead(now)
 	ratio := float64(now.Sub(f.begun)) / float64(f.nominal)
 	model := f.pool.paceOf(&f.query)
-	f.member.pace.learn(ratio/(f.member.pace.value()*model.value()), fastLearning)
-	model.learn(ratio/(f.member.pace.value()*model.value()), slowLearning)
+	f.member.pace.learn(now, ratio/(f.member.pace.value(now)*model.value(now)), fastLearning)
+	model.learn(now, ratio/(f.member.pace.value(now)*model.value(now)), slowLearning)
 }
 
 // End takes the request off its server.
--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"galenastair"
@@ -21,6 +22,8 @@
 	// leastPace and mostPace bound what one odd answer can make of a server.
 	leastPace = 0.2
 	mostPace  = 30
+	// paceMemory is how fast a long pace is forgotten: some times the life of a queue.
+	paceMemory = 3 * time.Second
 	// plainWork is the first guess of what a plain service takes.
 	plainWork = 20 * time.Millisecond
 	// othersMemory is how fast a figure told by other instances loses its worth:
@@ -28,18 +31,26 @@
 	othersMemory = time.Second
 )
 
-// pace is how many times longer than foretold answers take.
-type pace struct{ ratio float64 }
+// pace is how many times longer than foretold answers take. A long one is forgotten: the queue
+// that it came of may be gone, and an instance that sends elsewhere for it never learns so.
+type pace struct {
+	ratio float64
+	at    time.Time
+}
 
-func (p *pace) value() float64 {
+func (p *pace) value(now time.Time) float64 {
 	if p == nil || p.ratio == 0 {
 		return 1
 	}
-	return p.ratio
+	if p.ratio <= 1 {
+		return p.ratio
+	}
+	return 1 + (p.ratio-1)*math.Exp(-max(0, now.Sub(p.at).Seconds())/paceMemory.Seconds())
 }
 
-func (p *pace) learn(ratio, weight float64) {
-	p.ratio = min(mostPace, max(leastPace, p.value()*(1-weight)+p.value()*ratio*weight))
+func (p *pace) learn(now time.Time, ratio, weight float64) {
+	v := p.value(now)
+	p.ratio, p.at = min(mostPace, max(leastPace, v*(1-weight)+v*ratio*weight)), now
 }
 
 // nominal is the time to the first event that a server of usual pace needs.
--- a/pool/stale_test.go
+++ b/pool/stale_test.go
@@ -38,15 +38,19 @@
 	c := &crowd{rng: rand.New(rand.NewPCG(seed, 5)), free: map[galenastair.BackendServerID]time.Time{}, copies: copies}
 	for range instances {
 		p := New("z", WithRand(c.rng), WithFleet(func() int { return instances }))
-		for i := range copies {
-			p.Set(start, Server{ID: galenastair.BackendServerID("s" + strconv.Itoa(i)), Service: "writer", AvailabilityZone: "z",
-				Slots: 64, Born: 1, Beat: 1, Models: []galenastair.EngineModel{{Name: "m"}}})
-		}
+		addCopies(p, 0, copies)
 		c.pools = append(c.pools, p)
 	}
 	return c
 }
 
+func addCopies(p *Pool, from, to int) {
+	for i := from; i < to; i++ {
+		p.Set(start, Server{ID: galenastair.BackendServerID("s" + strconv.Itoa(i)), Service: "writer", AvailabilityZone: "z",
+			Slots: 64, Born: 1, Beat: 1, Models: []galenastair.EngineModel{{Name: "m"}}})
+	}
+}
+
 // exchange tells one instance of the others' requests.
 func (c *crowd) exchange(now time.Time, p *Pool) {
 	loads := map[ServerKey]Load{}
@@ -125,3 +129,24 @@
 	t.Logf("%.3f late", late)
 	is.True(late < 0.05)
 }
+
+// An engine had a queue that this instance did not know of. Seconds later it idles, and the
+// instance sends behind another's queue all the same, as it learns nothing new of the first.
+func TestQueueOfSecondsAgoIsForgotten(t *testing.T) {
+	is := is.New(t)
+	p := testPool()
+	p.Remove("s3")
+	now := start
+	for range 5 {
+		f := p.Begin(now, "s1", testQuery())
+		now = now.Add(3 * time.Second)
+		f.Started(now)
+		f.End(now, Succeeded)
+	}
+	c, _ := p.Choose(now, testQuery())
+	is.Equal(c.ID, galenastair.BackendServerID("s2"))
+	now = now.Add(10 * time.Second)
+	p.SetOthers(now, map[ServerKey]Load{KeyOf("s2"): {Flights: 2, Unread: 4000}})
+	c, _ = p.Choose(now, testQuery())
+	is.Equal(c.ID, galenastair.BackendServerID("s1"))
+}
