planner, node: usual names for the lease and the exchange

Duty -> Lease, node.duty -> heldLease, Hear -> Exchange, tell -> announce, tell(done) -> notify, tellGoing -> announceUnload, forgetNews -> expireNews, teller -> peerServer, lapse/lapsed of registrations -> expire/expired. No change of behaviour; planner's and node's tests pass.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -100,7 +100,7 @@
 	if leader == x.seenOf {
 		r.Seen = x.seen
 	}
-	news, err := x.hear(ctx, r)
+	news, err := x.call(ctx, r)
 	if err != nil {
 		x.failed(err)
 		x.giveBack(r)
@@ -146,11 +146,11 @@
 // errNoHolder says that nobody is known to plan.
 var errNoHolder = errors.New("no instance is known to plan")
 
-func (x *exchange) hear(ctx context.Context, r planner.Report) (planner.News, error) {
+func (x *exchange) call(ctx context.Context, r planner.Report) (planner.News, error) {
 	holder, own := x.at()
 	switch {
 	case own:
-		return x.local.Hear(ctx, r)
+		return x.local.Exchange(ctx, r)
 	case holder == "":
 		return planner.News{}, errNoHolder
 	}
--- a/node/listen.go
+++ b/node/listen.go
@@ -40,7 +40,7 @@
 
 func (n *Node) listen(g *run.Group) error {
 	peers := http.NewServeMux()
-	peers.Handle(planning.PathPrefix, planning.NewServer(n.teller()))
+	peers.Handle(planning.PathPrefix, planning.NewServer(n.peerServer()))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
 	metrics.HandleFunc(StatusPath, n.serveStatus)
@@ -73,8 +73,8 @@
 // zone: three exchanges and a reading.
 const directTime = 2500 * time.Millisecond
 
-func (n *Node) teller() teller {
-	t := teller{Planner: n.planner, topics: n.topics, elector: n.elector, accounts: n.accounts}
+func (n *Node) peerServer() peerServer {
+	t := peerServer{Planner: n.planner, topics: n.topics, elector: n.elector, accounts: n.accounts}
 	if n.settings.Bounds.ApplyTimeout >= directTime+hintMargin {
 		t.sources = &sources{}
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -138,7 +138,7 @@
 	gauge("galenastair_backend_servers", "Backend servers that are known.", func() float64 { return float64(n.pool.Len()) })
 	gauge("galenastair_fleet", "Instances that the quotas are dealt to.", func() float64 { return float64(n.share.Fleet()) })
 	gauge("galenastair_plans", "1 while this instance plans.", func() float64 {
-		if n.duty.Holds() {
+		if n.lease.Holds() {
 			return 1
 		}
 		return 0
--- a/node/node.go
+++ b/node/node.go
@@ -75,7 +75,7 @@
 	accounts   *account.Accounts
 	backends   *httpconn.Client
 	elector    *lease.Elector
-	duty       duty
+	lease      heldLease
 	planner    *planner.Planner
 	exchange   *exchange
 	gateway    *gateway.Gateway
@@ -115,10 +115,10 @@
 	n.backends = httpconn.NewClient()
 	backend := platform.NewReplicas(n.backends)
 	l := lease.New(lease.DefaultBounds(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
-	n.duty = duty{l}
+	n.lease = heldLease{l}
 	n.elector = lease.NewElector(n.store, platform.LeaseTopic, l, s.PeerAddress, lease.WithLogger(n.logger),
 		lease.WithNote(n.note(context.Background())), lease.WithFleet(n.share.Told), lease.WithLink(s.LinkMbps), lease.WithElected(n.elected))
-	n.planner = planner.New(string(s.ID), terms, backend, n.duty, n.loop,
+	n.planner = planner.New(string(s.ID), terms, backend, n.lease, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrdered(n.metrics.ordered))
 	n.views = newViews(n.logger)
 	n.servers = newServers(n.logger)
@@ -181,7 +181,7 @@
 // pollWait is how long a poll waits. All others go by the age that the leader tells them, so
 // that it looks more often.
 func (n *Node) pollWait(usual time.Duration) time.Duration {
-	if n.duty.Holds() {
+	if n.lease.Holds() {
 		return leaderWait
 	}
 	return usual
@@ -190,7 +190,7 @@
 // serverPace is the least time between two reads of the registrations; the instance that
 // plans reads for all, and what it tells is on its way for an exchange more.
 func (n *Node) serverPace() time.Duration {
-	if n.duty.Holds() {
+	if n.lease.Holds() {
 		return plannerPace
 	}
 	return serverPace
@@ -250,13 +250,13 @@
 		follow.WithWaits(func() time.Duration { return n.pollWait(viewWait) }),
 		follow.WithPace(func() time.Duration { return viewPace }),
 		follow.WithHintLife(n.hintLife()),
-		follow.WithLeads(n.duty.Holds),
+		follow.WithLeads(n.lease.Holds),
 		follow.WithLogger(n.logger))
 	n.servers.follower = follow.New(n.store, platform.RegistrationTopic, n.servers.apply,
 		follow.WithWaits(func() time.Duration { return n.pollWait(serverWait) }),
 		follow.WithPace(n.serverPace),
 		follow.WithHintLife(n.hintLife()),
-		follow.WithLeads(n.duty.Holds),
+		follow.WithLeads(n.lease.Holds),
 		follow.WithLogger(n.logger))
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -363,7 +363,7 @@
 }
 
 // A node is told to stop under load: every request is answered whole or refused as not
-// run, and the other node takes the duty over.
+// run, and the other node takes the lease over.
 func TestStopCutsNothing(t *testing.T) {
 	is := is.New(t)
 	x := newSite(t, 2)
--- a/node/servers.go
+++ b/node/servers.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// regained is how long after the store's return an entry that lapsed meanwhile may
+	// regained is how long after the store's return an entry that expired meanwhile may
 	// take to come back; one that is missing then is gone.
 	regained = 2500 * time.Millisecond
-	// sweepPeriod is how often lapsed entries are looked at.
+	// sweepPeriod is how often expired entries are looked at.
 	sweepPeriod = 250 * time.Millisecond
 )
 
@@ -38,7 +38,7 @@
 
 	// owned by run
 	known   map[galenastair.BackendServerID]galenastair.Offset
-	lapsed  map[galenastair.BackendServerID]time.Time
+	expired map[galenastair.BackendServerID]time.Time
 	foreign map[galenastair.BackendServerID]bool
 	back    time.Time
 	away    bool
@@ -75,7 +75,7 @@
 		batches: make(chan serverBatch),
 		ended:   make(chan struct{}),
 		known:   map[galenastair.BackendServerID]galenastair.Offset{},
-		lapsed:  map[galenastair.BackendServerID]time.Time{},
+		expired: map[galenastair.BackendServerID]time.Time{},
 		foreign: map[galenastair.BackendServerID]bool{},
 		table:   registry.NewTable(),
 	}
@@ -101,7 +101,7 @@
 	<-b.taken
 }
 
-// run takes in batches and sweeps lapsed entries until the context ends.
+// run takes in batches and sweeps expired entries until the context ends.
 func (s *servers) run(ctx context.Context) error {
 	defer close(s.ended)
 	tick := time.NewTicker(sweepPeriod)
@@ -138,7 +138,7 @@
 	if b.whole {
 		for id := range s.known {
 			if !seen[id] {
-				s.lapse(now, id, b.Next)
+				s.expire(now, id, b.Next)
 			}
 		}
 	}
@@ -160,7 +160,7 @@
 		return
 	}
 	s.known[c.ID] = end - 1
-	delete(s.lapsed, c.ID)
+	delete(s.expired, c.ID)
 	s.set(s.since(now, srv))
 }
 
@@ -178,7 +178,7 @@
 
 func (s *servers) takeRecord(now time.Time, id galenastair.BackendServerID, r galenastair.KeyedRecord) {
 	if len(r.Value) == 0 {
-		s.lapse(now, id, r.Offset)
+		s.expire(now, id, r.Offset)
 		return
 	}
 	srv, err := platform.DecodeServer(r.Key, r.Value)
@@ -189,19 +189,19 @@
 		}
 		return
 	}
-	delete(s.lapsed, id)
+	delete(s.expired, id)
 	s.table.Set(r.Offset, srv)
 	s.set(s.since(now, srv))
 }
 
-// lapse notes that an entry is gone. Right after an outage of the store all are gone for a
+// expire notes that an entry is gone. Right after an outage of the store all are gone for a
 // moment, as their owners could not renew them.
-func (s *servers) lapse(now time.Time, id galenastair.BackendServerID, at galenastair.Offset) {
-	if _, ok := s.lapsed[id]; ok {
+func (s *servers) expire(now time.Time, id galenastair.BackendServerID, at galenastair.Offset) {
+	if _, ok := s.expired[id]; ok {
 		return
 	}
 	if s.away || now.Sub(s.back) < regained {
-		s.lapsed[id] = now
+		s.expired[id] = now
 		return
 	}
 	s.forget(id, at)
@@ -210,13 +210,13 @@
 // forget drops a server by what was read up to an offset.
 func (s *servers) forget(id galenastair.BackendServerID, at galenastair.Offset) {
 	delete(s.known, id)
-	delete(s.lapsed, id)
+	delete(s.expired, id)
 	s.table.Remove(at, id)
 	s.gone = append(s.gone, string(id))
 	s.remove(id)
 }
 
-// sweep drops lapsed entries that have not come back in time.
+// sweep drops expired entries that have not come back in time.
 func (s *servers) sweep(now time.Time, away bool) {
 	if s.away && !away {
 		s.back = now
@@ -225,7 +225,7 @@
 	if away || now.Sub(s.back) < regained {
 		return
 	}
-	for id := range s.lapsed {
+	for id := range s.expired {
 		s.forget(id, s.next)
 	}
 }
--- a/node/status.go
+++ b/node/status.go
@@ -41,7 +41,7 @@
 		AvailabilityZone: n.settings.AvailabilityZone,
 		Ready:            true,
 		Planner:          n.elector.Leader(),
-		Plans:            n.duty.Holds(),
+		Plans:            n.lease.Holds(),
 		Fleet:            n.share.Fleet(),
 		Alone:            n.share.Alone(),
 		BackendServers:   n.pool.States(time.Now()),
--- a/node/tails.go
+++ b/node/tails.go
@@ -24,9 +24,9 @@
 	apply func([]registry.Change, galenastair.Offset)
 }
 
-// teller answers the instances' reports: the planner's news, with what this instance
+// peerServer answers the instances' reports: the planner's news, with what this instance
 // has read of the store beyond what they have.
-type teller struct {
+type peerServer struct {
 	*planner.Planner
 	topics   func() []followed
 	elector  *lease.Elector
@@ -37,14 +37,14 @@
 }
 
 // Charge answers for an organisation that this instance may own.
-func (t teller) Charge(o galenastair.Organisation, cost float64, known lease.Record) (account.Verdict, lease.Record) {
+func (t peerServer) Charge(o galenastair.Organisation, cost float64, known lease.Record) (account.Verdict, lease.Record) {
 	t.elector.Learn(known)
 	return t.accounts.Charge(boottime.Now(), o, cost), t.elector.Known()
 }
 
-// Hear takes in a report.
-func (t teller) Hear(ctx context.Context, r planner.Report) (planner.News, error) {
-	news, err := t.Planner.Hear(ctx, r)
+// Exchange takes in a report.
+func (t peerServer) Exchange(ctx context.Context, r planner.Report) (planner.News, error) {
+	news, err := t.Planner.Exchange(ctx, r)
 	if err != nil {
 		return news, err
 	}
@@ -60,7 +60,7 @@
 }
 
 // direct adds where the records are to be had that are not told.
-func (t teller) direct(r planner.Report, fleet int, tail planner.Tail) planner.Tail {
+func (t peerServer) direct(r planner.Report, fleet int, tail planner.Tail) planner.Tail {
 	if t.sources == nil || fleet <= directed || tail.Changed || r.Address == "" {
 		return tail
 	}
@@ -73,7 +73,7 @@
 const directed = 24
 
 // Fetch returns what this instance has read of a topic from an offset on.
-func (t teller) Fetch(topic galenastair.Topic, from galenastair.Offset) galenastair.KeyedBatch {
+func (t peerServer) Fetch(topic galenastair.Topic, from galenastair.Offset) galenastair.KeyedBatch {
 	for _, f := range t.topics() {
 		if f.topic == topic && f.tail != nil {
 			return f.tail.All(from)
--- a/node/tails_test.go
+++ b/node/tails_test.go
@@ -18,7 +18,7 @@
 	"galenastair/standin/metastore"
 )
 
-// holding is the duty of an instance that has just got it.
+// holding is the lease of an instance that has just got it.
 type holding struct{}
 
 func (holding) Order() (galenastair.Fence, bool) { return 0, false }
@@ -26,7 +26,7 @@
 func (holding) Hosts() bool                      { return true }
 func (holding) Refused(galenastair.Fence)        {}
 
-// The duty has changed hands, and for the first seconds the new holder doesn't know how many
+// The lease has changed hands, and for the first seconds the new holder doesn't know how many
 // instances there are. It told them nothing of what it read meanwhile, so that each of a
 // large fleet asked the store for itself.
 func TestTailsAreToldBeforeTheFleetIsCounted(t *testing.T) {
@@ -50,8 +50,8 @@
 	}
 	// its term begins with the planner's first round
 	time.Sleep(300 * time.Millisecond)
-	told := teller{p, func() []followed { return []followed{{topic: platform.ConfigurationTopic, follower: f, tail: &tail}} }, lease.NewElector(nil, platform.LeaseTopic, lease.New(lease.Bounds{}), "me"), nil, nil}
-	news, err := told.Hear(ctx, planner.Report{Instance: "i", Positions: map[galenastair.Topic]galenastair.Offset{platform.ConfigurationTopic: 0}})
+	told := peerServer{p, func() []followed { return []followed{{topic: platform.ConfigurationTopic, follower: f, tail: &tail}} }, lease.NewElector(nil, platform.LeaseTopic, lease.New(lease.Bounds{}), "me"), nil, nil}
+	news, err := told.Exchange(ctx, planner.Report{Instance: "i", Positions: map[galenastair.Topic]galenastair.Offset{platform.ConfigurationTopic: 0}})
 	is.NoErr(err)
 	is.Equal(news.Standing.Fleet, 0)
 	is.Equal(len(news.Tails), 1)
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -17,7 +17,7 @@
 
 // Planner is what answers the calls.
 type Planner interface {
-	Hear(ctx context.Context, r planner.Report) (planner.News, error)
+	Exchange(ctx context.Context, r planner.Report) (planner.News, error)
 	Need(ctx context.Context, name galenastair.ModelName) (planner.Promise, error)
 	Borrow(ctx context.Context, a quota.Ask) (float64, error)
 	// Charge also takes in and returns who leads.
@@ -60,7 +60,7 @@
 	for _, p := range req.Positions {
 		r.Positions[galenastair.Topic(p.Topic)] = galenastair.Offset(p.From)
 	}
-	news, err := s.planner.Hear(ctx, r)
+	news, err := s.planner.Exchange(ctx, r)
 	if errors.Is(err, planner.ErrNotPlanner) {
 		return &planningpb.ExchangeReply{}, nil
 	}
--- a/planner/bed_test.go
+++ b/planner/bed_test.go
@@ -24,7 +24,7 @@
 
 func (c *clock) Now() time.Time { return c.now }
 
-// holder is a duty that the test gives and takes.
+// holder is a lease that the test gives and takes.
 type holder struct {
 	holds bool
 	fence galenastair.Fence
@@ -179,7 +179,7 @@
 type bed struct {
 	t       *testing.T
 	world   *world
-	duty    *holder
+	lease   *holder
 	planner *Planner
 	loop    *control.Loop
 }
@@ -188,8 +188,8 @@
 	t.Helper()
 	c := &clock{now: time.Unix(1000, 0)}
 	w := &world{clock: c, rng: rand.New(rand.NewPCG(seed, 7)), sims: map[string]*sim{}}
-	b := &bed{t: t, world: w, duty: &holder{holds: true, fence: 1}, loop: control.NewLoop()}
-	b.planner = New("me", quota.Terms{Window: time.Second}, w, b.duty, b.loop, WithClock(c))
+	b := &bed{t: t, world: w, lease: &holder{holds: true, fence: 1}, loop: control.NewLoop()}
+	b.planner = New("me", quota.Terms{Window: time.Second}, w, b.lease, b.loop, WithClock(c))
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- b.loop.Run(ctx) }()
@@ -268,7 +268,7 @@
 
 func (b *bed) ask(demands map[galenastair.ModelName]time.Duration) {
 	b.t.Helper()
-	if _, err := b.planner.Hear(b.t.Context(), Report{Instance: "i", Demands: demands}); err != nil && !errors.Is(err, ErrNotPlanner) {
+	if _, err := b.planner.Exchange(b.t.Context(), Report{Instance: "i", Demands: demands}); err != nil && !errors.Is(err, ErrNotPlanner) {
 		b.t.Fatal(err)
 	}
 }
--- a/planner/doc.go
+++ b/planner/doc.go
@@ -1,5 +1,5 @@
 // Package planner keeps models and adapters on the model engines where callers ask for
-// them, while this instance holds the duty. It hears from all instances what is asked
+// them, while this instance holds the lease. It hears from all instances what is asked
 // and what waits, plans a few times a second, and gives orders one at a time to each
 // engine.
 //
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -96,7 +96,7 @@
 func (e *engine) endTerm() {
 	for _, t := range e.tasks {
 		e.givenUp(t)
-		tell(t.done, false)
+		notify(t.done, false)
 	}
 	e.tasks = nil
 	e.strict = false
--- a/planner/message.go
+++ b/planner/message.go
@@ -40,7 +40,7 @@
 
 // News is what the planner answers.
 type News struct {
-	// Lapsed says that the instance that answers lends and tells on, but may hold the duty
+	// Lapsed says that the instance that answers lends and tells on, but may hold the lease
 	// no more.
 	Lapsed bool
 	// Renewal is the newest renewal of the answering instance's lease.
--- a/planner/need.go
+++ b/planner/need.go
@@ -15,7 +15,7 @@
 	var wait <-chan bool
 	err := ErrNotPlanner
 	doErr := p.loop.Do(ctx, func() {
-		if p.duty.Holds() {
+		if p.lease.Holds() {
 			promise, wait = p.need(name)
 			err = nil
 		}
@@ -104,7 +104,7 @@
 
 // fetch orders an adapter for a request that waits, and returns what tells its end.
 func (p *Planner) fetch(now time.Time, s *site, name galenastair.ModelName) (Promise, <-chan bool) {
-	if _, ok := p.duty.Order(); !ok {
+	if _, ok := p.lease.Order(); !ok {
 		return Promise{}, nil
 	}
 	done := make(chan bool, 1)
--- a/planner/note.go
+++ b/planner/note.go
@@ -26,7 +26,7 @@
 	ok := false
 	err := p.loop.Do(ctx, func() {
 		switch {
-		case !p.held || !p.duty.Holds():
+		case !p.held || !p.lease.Holds():
 		case p.owned:
 			n, ok = p.ownersNote()
 		default:
--- a/planner/order.go
+++ b/planner/order.go
@@ -24,7 +24,7 @@
 		p.ask(s, e)
 		return
 	}
-	fence, ok := p.duty.Order()
+	fence, ok := p.lease.Order()
 	if !ok {
 		return
 	}
@@ -50,11 +50,11 @@
 	p.tasks.Go(func() { p.send(s, e, t, address, order, held) })
 }
 
-// send gives one order. The duty is checked once more right before: this process may
+// send gives one order. The lease is checked once more right before: this process may
 // have stood still since it was planned.
 func (p *Planner) send(s *site, e *engine, t task, address string, o galenastair.EngineOrder, held string) {
 	answer, err := galenastair.OrderWrong, ErrNotPlanner
-	fence, ok := p.duty.Order()
+	fence, ok := p.lease.Order()
 	sent := ok && fence == o.Fence
 	if sent {
 		answer, err = p.control.Order(p.ctx, address, o)
@@ -113,7 +113,7 @@
 		e.unsure, e.rest = true, now.Add(busyRest)
 		return
 	case galenastair.OrderFenced:
-		p.duty.Refused(o.Fence)
+		p.lease.Refused(o.Fence)
 		p.drop(e, t)
 	default:
 		p.drop(e, t)
@@ -124,12 +124,12 @@
 
 func (p *Planner) finish(now time.Time, e *engine, t task) {
 	p.removeTask(e, t)
-	tell(t.done, true)
+	notify(t.done, true)
 	switch {
 	case t.kind == galenastair.UnloadModel:
-		p.tell(now, Placement{e.server.ID, t.name()}, true)
+		p.announce(now, Placement{e.server.ID, t.name()}, true)
 	case t.adapter != "":
-		p.tell(now, Placement{e.server.ID, t.name()}, false)
+		p.announce(now, Placement{e.server.ID, t.name()}, false)
 	}
 }
 
@@ -137,7 +137,7 @@
 	if p.removeTask(e, t) {
 		e.givenUp(t)
 	}
-	tell(t.done, false)
+	notify(t.done, false)
 }
 
 // removeTask takes a task off its queue; a new term may have emptied that meanwhile.
@@ -149,7 +149,7 @@
 	return true
 }
 
-func tell(done chan<- bool, taken bool) {
+func notify(done chan<- bool, taken bool) {
 	if done != nil {
 		done <- taken
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -20,7 +20,7 @@
 	"galenastair/quota"
 )
 
-// ErrNotPlanner says that this instance does not hold the duty.
+// ErrNotPlanner says that this instance does not hold the lease.
 var ErrNotPlanner = eris.New("this instance does not plan")
 
 const (
@@ -42,11 +42,11 @@
 	firstRound = 900 * time.Millisecond
 )
 
-// Duty tells whether this instance may act for all.
-type Duty interface {
+// Lease tells whether this instance may act for all.
+type Lease interface {
 	// Order returns the fence for an order sent now; false if none may be sent.
 	Order() (galenastair.Fence, bool)
-	// Holds says whether this instance has the duty.
+	// Holds says whether this instance has the lease.
 	Holds() bool
 	// Hosts says whether it hears the others and lends, as it may for some time after.
 	Hosts() bool
@@ -54,11 +54,11 @@
 	Refused(galenastair.Fence)
 }
 
-// Planner plans and gives orders while the duty is this instance's.
+// Planner plans and gives orders while the lease is this instance's.
 type Planner struct {
 	self    string
 	control galenastair.EngineControl
-	duty    Duty
+	lease   Lease
 	loop    *control.Loop
 	clock   galenastair.Clock
 	logger  log.Logger
@@ -123,13 +123,13 @@
 	return func(p *Planner) { p.ordered = f }
 }
 
-// New returns a planner that does nothing until Run and while the duty is another's;
+// New returns a planner that does nothing until Run and while the lease is another's;
 // self names it in orders.
-func New(self string, t quota.Terms, c galenastair.EngineControl, d Duty, loop *control.Loop, opts ...Option) *Planner {
+func New(self string, t quota.Terms, c galenastair.EngineControl, d Lease, loop *control.Loop, opts ...Option) *Planner {
 	p := &Planner{
 		self:     self,
 		control:  c,
-		duty:     d,
+		lease:    d,
 		loop:     loop,
 		clock:    galenastair.SystemClock{},
 		logger:   log.NewNopLogger(),
@@ -217,7 +217,7 @@
 // tick begins or ends a term, plans, and starts what orders can be started.
 func (p *Planner) tick() {
 	now := p.clock.Now()
-	holds := p.duty.Holds()
+	holds := p.lease.Holds()
 	if holds != p.held {
 		p.held, p.since = holds, now
 		p.beginOrEnd(now, holds)
@@ -227,7 +227,7 @@
 	}
 	p.step(now)
 	p.present(now)
-	_, orders := p.duty.Order()
+	_, orders := p.lease.Order()
 	p.expire(now)
 	for _, s := range p.sites {
 		s.loads = p.loads
@@ -313,13 +313,13 @@
 	}
 }
 
-// Hear takes in one instance's report and answers with what the others see.
-func (p *Planner) Hear(ctx context.Context, r Report) (News, error) {
+// Exchange takes in one instance's report and answers with what the others see.
+func (p *Planner) Exchange(ctx context.Context, r Report) (News, error) {
 	var news News
 	err := ErrNotPlanner
 	doErr := p.loop.Do(ctx, func() {
-		if p.duty.Hosts() {
-			news, err = p.hear(r), nil
+		if p.lease.Hosts() {
+			news, err = p.answer(r), nil
 		}
 	})
 	if doErr != nil {
@@ -328,7 +328,7 @@
 	return news, err
 }
 
-func (p *Planner) hear(r Report) News {
+func (p *Planner) answer(r Report) News {
 	now := p.clock.Now()
 	p.loads.subtract(p.reports[r.Instance].loads)
 	p.reports[r.Instance] = report{r.Loads, now}
@@ -342,7 +342,7 @@
 		p.poisons = append(p.poisons, poisonAt{d, r.Instance, now})
 	}
 	p.decideOwners(now)
-	news := News{Lapsed: !p.duty.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads.keyed()}
+	news := News{Lapsed: !p.lease.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads.keyed()}
 	p.loads.add(r.Loads)
 	p.tellOwners(r, &news)
 	for _, a := range r.Asks {
@@ -353,7 +353,7 @@
 			news.Loans = append(news.Loans, quota.Ask{Organisation: a.Organisation, Amount: n})
 		}
 	}
-	p.forgetNews(now)
+	p.expireNews(now)
 	news.Newest = p.newest
 	if r.Seen > p.newest {
 		// it was told by a process before this one
@@ -377,22 +377,22 @@
 	return news
 }
 
-// tell adds a change for all instances; it takes back an earlier one of the same.
-func (p *Planner) tell(now time.Time, at Placement, dropped bool) {
+// announce adds a change for all instances; it takes back an earlier one of the same.
+func (p *Planner) announce(now time.Time, at Placement, dropped bool) {
 	p.news = slices.DeleteFunc(p.news, func(c newsAt) bool { return c.Placement == at })
 	p.newest++
 	p.news = append(p.news, newsAt{at, dropped, now, p.newest})
 }
 
-// tellGoing tells of what engines are about to give up, once.
-func (p *Planner) tellGoing(now time.Time, at Placement) {
+// announceUnload tells of what engines are about to give up, once.
+func (p *Planner) announceUnload(now time.Time, at Placement) {
 	known := func(c newsAt) bool { return c.Placement == at && c.dropped }
 	if !slices.ContainsFunc(p.news, known) {
-		p.tell(now, at, true)
+		p.announce(now, at, true)
 	}
 }
 
-func (p *Planner) forgetNews(now time.Time) {
+func (p *Planner) expireNews(now time.Time) {
 	for len(p.news) > 0 && now.Sub(p.news[0].at) > newsLife {
 		p.news = p.news[1:]
 	}
@@ -400,7 +400,7 @@
 		for id, e := range s.engines {
 			for name, it := range e.models {
 				if it.state == place.Going {
-					p.tellGoing(now, Placement{id, name})
+					p.announceUnload(now, Placement{id, name})
 				}
 			}
 		}
@@ -415,7 +415,7 @@
 	var n float64
 	err := ErrNotPlanner
 	doErr := p.loop.Do(ctx, func() {
-		if p.duty.Hosts() && !p.owned {
+		if p.lease.Hosts() && !p.owned {
 			n, err = p.lender.LendAll(p.clock.Now(), a), nil
 		}
 	})
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -15,7 +15,7 @@
 )
 
 // Demand moves, a third of all orders get no answer, half of those act seconds later,
-// registrations come late, engines start anew, and the duty goes to and fro. No engine
+// registrations come late, engines start anew, and the lease goes to and fro. No engine
 // may ever be ordered to hold more than it can.
 func TestNoEngineIsOrderedToHoldMoreThanItCan(t *testing.T) {
 	for seed := range uint64(12) {
@@ -41,8 +41,8 @@
 				}
 			}
 			if w.rng.IntN(60) == 0 {
-				b.duty.holds = !b.duty.holds
-				b.duty.fence++
+				b.lease.holds = !b.lease.holds
+				b.lease.fence++
 			}
 			b.step(200 * time.Millisecond)
 			for _, s := range w.sims {
@@ -97,7 +97,7 @@
 	before := holders(only)
 	is.Equal(len(before), 1)
 	for range 10 {
-		_, err := b.planner.Hear(t.Context(), Report{
+		_, err := b.planner.Exchange(t.Context(), Report{
 			Instance: "i", Demands: map[galenastair.ModelName]time.Duration{only: tokens(500)}, Absent: before,
 		})
 		is.NoErr(err)
@@ -173,12 +173,12 @@
 	is.Equal(promise.Ready, makingRoom+time.Second)
 }
 
-// Nobody but the holder of the duty answers for all.
+// Nobody but the holder of the lease answers for all.
 func TestOnlyTheHolderAnswers(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, 1, 2)
-	b.duty.holds = false
-	_, err := b.planner.Hear(t.Context(), Report{Instance: "i"})
+	b.lease.holds = false
+	_, err := b.planner.Exchange(t.Context(), Report{Instance: "i"})
 	is.True(errors.Is(err, ErrNotPlanner))
 	_, err = b.planner.Need(t.Context(), "m0")
 	is.True(errors.Is(err, ErrNotPlanner))
