forecast: the jump of the level is taken back

The models that become busy there do so over some eight seconds, which the mean follows closely enough; what waits is room and the load.

--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -66,8 +66,7 @@
 	play(f, &now, 40, 20)
 	is.True(math.Abs(f.Work("m")-4) < 0.1)
 	play(f, &now, 200, 1)
-	// half of the way within a second
-	is.True(f.Work("m") > 12)
+	is.True(f.Work("m") > 14)
 }
 
 // A rare model is asked for twice within a moment, and counts as busy.
