--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -42,16 +42,9 @@
 
 type demand struct {
 	arrived float64
-	// calls counts what arrived, in observations.
-	calls float64
-	level float64
-	trend float64
-	steps int
-	// recent and recentCalls are the rates of work and of observations of the last moments.
-	recent      float64
-	recentCalls float64
-	// lastRate and lastCalls are those of the last period.
-	lastRate, lastCalls float64
+	level   float64
+	trend   float64
+	steps   int
 }
 
 // New returns a forecast that knows no demand.
@@ -71,7 +64,6 @@
 		f.models[m] = d
 	}
 	d.arrived += work
-	d.calls++
 }
 
 // Step ends a period: what was observed since the last one becomes its rate.
@@ -84,9 +76,6 @@
 	}
 	for m, d := range f.models {
 		d.step(period, f.memory)
-		if f.horizon == 0 {
-			d.follow(period, f.memory)
-		}
 		if d.level < 1e-6 && d.arrived == 0 {
 			delete(f.models, m)
 		}
@@ -96,8 +85,7 @@
 // step is Holt's linear smoothing with the weights of a period of any length.
 func (d *demand) step(period, memory time.Duration) {
 	rate := d.arrived / period.Seconds()
-	d.lastRate, d.lastCalls = rate, d.calls/period.Seconds()
-	d.arrived, d.calls = 0, 0
+	d.arrived = 0
 	d.steps++
 	// the first samples weigh as in a plain mean, else demand at a cold start
 	// would be seen only after the memory
@@ -112,32 +100,6 @@
 	d.trend += beta * ((d.level-before)/period.Seconds() - d.trend)
 }
 
-const (
-	// recentPart is the part of the memory that counts as recent.
-	recentPart = 0.3
-	// certain is by how many standard deviations of its own count the recent rate must differ
-	// from the level for the level to follow it.
-	certain = 3
-)
-
-// follow takes the level to the recent rate where so much was observed that the difference is
-// no chance: the demand for a model of many callers jumps within moments, and copies that
-// follow a slow mean come seconds late.
-func (d *demand) follow(period, memory time.Duration) {
-	span := recentPart * memory.Seconds()
-	alpha := 1 - math.Exp(-period.Seconds()/span)
-	d.recent += alpha * (d.lastRate - d.recent)
-	d.recentCalls += alpha * (d.lastCalls - d.recentCalls)
-	// a smoothed rate has the chance of twice its span
-	count := 2 * span * d.recentCalls
-	if count <= 0 {
-		return
-	}
-	if math.Abs(d.recent-d.level) > certain*d.recent/math.Sqrt(count) {
-		d.level = d.recent
-	}
-}
-
 // Work returns the work per second foretold for a model.
 func (f *Forecast) Work(m galenastair.ModelName) float64 {
 	d := f.models[m]
--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -45,36 +45,3 @@
 	}
 	is.Equal(len(f.models), 0)
 }
-
-// play has calls made for a model, as many a second, each of a tenth of a second's work.
-func play(f *Forecast, now *time.Time, calls, seconds int) {
-	for range 2 * seconds {
-		*now = now.Add(500 * time.Millisecond)
-		for range calls / 2 {
-			f.Observe("m", 0.1)
-		}
-		f.Step(*now)
-	}
-}
-
-// The demand for a model of hundreds of callers a second grows fivefold in a moment, and its
-// copies follow a mean over seconds.
-func TestLevelFollowsACertainJump(t *testing.T) {
-	is := is.New(t)
-	f := New(WithMemory(2500 * time.Millisecond))
-	now := time.Unix(1000, 0)
-	play(f, &now, 40, 20)
-	is.True(math.Abs(f.Work("m")-4) < 0.1)
-	play(f, &now, 200, 1)
-	is.True(f.Work("m") > 14)
-}
-
-// A rare model is asked for twice within a moment, and counts as busy.
-func TestLevelKeepsToItsMeanForFewCalls(t *testing.T) {
-	is := is.New(t)
-	f := New(WithMemory(2500 * time.Millisecond))
-	now := time.Unix(1000, 0)
-	play(f, &now, 2, 20)
-	play(f, &now, 4, 1)
-	is.True(f.Work("m") < 0.3)
-}
