account: the play of owners becomes a command, measure -accounts

The fleet that the tests played is package account/play; the command prints what is admitted, in 20 s around a fault and in the two seconds after it, the most in a window and the calls, at 7, 30, 87, 300 and 370 instances.

--- a/cmd/galenastair/cmd_measure.go
+++ b/cmd/galenastair/cmd_measure.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 
+	"galenastair/account/play"
 	"galenastair/measure"
 	"galenastair/rate/compare"
 )
@@ -13,7 +14,7 @@
 var cmdMeasure = command{
 	name:    "measure",
 	summary: "run the decisions over synthetic loads, beside their baselines",
-	usage:   "[-seed N] [-site NAME] [-scenario NAME] [-policies N]",
+	usage:   "[-seed N] [-site NAME] [-scenario NAME] [-policies N] | -accounts [-seed N]",
 	run:     runMeasure,
 }
 
@@ -25,12 +26,23 @@
 	f.StringVar(&o.Site, "site", "", "only this site: Himalbyte or Furnir")
 	f.StringVar(&o.Scenario, "scenario", "", "only this scenario")
 	f.IntVar(&o.Policies, "policies", 0, "only the first so many policies; 1 is ours alone")
+	accounts := f.Bool("accounts", false, "only the accounts of organisations on the users' platform")
 	if err := parseFlags(f, args); err != nil {
 		return err
 	}
+	if *accounts {
+		return writeAccounts(o.Seed, out)
+	}
 	if err := measure.Run(ctx, o, out); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(out, "\nways to share an organisation's rate among instances\n%s", compare.Table(o.Seed))
+	if _, err := fmt.Fprintf(out, "\nways to share an organisation's rate among instances\n%s", compare.Table(o.Seed)); err != nil {
+		return err
+	}
+	return writeAccounts(o.Seed, out)
+}
+
+func writeAccounts(seed uint64, out io.Writer) error {
+	_, err := fmt.Fprintf(out, "\none owner for an organisation on the users' platform, by instances and fault\n%s", play.Table(seed))
 	return err
 }
