account: an owner that stops is replaced once it has ended or knows it

The next owner begins when the one before knows that it was replaced or can charge no more than half.

--- a/account/account_test.go
+++ b/account/account_test.go
@@ -52,6 +52,8 @@
 		f.Restart(x, f.UpTo(3*time.Second))
 	case 2:
 		f.ReplaceLeader()
+	case 3, 4:
+		f.Stop(x)
 	}
 }
 
--- a/account/accounts.go
+++ b/account/accounts.go
@@ -180,7 +180,8 @@
 	}
 	l, limited := a.limits[o]
 	if !limited {
-		return Verdict{Owned: true, Granted: true}
+		// whoever asks goes by another version of the contracts
+		return Verdict{}
 	}
 	if a.accounts[o] == nil {
 		a.accounts[o] = &account{at: g.since}
--- a/account/assigner.go
+++ b/account/assigner.go
@@ -132,13 +132,19 @@
 func (a *Assigner) Grants(now boottime.Time, address string) []Grant {
 	var out []Grant
 	for s, owner := range a.current.Owners {
-		if owner == address {
+		if owner == address && !a.unreleased(now, s) {
 			out = append(out, Grant{Shard(s), max(0, a.limited[s].Sub(now))})
 		}
 	}
 	return out
 }
 
+// unreleased says whether the owner before may still charge at the full rate: one that stops is
+// replaced while it is confirmed.
+func (a *Assigner) unreleased(now boottime.Time, s int) bool {
+	return a.limited[s] != 0 && now < a.limited[s].Add(fresh-grace)
+}
+
 // lastHeard is not before an owner was last confirmed: by this leader, or by the one before,
 // whose lease ended before this term began.
 func (a *Assigner) lastHeard(address string) boottime.Time { return max(a.began, a.heard[address]) }
--- a/account/play/fleet.go
+++ b/account/play/fleet.go
@@ -21,6 +21,8 @@
 	noteTime = 300 * time.Millisecond
 	// leaderTime is what a new leader takes to be there at least, and as long again at most.
 	leaderTime = 1600 * time.Millisecond
+	// stopTime is from an instance's signal to stop to its end.
+	stopTime = 3 * time.Second
 	// org is the organisation that is played.
 	org galenastair.Organisation = "org"
 )
@@ -60,6 +62,8 @@
 	cut boottime.Time
 	// down is until when its process does not run.
 	down boottime.Time
+	// stops is from when it has been told to stop; 0 if it has not.
+	stops boottime.Time
 }
 
 type charge struct {
@@ -100,6 +104,7 @@
 		{Name: org, Rate: f.contract.Rate, Burst: f.contract.Burst, InTokens: true},
 	}))
 	x.next = max(f.Now, x.down).Add(f.UpTo(exchangePeriod))
+	x.stops = 0
 }
 
 // Step moves the clock on.
@@ -109,6 +114,9 @@
 		return
 	}
 	for _, x := range f.Instances {
+		if x.stops != 0 && f.Now.Sub(x.stops) > stopTime {
+			f.Restart(x, f.UpTo(stopTime))
+		}
 		if f.Now >= x.next && f.Now >= x.cut && f.Now >= x.down {
 			f.exchange(x)
 		}
@@ -123,7 +131,7 @@
 
 func (f *Fleet) exchange(x *Instance) {
 	x.next = f.Now.Add(exchangePeriod)
-	f.assigner.Heard(f.Now, x.address, x.accounts.Table().Version, false)
+	f.assigner.Heard(f.Now, x.address, x.accounts.Table().Version, x.stops != 0)
 	if t := f.assigner.Table(); t.Version != x.accounts.Table().Version {
 		x.accounts.SetTable(t)
 	}
@@ -148,6 +156,13 @@
 	f.start(x)
 }
 
+// Stop tells an instance to stop, which takes it some seconds, and has it started again.
+func (f *Fleet) Stop(x *Instance) {
+	if x.stops == 0 && f.Up(x) {
+		x.stops = f.Now
+	}
+}
+
 // Up says whether an instance's process runs.
 func (f *Fleet) Up(x *Instance) bool { return f.Now >= x.down }
 
--- a/account/play/table.go
+++ b/account/play/table.go
@@ -44,6 +44,7 @@
 		{Name: "leader lost", Asked: half, Fault: (*Fleet).ReplaceLeader},
 		{Name: "owner lost", Asked: half, Fault: func(f *Fleet) { f.Restart(f.Owner(f.Any()), instanceLoss) }},
 		{Name: "owner cut off", Asked: half, Fault: func(f *Fleet) { f.Cut(f.Owner(f.Any()), instanceLoss) }},
+		{Name: "owner stopped", Asked: half, Fault: func(f *Fleet) { f.Stop(f.Owner(f.Any())) }},
 		{Name: "half lost", Asked: half, Fault: loseHalf},
 		{Name: "all restarted", Asked: half, Fault: restartAll},
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,7 @@
 	n.share = quota.NewShare(terms)
 	// until a leader or its note tells, the others may hold all parts
 	n.share.SetFleet(0)
-	n.pool = pool.New(s.AvailabilityZone, pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-leaveLag)), pool.WithFleet(n.share.Fleet))
+	n.pool = pool.New(s.AvailabilityZone, pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-leaveLag)), pool.WithFleet(n.share.Told))
 	n.accounts = account.New(s.PeerAddress, terms)
 	n.backends = httpconn.NewClient()
 	backend := platform.NewReplicas(n.backends)
