--- a/scenario/gateways.sh
+++ b/scenario/gateways.sh
@@ -28,7 +28,7 @@
 	sed -e "s/{{node-name}}/$name/; s/{{region}}/region-1/; s/{{zone}}/zone-a/; s/{{listen.front}}/127.0.0.1:${caller_port[$name]}/" \
 		-e "s/{{listen.ready}}/127.0.0.1:${ready_port[$name]}/; s/{{ip}}:{{internal-ports.0}}/127.0.0.1:${peer_port[$name]}/" \
 		-e "s/{{ip}}:7601/127.0.0.1:${metrics_port[$name]}/; s/{{provider.address}}/$store/; s/{{limits.memory-mb}}/284/; s/{{limits.link-mbps}}/1000/" \
-		-e "s/{{bounds.revoke-ms}}/5000/; s/{{bounds.grace-s}}/8/; s/{{bounds.lease-ms}}/1000/; s/{{bounds.drain-ms}}/2000/" \
+		-e "s/{{bounds.revoke-ms}}/5000/; s/{{bounds.grace-s}}/8/; s/{{bounds.lease-ms}}/1000/; s/{{bounds.drain-ms}}/2000/; s/{{bounds.config-apply-ms}}/2000/" \
 		-e "s/{{bounds.budget-ratio}}/0.2/; s/{{bounds.budget-slack}}/52/; s/{{bounds.quota-window-s}}/8/" \
 		-e "s/{{bounds.quota-over}}/0.1/; s/{{bounds.quota-slack}}/17000/; s/{{bounds.fencing-required}}/true/" \
 		deploy/gateway.ini >"$work/$name.ini"
