--- a/node/tails.go
+++ b/node/tails.go
@@ -53,7 +53,7 @@
 		from, asked := r.Positions[f.topic]
 		age, known := f.follower.Age()
 		if asked && known {
-			news.Tails = append(news.Tails, t.direct(r, news.Standing.Fleet, f.tell(from, age)))
+			news.Tails = append(news.Tails, t.direct(r, news.Standing.Fleet, f.tailFrom(from, age)))
 		}
 	}
 	return news, nil
@@ -82,8 +82,8 @@
 	return galenastair.KeyedBatch{Next: from}
 }
 
-// tell returns what follows a position; the age is from before it is looked up.
-func (f followed) tell(from galenastair.Offset, age time.Duration) planner.Tail {
+// tailFrom returns what follows a position; the age is from before it is looked up.
+func (f followed) tailFrom(from galenastair.Offset, age time.Duration) planner.Tail {
 	if f.tail != nil {
 		return planner.Tail{Topic: f.topic, KeyedBatch: f.tail.Since(from), Age: age}
 	}
--- a/planner/owners.go
+++ b/planner/owners.go
@@ -26,8 +26,8 @@
 	p.owned = p.lender.Fleet(now) > mostLent
 }
 
-// tellOwners adds to the news who owns what.
-func (p *Planner) tellOwners(r Report, news *News) {
+// addOwners adds to the news who owns what.
+func (p *Planner) addOwners(r Report, news *News) {
 	now := p.boot()
 	p.assigner.Heard(now, r.Address, r.TableVersion, r.Stopping)
 	if !p.owned {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -95,14 +94,6 @@
 	at    time.Time
 }
 
-// newsAt is a change of what a backend server holds.
-type newsAt struct {
-	Placement
-	dropped bool
-	at      time.Time
-	number  int64
-}
-
 type poisonAt struct {
 	digest claim.Digest
 	from   galenastair.InstanceID
@@ -344,7 +335,7 @@
 	p.decideOwners(now)
 	news := News{Lapsed: !p.lease.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads.keyed()}
 	p.loads.add(r.Loads)
-	p.tellOwners(r, &news)
+	p.addOwners(r, &news)
 	for _, a := range r.Asks {
 		if p.owned {
 			break
@@ -377,39 +368,6 @@
 	return news
 }
 
-// announce adds a change for all instances; it takes back an earlier one of the same.
-func (p *Planner) announce(now time.Time, at Placement, dropped bool) {
-	p.news = slices.DeleteFunc(p.news, func(c newsAt) bool { return c.Placement == at })
-	p.newest++
-	p.news = append(p.news, newsAt{at, dropped, now, p.newest})
-}
-
-// announceUnload tells of what engines are about to give up, once.
-func (p *Planner) announceUnload(now time.Time, at Placement) {
-	known := func(c newsAt) bool { return c.Placement == at && c.dropped }
-	if !slices.ContainsFunc(p.news, known) {
-		p.announce(now, at, true)
-	}
-}
-
-func (p *Planner) expireNews(now time.Time) {
-	for len(p.news) > 0 && now.Sub(p.news[0].at) > newsLife {
-		p.news = p.news[1:]
-	}
-	for _, s := range p.sites {
-		for id, e := range s.engines {
-			for name, it := range e.models {
-				if it.state == place.Going {
-					p.announceUnload(now, Placement{id, name})
-				}
-			}
-		}
-	}
-	for len(p.poisons) > 0 && now.Sub(p.poisons[0].at) > newsLife {
-		p.poisons = p.poisons[1:]
-	}
-}
-
 // Borrow lends what one request lacks.
 func (p *Planner) Borrow(ctx context.Context, a quota.Ask) (float64, error) {
 	var n float64
