place: a round looks only at the models that a server has

Each relief looked through all models for each server that a copy might go to. Change: the board keeps each server's models, and the list of base models once.

--- a/place/board.go
+++ b/place/board.go
@@ -11,7 +11,9 @@
 type board struct {
 	servers []*boardServer
 	models  []*boardModel
-	byName  map[galenastair.ModelName]*boardModel
+	// base are the models that are no adapters, or whose base is not known.
+	base   []*boardModel
+	byName map[galenastair.ModelName]*boardModel
 }
 
 type boardServer struct {
@@ -19,6 +21,16 @@
 	load float64
 	// swap says that a swap owns this backend server's memory.
 	swap bool
+	// models are the base models of which it has, or will have, a copy.
+	models []*boardModel
+}
+
+// add notes a copy that a backend server has, or will have.
+func (m *boardModel) add(c *boardCopy) {
+	m.copies = append(m.copies, c)
+	if m.base == nil {
+		c.server.models = append(c.server.models, m)
+	}
 }
 
 // stays says whether the copies there count.
@@ -51,7 +63,9 @@
 	for _, m := range b.models {
 		if m.base = b.byName[m.weight.Base]; m.base != nil {
 			m.base.adapters = append(m.base.adapters, m)
+			continue
 		}
+		b.base = append(b.base, m)
 	}
 	for _, s := range in.Servers {
 		bs := &boardServer{Server: s}
@@ -59,7 +73,7 @@
 		for _, c := range s.Copies {
 			m := b.byName[c.Weight.Name]
 			if m != nil && m.weight.Version == c.Weight.Version {
-				m.copies = append(m.copies, &boardCopy{server: bs, state: c.State})
+				m.add(&boardCopy{server: bs, state: c.State})
 			}
 		}
 	}
@@ -141,7 +155,7 @@
 	for _, s := range b.servers {
 		s.load = 0
 	}
-	order := slices.Clone(b.bases())
+	order := slices.Clone(b.base)
 	slices.SortStableFunc(order, func(x, y *boardModel) int {
 		return cmp.Or(cmp.Compare(x.lasting(), y.lasting()), cmp.Compare(y.demand(), x.demand()))
 	})
@@ -171,17 +185,6 @@
 	}
 }
 
-// bases returns the models that are no adapters, or whose base is not known.
-func (b *board) bases() []*boardModel {
-	var out []*boardModel
-	for _, m := range b.models {
-		if m.base == nil {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // count returns how many models, or adapters, are coming.
 func (b *board) coming(adapters bool) int {
 	n := 0
@@ -207,7 +210,7 @@
 			all += s.memory()
 		}
 	}
-	for _, m := range b.bases() {
+	for _, m := range b.base {
 		models += m.bundle()
 	}
 	return float64(models) > roomy*float64(all)
--- /dev/null
+++ b/place/large_test.go
@@ -0,0 +1,43 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"galenastair"
+)
+
+// BenchmarkPlanOfALargeFleet is one round for 240 engines of three places and 524 models, a few of which
+// most callers ask for.
+func BenchmarkPlanOfALargeFleet(b *testing.B) {
+	const servers, models = 240, 524
+	rng := rand.New(rand.NewPCG(1, 1))
+	in := Input{Now: time.Unix(1000, 0)}
+	work := map[galenastair.ModelName]float64{}
+	for i := range models {
+		w := galenastair.Weight{Name: galenastair.ModelName(fmt.Sprint("m", i)), Memory: 10}
+		in.Catalogue = append(in.Catalogue, w)
+		work[w.Name] = 40 / float64(i+1)
+	}
+	in.Work = func(m galenastair.ModelName) float64 { return work[m] }
+	order := rng.Perm(models)
+	for i := range servers {
+		s := Server{ID: galenastair.BackendServerID(fmt.Sprint("s", i)), Free: 30, AtHand: map[galenastair.ModelName]bool{}}
+		for p := range 3 {
+			w := in.Catalogue[order[(3*i+p)%models]]
+			s.Copies = append(s.Copies, Copy{w, Ready})
+			s.Free -= w.Memory
+			s.AtHand[w.Name] = true
+		}
+		in.Servers = append(in.Servers, s)
+	}
+	settings := Settings{LoadsPerSecond: 34, LoadsInFlight: 80, ServerWork: 1, Busy: 0.3, Uneven: 0.8, Gain: 0.12, Calm: time.Second,
+		Stay: 5 * time.Second, ReliefsARound: 3, AskedWork: 0.01, DropUnasked: 1.2}
+	p := NewPlanner(settings)
+	for b.Loop() {
+		in.Now = in.Now.Add(200 * time.Millisecond)
+		p.Plan(in)
+	}
+}
--- a/place/planner.go
+++ b/place/planner.go
@@ -100,7 +100,7 @@
 		p.tokens--
 	}
 	s.Free -= m.weight.Memory
-	m.copies = append(m.copies, &boardCopy{server: s, state: Coming})
+	m.add(&boardCopy{server: s, state: Coming})
 	p.added[copyKey{s.ID, m.weight.Name}] = p.now
 	p.steps = append(p.steps, Step{galenastair.LoadModel, s.ID, m.weight, why})
 }
@@ -120,7 +120,7 @@
 // come after the relief of busy ones: callers wait there now.
 func (p *Planner) reachModels(asked bool) {
 	var need []*boardModel
-	for _, m := range p.board.bases() {
+	for _, m := range p.board.base {
 		if m.lasting() == 0 && !p.wanted(m) && p.asked(m) == asked {
 			need = append(need, m)
 		}
@@ -198,7 +198,7 @@
 		return
 	}
 	var best *boardModel
-	for _, m := range p.board.bases() {
+	for _, m := range p.board.base {
 		if m.lasting() != 1 || p.wanted(m) || p.spareFor(m) == nil {
 			continue
 		}
--- a/place/relief.go
+++ b/place/relief.go
@@ -39,7 +39,7 @@
 
 func (p *Planner) relieveServer(hot *boardServer, order []*boardServer) bool {
 	var models []*boardModel
-	for _, m := range p.board.bases() {
+	for _, m := range hot.models {
 		c := m.on(hot)
 		if c == nil || c.share < p.settings.Gain*hot.load || !p.mayGrow(m) {
 			continue
--- a/place/swap.go
+++ b/place/swap.go
@@ -58,7 +58,7 @@
 // never one without another ready copy beside it.
 func (p *Planner) evictable(s *boardServer, m *boardModel, why Reason) ([]*boardModel, float64, bool) {
 	var may []*boardModel
-	for _, other := range p.board.bases() {
+	for _, other := range s.models {
 		if p.mayGo(other, s, why) {
 			may = append(may, other)
 		}
