planner, registry: the leader's work for each round and exchange is bounded by what changed

A round counted the copies of each of 1,048 adapters over all engines, with a name formatted anew for each; each exchange, some 900 a second, went through all names of all registrations and all models of all engines. Change: an index for the round; names once for a version of the configuration; registrations whose last change is known to the asker are passed over; unloads are announced each round.

--- a/planner/adapters.go
+++ b/planner/adapters.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"fmt"
 	"math"
 	"strings"
 	"time"
@@ -83,6 +82,9 @@
 }
 
 func (s *site) adapterCopies(name galenastair.ModelName) int {
+	if s.index != nil {
+		return s.index.adapters[name]
+	}
 	n := 0
 	for _, e := range s.engines {
 		if e.adapters[name] != nil && !e.server.Leaving {
@@ -101,9 +103,11 @@
 	if drop != "" {
 		m, a := splitName(drop)
 		e.add(now, task{kind: galenastair.UnloadModel, model: m, adapter: a, reason: place.MakeRoom})
+		s.index.moved(drop, -1)
 	}
 	m, a := splitName(name)
 	e.add(now, task{kind: galenastair.LoadModel, model: m, adapter: a, reason: why, done: done})
+	s.index.moved(name, 1)
 	return e, true
 }
 
@@ -144,8 +148,10 @@
 func (s *site) preloadAdapters(now time.Time) {
 	left := preloadAtOnce
 	for _, m := range s.contents.models {
-		for i := 1; i <= m.Adapters && left > 0; i++ {
-			name := adapterName(m.Name, fmt.Sprintf("a%d", i))
+		for _, name := range s.contents.adapters[m.Name] {
+			if left <= 0 {
+				return
+			}
 			if s.adapterCopies(name) > 0 || !s.emptyPlace(m.Name, name) {
 				continue
 			}
@@ -157,8 +163,8 @@
 }
 
 func (s *site) emptyPlace(m, name galenastair.ModelName) bool {
-	for _, e := range s.engines {
-		if e.ready(m) && e.adapters[name] == nil && len(e.adapters) < s.contents.engine.AdapterPlaces && len(e.tasks) < fetchedAtOnce {
+	for _, e := range s.index.ready[m] {
+		if e.adapters[name] == nil && len(e.adapters) < s.contents.engine.AdapterPlaces && len(e.tasks) < fetchedAtOnce {
 			return true
 		}
 	}
--- a/planner/contents.go
+++ b/planner/contents.go
@@ -9,18 +9,24 @@
 
 // contents is what the engines of one service may hold.
 type contents struct {
-	service        galenastair.ServiceName
-	engine         *catalog.Engine
-	models         map[galenastair.ModelName]*catalog.Model
+	service galenastair.ServiceName
+	engine  *catalog.Engine
+	models  map[galenastair.ModelName]*catalog.Model
+	// adapters are the names of each model's, behind the model's and a slash.
+	adapters       map[galenastair.ModelName][]galenastair.ModelName
 	weights        []galenastair.Weight
 	largestAdapter galenastair.Bytes
 }
 
 func newContents(s *catalog.Service) *contents {
-	c := &contents{service: s.Name, engine: s.Engine, models: map[galenastair.ModelName]*catalog.Model{}}
+	c := &contents{service: s.Name, engine: s.Engine, models: map[galenastair.ModelName]*catalog.Model{},
+		adapters: map[galenastair.ModelName][]galenastair.ModelName{}}
 	for i := range s.Engine.Models {
 		m := &s.Engine.Models[i]
 		c.models[m.Name] = m
+		for n := 1; n <= m.Adapters; n++ {
+			c.adapters[m.Name] = append(c.adapters[m.Name], adapterName(m.Name, "a"+strconv.Itoa(n)))
+		}
 		c.weights = append(c.weights, galenastair.Weight{Name: m.Name, Memory: m.Memory})
 		if m.Adapters > 0 {
 			c.largestAdapter = max(c.largestAdapter, m.AdapterMemory)
--- a/planner/news.go
+++ b/planner/news.go
@@ -34,6 +34,13 @@
 	for len(p.news) > 0 && now.Sub(p.news[0].at) > newsLife {
 		p.news = p.news[1:]
 	}
+	for len(p.poisons) > 0 && now.Sub(p.poisons[0].at) > newsLife {
+		p.poisons = p.poisons[1:]
+	}
+}
+
+// announceUnloads tells of all that engines are about to give up.
+func (p *Planner) announceUnloads(now time.Time) {
 	for _, s := range p.sites {
 		for id, e := range s.engines {
 			for name, it := range e.models {
@@ -43,7 +50,4 @@
 			}
 		}
 	}
-	for len(p.poisons) > 0 && now.Sub(p.poisons[0].at) > newsLife {
-		p.poisons = p.poisons[1:]
-	}
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -227,6 +227,7 @@
 		}
 		p.start(now, s)
 	}
+	p.announceUnloads(now)
 }
 
 func (p *Planner) beginOrEnd(now time.Time, holds bool) {
--- a/planner/site.go
+++ b/planner/site.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"fmt"
 	"time"
 
 	"galenastair"
@@ -46,6 +45,8 @@
 	loads    loads
 	// strict says that this instance orders.
 	strict bool
+	// index is what engines hold, for the time of one round; nil otherwise.
+	index *index
 }
 
 func newSite(s *catalog.Service) *site {
@@ -91,8 +92,10 @@
 			e.add(now, task{kind: step.Kind, model: step.Weight.Name, reason: step.Reason})
 		}
 	}
+	s.index = s.newIndex()
 	s.spreadAdapters(now)
 	s.preloadAdapters(now)
+	s.index = nil
 }
 
 func (s *site) input(id galenastair.BackendServerID, e *engine) place.Server {
@@ -133,8 +136,7 @@
 // adapterWork returns the demand for those adapters of a model that have any.
 func (s *site) adapterWork(m *catalog.Model) map[galenastair.ModelName]float64 {
 	out := map[galenastair.ModelName]float64{}
-	for i := 1; i <= m.Adapters; i++ {
-		name := adapterName(m.Name, fmt.Sprintf("a%d", i))
+	for _, name := range s.contents.adapters[m.Name] {
 		if w := s.forecast.Work(name); w > 0 {
 			out[name] = w
 		}
@@ -143,6 +145,9 @@
 }
 
 func (s *site) modelCopies(m galenastair.ModelName) int {
+	if s.index != nil {
+		return len(s.index.ready[m])
+	}
 	n := 0
 	for _, e := range s.engines {
 		if e.ready(m) {
--- a/registry/table.go
+++ b/registry/table.go
@@ -27,6 +27,8 @@
 	// created and identity are when the server came and when its identity last changed.
 	created  galenastair.Offset
 	identity galenastair.Offset
+	// last is when anything of it last changed.
+	last  galenastair.Offset
 	names    map[galenastair.ModelName]galenastair.Offset
 	dropped  map[galenastair.ModelName]galenastair.Offset
 }
@@ -58,11 +60,11 @@
 func (t *Table) entryOf(at galenastair.Offset, s pool.Server) *entry {
 	e := t.entries[s.ID]
 	if e == nil || e.server.Born != s.Born {
-		e = &entry{created: at, identity: at, names: map[galenastair.ModelName]galenastair.Offset{}, dropped: map[galenastair.ModelName]galenastair.Offset{}}
+		e = &entry{created: at, identity: at, last: at, names: map[galenastair.ModelName]galenastair.Offset{}, dropped: map[galenastair.ModelName]galenastair.Offset{}}
 		t.entries[s.ID] = e
 		delete(t.gone, s.ID)
 	} else if !sameIdentity(e.server, s) {
-		e.identity = at
+		e.identity, e.last = at, max(e.last, at)
 	}
 	e.server = s
 	return e
@@ -70,7 +72,7 @@
 
 func (e *entry) add(at galenastair.Offset, name galenastair.ModelName) {
 	if _, there := e.names[name]; !there {
-		e.names[name] = at
+		e.names[name], e.last = at, max(e.last, at)
 		delete(e.dropped, name)
 	}
 }
@@ -78,7 +80,7 @@
 func (e *entry) drop(at galenastair.Offset, name galenastair.ModelName) {
 	if _, there := e.names[name]; there {
 		delete(e.names, name)
-		e.dropped[name] = at
+		e.dropped[name], e.last = at, max(e.last, at)
 	}
 }
 
@@ -138,6 +140,9 @@
 		}
 	}
 	for id, e := range t.entries {
+		if e.last < from {
+			continue
+		}
 		if c, changed := e.since(id, from); changed {
 			out = append(out, c)
 		}
