--- a/registry/table.go
+++ b/registry/table.go
@@ -28,9 +28,9 @@
 	created  galenastair.Offset
 	identity galenastair.Offset
 	// last is when anything of it last changed.
-	last  galenastair.Offset
-	names    map[galenastair.ModelName]galenastair.Offset
-	dropped  map[galenastair.ModelName]galenastair.Offset
+	last    galenastair.Offset
+	names   map[galenastair.ModelName]galenastair.Offset
+	dropped map[galenastair.ModelName]galenastair.Offset
 }
 
 // NewTable returns a table without registrations.
