planner: whether organisations have owners is settled once a term

A reading of the code: a fleet that was counted small holds parts of the quotas; if it grew over 24 in the first leader's term, owners were appointed beside them, and both could grant. Names on the way: holder -> leader in node, deference -> linkDelay, hand -> submit.

--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -41,9 +41,9 @@
 // WithLink says what this instance's link carries, in Mbit a second; 0 is not known.
 func WithLink(mbps float64) Option { return func(e *Elector) { e.mbps = mbps } }
 
-// deference is how long this instance leaves the lease to others, so that the exchanges of a
+// linkDelay is how long this instance leaves the lease to others, so that the exchanges of a
 // large fleet do not fill a small link.
-func (e *Elector) deference() time.Duration {
+func (e *Elector) linkDelay() time.Duration {
 	if e.mbps <= 0 {
 		return 0
 	}
@@ -52,7 +52,7 @@
 	return time.Duration(own + full)
 }
 
-// follow waits until the lease seems to have ended, and then runs for it.
+// follow waits until the lease seems to have ended, and then tries to take it.
 func (e *Elector) follow(ctx context.Context) {
 	if e.inspects() {
 		e.load(ctx)
@@ -75,7 +75,7 @@
 		return
 	}
 	e.backoff = 0
-	if e.leased() <= 0 && timer.Wait(ctx, e.deference()) && e.leased() <= 0 {
+	if e.leased() <= 0 && timer.Wait(ctx, e.linkDelay()) && e.leased() <= 0 {
 		e.campaign(ctx)
 	}
 }
@@ -112,7 +112,7 @@
 	return e.read
 }
 
-// leased is for how long the lease certainly needs no other holder.
+// leased is for how long the lease may still be another's.
 func (e *Elector) leased() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -125,7 +125,7 @@
 
 // Run follows, takes and renews the lease until the context ends, then releases it.
 func (e *Elector) Run(ctx context.Context) error {
-	timer.Wait(ctx, e.deference()+rand.N(startJitter))
+	timer.Wait(ctx, e.linkDelay()+rand.N(startJitter))
 	e.load(ctx)
 	if known := e.Known(); known.Fleet > 0 && known.Fleet <= MostPresuming {
 		e.readNote(ctx, true)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -71,9 +71,8 @@
 	x.poisons = append(x.poisons, d)
 }
 
-// run exchanges until the context ends. It begins when this instance knows what a lender
-// before has left, since without a lender it goes by that, but waits no longer than for a
-// sound store.
+// run exchanges until the context ends. It begins when this instance has read what a leader
+// before has left, or the store does not answer.
 func (x *exchange) run(ctx context.Context) error {
 	select {
 	case <-x.elector.Started():
@@ -137,24 +136,24 @@
 	x.poisons = append(x.poisons, r.Poisons...)
 }
 
-// at returns the planner's address; the second result says that it is this instance.
+// at returns the leader's address; the second result says that it is this instance.
 func (x *exchange) at() (string, bool) {
-	holder := x.elector.Leader()
-	return holder, holder == x.address
+	leader := x.elector.Leader()
+	return leader, leader == x.address
 }
 
-// errNoHolder says that nobody is known to plan.
-var errNoHolder = errors.New("no instance is known to plan")
+// errNoLeader says that nobody is known to lead.
+var errNoLeader = errors.New("no instance is known to lead")
 
 func (x *exchange) call(ctx context.Context, r planner.Report) (planner.News, error) {
-	holder, own := x.at()
+	leader, own := x.at()
 	switch {
 	case own:
 		return x.local.Exchange(ctx, r)
-	case holder == "":
-		return planner.News{}, errNoHolder
+	case leader == "":
+		return planner.News{}, errNoLeader
 	}
-	return x.client.Exchange(ctx, holder, r)
+	return x.client.Exchange(ctx, leader, r)
 }
 
 // failed goes on without the leader and logs the loss once.
@@ -214,12 +213,12 @@
 
 // Need asks the planner for a place for a model or adapter.
 func (x *exchange) Need(ctx context.Context, name galenastair.ModelName) (planner.Promise, error) {
-	holder, own := x.at()
+	leader, own := x.at()
 	switch {
 	case own:
 		return x.local.Need(ctx, name)
-	case holder == "":
-		return planner.Promise{}, errNoHolder
+	case leader == "":
+		return planner.Promise{}, errNoLeader
 	}
-	return x.client.Need(ctx, holder, name)
+	return x.client.Need(ctx, leader, name)
 }
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -92,12 +92,12 @@
 }
 
 func (x *exchange) borrow(ctx context.Context, a quota.Ask) (float64, error) {
-	holder, own := x.at()
+	leader, own := x.at()
 	switch {
 	case own:
 		return x.local.Borrow(ctx, a)
-	case holder == "":
-		return 0, errNoHolder
+	case leader == "":
+		return 0, errNoLeader
 	}
-	return x.client.Borrow(ctx, holder, a)
+	return x.client.Borrow(ctx, leader, a)
 }
--- a/node/servers.go
+++ b/node/servers.go
@@ -33,7 +33,7 @@
 	batches chan serverBatch
 	// ended is closed when run has returned.
 	ended chan struct{}
-	// table is what others are told of.
+	// table answers others for what changed.
 	table *registry.Table
 
 	// owned by run
@@ -81,17 +81,18 @@
 	}
 }
 
-// apply has a batch taken in by run; it is called by the follower.
+// apply takes in what the follower has read.
 func (s *servers) apply(b galenastair.KeyedBatch, whole bool) {
-	s.hand(serverBatch{KeyedBatch: b, whole: whole})
+	s.submit(serverBatch{KeyedBatch: b, whole: whole})
 }
 
-// applyChanges has what another instance told taken in, up to an offset.
+// applyChanges takes in what another instance told of the records before an offset.
 func (s *servers) applyChanges(changes []registry.Change, end galenastair.Offset) {
-	s.hand(serverBatch{KeyedBatch: galenastair.KeyedBatch{Next: end, End: end}, changes: changes})
+	s.submit(serverBatch{KeyedBatch: galenastair.KeyedBatch{Next: end, End: end}, changes: changes})
 }
 
-func (s *servers) hand(b serverBatch) {
+// submit waits until run has taken a batch in.
+func (s *servers) submit(b serverBatch) {
 	b.taken = make(chan struct{})
 	select {
 	case s.batches <- b:
--- a/planner/owners.go
+++ b/planner/owners.go
@@ -15,15 +15,17 @@
 func (p *Planner) beginOwners() {
 	p.assigner.Reset(p.boot(), p.note.Table)
 	p.owned = p.note.Table.Version != 0
+	p.decided = p.owned || len(p.note.Instances) > 0
 }
 
-// decideOwners has a large fleet's quotas kept by owners, once it is counted. Parts that
-// instances of an earlier term hold are theirs until all are started again.
+// decideOwners has a large fleet's quotas kept by owners, if it is large when it is first
+// counted. Parts that were dealt are their instances' until all are started again.
 func (p *Planner) decideOwners(now time.Time) {
-	if p.owned || len(p.note.Instances) > 0 || !p.lender.Counted(now) {
+	if p.decided || !p.lender.Counted(now) {
 		return
 	}
 	p.owned = p.lender.Fleet(now) > mostLent
+	p.decided = true
 }
 
 // addOwners adds to the news who owns what.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -81,8 +81,10 @@
 	held    bool
 	// note is what the leader before left.
 	note Note
-	// owned says that organisations have owners, whom the assigner deals them to.
+	// owned says that organisations have owners, whom the assigner deals them to, and decided
+	// that it is settled whether they have.
 	owned    bool
+	decided  bool
 	assigner *account.Assigner
 	boot     boottime.Clock
 	since    time.Time
