--- a/planner/note.go
+++ b/planner/note.go
@@ -41,7 +41,7 @@
 	return p.loop.Post(ctx, func() {
 		switch {
 		case !p.held:
-		case n.Table.Version != 0:
+		case n.Version != 0:
 			p.ownersNoted(n.Table)
 		default:
 			p.lender.Noted(n.Note)
--- a/planner/owners.go
+++ b/planner/owners.go
@@ -14,7 +14,7 @@
 // beginOwners begins a term by what the leader before has left.
 func (p *Planner) beginOwners() {
 	p.assigner.Reset(p.boot(), p.note.Table)
-	p.owned = p.note.Table.Version != 0
+	p.owned = p.note.Version != 0
 	p.decided = p.owned || len(p.note.Instances) > 0
 }
 
