--- /dev/null
+++ b/node/servers_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/follow"
+	"galenastair/platform"
+	"galenastair/pool"
+)
+
+// registrations are what one instance knows of backend servers, without a store.
+type registrations struct {
+	*servers
+	used map[galenastair.BackendServerID]bool
+}
+
+func newRegistrations() registrations {
+	r := registrations{newServers(log.NewNopLogger()), map[galenastair.BackendServerID]bool{}}
+	r.follower = follow.New(nil, platform.RegistrationTopic, nil)
+	r.set = func(s pool.Server) { r.used[s.ID] = true }
+	r.remove = func(id galenastair.BackendServerID) { delete(r.used, id) }
+	return r
+}
+
+// read takes in records of the store from an offset on.
+func (r registrations) read(now time.Time, from galenastair.Offset, whole bool, records ...galenastair.KeyedRecord) {
+	for i := range records {
+		records[i].Offset = from + galenastair.Offset(i)
+	}
+	end := from + galenastair.Offset(len(records))
+	r.take(now, serverBatch{KeyedBatch: galenastair.KeyedBatch{Records: records, Next: end, End: end}, whole: whole})
+}
+
+// learn takes in what another instance tells of the records from this one's position on.
+func (r registrations) learn(t *testing.T, now time.Time, from registrations) {
+	t.Helper()
+	changes, end, ok := from.table.Since(r.next)
+	if !ok {
+		t.Fatal("the position is not known")
+	}
+	r.take(now, serverBatch{KeyedBatch: galenastair.KeyedBatch{Next: end, End: end}, changes: changes})
+}
+
+func registration(id string, beat int) galenastair.KeyedRecord {
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":1,"sequence":%d}`, beat)
+	return galenastair.KeyedRecord{Key: id, Value: []byte(value)}
+}
+
+func removal(id string) galenastair.KeyedRecord { return galenastair.KeyedRecord{Key: id} }
+
+// The leader's contact with the store breaks for a moment, and for seconds it does not pass
+// on that a backend server is gone.
+func TestRemovalIsToldWhileTheLeaderRegainsTheStore(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	leader, other := newRegistrations(), newRegistrations()
+	for _, r := range []registrations{leader, other} {
+		r.read(now, 0, true, registration("e1", 1), registration("e2", 1))
+	}
+	leader.sweep(now, true)
+	now = now.Add(500 * time.Millisecond)
+	leader.sweep(now, false)
+	leader.read(now, 2, false, removal("e1"), registration("e2", 2))
+	other.learn(t, now.Add(300*time.Millisecond), leader)
+	is.True(!other.used["e1"])
+	is.True(other.used["e2"])
+}
+
+// An entry expires and comes back while the leader waits for that; an instance that has read
+// the expiry itself is not told that the server is there again.
+func TestReturnIsToldAfterAnExpiryThatTheLeaderWaitedOut(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	leader, other := newRegistrations(), newRegistrations()
+	for _, r := range []registrations{leader, other} {
+		r.read(now, 0, true, registration("e1", 1))
+	}
+	leader.sweep(now, true)
+	now = now.Add(500 * time.Millisecond)
+	leader.sweep(now, false)
+	leader.read(now, 1, false, removal("e1"))
+	other.read(now, 1, false, removal("e1"))
+	is.True(!other.used["e1"])
+	leader.read(now.Add(time.Second), 2, false, registration("e1", 2))
+	other.learn(t, now.Add(time.Second), leader)
+	is.True(other.used["e1"])
+}
