node: a removal is told at once, whoever has lost the store (DRAIN)

What callers see: requests go to a backend server up to 3.4 s after the store removed its registration (bound 2 s), and some are cut when it ends. Cause: an instance that lost and regained the store holds removals back for 2.5 s, as entries expire in an outage and come back. The other way round, an entry that expired and came back in that time was no change to the leader, and an instance that had read the expiry itself never got the server back. Change: the table takes a removal in at its offset at once; only the use of the server goes on meanwhile, by each instance's own contact with the store. An entry that comes back is a new one in the table, and is told whole. Ruled out: withholding the leader's word meanwhile; the instances would ask the store and get the same records. Not covered: a whole store that is away for less than the age of the leader's word that instances go by (1.6 s), with all entries expired: those that did not notice drop the servers until they register again. Evidence: both tests failed before (node/servers_test.go), without sockets, and pass now; node, registry, follow pass.

--- a/node/servers.go
+++ b/node/servers.go
@@ -42,8 +42,6 @@
 	foreign map[galenastair.BackendServerID]bool
 	back    time.Time
 	away    bool
-	// next is where the reading goes on.
-	next galenastair.Offset
 	// gone are those that were dropped and are not logged yet.
 	gone []string
 }
@@ -143,16 +141,14 @@
 			}
 		}
 	}
-	s.next = b.Next
 	s.table.MoveTo(b.Next, b.whole)
 }
 
-// takeChange takes in what another instance knows of a server. That one has waited for
-// entries that an outage of the store has cost.
+// takeChange takes in what another instance knows of a server.
 func (s *servers) takeChange(now time.Time, c registry.Change, end galenastair.Offset) {
 	if c.Gone {
 		if _, there := s.known[c.ID]; there {
-			s.forget(c.ID, end)
+			s.expire(now, c.ID, end)
 		}
 		return
 	}
@@ -196,23 +192,23 @@
 }
 
 // expire notes that an entry is gone. Right after an outage of the store all are gone for a
-// moment, as their owners could not renew them.
+// moment, as their owners could not renew them. Others are told at once: whether the store
+// was away for them too, each knows for itself.
 func (s *servers) expire(now time.Time, id galenastair.BackendServerID, at galenastair.Offset) {
 	if _, ok := s.expired[id]; ok {
 		return
 	}
+	s.table.Remove(at, id)
 	if s.away || now.Sub(s.back) < regained {
 		s.expired[id] = now
 		return
 	}
-	s.forget(id, at)
+	s.forget(id)
 }
 
-// forget drops a server by what was read up to an offset.
-func (s *servers) forget(id galenastair.BackendServerID, at galenastair.Offset) {
+func (s *servers) forget(id galenastair.BackendServerID) {
 	delete(s.known, id)
 	delete(s.expired, id)
-	s.table.Remove(at, id)
 	s.gone = append(s.gone, string(id))
 	s.remove(id)
 }
@@ -227,6 +223,6 @@
 		return
 	}
 	for id := range s.expired {
-		s.forget(id, s.next)
+		s.forget(id)
 	}
 }
--- a/node/servers_test.go
+++ b/node/servers_test.go
@@ -18,10 +18,11 @@
 type registrations struct {
 	*servers
 	used map[galenastair.BackendServerID]bool
+	next galenastair.Offset
 }
 
-func newRegistrations() registrations {
-	r := registrations{newServers(log.NewNopLogger()), map[galenastair.BackendServerID]bool{}}
+func newRegistrations() *registrations {
+	r := &registrations{servers: newServers(log.NewNopLogger()), used: map[galenastair.BackendServerID]bool{}}
 	r.follower = follow.New(nil, platform.RegistrationTopic, nil)
 	r.set = func(s pool.Server) { r.used[s.ID] = true }
 	r.remove = func(id galenastair.BackendServerID) { delete(r.used, id) }
@@ -29,22 +30,24 @@
 }
 
 // read takes in records of the store from an offset on.
-func (r registrations) read(now time.Time, from galenastair.Offset, whole bool, records ...galenastair.KeyedRecord) {
+func (r *registrations) read(now time.Time, from galenastair.Offset, whole bool, records ...galenastair.KeyedRecord) {
 	for i := range records {
 		records[i].Offset = from + galenastair.Offset(i)
 	}
 	end := from + galenastair.Offset(len(records))
 	r.take(now, serverBatch{KeyedBatch: galenastair.KeyedBatch{Records: records, Next: end, End: end}, whole: whole})
+	r.next = end
 }
 
 // learn takes in what another instance tells of the records from this one's position on.
-func (r registrations) learn(t *testing.T, now time.Time, from registrations) {
+func (r *registrations) learn(t *testing.T, now time.Time, from *registrations) {
 	t.Helper()
 	changes, end, ok := from.table.Since(r.next)
 	if !ok {
 		t.Fatal("the position is not known")
 	}
 	r.take(now, serverBatch{KeyedBatch: galenastair.KeyedBatch{Next: end, End: end}, changes: changes})
+	r.next = end
 }
 
 func registration(id string, beat int) galenastair.KeyedRecord {
@@ -60,7 +63,7 @@
 	is := is.New(t)
 	now := time.Now()
 	leader, other := newRegistrations(), newRegistrations()
-	for _, r := range []registrations{leader, other} {
+	for _, r := range []*registrations{leader, other} {
 		r.read(now, 0, true, registration("e1", 1), registration("e2", 1))
 	}
 	leader.sweep(now, true)
@@ -78,7 +81,7 @@
 	is := is.New(t)
 	now := time.Now()
 	leader, other := newRegistrations(), newRegistrations()
-	for _, r := range []registrations{leader, other} {
+	for _, r := range []*registrations{leader, other} {
 		r.read(now, 0, true, registration("e1", 1))
 	}
 	leader.sweep(now, true)
