--- a/node/servers_test.go
+++ b/node/servers_test.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 	"galenastair/follow"
 	"galenastair/platform"
 	"galenastair/pool"
+	"galenastair/standin/metastore"
 )
 
 // registrations are what one instance knows of backend servers, without a store.
@@ -94,3 +98,43 @@
 	other.learn(t, now.Add(time.Second), leader)
 	is.True(other.used["e1"])
 }
+
+// inTouch is how long after an outage the platform's bounds hold again.
+const inTouch = 3 * time.Second
+
+// A server is gone while the store turns some instances away. They go on using it for longer
+// than the time after which they count as in touch again.
+func TestRemovalDuringAnOutageIsInForceOnceInTouch(t *testing.T) {
+	is := is.New(t)
+	store := metastore.New()
+	h := httptest.NewServer(store.Handler())
+	defer h.Close()
+	store.Put(string(platform.RegistrationTopic), "e1", registration("e1", 1).Value)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	removed := make(chan time.Time, 16)
+	used := make(chan bool, cap(removed))
+	var ended sync.WaitGroup
+	for range cap(removed) {
+		s := newServers(log.NewNopLogger())
+		s.set = func(pool.Server) { used <- true }
+		s.remove = func(galenastair.BackendServerID) { removed <- time.Now() }
+		s.follower = follow.New(platform.NewStore(h.Listener.Addr().String()), platform.RegistrationTopic, s.apply, follow.WithWait(leaderWait))
+		ended.Go(func() { _ = s.run(ctx) })
+		ended.Go(func() { _ = s.follower.Run(ctx) })
+		time.Sleep(30 * time.Millisecond)
+	}
+	for range cap(used) {
+		<-used
+	}
+	store.Switch(func(sw *metastore.Switches) { sw.Refuse = true })
+	time.Sleep(1500 * time.Millisecond)
+	store.Put(string(platform.RegistrationTopic), "e1", nil)
+	store.Switch(func(sw *metastore.Switches) { sw.Refuse = false })
+	returned := time.Now()
+	for range cap(removed) {
+		is.True((<-removed).Sub(returned) < inTouch)
+	}
+	cancel()
+	ended.Wait()
+}
