node, follow: an expired entry waits from the last call that the store did not answer (DRAIN)

What callers see: an instance that the store refused for a while sends requests to a backend server for up to 3.5 s after its removal, cut when the server ends; the platform counts the instance as in touch from 3 s on. Cause: removals are held back after an outage, as entries that expired come back within some two seconds. While it is away, polls do not wait at the store, so that a call on a silent connection ends after 0.8 s. Class: a grace period that starts at the moment of noticing rather than at the event.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -45,8 +45,10 @@
 
 	confirmed atomic.Int64
 	answered  atomic.Int64
-	started   atomic.Bool
-	away      atomic.Bool
+	// unanswered is when the last call that got no usable answer was sent; 0 if all did.
+	unanswered atomic.Int64
+	started    atomic.Bool
+	away       atomic.Bool
 	// position is the offset to go on from, plus one.
 	position atomic.Int64
 	hints    chan Hint
@@ -118,6 +120,13 @@
 // Away says whether the last call got no usable answer.
 func (f *Follower) Away() bool { return f.away.Load() }
 
+// SinceUnanswered returns how long ago the last call that got no usable answer was sent: the
+// store may have been away until then. False if it has answered every call.
+func (f *Follower) SinceUnanswered() (time.Duration, bool) {
+	at := f.unanswered.Load()
+	return f.clock().Sub(boottime.Time(at)), at != 0
+}
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	pause := firstPause
@@ -125,7 +134,8 @@
 		if f.rest(ctx) {
 			continue
 		}
-		got, err := f.round(ctx)
+		sent := f.clock()
+		got, err := f.round(ctx, sent)
 		if err == nil {
 			pause = firstPause
 			if got > 0 {
@@ -133,6 +143,7 @@
 			}
 			continue
 		}
+		f.unanswered.Store(int64(sent))
 		if ctx.Err() == nil && !f.away.Swap(true) {
 			f.logger.Log("event", "dependency lost", "topic", f.topic, "offset", f.from, "err", err)
 		}
@@ -180,8 +191,7 @@
 }
 
 // round makes one call, takes in its answer and returns how many records came.
-func (f *Follower) round(ctx context.Context) (int, error) {
-	sent := f.clock()
+func (f *Follower) round(ctx context.Context, sent boottime.Time) (int, error) {
 	batch, err := f.ask(ctx)
 	switch {
 	case errors.Is(err, galenastair.ErrExpired):
@@ -213,7 +223,12 @@
 	if !f.know {
 		return f.store.Newest(ctx, f.topic)
 	}
-	return f.store.Follow(ctx, f.topic, f.from, f.wait())
+	wait := f.wait()
+	if f.away.Load() {
+		// a call that the store never gets ends sooner, and the return shows sooner
+		wait = 0
+	}
+	return f.store.Follow(ctx, f.topic, f.from, wait)
 }
 
 // stale counts an answer that knows less than what was read before.
--- a/node/servers.go
+++ b/node/servers.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// regained is how long after the store's return an entry that expired meanwhile may
-	// take to come back; one that is missing then is gone.
-	regained = 2500 * time.Millisecond
+	// reregisterTimeout is how long after a call that the store did not answer an entry that
+	// expired meanwhile may take to come back; one that is missing then is gone. It ends, with
+	// a sweep, before an instance counts as in touch with the store again.
+	reregisterTimeout = 2600 * time.Millisecond
 	// sweepPeriod is how often expired entries are looked at.
 	sweepPeriod = 250 * time.Millisecond
 )
@@ -38,10 +39,8 @@
 
 	// owned by run
 	known   map[galenastair.BackendServerID]galenastair.Offset
-	expired map[galenastair.BackendServerID]time.Time
+	expired map[galenastair.BackendServerID]bool
 	foreign map[galenastair.BackendServerID]bool
-	back    time.Time
-	away    bool
 	// gone are those that were dropped and are not logged yet.
 	gone []string
 }
@@ -73,7 +72,7 @@
 		batches: make(chan serverBatch),
 		ended:   make(chan struct{}),
 		known:   map[galenastair.BackendServerID]galenastair.Offset{},
-		expired: map[galenastair.BackendServerID]time.Time{},
+		expired: map[galenastair.BackendServerID]bool{},
 		foreign: map[galenastair.BackendServerID]bool{},
 		table:   registry.NewTable(),
 	}
@@ -112,7 +111,7 @@
 			close(b.taken)
 			s.logGone()
 		case <-tick.C:
-			s.sweep(s.clock.Now(), s.follower.Away())
+			s.sweep()
 			s.logGone()
 		case <-ctx.Done():
 			return ctx.Err()
@@ -137,7 +136,7 @@
 	if b.whole {
 		for id := range s.known {
 			if !seen[id] {
-				s.expire(now, id, b.Next)
+				s.expire(id, b.Next)
 			}
 		}
 	}
@@ -148,7 +147,7 @@
 func (s *servers) takeChange(now time.Time, c registry.Change, end galenastair.Offset) {
 	if c.Gone {
 		if _, there := s.known[c.ID]; there {
-			s.expire(now, c.ID, end)
+			s.expire(c.ID, end)
 		}
 		return
 	}
@@ -175,7 +174,7 @@
 
 func (s *servers) takeRecord(now time.Time, id galenastair.BackendServerID, r galenastair.KeyedRecord) {
 	if len(r.Value) == 0 {
-		s.expire(now, id, r.Offset)
+		s.expire(id, r.Offset)
 		return
 	}
 	srv, err := platform.DecodeServer(r.Key, r.Value)
@@ -194,18 +193,24 @@
 // expire notes that an entry is gone. Right after an outage of the store all are gone for a
 // moment, as their owners could not renew them. Others are told at once: whether the store
 // was away for them too, each knows for itself.
-func (s *servers) expire(now time.Time, id galenastair.BackendServerID, at galenastair.Offset) {
-	if _, ok := s.expired[id]; ok {
+func (s *servers) expire(id galenastair.BackendServerID, at galenastair.Offset) {
+	if s.expired[id] {
 		return
 	}
 	s.table.Remove(at, id)
-	if s.away || now.Sub(s.back) < regained {
-		s.expired[id] = now
+	if s.mayReturn() {
+		s.expired[id] = true
 		return
 	}
 	s.forget(id)
 }
 
+// mayReturn says whether entries that are gone may have expired for lack of the store.
+func (s *servers) mayReturn() bool {
+	since, lost := s.follower.SinceUnanswered()
+	return lost && since < reregisterTimeout
+}
+
 func (s *servers) forget(id galenastair.BackendServerID) {
 	delete(s.known, id)
 	delete(s.expired, id)
@@ -214,12 +219,8 @@
 }
 
 // sweep drops expired entries that have not come back in time.
-func (s *servers) sweep(now time.Time, away bool) {
-	if s.away && !away {
-		s.back = now
-	}
-	s.away = away
-	if away || now.Sub(s.back) < regained {
+func (s *servers) sweep() {
+	if s.mayReturn() {
 		return
 	}
 	for id := range s.expired {
--- a/node/servers_test.go
+++ b/node/servers_test.go
@@ -33,6 +33,19 @@
 	return r
 }
 
+// loseStore has the store refuse one call just now.
+func (r *registrations) loseStore(t *testing.T) {
+	t.Helper()
+	store := metastore.New()
+	store.Switch(func(sw *metastore.Switches) { sw.Refuse = true })
+	h := httptest.NewServer(store.Handler())
+	defer h.Close()
+	r.follower = follow.New(platform.NewStore(h.Listener.Addr().String()), platform.RegistrationTopic, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_ = r.follower.Run(ctx)
+}
+
 // read takes in records of the store from an offset on.
 func (r *registrations) read(now time.Time, from galenastair.Offset, whole bool, records ...galenastair.KeyedRecord) {
 	for i := range records {
@@ -70,9 +83,7 @@
 	for _, r := range []*registrations{leader, other} {
 		r.read(now, 0, true, registration("e1", 1), registration("e2", 1))
 	}
-	leader.sweep(now, true)
-	now = now.Add(500 * time.Millisecond)
-	leader.sweep(now, false)
+	leader.loseStore(t)
 	leader.read(now, 2, false, removal("e1"), registration("e2", 2))
 	other.learn(t, now.Add(300*time.Millisecond), leader)
 	is.True(!other.used["e1"])
@@ -88,9 +99,7 @@
 	for _, r := range []*registrations{leader, other} {
 		r.read(now, 0, true, registration("e1", 1))
 	}
-	leader.sweep(now, true)
-	now = now.Add(500 * time.Millisecond)
-	leader.sweep(now, false)
+	leader.loseStore(t)
 	leader.read(now, 1, false, removal("e1"))
 	other.read(now, 1, false, removal("e1"))
 	is.True(!other.used["e1"])
