gateway, platform: a server that leaves while it is dialled is sent nothing (DRAIN)

What callers see: a request goes to a backend server beyond the bound after its leave, by the time that the connection took. Change: the adapter asks once a connection is there, and right before it writes, whether the server may still be used; if not, the connection is kept and the request counts as not sent and is chosen for anew.

--- a/backend.go
+++ b/backend.go
@@ -42,6 +42,9 @@
 	Priority int
 	// After is the id of the last event that the caller has; empty for a whole stream.
 	After string
+	// Usable is asked when a connection is there: if false, the request is not sent. Nil
+	// always sends it.
+	Usable func() bool
 }
 
 // BackendAnswer is the head of a backend server's answer and the stream of its body.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,6 +74,7 @@
 		Left:         max(0, r.deadline.Sub(now)),
 		Priority:     -1,
 		After:        r.call.After,
+		Usable:       func() bool { return r.g.pool.Usable(r.g.clock.Now(), choice.ID) },
 	}
 	if r.call.Hints.Model != "" {
 		c.Priority = r.admission.priority()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,6 +28,22 @@
 	is.Equal(r.Status(), http.StatusBadGateway)
 }
 
+// A backend server leaves while the connection to it is made, and gets the request all the same.
+func TestServerThatLeavesWhileItIsDialledGetsNothing(t *testing.T) {
+	is := is.New(t)
+	var b *bed
+	dialled := func(_ context.Context, c galenastair.BackendCall) (*galenastair.BackendAnswer, error) {
+		is.True(c.Usable())
+		b.pool.Remove(c.Expect)
+		is.True(!c.Usable())
+		return nil, galenastair.ErrNotSent
+	}
+	b = newBed(dialled, whole(200, "done"))
+	to, _, err := b.serve(t, "/bid/1")
+	is.NoErr(err)
+	is.Equal(to.body.String(), "done")
+}
+
 // A bid's answer is cut on the way. It has run, and must not run again.
 func TestBidWithCutAnswerIsSentOnce(t *testing.T) {
 	is := is.New(t)
--- a/httpconn/client.go
+++ b/httpconn/client.go
@@ -101,6 +101,9 @@
 	return &Conn{Conn: n, client: c, address: address, reader: bufio.NewReaderSize(n, bufferBytes)}, nil
 }
 
+// Release hands back a connection on which nothing was sent.
+func (k *Conn) Release() { k.client.keep(k, 0) }
+
 // keep takes a connection back whose answer has ended cleanly; peerIdle is the idle
 // timeout that the peer announced, or zero.
 func (c *Client) keep(k *Conn, peerIdle time.Duration) {
@@ -108,7 +111,6 @@
 	if peerIdle > 0 {
 		idle = min(idle, peerIdle-idleMargin)
 	}
-	k.Kept = true
 	k.expires = time.Now().Add(idle)
 	c.mu.Lock()
 	full := len(c.idle[k.address]) >= idlePerAddress
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -153,6 +153,7 @@
 		b.conn.Discard()
 		return
 	}
+	b.conn.Kept = true
 	b.conn.client.keep(b.conn, keepAlive(b.resp.Header))
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -252,6 +252,15 @@
 	return false
 }
 
+// Usable says whether a server that was chosen may still get the request: it may have begun
+// to leave while a connection was made.
+func (p *Pool) Usable(now time.Time, id galenastair.BackendServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[id]
+	return m != nil && (!m.Leaving || now.Sub(m.leaves) < p.leaveGrace)
+}
+
 // Len returns how many backend servers are known.
 func (p *Pool) Len() int {
 	p.mu.Lock()
