node, explain: logs say which backend servers leave, and whose entries have expired (DRAIN)

Missing in the trace of a leave that was not obeyed: logs named only servers that were dropped, so whether an instance had not heard of a leave or was holding a removal back could be told only with a line added on a copy. Change: one line for all servers that leave, expire or are gone at a time; explain shows them among what changed.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -13,7 +13,7 @@
 // beliefs are the events that change what an instance goes by.
 var beliefs = []string{
 	"start", "stopping", "dependency lost", "dependency regained", "configuration", "configuration unreadable", "quota",
-	"leader", "lease", "term", "note", "charge", "fetch", "absent", "backend server gone", "history gone", "engine state",
+	"leader", "lease", "term", "note", "charge", "fetch", "absent", "backend server leaving", "backend server expired", "backend server gone", "history gone", "engine state",
 }
 
 // Story is one request's way.
--- a/node/servers.go
+++ b/node/servers.go
@@ -41,17 +41,37 @@
 	known   map[galenastair.BackendServerID]galenastair.Offset
 	expired map[galenastair.BackendServerID]bool
 	foreign map[galenastair.BackendServerID]bool
-	// gone are those that were dropped and are not logged yet.
-	gone []string
+	leaving map[galenastair.BackendServerID]bool
+	// unlogged are the servers of each event since the last line.
+	unlogged [serverEvents][]string
 }
 
-// logGone logs the servers dropped since the last time, in one line: after a loss of power a
-// line for each at each instance would be the fleet times the servers.
-func (s *servers) logGone() {
-	if len(s.gone) > 0 {
-		s.logger.Log("event", "backend server gone", "count", len(s.gone), "server", strings.Join(s.gone, ","))
-		s.gone = nil
+// serverEvent is what becomes of a backend server's registration.
+type serverEvent int
+
+const (
+	serverLeaving serverEvent = iota
+	// serverExpired is one whose entry is gone and may come back.
+	serverExpired
+	serverGone
+	serverEvents
+)
+
+var eventNames = [serverEvents]string{"backend server leaving", "backend server expired", "backend server gone"}
+
+func (s *servers) note(e serverEvent, id galenastair.BackendServerID) {
+	s.unlogged[e] = append(s.unlogged[e], string(id))
+}
+
+// log writes one line for each event: after a loss of power a line for each server at each
+// instance would be the fleet times the servers.
+func (s *servers) log() {
+	for e, ids := range s.unlogged {
+		if len(ids) > 0 {
+			s.logger.Log("event", eventNames[e], "count", len(ids), "server", strings.Join(ids, ","))
+		}
 	}
+	s.unlogged = [serverEvents][]string{}
 }
 
 // serverBatch is what was read, or told by another instance.
@@ -74,6 +94,7 @@
 		known:   map[galenastair.BackendServerID]galenastair.Offset{},
 		expired: map[galenastair.BackendServerID]bool{},
 		foreign: map[galenastair.BackendServerID]bool{},
+		leaving: map[galenastair.BackendServerID]bool{},
 		table:   registry.NewTable(),
 	}
 }
@@ -109,10 +130,10 @@
 		case b := <-s.batches:
 			s.take(s.clock.Now(), b)
 			close(b.taken)
-			s.logGone()
+			s.log()
 		case <-tick.C:
 			s.sweep()
-			s.logGone()
+			s.log()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -156,8 +177,7 @@
 		return
 	}
 	s.known[c.ID] = end - 1
-	delete(s.expired, c.ID)
-	s.set(s.since(now, srv))
+	s.use(now, srv)
 }
 
 // since says when a server that leaves may have said so first: when the store was last known
@@ -185,8 +205,17 @@
 		}
 		return
 	}
-	delete(s.expired, id)
 	s.table.Set(r.Offset, srv)
+	s.use(now, srv)
+}
+
+// use hands on a server as it is registered now.
+func (s *servers) use(now time.Time, srv pool.Server) {
+	delete(s.expired, srv.ID)
+	if srv.Leaving && !s.leaving[srv.ID] {
+		s.note(serverLeaving, srv.ID)
+	}
+	s.leaving[srv.ID] = srv.Leaving
 	s.set(s.since(now, srv))
 }
 
@@ -200,6 +229,7 @@
 	s.table.Remove(at, id)
 	if s.mayReturn() {
 		s.expired[id] = true
+		s.note(serverExpired, id)
 		return
 	}
 	s.forget(id)
@@ -214,7 +244,8 @@
 func (s *servers) forget(id galenastair.BackendServerID) {
 	delete(s.known, id)
 	delete(s.expired, id)
-	s.gone = append(s.gone, string(id))
+	delete(s.leaving, id)
+	s.note(serverGone, id)
 	s.remove(id)
 }
 
