--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -27,6 +27,8 @@
 	LoseOrders bool
 	// EventGap passes between two events.
 	EventGap time.Duration
+	// Limit is the requests a second that it names in its answers; 0 names none.
+	Limit float64
 }
 
 // Run is one request that the replica ran.
@@ -157,6 +159,9 @@
 	model := req.Header.Get("Galenastair-Model")
 	r.mu.Lock()
 	sw := r.switches
+	if sw.Limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(sw.Limit, 'f', -1, 64))
+	}
 	if !r.holds(model) || sw.Decline {
 		missing := !sw.Decline
 		r.mu.Unlock()
