ratelimit: instances keep a backend server's named limit together (LIMIT)

What callers see: a server in need names how many requests a second it takes, gets as many as before, and answers late or not at all. Class: a contract of the platform that the code does not know. Ruled out: uneven obedience (there was none), retries (two in 15 s at one instance). Change: the newest word of a limit is kept in the pool and passed on with the exchanges. Before each send to such a server the leader is asked for a turn; it keeps one token bucket a server (golang.org/x/time/rate), which begins empty in each term. Without a leader, instances have their turns one after the other. What gets no turn in time goes elsewhere, or is refused at once with the time at which there is room; a limited server is chosen last, and probed each 2 s.

--- a/backend.go
+++ b/backend.go
@@ -58,7 +58,10 @@
 	// Elsewhere says that another backend server has the address, or that the model
 	// is not loaded.
 	Elsewhere bool
-	Body      io.ReadCloser
+	// Limit is the requests a second that the backend server takes from all instances
+	// together; 0 if it names no limit.
+	Limit float64
+	Body  io.ReadCloser
 }
 
 // Backend calls backend servers.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -13,7 +13,7 @@
 // beliefs are the events that change what an instance goes by.
 var beliefs = []string{
 	"start", "stopping", "dependency lost", "dependency regained", "configuration", "configuration unreadable", "quota",
-	"leader", "lease", "term", "note", "charge", "fetch", "absent", "backend server leaving", "backend server expired", "backend server gone", "history gone", "engine state",
+	"leader", "lease", "term", "note", "charge", "limit named", "limit share", "fetch", "absent", "backend server leaving", "backend server expired", "backend server gone", "history gone", "engine state",
 }
 
 // Story is one request's way.
@@ -81,7 +81,7 @@
 	case "NoBackendServer":
 		return "no backend server held the model or was left to try: look at 'need', 'order' and 'backend server gone'"
 	case "Overloaded":
-		return "the backend servers had no room in its time: look at foretold and candidates"
+		return "the backend servers had no room in its time: look at foretold, candidates and 'limit'"
 	case "BackendServer", "AnswerCut":
 		return "the backend server failed after it had the request: look at the server of the last 'route' line"
 	case "Timeout":
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -14,6 +14,7 @@
 	"galenastair/claim"
 	"galenastair/planner"
 	"galenastair/pool"
+	"galenastair/ratelimit"
 )
 
 // script answers one call of a backend server.
@@ -126,6 +127,20 @@
 }
 func (p *placement) Asked(galenastair.ModelName, time.Duration) {}
 
+// limits gives its verdicts in order, and grants at once behind the last.
+type limits struct {
+	verdicts []ratelimit.Verdict
+	asked    []ratelimit.Limit
+}
+
+func (l *limits) Admit(_ context.Context, limit ratelimit.Limit, _ time.Duration) ratelimit.Verdict {
+	l.asked = append(l.asked, limit)
+	if len(l.asked) > len(l.verdicts) {
+		return ratelimit.Verdict{Granted: true}
+	}
+	return l.verdicts[len(l.asked)-1]
+}
+
 // bed is a gateway between one caller and scripted backend servers.
 type bed struct {
 	gateway   *Gateway
@@ -134,6 +149,7 @@
 	quotas    *quotas
 	placement *placement
 	pool      *pool.Pool
+	limits    *limits
 	closing   bool
 }
 
@@ -150,23 +166,29 @@
 		quotas:    &quotas{},
 		placement: &placement{},
 		pool:      pool.New("z1"),
+		limits:    &limits{},
 	}
-	for _, id := range []galenastair.BackendServerID{"s1", "s2", "s3"} {
-		b.pool.Set(time.Now(), pool.Server{ID: id, Service: "writer", Address: string(id), AvailabilityZone: "z1", Slots: 8,
-			Models: []galenastair.EngineModel{{Name: "m"}}})
-		b.pool.Set(time.Now(), pool.Server{ID: "p" + id, Service: "app", Address: string(id), AvailabilityZone: "z1", Slots: 8})
-	}
+	b.addServers()
 	b.gateway = New(Settings{
 		ViewLife: life, RetryRatio: 0.2, RetrySlack: 50,
 		Fleet:   func() int { return 1 },
 		Closing: func() bool { return b.closing },
 	}, Ports{
-		Views: b.views, Pool: b.pool, Backend: b.backend, Quota: b.quotas, Placement: b.placement,
+		Views: b.views, Pool: b.pool, Backend: b.backend, Quota: b.quotas, Placement: b.placement, Limits: b.limits,
 		Poison: claim.NewPoison(nil, claim.WithTrials(3, time.Minute)),
 	})
 	return b
 }
 
+// addServers registers three servers of each service.
+func (b *bed) addServers() {
+	for _, id := range []galenastair.BackendServerID{"s1", "s2", "s3"} {
+		b.pool.Set(time.Now(), pool.Server{ID: id, Service: "writer", Address: string(id), AvailabilityZone: "z1", Slots: 8,
+			Models: []galenastair.EngineModel{{Name: "m"}}})
+		b.pool.Set(time.Now(), pool.Server{ID: "p" + id, Service: "app", Address: string(id), AvailabilityZone: "z1", Slots: 8})
+	}
+}
+
 func testCatalog() *catalog.Catalog {
 	route := func(prefix string, kind catalog.Kind, s galenastair.ServiceName, attempts int) *catalog.Route {
 		return &catalog.Route{Name: prefix, Host: testHost, PathPrefix: prefix, Kind: kind, Timeout: 2 * time.Second,
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -34,9 +34,15 @@
 	now := r.g.clock.Now()
 	choice, ok := r.g.pool.Choose(now, r.query())
 	if ok {
-		return choice, r.tooLate(now, choice)
+		if err := r.tooLate(now, choice); err != nil {
+			return choice, err
+		}
+		return r.admit(ctx, now, choice)
 	}
 	switch choice.Reason {
+	case pool.ReasonDeferred:
+		left := r.deadline.Sub(now)
+		return choice, galenastair.Refuse(galenastair.ErrOverloaded, retryAfter(min(choice.Wait, left/3)), choice.Reason)
 	case pool.ReasonNoServer:
 		return choice, galenastair.Refuse(galenastair.ErrNoBackendServer, retryNoServer, string(r.service))
 	case pool.ReasonNoModel:
@@ -45,6 +51,31 @@
 	return choice, galenastair.Refuse(galenastair.ErrNoBackendServer, retryFull, choice.Reason)
 }
 
+// admit asks for a turn at a backend server that has named a limit. One that takes no more in
+// the time that the request can wait is left out of the next choice.
+func (r *run) admit(ctx context.Context, now time.Time, c pool.Choice) (pool.Choice, error) {
+	if c.Limit.PerSecond == 0 {
+		return c, nil
+	}
+	patience := max(0, min(r.admission.route.Aim-c.Foretold, r.deadline.Sub(now)/2))
+	v := r.g.limits.Admit(ctx, c.Limit, patience)
+	r.g.logger.Log("event", "limit", "request", r.call.ID, "server", c.ID, "limit", c.Limit.PerSecond, "age", c.Limit.Age, "granted", v.Granted, "wait", v.Wait)
+	if !v.Granted {
+		r.g.pool.Defer(r.g.clock.Now(), c.ID, v.Wait-patience)
+		return pool.Choice{}, nil
+	}
+	if v.Wait == 0 {
+		return c, nil
+	}
+	if !timer.Wait(ctx, v.Wait) {
+		return pool.Choice{}, context.Cause(ctx)
+	}
+	if !r.g.pool.Usable(r.g.clock.Now(), c.ID) {
+		return pool.Choice{}, nil
+	}
+	return c, nil
+}
+
 // tooLate refuses a request that can't be served in its time. It is made for an
 // overload of engines: prompts wait longer than their callers, so each that is sent all
 // the same is read in vain and makes the next ones late as well.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"galenastair/dispatch"
 	"galenastair/planner"
 	"galenastair/pool"
+	"galenastair/ratelimit"
 )
 
 // Views gives the configuration in force and how long ago the store confirmed that
@@ -39,6 +40,11 @@
 	Asked(name galenastair.ModelName, work time.Duration)
 }
 
+// Limits admits requests to backend servers that have named a limit.
+type Limits interface {
+	Admit(ctx context.Context, l ratelimit.Limit, patience time.Duration) ratelimit.Verdict
+}
+
 // Settings are the bounds that the platform sets.
 type Settings struct {
 	// ViewLife is how old a view may be by which a key is admitted.
@@ -65,6 +71,7 @@
 	backend   galenastair.Backend
 	quota     Quota
 	placement Placement
+	limits    Limits
 	poison    *claim.Poison
 	clock     galenastair.Clock
 	logger    log.Logger
@@ -81,6 +88,7 @@
 	Backend   galenastair.Backend
 	Quota     Quota
 	Placement Placement
+	Limits    Limits
 	Poison    *claim.Poison
 }
 
@@ -105,6 +113,7 @@
 		backend:   p.Backend,
 		quota:     p.Quota,
 		placement: p.Placement,
+		limits:    p.Limits,
 		poison:    p.Poison,
 		clock:     galenastair.SystemClock{},
 		logger:    log.NewNopLogger(),
--- /dev/null
+++ b/gateway/limit_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/ratelimit"
+)
+
+// limited answers whole and names a limit.
+func limited(perSecond float64) script {
+	return func(context.Context, galenastair.BackendCall) (*galenastair.BackendAnswer, error) {
+		return &galenastair.BackendAnswer{Status: 200, Header: http.Header{}, Limit: perSecond, Body: io.NopCloser(strings.NewReader("done"))}, nil
+	}
+}
+
+// only leaves one backend server of each service.
+func (b *bed) only(id galenastair.BackendServerID) {
+	for _, other := range []galenastair.BackendServerID{"s1", "s2", "s3"} {
+		if other != id {
+			b.pool.Remove(other)
+			b.pool.Remove("p" + other)
+		}
+	}
+}
+
+// A server names a limit, and requests go on to it without asking.
+func TestLimitIsAskedForBeforeEachSend(t *testing.T) {
+	is := is.New(t)
+	b := newBed(limited(1), limited(1), whole(200, "done"), whole(200, "done"))
+	b.only("s1")
+	for range 4 {
+		_, _, err := b.serve(t, "/bid/1")
+		is.NoErr(err)
+	}
+	// the third answer names none any more
+	is.Equal(len(b.limits.asked), 2)
+	is.Equal(b.limits.asked[0].Server, galenastair.BackendServerID("ps1"))
+	is.Equal(b.limits.asked[0].PerSecond, 1.0)
+}
+
+// The only server takes no more in the request's time: the request is held and then refused, or
+// refused without a time to come back.
+func TestNoTurnInTimeIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBed(limited(1))
+	b.only("s1")
+	_, _, err := b.serve(t, "/bid/1")
+	is.NoErr(err)
+	b.limits.verdicts = []ratelimit.Verdict{{Wait: 1900 * time.Millisecond}}
+	begun := time.Now()
+	_, _, err = b.serve(t, "/bid/1")
+	is.True(time.Since(begun) < 100*time.Millisecond)
+	var r *galenastair.Refusal
+	is.True(errors.As(err, &r))
+	is.Equal(r.Outcome, galenastair.NotRun)
+	is.Equal(r.Status(), http.StatusServiceUnavailable)
+	is.True(r.RetryAfter >= 600*time.Millisecond)
+	is.Equal(len(b.backend.calls), 1)
+}
+
+// A turn within the request's time is waited for.
+func TestTurnIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	b := newBed(limited(1), limited(1))
+	b.only("s1")
+	_, _, err := b.serve(t, "/bid/1")
+	is.NoErr(err)
+	b.limits.verdicts = []ratelimit.Verdict{{Granted: true, Wait: 150 * time.Millisecond}}
+	begun := time.Now()
+	_, _, err = b.serve(t, "/bid/1")
+	is.NoErr(err)
+	is.True(time.Since(begun) >= 150*time.Millisecond)
+}
+
+// A server without a turn is passed by while another has the model.
+func TestServerWithoutATurnIsPassedBy(t *testing.T) {
+	is := is.New(t)
+	b := newBed(limited(1), whole(200, "done"), whole(200, "done"))
+	b.only("s1")
+	_, _, err := b.serve(t, "/bid/1")
+	is.NoErr(err)
+	b.addServers()
+	b.limits.verdicts = []ratelimit.Verdict{{Wait: time.Minute}}
+	for range 2 {
+		to, _, err := b.serve(t, "/bid/1")
+		is.NoErr(err)
+		is.Equal(to.body.String(), "done")
+	}
+	for _, c := range b.backend.calls[1:] {
+		is.True(c.Expect != "ps1")
+	}
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -17,6 +18,7 @@
 	"galenastair/planner"
 	"galenastair/pool"
 	"galenastair/quota"
+	"galenastair/ratelimit"
 	"galenastair/timer"
 )
 
@@ -47,6 +49,10 @@
 	zone     galenastair.AvailabilityZone
 	topics   func() []followed
 
+	shares *ratelimit.Shares
+	// index is this instance's place in the fleet.
+	index atomic.Int64
+
 	mu      sync.Mutex
 	demands map[galenastair.ModelName]time.Duration
 	poisons []claim.Digest
@@ -121,7 +127,7 @@
 	x.mu.Unlock()
 	r.Loads, r.Absent = x.pool.Loads(), x.pool.Absent(time.Now())
 	r.Positions = positions(x.topics())
-	r.Zone = x.zone
+	r.Zone, r.Limits = x.zone, x.pool.Limits(time.Now())
 	r.Address, r.TableVersion, r.Stopping = x.address, x.accounts.Table().Version, x.stopping()
 	now := time.Now()
 	r.Asks, r.Passed = x.share.Asks(now), x.share.Pass(now)
@@ -164,6 +170,7 @@
 		x.elector.Suspect()
 	}
 	x.share.Unheard(time.Now())
+	x.shares.Lost(time.Now())
 	if !x.lost {
 		x.lost = true
 		x.logger.Log("event", "dependency lost", "peer", x.elector.Leader(), "err", err)
@@ -185,6 +192,9 @@
 	for _, l := range n.Loans {
 		x.share.Lent(now, l.Organisation, l.Amount)
 	}
+	x.shares.Answered()
+	x.index.Store(int64(n.Index))
+	x.pool.SetLimits(now, n.Limits)
 	x.pool.SetOthers(now, n.Loads)
 	for _, p := range n.Dropped {
 		x.pool.Unlearn(now, p.Server, p.Name)
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"galenastair/platform"
 	"galenastair/pool"
 	"galenastair/quota"
+	"galenastair/ratelimit"
 	"galenastair/rungroup"
 	"galenastair/settings"
 )
@@ -143,6 +145,7 @@
 		pool:     n.pool,
 		share:    n.share,
 		accounts: n.accounts,
+		shares:   ratelimit.NewShares(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		stopping: n.stopping.Load,
 		logger:   n.logger,
 		address:  n.settings.PeerAddress,
@@ -168,6 +171,7 @@
 		Backend:   backend,
 		Quota:     quotas{n.share, n.accounts, n.exchange},
 		Placement: n.exchange,
+		Limits:    limits{n.exchange, n.exchange.shares},
 		Poison:    n.exchange.poison,
 	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
 }
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -89,6 +89,7 @@
 		Stopping:     r.Stopping,
 		Seen:         r.Seen,
 		Loads:        encodeLoads(r.Loads),
+		Limits:       encodeLimits(r.Limits),
 	}
 	encodePassed(out, r.Passed)
 	for _, id := range r.Absent {
@@ -151,6 +152,7 @@
 
 func decodeNews(r *planningpb.ExchangeReply) planner.News {
 	out := planner.News{Lapsed: r.Lapsed, Standing: decodeStanding(r), Loads: decodeKeyedLoads(r), Newest: r.Newest}
+	out.Limits, out.Index = decodeLimits(r.Limits), int(r.Index)
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.Ask{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -13,6 +13,7 @@
 	"galenastair/peer/planningpb"
 	"galenastair/planner"
 	"galenastair/quota"
+	"galenastair/ratelimit"
 )
 
 // Planner is what answers the calls.
@@ -22,6 +23,8 @@
 	Borrow(ctx context.Context, a quota.Ask) (float64, error)
 	// Charge also takes in and returns who leads.
 	Charge(o galenastair.Organisation, cost float64, known lease.Record) (account.Verdict, lease.Record)
+	// Admit says whether a request may go to a server with a limit.
+	Admit(l ratelimit.Limit, patience time.Duration) (ratelimit.Verdict, error)
 	// Fetch returns what this instance has read of a topic from an offset on.
 	Fetch(t galenastair.Topic, from galenastair.Offset) galenastair.KeyedBatch
 }
@@ -41,6 +44,7 @@
 		Stopping:     req.Stopping,
 		Seen:         req.Seen,
 		Passed:       decodePassed(req),
+		Limits:       decodeLimits(req.Limits),
 		Loads:        decodeLoads(req.Loads),
 		Positions:    make(map[galenastair.Topic]galenastair.Offset, len(req.Positions)),
 		Demands:      make(map[galenastair.ModelName]time.Duration, len(req.Demands)),
@@ -73,6 +77,7 @@
 func encodeNews(n planner.News) *planningpb.ExchangeReply {
 	out := &planningpb.ExchangeReply{Holds: true, Lapsed: n.Lapsed, Newest: n.Newest}
 	encodeKeyedLoads(out, n.Loads)
+	out.Limits, out.Index = encodeLimits(n.Limits), uint32(n.Index)
 	out.Renewal, out.RenewalAgeMs = int64(n.Renewal.Offset), uint32(n.Renewal.Age.Milliseconds())
 	encodeStanding(out, n.Standing)
 	encodeOwners(out, n)
--- a/planner/message.go
+++ b/planner/message.go
@@ -9,6 +9,7 @@
 	"galenastair/lease"
 	"galenastair/pool"
 	"galenastair/quota"
+	"galenastair/ratelimit"
 	"galenastair/registry"
 )
 
@@ -36,6 +37,8 @@
 	Absent []galenastair.BackendServerID
 	// Seen is the number of the newest change of placement that it was told by this planner.
 	Seen int64
+	// Limits are what backend servers have named in answers to the instance.
+	Limits []ratelimit.Limit
 }
 
 // News is what the planner answers.
@@ -65,6 +68,10 @@
 	// Tails are what the planner has read of the store's topics beyond the instance's
 	// positions.
 	Tails []Tail
+	// Limits are what backend servers have named in answers to any instance.
+	Limits []ratelimit.Limit
+	// Index is the instance's place in the fleet, from 0.
+	Index int
 }
 
 // Tail is the end of one topic.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -17,6 +17,7 @@
 	"galenastair/place"
 	"galenastair/pool"
 	"galenastair/quota"
+	"galenastair/ratelimit"
 )
 
 // ErrNotPlanner says that this instance does not hold the lease.
@@ -62,6 +63,7 @@
 	clock   galenastair.Clock
 	logger  log.Logger
 	tasks   sync.WaitGroup
+	limiter *ratelimit.Limiter
 	ordered func(kind galenastair.OrderKind, reason place.Reason, outcome string)
 
 	// the rest is owned by the control loop
@@ -73,8 +75,9 @@
 	lender  *quota.Lender
 	reports map[galenastair.InstanceID]report
 	// loads is the sum of all reports.
-	loads loads
-	news  []newsAt
+	loads  loads
+	limits map[galenastair.BackendServerID]namedLimit
+	news   []newsAt
 	// newest numbers the changes in the news, over all terms of this process.
 	newest  int64
 	poisons []poisonAt
@@ -133,6 +136,8 @@
 		absent:   map[galenastair.BackendServerID]time.Time{},
 		lender:   quota.NewLender(t),
 		loads:    loads{},
+		limits:   map[galenastair.BackendServerID]namedLimit{},
+		limiter:  ratelimit.NewLimiter(),
 		assigner: account.NewAssigner(),
 		boot:     boottime.Now,
 		reports:  map[galenastair.InstanceID]report{},
@@ -201,6 +206,7 @@
 	return p.loop.Post(ctx, func() {
 		delete(p.servers, id)
 		delete(p.absent, id)
+		delete(p.limits, id)
 		for _, s := range p.sites {
 			delete(s.engines, id)
 		}
@@ -236,6 +242,7 @@
 	p.logger.Log("event", "term", "holds", holds)
 	if holds {
 		p.lender.Reset(now, p.note.Note)
+		p.limiter.Reset()
 		p.beginOwners()
 		clear(p.reports)
 		clear(p.loads)
@@ -327,6 +334,7 @@
 	p.loads.subtract(p.reports[r.Instance].loads)
 	p.reports[r.Instance] = report{r.Loads, now}
 	p.noteAbsent(now, r.Absent)
+	p.noteLimits(now, r.Limits)
 	for name, work := range r.Demands {
 		for _, s := range p.sites {
 			s.asked(now, name, work)
@@ -338,6 +346,7 @@
 	p.decideOwners(now)
 	news := News{Lapsed: !p.lease.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads.keyed()}
 	p.loads.add(r.Loads)
+	news.Limits, news.Index = p.tellLimits(now), p.index(r.Instance)
 	p.addOwners(r, &news)
 	for _, a := range r.Asks {
 		if p.owned {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/ratelimit"
 )
 
 const (
@@ -30,7 +31,11 @@
 	Cached galenastair.Tokens
 	// Candidates counts the servers that were compared.
 	Candidates int
-	Reason     string
+	// Limit is what the server has named; PerSecond is 0 if nothing.
+	Limit ratelimit.Limit
+	// Wait is when a server takes requests again where all are deferred.
+	Wait   time.Duration
+	Reason string
 }
 
 // The reasons for a choice or for none.
@@ -42,6 +47,7 @@
 	ReasonNoServer = "no server of the service"
 	ReasonNoModel  = "no server holds the model"
 	ReasonExcluded = "all were tried"
+	ReasonDeferred = "all are at their limits"
 )
 
 // Choose picks a server; the reason says why there is none.
@@ -50,6 +56,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates := p.candidates(now, &q)
+	ready := slices.DeleteFunc(slices.Clone(candidates), func(m *member) bool { return now.Before(m.deferred) })
+	if wait, deferred := deferral(now, candidates); deferred && len(ready) == 0 {
+		return Choice{Wait: wait, Reason: ReasonDeferred}, false
+	}
+	candidates = ready
 	if len(candidates) == 0 {
 		return Choice{Reason: p.none(now, &q)}, false
 	}
@@ -65,6 +76,7 @@
 		Foretold:   p.foretell(now, best, &q),
 		Cached:     best.cache.match(q.keys, q.Parts),
 		Candidates: len(candidates),
+		Limit:      best.limit.told(now, best.ID),
 		Reason:     reason,
 	}, true
 }
@@ -189,6 +201,9 @@
 	if now.Before(m.full[q.Model]) {
 		t += 2 * aim
 	}
+	if m.limit.perSecond > 0 && now.Sub(m.limit.at) < limitProbe {
+		t += 2 * aim
+	}
 	return t + time.Duration(p.rng.Float64()*jitter*float64(aim))
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -48,6 +48,9 @@
 	leaves time.Time
 	// absent is when nothing listened at its address; zero if it has answered since.
 	absent time.Time
+	limit  limit
+	// deferred is until when it takes no more requests, by its limit.
+	deferred time.Time
 }
 
 // absentFor is how long an engine is taken for ended after nothing listened at its address.
