--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -41,8 +41,7 @@
 	}
 	switch choice.Reason {
 	case pool.ReasonDeferred:
-		left := r.deadline.Sub(now)
-		return choice, galenastair.Refuse(galenastair.ErrOverloaded, retryAfter(min(choice.Wait, left/3)), choice.Reason)
+		return pool.Choice{}, r.deferred(ctx, choice)
 	case pool.ReasonNoServer:
 		return choice, galenastair.Refuse(galenastair.ErrNoBackendServer, retryNoServer, string(r.service))
 	case pool.ReasonNoModel:
@@ -76,6 +75,16 @@
 	return c, nil
 }
 
+// deferred has a model whose engines are all at their limits placed elsewhere. Without a place
+// in time the caller comes back when one of them has room.
+func (r *run) deferred(ctx context.Context, c pool.Choice) error {
+	if r.call.Hints.Model != "" && r.needed < mostNeeds && r.place(ctx) == nil {
+		return nil
+	}
+	left := r.deadline.Sub(r.g.clock.Now())
+	return galenastair.Refuse(galenastair.ErrOverloaded, retryAfter(min(c.Wait, left/3)), c.Reason)
+}
+
 // tooLate refuses a request that can't be served in its time. It is made for an
 // overload of engines: prompts wait longer than their callers, so each that is sent all
 // the same is read in vain and makes the next ones late as well.
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -12,6 +12,8 @@
 	"github.com/matryer/is"
 
 	"galenastair"
+	"galenastair/planner"
+	"galenastair/pool"
 	"galenastair/ratelimit"
 )
 
@@ -81,6 +83,26 @@
 	is.True(time.Since(begun) >= 150*time.Millisecond)
 }
 
+// The only engine of a model is at its limit: the planner is not asked, and the request is
+// refused although another engine has the model within its time.
+func TestModelAtItsLimitIsAskedForElsewhere(t *testing.T) {
+	is := is.New(t)
+	answer := func(_ context.Context, c galenastair.BackendCall) (*galenastair.BackendAnswer, error) {
+		return &galenastair.BackendAnswer{Status: 200, Header: http.Header{}, Limit: 1, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))}, nil
+	}
+	b := newBed(answer, answer)
+	b.only("s1")
+	_, _, err := b.serve(t, "/stream/1")
+	is.NoErr(err)
+	b.pool.Set(time.Now(), pool.Server{ID: "s2", Service: "writer", Address: "s2", AvailabilityZone: "z1", Slots: 8})
+	b.limits.verdicts = []ratelimit.Verdict{{Wait: time.Minute}}
+	b.placement.promise = planner.Promise{Server: "s2"}
+	_, _, err = b.serve(t, "/stream/1")
+	is.NoErr(err)
+	is.Equal(b.placement.needs, 1)
+	is.Equal(b.backend.calls[1].Expect, galenastair.BackendServerID("s2"))
+}
+
 // A server without a turn is passed by while another has the model.
 func TestServerWithoutATurnIsPassedBy(t *testing.T) {
 	is := is.New(t)
--- a/planner/limits.go
+++ b/planner/limits.go
@@ -23,14 +23,22 @@
 	for _, l := range limits {
 		at := now.Add(-l.Age)
 		known := p.limits[l.Server]
+		before := known.perSecond
 		if !at.Before(known.at) {
-			if known.perSecond != l.PerSecond {
-				p.logger.Log("event", "limit named", "server", l.Server, "limit", l.PerSecond, "before", known.perSecond)
-			}
 			known.perSecond, known.at = l.PerSecond, at
 		}
 		known.reported = now
 		p.limits[l.Server] = known
+		if known.perSecond != before {
+			p.logger.Log("event", "limit named", "server", l.Server, "limit", known.perSecond, "before", before)
+			p.limitChanged(l.Server)
+		}
+	}
+}
+
+func (p *Planner) limitChanged(id galenastair.BackendServerID) {
+	if s, known := p.servers[id]; known {
+		p.setServer(s)
 	}
 }
 
@@ -40,6 +48,7 @@
 	for id, l := range p.limits {
 		if now.Sub(l.reported) > limitLife {
 			delete(p.limits, id)
+			p.limitChanged(id)
 			continue
 		}
 		out = append(out, ratelimit.Limit{Server: id, PerSecond: l.perSecond, Age: now.Sub(l.at)})
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -180,9 +180,11 @@
 	})
 }
 
+// setServer hands a server to its site. One whose process has ended, or that takes few requests
+// by its limit, is like one that leaves: copies of what it holds are made elsewhere.
 func (p *Planner) setServer(s pool.Server) {
-	if _, absent := p.absent[s.ID]; absent {
-		// what it held is gone, or soon is: as with one that leaves, copies are made elsewhere
+	_, absent := p.absent[s.ID]
+	if absent || p.limits[s.ID].perSecond > 0 {
 		s.Leaving = true
 	}
 	if site := p.sites[s.Service]; site != nil {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -12,6 +12,7 @@
 	"galenastair"
 	"galenastair/pool"
 	"galenastair/quota"
+	"galenastair/ratelimit"
 )
 
 // Demand moves, a third of all orders get no answer, half of those act seconds later,
@@ -85,16 +86,8 @@
 	is := is.New(t)
 	b := newBed(t, 1, 4)
 	b.step(time.Second)
-	holders := func(name galenastair.ModelName) (ids []galenastair.BackendServerID) {
-		for _, s := range b.world.sims {
-			if _, ok := s.models[name]; ok {
-				ids = append(ids, s.id)
-			}
-		}
-		return ids
-	}
 	const only = "m3"
-	before := holders(only)
+	before := b.holders(only)
 	is.Equal(len(before), 1)
 	for range 10 {
 		_, err := b.planner.Exchange(t.Context(), Report{
@@ -103,12 +96,51 @@
 		is.NoErr(err)
 		b.step(200 * time.Millisecond)
 	}
-	is.True(len(holders(only)) > 1)
-	b.do(func() { is.True(b.planner.sites["writer"].engines[before[0]].server.Leaving) })
+	is.True(len(b.holders(only)) > 1)
+	b.do(func() { is.True(!b.planner.sites["writer"].stays(before[0])) })
 	b.step(absentFor)
-	b.do(func() { is.True(!b.planner.sites["writer"].engines[before[0]].server.Leaving) })
+	b.do(func() { is.True(b.planner.sites["writer"].stays(before[0])) })
 }
 
+// The only copy of a model is on an engine that names a limit: callers of the model are refused
+// until another engine has it.
+func TestModelOfALimitedEngineIsLoadedElsewhere(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 4)
+	b.step(time.Second)
+	const only = "m3"
+	before := b.holders(only)
+	is.Equal(len(before), 1)
+	report := Report{
+		Instance: "i", Demands: map[galenastair.ModelName]time.Duration{only: tokens(500)},
+		Limits: []ratelimit.Limit{{Server: before[0], PerSecond: 1}},
+	}
+	for range 10 {
+		news, err := b.planner.Exchange(t.Context(), report)
+		is.NoErr(err)
+		is.Equal(len(news.Limits), 1)
+		b.step(200 * time.Millisecond)
+	}
+	is.True(len(b.holders(only)) > 1)
+	b.do(func() { is.True(!b.planner.sites["writer"].stays(before[0])) })
+	report.Limits[0].PerSecond = 0
+	_, err := b.planner.Exchange(t.Context(), report)
+	is.NoErr(err)
+	b.do(func() { is.True(b.planner.sites["writer"].stays(before[0])) })
+}
+
+// holders returns the engines that hold a model.
+func (b *bed) holders(name galenastair.ModelName) (ids []galenastair.BackendServerID) {
+	for _, s := range b.world.sims {
+		if _, ok := s.models[name]; ok {
+			ids = append(ids, s.id)
+		}
+	}
+	return ids
+}
+
+func (s *site) stays(id galenastair.BackendServerID) bool { return !s.engines[id].server.Leaving }
+
 // A request needs an adapter that no engine holds: it is promised where it will be, and
 // the engine has it by then.
 func TestNeedFetchesAnAdapter(t *testing.T) {
