place, planner: a limited engine carries little work and keeps its models reachable (LIMIT)

Change: only its work counts otherwise: routers choose a limited server last, the same work loads it four times as much, so that its busy models get copies elsewhere, nothing is loaded there, and rare models stay with it. Test: TestOnlyBusyModelsOfLimitedServersAreCopied fails with a weight of 1.

--- a/place/board.go
+++ b/place/board.go
@@ -37,7 +37,26 @@
 func (s *boardServer) stays() bool { return !s.Leaving && !s.Slow }
 
 // takes says whether it may be ordered to load or unload.
-func (s *boardServer) takes() bool { return s.stays() && !s.Closed }
+func (s *boardServer) takes() bool { return s.stays() && !s.Closed && !s.Limited }
+
+// limitedWeight is how many times as loaded as others a limited server is by the same work.
+const limitedWeight = 4
+
+// loadOf is what some work loads the server by.
+func (s *boardServer) loadOf(work float64) float64 {
+	if s.Limited {
+		return limitedWeight * work
+	}
+	return work
+}
+
+// before says whether routers choose this server first.
+func (s *boardServer) before(o *boardServer) bool {
+	if s.Limited != o.Limited {
+		return !s.Limited
+	}
+	return s.load < o.load
+}
 
 type boardModel struct {
 	weight   galenastair.Weight
@@ -173,15 +192,15 @@
 	for range parts {
 		var least *boardCopy
 		for _, c := range m.copies {
-			if c.lasting() && (least == nil || c.server.load < least.server.load) {
+			if c.lasting() && (least == nil || c.server.before(least.server)) {
 				least = c
 			}
 		}
 		if least == nil {
 			return
 		}
-		least.share += part
-		least.server.load += part
+		least.share += least.server.loadOf(part)
+		least.server.load += least.server.loadOf(part)
 	}
 }
 
--- a/place/input.go
+++ b/place/input.go
@@ -32,6 +32,9 @@
 	Leaving          bool
 	// Slow says that the routers keep it out: its copies answer nobody in time.
 	Slow bool
+	// Limited says that it takes few requests for now, so that routers choose it last: its
+	// copies keep models reachable and carry little work.
+	Limited bool
 	// Closed says that it can be given no order now; its copies go on answering.
 	Closed bool
 	// Free is the memory that no order can take any more.
--- /dev/null
+++ b/place/limited_test.go
@@ -0,0 +1,55 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+)
+
+// copies counts the servers that have, or will have, a model; limited ones are left out.
+func (f *fleet) copies(name galenastair.ModelName) int {
+	n := 0
+	for _, s := range f.servers {
+		for _, c := range s.Copies {
+			if !s.Limited && c.Weight.Name == name && c.State != Going {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Half of the servers take few requests: callers of their busy models are refused, and if all
+// of their models are loaded elsewhere, copies of others are dropped and loaded in turn.
+func TestOnlyBusyModelsOfLimitedServersAreCopied(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, 8, 0, 3)
+	for i, w := range f.catalogue {
+		f.catalogue[i].Memory, w.Memory = 1, 1
+		s := &f.servers[i%4]
+		s.Copies = append(s.Copies, Copy{w, Ready})
+		s.Free -= w.Memory
+		f.work[w.Name] = 5
+	}
+	f.servers[0].Limited, f.servers[1].Limited = true, true
+	f.work["m0"] = 200
+	p := NewPlanner(hotSettings)
+	for range 30 {
+		f.round(p, time.Second)
+	}
+	is.True(f.copies("m0") > 0)
+	loads := 0
+	for _, s := range f.steps {
+		if s.Kind == galenastair.LoadModel {
+			loads++
+			is.True(s.Server != f.servers[0].ID && s.Server != f.servers[1].ID)
+		}
+	}
+	is.True(loads <= 2)
+	for _, w := range f.catalogue {
+		is.True(f.copies(w.Name) > 0 || w.Name == "m4" || w.Name == "m1" || w.Name == "m5")
+	}
+}
--- a/planner/adapters.go
+++ b/planner/adapters.go
@@ -87,7 +87,7 @@
 	}
 	n := 0
 	for _, e := range s.engines {
-		if e.adapters[name] != nil && !e.server.Leaving {
+		if e.adapters[name] != nil && s.preferred(e) {
 			n++
 		}
 	}
--- a/planner/index.go
+++ b/planner/index.go
@@ -18,7 +18,7 @@
 				x.ready[name] = append(x.ready[name], e)
 			}
 		}
-		if e.server.Leaving {
+		if !s.preferred(e) {
 			continue
 		}
 		for name := range e.adapters {
--- a/planner/limits.go
+++ b/planner/limits.go
@@ -31,24 +31,16 @@
 		p.limits[l.Server] = known
 		if known.perSecond != before {
 			p.logger.Log("event", "limit named", "server", l.Server, "limit", known.perSecond, "before", before)
-			p.limitChanged(l.Server)
 		}
 	}
 }
 
-func (p *Planner) limitChanged(id galenastair.BackendServerID) {
-	if s, known := p.servers[id]; known {
-		p.setServer(s)
-	}
-}
-
 // tellLimits returns what instances have lately told of.
 func (p *Planner) tellLimits(now time.Time) []ratelimit.Limit {
 	var out []ratelimit.Limit
 	for id, l := range p.limits {
 		if now.Sub(l.reported) > limitLife {
 			delete(p.limits, id)
-			p.limitChanged(id)
 			continue
 		}
 		out = append(out, ratelimit.Limit{Server: id, PerSecond: l.perSecond, Age: now.Sub(l.at)})
@@ -56,6 +48,12 @@
 	return out
 }
 
+// limited says whether an engine takes few requests for now.
+func (s *site) limited(e *engine) bool { return s.limits[e.server.ID].perSecond > 0 }
+
+// preferred says whether an engine is one to send requests to: others do only where none is.
+func (s *site) preferred(e *engine) bool { return !e.server.Leaving && !s.limited(e) }
+
 // Admit answers for a request that is to go to a server with a limit.
 func (p *Planner) Admit(limit ratelimit.Limit, patience time.Duration) (ratelimit.Verdict, error) {
 	if !p.lease.Holds() {
--- a/planner/need.go
+++ b/planner/need.go
@@ -65,7 +65,7 @@
 			items = e.adapters
 		}
 		it := items[name]
-		if it == nil || it.state != place.Ready || e.server.Leaving {
+		if it == nil || it.state != place.Ready || !s.preferred(e) {
 			continue
 		}
 		if best == nil || s.load(e) < s.load(best) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -180,11 +180,9 @@
 	})
 }
 
-// setServer hands a server to its site. One whose process has ended, or that takes few requests
-// by its limit, is like one that leaves: copies of what it holds are made elsewhere.
 func (p *Planner) setServer(s pool.Server) {
-	_, absent := p.absent[s.ID]
-	if absent || p.limits[s.ID].perSecond > 0 {
+	if _, absent := p.absent[s.ID]; absent {
+		// what it held is gone, or soon is: as with one that leaves, copies are made elsewhere
 		s.Leaving = true
 	}
 	if site := p.sites[s.Service]; site != nil {
@@ -231,7 +229,7 @@
 	_, orders := p.lease.Order()
 	p.expire(now)
 	for _, s := range p.sites {
-		s.loads = p.loads
+		s.loads, s.limits = p.loads, p.limits
 		if orders && now.Sub(p.since) >= firstRound {
 			s.round(now)
 		}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -122,11 +122,18 @@
 		b.step(200 * time.Millisecond)
 	}
 	is.True(len(b.holders(only)) > 1)
-	b.do(func() { is.True(!b.planner.sites["writer"].stays(before[0])) })
+	preferred := func() (is bool) {
+		b.do(func() {
+			s := b.planner.sites["writer"]
+			is = s.preferred(s.engines[before[0]])
+		})
+		return is
+	}
+	is.True(!preferred())
 	report.Limits[0].PerSecond = 0
 	_, err := b.planner.Exchange(t.Context(), report)
 	is.NoErr(err)
-	b.do(func() { is.True(b.planner.sites["writer"].stays(before[0])) })
+	is.True(preferred())
 }
 
 // holders returns the engines that hold a model.
--- a/planner/site.go
+++ b/planner/site.go
@@ -43,6 +43,8 @@
 	plan     *place.Planner
 	forecast *forecast.Forecast
 	loads    loads
+	// limits are those that engines have named.
+	limits map[galenastair.BackendServerID]namedLimit
 	// strict says that this instance orders.
 	strict bool
 	// index is what engines hold, for the time of one round; nil otherwise.
@@ -103,6 +105,7 @@
 		ID:               id,
 		AvailabilityZone: e.server.AvailabilityZone,
 		Leaving:          e.server.Leaving,
+		Limited:          s.limited(e),
 		Free:             e.free(s.contents),
 	}
 	in.AtHand = make(map[galenastair.ModelName]bool, len(e.server.AtHand))
