--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -18,27 +18,23 @@
 )
 
 // limited answers whole and names a limit.
-func limited(perSecond float64) script {
-	return func(context.Context, galenastair.BackendCall) (*galenastair.BackendAnswer, error) {
-		return &galenastair.BackendAnswer{Status: 200, Header: http.Header{}, Limit: perSecond, Body: io.NopCloser(strings.NewReader("done"))}, nil
-	}
+func limited(context.Context, galenastair.BackendCall) (*galenastair.BackendAnswer, error) {
+	return &galenastair.BackendAnswer{Status: 200, Header: http.Header{}, Limit: 1, Body: io.NopCloser(strings.NewReader("done"))}, nil
 }
 
-// only leaves one backend server of each service.
-func (b *bed) only(id galenastair.BackendServerID) {
-	for _, other := range []galenastair.BackendServerID{"s1", "s2", "s3"} {
-		if other != id {
-			b.pool.Remove(other)
-			b.pool.Remove("p" + other)
-		}
+// leaveOne leaves one backend server of each service, s1 and ps1.
+func (b *bed) leaveOne() {
+	for _, other := range []galenastair.BackendServerID{"s2", "s3"} {
+		b.pool.Remove(other)
+		b.pool.Remove("p" + other)
 	}
 }
 
 // A server names a limit, and requests go on to it without asking.
 func TestLimitIsAskedForBeforeEachSend(t *testing.T) {
 	is := is.New(t)
-	b := newBed(limited(1), limited(1), whole(200, "done"), whole(200, "done"))
-	b.only("s1")
+	b := newBed(limited, limited, whole(200, "done"), whole(200, "done"))
+	b.leaveOne()
 	for range 4 {
 		_, _, err := b.serve(t, "/bid/1")
 		is.NoErr(err)
@@ -53,8 +49,8 @@
 // refused without a time to come back.
 func TestNoTurnInTimeIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
-	b := newBed(limited(1))
-	b.only("s1")
+	b := newBed(limited)
+	b.leaveOne()
 	_, _, err := b.serve(t, "/bid/1")
 	is.NoErr(err)
 	b.limits.verdicts = []ratelimit.Verdict{{Wait: 1900 * time.Millisecond}}
@@ -72,8 +68,8 @@
 // A turn within the request's time is waited for.
 func TestTurnIsWaitedFor(t *testing.T) {
 	is := is.New(t)
-	b := newBed(limited(1), limited(1))
-	b.only("s1")
+	b := newBed(limited, limited)
+	b.leaveOne()
 	_, _, err := b.serve(t, "/bid/1")
 	is.NoErr(err)
 	b.limits.verdicts = []ratelimit.Verdict{{Granted: true, Wait: 150 * time.Millisecond}}
@@ -91,7 +87,7 @@
 		return &galenastair.BackendAnswer{Status: 200, Header: http.Header{}, Limit: 1, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))}, nil
 	}
 	b := newBed(answer, answer)
-	b.only("s1")
+	b.leaveOne()
 	_, _, err := b.serve(t, "/stream/1")
 	is.NoErr(err)
 	b.pool.Set(time.Now(), pool.Server{ID: "s2", Service: "writer", Address: "s2", AvailabilityZone: "z1", Slots: 8})
@@ -106,8 +102,8 @@
 // A server without a turn is passed by while another has the model.
 func TestServerWithoutATurnIsPassedBy(t *testing.T) {
 	is := is.New(t)
-	b := newBed(limited(1), whole(200, "done"), whole(200, "done"))
-	b.only("s1")
+	b := newBed(limited, whole(200, "done"), whole(200, "done"))
+	b.leaveOne()
 	_, _, err := b.serve(t, "/bid/1")
 	is.NoErr(err)
 	b.addServers()
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -87,7 +87,7 @@
 	b := newBed(t, 1, 4)
 	b.step(time.Second)
 	const only = "m3"
-	before := b.holders(only)
+	before := b.holdersOfM3()
 	is.Equal(len(before), 1)
 	for range 10 {
 		_, err := b.planner.Exchange(t.Context(), Report{
@@ -96,7 +96,7 @@
 		is.NoErr(err)
 		b.step(200 * time.Millisecond)
 	}
-	is.True(len(b.holders(only)) > 1)
+	is.True(len(b.holdersOfM3()) > 1)
 	b.do(func() { is.True(!b.planner.sites["writer"].stays(before[0])) })
 	b.step(absentFor)
 	b.do(func() { is.True(b.planner.sites["writer"].stays(before[0])) })
@@ -109,7 +109,7 @@
 	b := newBed(t, 1, 4)
 	b.step(time.Second)
 	const only = "m3"
-	before := b.holders(only)
+	before := b.holdersOfM3()
 	is.Equal(len(before), 1)
 	report := Report{
 		Instance: "i", Demands: map[galenastair.ModelName]time.Duration{only: tokens(500)},
@@ -121,7 +121,7 @@
 		is.Equal(len(news.Limits), 1)
 		b.step(200 * time.Millisecond)
 	}
-	is.True(len(b.holders(only)) > 1)
+	is.True(len(b.holdersOfM3()) > 1)
 	preferred := func() (is bool) {
 		b.do(func() {
 			s := b.planner.sites["writer"]
@@ -136,10 +136,10 @@
 	is.True(preferred())
 }
 
-// holders returns the engines that hold a model.
-func (b *bed) holders(name galenastair.ModelName) (ids []galenastair.BackendServerID) {
+// holdersOfM3 returns the engines that hold the last model, which one engine has at first.
+func (b *bed) holdersOfM3() (ids []galenastair.BackendServerID) {
 	for _, s := range b.world.sims {
-		if _, ok := s.models[name]; ok {
+		if _, ok := s.models["m3"]; ok {
 			ids = append(ids, s.id)
 		}
 	}
--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -9,9 +9,7 @@
 	"galenastair"
 )
 
-func (p *Pool) perSecond(id galenastair.BackendServerID) float64 {
-	return p.members[id].limit.perSecond
-}
+func (p *Pool) limitOfS1() float64 { return p.members["s1"].limit.perSecond }
 
 // An answer that was under way when a server named its limit ends the limit.
 func TestOlderAnswerDoesNotEndALimit(t *testing.T) {
@@ -19,9 +17,9 @@
 	p := testPool()
 	p.Named(start.Add(time.Second), "s1", 2, start)
 	p.Named(start.Add(2*time.Second), "s1", 0, start.Add(500*time.Millisecond))
-	is.Equal(p.perSecond("s1"), 2.0)
+	is.Equal(p.limitOfS1(), 2.0)
 	p.Named(start.Add(3*time.Second), "s1", 0, start.Add(1500*time.Millisecond))
-	is.Equal(p.perSecond("s1"), 0.0)
+	is.Equal(p.limitOfS1(), 0.0)
 }
 
 // The word of a limit comes back from the leader a little younger each time, and outlives its end.
@@ -37,14 +35,14 @@
 		other.SetLimits(now, p.Limits(now))
 		p.SetLimits(now.Add(5*time.Millisecond), p.Limits(now))
 	}
-	is.Equal(other.perSecond("s1"), 2.0)
+	is.Equal(other.limitOfS1(), 2.0)
 	is.Equal(len(other.Limits(now)), 0)
 	p.Named(now, "s1", 0, now.Add(-time.Second))
-	is.Equal(p.perSecond("s1"), 0.0)
+	is.Equal(p.limitOfS1(), 0.0)
 	other.SetLimits(now.Add(time.Millisecond), p.Limits(now))
-	is.Equal(other.perSecond("s1"), 0.0)
+	is.Equal(other.limitOfS1(), 0.0)
 	other.SetLimits(now.Add(2*time.Millisecond), told)
-	is.Equal(other.perSecond("s1"), 0.0)
+	is.Equal(other.limitOfS1(), 0.0)
 }
 
 // A limited server is passed by while others are sound, so nobody hears that its limit has ended.
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -73,7 +73,7 @@
 		next = s.lost.Add(time.Duration((float64(before) + s.rng.Float64()) * float64(turn)))
 	}
 	if missed := now.Sub(next) - saved*turn; missed >= 0 {
-		next = next.Add((missed/period + 1) * period)
+		next = next.Add((missed + period).Truncate(period))
 	}
 	s.turns[limit.Server] = next
 	if now.Before(next) {
