pool: a server is tried out by the request that is sent, not by the one that is chosen for it

What callers see: after failures a backend server stays out at an instance for good, although it is sound again. Cause: the choice marked the server as being tried, and only the end of a send took the mark away. A request that is refused in between (its time does not suffice, its key was withdrawn, no turn at a limited server) never began one. Change: the mark is set when the request begins. Several requests chosen before that may try at once. Test: TestProbeThatIsNotSentLeavesTheServerToTheNext failed before (the second choice was no try).

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -68,9 +68,6 @@
 	if best == nil {
 		return Choice{Reason: ReasonExcluded}, false
 	}
-	if reason == ReasonProbe {
-		best.health.probing = true
-	}
 	return Choice{
 		Server:     best.Server,
 		Foretold:   p.foretell(now, best, &q),
--- a/pool/flight.go
+++ b/pool/flight.go
@@ -55,6 +55,9 @@
 	f.first = q.engine() && m.unread == 0 && m.othersUnread(now) < 1
 	m.flights++
 	m.unread += q.Prompt
+	if !q.Once && m.health.mayProbe(now) {
+		m.health.probing = true
+	}
 	m.health.sent(now)
 	m.cache.add(q.keys)
 	return f
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -190,6 +190,26 @@
 	is.True(!ok)
 }
 
+// The request that was to try a server out is refused before it is sent, and the server stays out
+// for good.
+func TestProbeThatIsNotSentLeavesTheServerToTheNext(t *testing.T) {
+	is := is.New(t)
+	p := testPool()
+	for range failuresOut {
+		p.Begin(start, "s1", testQuery()).End(start, Failed)
+	}
+	later := start.Add(longestRest)
+	for range 2 {
+		c, ok := p.Choose(later, testQuery())
+		is.True(ok)
+		is.Equal(c.Reason, ReasonProbe)
+	}
+	p.Begin(later, "s1", testQuery())
+	c, ok := p.Choose(later, testQuery())
+	is.True(ok)
+	is.True(c.Reason != ReasonProbe)
+}
+
 // A request that may not be repeated doesn't try out a server that was taken out.
 func TestOnceIsNoProbe(t *testing.T) {
 	is := is.New(t)
