member: a stop does not wait for a log that is down

Cause: the wait for the leave record took all of the time that requests have to end; a goroutine dump 8 s after SIGTERM shows member.Leave in stopOn and nothing else that is waited for. Change: it ends after two leases: by then the watcher declares the member expired once the log is back.

--- a/member/runtime.go
+++ b/member/runtime.go
@@ -118,9 +118,15 @@
 	return ctx.Err()
 }
 
+// leaveLeases is for how many times a lease a stop waits for its own leave: a log that is down
+// for longer shows it too late to be of use, as the watcher declares the member expired.
+const leaveLeases = 2
+
 // Leave ends the own membership for good and waits until the log shows it; the
 // caller has already stopped all work that needs the lease.
 func (r *Runtime) Leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveLeases*r.timing.Lease)
+	defer cancel()
 	if err := r.loop.Do(ctx, r.leave); err != nil {
 		return err
 	}
--- a/member/runtime_failure_test.go
+++ b/member/runtime_failure_test.go
@@ -60,6 +60,20 @@
 	})
 }
 
+// An instance is told to stop while the log is down, and does not end before its requests' time
+// to stop is over.
+func TestStopDoesNotWaitForALogThatIsDown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l := newFakeLog()
+	all := startThree(t, l)
+	l.setDown(true)
+	begun := time.Now()
+	is.True(all[0].Leave(t.Context()) != nil)
+	is.True(time.Since(begun) <= 3*quick().Lease)
+	l.setDown(false)
+}
+
 // The platform's log goes down while callers send requests. No lease ends, since
 // promises need no log. Then an instance dies too: the one it watched can neither
 // be promised nor renew. It lives on a promise that was given for an outage;
