node, pool: limits in force are on the metrics address and in status (LIMIT)

Operators could see a limit only in log lines. Change: galenastair_limit_turns_total by who answered and the outcome; a column LIMIT in status -metrics.

--- a/cmd/galenastair/gateways.go
+++ b/cmd/galenastair/gateways.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenastair/node"
+	"galenastair/pool"
 )
 
 // printGateways prints a line for each gateway, and the backend servers as the first
@@ -28,10 +29,17 @@
 	if len(all) == 0 {
 		return
 	}
-	fmt.Fprintf(w, "\nBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tIN USE\tREQUESTS\tFAILURES\tHOLDS\n")
+	fmt.Fprintf(w, "\nBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tIN USE\tREQUESTS\tFAILURES\tLIMIT\tHOLDS\n")
 	for _, b := range all[0].BackendServers {
 		use := yesUnless(string(b.Out))
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\n", b.ID, b.Service, b.AvailabilityZone, b.Address,
-			use, b.Flights, 100*b.FailureShare, joinNames(b.Holds))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\t%s\n", b.ID, b.Service, b.AvailabilityZone, b.Address,
+			use, b.Flights, 100*b.FailureShare, limitOf(b), joinNames(b.Holds))
 	}
 }
+
+func limitOf(b pool.State) string {
+	if b.Limit == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.3g/s", b.Limit)
+}
--- a/node/limits.go
+++ b/node/limits.go
@@ -12,18 +12,22 @@
 type limits struct {
 	exchange *exchange
 	shares   *ratelimit.Shares
+	metrics  *metrics
 }
 
 // Admit asks the leader for a turn.
 func (l limits) Admit(ctx context.Context, limit ratelimit.Limit, patience time.Duration) ratelimit.Verdict {
 	v, err := l.exchange.admit(ctx, limit, patience)
 	if err == nil {
+		l.metrics.turn("Leader", v.Granted)
 		return v
 	}
 	now := time.Now()
 	l.exchange.logger.Log("event", "limit share", "server", limit.Server, "limit", limit.PerSecond, "err", err)
 	l.shares.Lost(now)
-	return l.shares.Admit(now, limit, l.exchange.place())
+	v = l.shares.Admit(now, limit, l.exchange.place())
+	l.metrics.turn("Share", v.Granted)
+	return v
 }
 
 func (x *exchange) admit(ctx context.Context, limit ratelimit.Limit, patience time.Duration) (ratelimit.Verdict, error) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -22,6 +22,7 @@
 	mu            sync.Mutex
 	retries       *prometheus.CounterVec
 	orders        *prometheus.CounterVec
+	turns         *prometheus.CounterVec
 	first         *prometheus.HistogramVec
 	total         *prometheus.HistogramVec
 	stored        *prometheus.CounterVec
@@ -44,6 +45,9 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenastair_orders_total", Help: "Orders given to model engines, by kind, reason and outcome.",
 		}, []string{"kind", "reason", "outcome"}),
+		turns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_limit_turns_total", Help: "Requests for backend servers that have named a limit, by who answered and whether there was a turn.",
+		}, []string{"by", "outcome"}),
 		first: histogram("galenastair_first_seconds", "Time from a request's arrival to its answer's head or first event."),
 		total: histogram("galenastair_total_seconds", "Time from a request's arrival to its end."),
 		stored: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -54,7 +58,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
 		}, []string{"call"}),
 	}
-	m.registry.MustRegister(m.requests, m.organisations, m.retries, m.orders, m.first, m.total, m.stored, m.storeTook)
+	m.registry.MustRegister(m.requests, m.organisations, m.retries, m.orders, m.turns, m.first, m.total, m.stored, m.storeTook)
 	return m
 }
 
@@ -67,6 +71,15 @@
 // kindNames are the label values of the kinds of request.
 var kindNames = [...]string{"AtMostOnce", "Idempotent", "Stream", "ResumableStream"}
 
+// turn counts an answer to a request for a backend server with a limit.
+func (m *metrics) turn(by string, granted bool) {
+	outcome := "Deferred"
+	if granted {
+		outcome = "Granted"
+	}
+	m.turns.WithLabelValues(by, outcome).Inc()
+}
+
 // RequestEnded counts one request.
 func (m *metrics) RequestEnded(e gateway.Ending) {
 	kind := kindNames[e.Kind]
--- a/pool/state.go
+++ b/pool/state.go
@@ -20,7 +20,10 @@
 	Flights int
 	// FailureShare is the smoothed share of failures, 0 to 1.
 	FailureShare float64
-	Holds        []galenastair.ModelName
+	// Limit is the requests a second that it takes from all instances together; 0 if it names
+	// none.
+	Limit float64
+	Holds []galenastair.ModelName
 }
 
 // Out is why a backend server gets no requests.
@@ -41,7 +44,7 @@
 	for _, m := range p.members {
 		s := State{
 			ID: m.ID, Service: m.Service, Address: m.Address, AvailabilityZone: m.AvailabilityZone,
-			Out: m.whyOut(now), Flights: m.flights, FailureShare: m.health.share,
+			Out: m.whyOut(now), Flights: m.flights, FailureShare: m.health.share, Limit: m.limit.perSecond,
 		}
 		for name := range m.holds {
 			s.Holds = append(s.Holds, name)
