node: requests for limited servers do not wait for a leader that is silent (LIMIT)

What callers see: while the leader is frozen, each request for a limited server waits 150 ms for it; while one without a lease still answers exchanges, as in a long outage of the store, an instance's own turns begin anew with each of them and never come. Change: after one call without an answer the instance goes by its own turns until a leader that holds the lease answers an exchange. Found by reading; no run has shown it.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -181,8 +181,10 @@
 	now := time.Now()
 	if n.Lapsed {
 		x.elector.Denied()
+		x.shares.Lost(now)
 	} else {
 		x.elector.Answered(n.Renewal)
+		x.shares.Answered()
 	}
 	if x.lost {
 		x.lost = false
@@ -192,7 +194,6 @@
 	for _, l := range n.Loans {
 		x.share.Lent(now, l.Organisation, l.Amount)
 	}
-	x.shares.Answered()
 	x.index.Store(int64(n.Index))
 	x.pool.SetLimits(now, n.Limits)
 	x.pool.SetOthers(now, n.Loads)
--- a/node/node.go
+++ b/node/node.go
@@ -171,7 +171,7 @@
 		Backend:   backend,
 		Quota:     quotas{n.share, n.accounts, n.exchange},
 		Placement: n.exchange,
-		Limits:    limits{n.exchange, n.exchange.shares, n.metrics},
+		Limits:    newLimits(n.exchange, n.metrics),
 		Poison:    n.exchange.poison,
 	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
 }
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// Alone says whether the leader does not answer.
+func (s *Shares) Alone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lost.IsZero()
+}
+
 // Answered says that the leader answers again.
 func (s *Shares) Answered() {
 	s.mu.Lock()
