pool, planner: usual names for what a server holds, why it is out and what limits are in force

Learn and Unlearn are AddModel and RemoveModel, unhold and addHold removeModel and addModel, whyOut outReason, told of a member heard; tellLimits currentLimits. No behaviour changes; pool, gateway and planner pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -147,7 +147,7 @@
 	if answer.Elsewhere {
 		result = pool.Neutral
 		if r.call.Hints.Model != "" {
-			r.g.pool.Unlearn(r.g.clock.Now(), choice.ID, r.call.Hints.Model)
+			r.g.pool.RemoveModel(r.g.clock.Now(), choice.ID, r.call.Hints.Model)
 		}
 	}
 	flight.End(r.g.clock.Now(), result)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -120,6 +120,6 @@
 	if !timer.Wait(ctx, promise.Ready) {
 		return context.Cause(ctx)
 	}
-	r.g.pool.Learn(r.g.clock.Now(), promise.Server, name)
+	r.g.pool.AddModel(r.g.clock.Now(), promise.Server, name)
 	return nil
 }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -198,10 +198,10 @@
 	x.pool.SetLimits(now, n.Limits)
 	x.pool.SetOthers(now, n.Loads)
 	for _, p := range n.Dropped {
-		x.pool.Unlearn(now, p.Server, p.Name)
+		x.pool.RemoveModel(now, p.Server, p.Name)
 	}
 	for _, p := range n.Placed {
-		x.pool.Learn(now, p.Server, p.Name)
+		x.pool.AddModel(now, p.Server, p.Name)
 	}
 	for _, d := range n.Poisons {
 		x.poison.Heard(now, d)
--- a/planner/limits.go
+++ b/planner/limits.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// tellLimits returns what instances have lately told of.
-func (p *Planner) tellLimits(now time.Time) []ratelimit.Limit {
+// currentLimits returns what instances have lately told of.
+func (p *Planner) currentLimits(now time.Time) []ratelimit.Limit {
 	var out []ratelimit.Limit
 	for id, l := range p.limits {
 		if now.Sub(l.reported) > limitLife {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -346,7 +346,7 @@
 	p.decideOwners(now)
 	news := News{Lapsed: !p.lease.Holds(), Standing: p.lender.Heard(now, r.Instance, r.Passed), Loads: p.loads.keyed()}
 	p.loads.add(r.Loads)
-	news.Limits, news.Index = p.tellLimits(now), p.index(r.Instance)
+	news.Limits, news.Index = p.currentLimits(now), p.index(r.Instance)
 	p.addOwners(r, &news)
 	for _, a := range r.Asks {
 		if p.owned {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -73,7 +73,7 @@
 		Foretold:   p.foretell(now, best, &q),
 		Cached:     best.cache.match(q.keys, q.Parts),
 		Candidates: len(candidates),
-		Limit:      best.limit.told(now, best.ID),
+		Limit:      best.limit.withAge(now, best.ID),
 		Reason:     reason,
 	}, true
 }
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -51,13 +51,13 @@
 	for id, m := range p.members {
 		ended := m.limit.perSecond == 0 && now.Sub(m.limit.at) > limitEnded
 		if m.limit.own && !ended {
-			out = append(out, m.limit.told(now, id))
+			out = append(out, m.limit.withAge(now, id))
 		}
 	}
 	return out
 }
 
-func (l limit) told(now time.Time, id galenastair.BackendServerID) ratelimit.Limit {
+func (l limit) withAge(now time.Time, id galenastair.BackendServerID) ratelimit.Limit {
 	return ratelimit.Limit{Server: id, PerSecond: l.perSecond, Age: now.Sub(l.at)}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -33,8 +33,8 @@
 	Server
 	key   ServerKey
 	holds map[galenastair.ModelName]bool
-	// told is when something was learned of a model otherwise than by registration.
-	told map[galenastair.ModelName]time.Time
+	// heard is when something was learned of a model otherwise than by registration.
+	heard map[galenastair.ModelName]time.Time
 	// full is until when a model's requests had better go elsewhere.
 	full     map[galenastair.ModelName]time.Time
 	flights  int
@@ -118,7 +118,7 @@
 		m = nil
 	}
 	if m == nil {
-		m = &member{key: KeyOf(s.ID), holds: map[galenastair.ModelName]bool{}, told: map[galenastair.ModelName]time.Time{}, full: map[galenastair.ModelName]time.Time{}, cache: newCache()}
+		m = &member{key: KeyOf(s.ID), holds: map[galenastair.ModelName]bool{}, heard: map[galenastair.ModelName]time.Time{}, full: map[galenastair.ModelName]time.Time{}, cache: newCache()}
 		p.members[s.ID] = m
 		p.byService[s.Service] = append(p.byService[s.Service], m)
 	}
@@ -129,7 +129,7 @@
 		return
 	}
 	m.Server = s
-	p.hold(now, m, held(s.Models))
+	p.setModels(now, m, held(s.Models))
 }
 
 // held names models and, after a slash, their adapters.
@@ -144,36 +144,36 @@
 	return out
 }
 
-// toldFor is how long what was learned otherwise goes before a registration: that is
+// heardFor is how long what was learned otherwise goes before a registration: that is
 // written every heartbeat of about a second, and was on its way for a while.
-const toldFor = 2500 * time.Millisecond
+const heardFor = 2500 * time.Millisecond
 
-func (p *Pool) hold(now time.Time, m *member, registered map[galenastair.ModelName]bool) {
-	for name, at := range m.told {
-		if now.Sub(at) > toldFor {
-			delete(m.told, name)
+func (p *Pool) setModels(now time.Time, m *member, registered map[galenastair.ModelName]bool) {
+	for name, at := range m.heard {
+		if now.Sub(at) > heardFor {
+			delete(m.heard, name)
 		}
 	}
 	for name := range m.holds {
-		if _, told := m.told[name]; !told && !registered[name] {
-			p.unhold(m, name)
+		if _, heard := m.heard[name]; !heard && !registered[name] {
+			p.removeModel(m, name)
 		}
 	}
 	for name := range registered {
-		if _, told := m.told[name]; !told {
-			p.addHold(m, name)
+		if _, heard := m.heard[name]; !heard {
+			p.addModel(m, name)
 		}
 	}
 }
 
-func (p *Pool) addHold(m *member, name galenastair.ModelName) {
+func (p *Pool) addModel(m *member, name galenastair.ModelName) {
 	if !m.holds[name] {
 		m.holds[name] = true
 		p.byModel[name] = append(p.byModel[name], m)
 	}
 }
 
-func (p *Pool) unhold(m *member, name galenastair.ModelName) {
+func (p *Pool) removeModel(m *member, name galenastair.ModelName) {
 	if !m.holds[name] {
 		return
 	}
@@ -195,29 +195,29 @@
 
 func (p *Pool) drop(m *member) {
 	for name := range m.holds {
-		p.unhold(m, name)
+		p.removeModel(m, name)
 	}
 	delete(p.members, m.ID)
 	p.byService[m.Service] = slices.DeleteFunc(p.byService[m.Service], func(o *member) bool { return o == m })
 }
 
-// Learn notes that a server holds a model or adapter, before it says so itself.
-func (p *Pool) Learn(now time.Time, id galenastair.BackendServerID, name galenastair.ModelName) {
+// AddModel notes that a server holds a model or adapter, before it says so itself.
+func (p *Pool) AddModel(now time.Time, id galenastair.BackendServerID, name galenastair.ModelName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.members[id]; m != nil {
-		m.told[name] = now
-		p.addHold(m, name)
+		m.heard[name] = now
+		p.addModel(m, name)
 	}
 }
 
-// Unlearn notes that a server said that it does not hold a model or adapter.
-func (p *Pool) Unlearn(now time.Time, id galenastair.BackendServerID, name galenastair.ModelName) {
+// RemoveModel notes that a server said that it does not hold a model or adapter.
+func (p *Pool) RemoveModel(now time.Time, id galenastair.BackendServerID, name galenastair.ModelName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.members[id]; m != nil {
-		m.told[name] = now
-		p.unhold(m, name)
+		m.heard[name] = now
+		p.removeModel(m, name)
 	}
 }
 
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -234,12 +234,12 @@
 func TestLearnedGoesBeforeOldRegistration(t *testing.T) {
 	is := is.New(t)
 	p := testPool()
-	p.Learn(start, "s1", "m/a9")
+	p.AddModel(start, "s1", "m/a9")
 	old := Server{ID: "s1", Service: "writer", Slots: 64, Born: 1, Beat: 2, Models: []galenastair.EngineModel{{Name: "m"}}}
 	p.Set(start.Add(time.Second), old)
 	is.True(p.Known("m/a9"))
 	old.Beat = 3
-	p.Set(start.Add(toldFor+time.Second), old)
+	p.Set(start.Add(heardFor+time.Second), old)
 	is.True(!p.Known("m/a9"))
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -44,7 +44,7 @@
 	for _, m := range p.members {
 		s := State{
 			ID: m.ID, Service: m.Service, Address: m.Address, AvailabilityZone: m.AvailabilityZone,
-			Out: m.whyOut(now), Flights: m.flights, FailureShare: m.health.share, Limit: m.limit.perSecond,
+			Out: m.outReason(now), Flights: m.flights, FailureShare: m.health.share, Limit: m.limit.perSecond,
 		}
 		for name := range m.holds {
 			s.Holds = append(s.Holds, name)
@@ -58,7 +58,7 @@
 	return out
 }
 
-func (m *member) whyOut(now time.Time) Out {
+func (m *member) outReason(now time.Time) Out {
 	switch {
 	case m.Leaving || !m.leaves.IsZero():
 		return OutLeaving
