planner: a limit is forgotten ten seconds after an answer has named it (LIMIT)

What operators see: an engine that named a limit while its models moved elsewhere is asked for nothing any more, so no answer ends the limit, and nothing is ever loaded there again. Cause: an instance goes on reporting its own last word, and the leader counted from the report. Change: the leader counts from the answer. Requests that do go there still ask for a turn. Test: TestLimitIsForgottenWithoutAnswers failed before. Names: Named is NoteLimit, SetLimits SetOthersLimits, log logEvents.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -45,7 +45,7 @@
 		return r.failed(ctx, flight, err)
 	}
 	defer answer.Body.Close()
-	r.g.pool.Named(r.g.clock.Now(), choice.ID, answer.Limit, now)
+	r.g.pool.NoteLimit(r.g.clock.Now(), choice.ID, answer.Limit, now)
 	if answer.Declined {
 		return r.declined(flight, choice, answer)
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -195,7 +195,7 @@
 		x.share.Lent(now, l.Organisation, l.Amount)
 	}
 	x.index.Store(int64(n.Index))
-	x.pool.SetLimits(now, n.Limits)
+	x.pool.SetOthersLimits(now, n.Limits)
 	x.pool.SetOthers(now, n.Loads)
 	for _, p := range n.Dropped {
 		x.pool.RemoveModel(now, p.Server, p.Name)
--- a/node/servers.go
+++ b/node/servers.go
@@ -63,9 +63,9 @@
 	s.unlogged[e] = append(s.unlogged[e], string(id))
 }
 
-// log writes one line for each event: after a loss of power a line for each server at each
+// logEvents writes one line for each event: after a loss of power a line for each server at each
 // instance would be the fleet times the servers.
-func (s *servers) log() {
+func (s *servers) logEvents() {
 	for e, ids := range s.unlogged {
 		if len(ids) > 0 {
 			s.logger.Log("event", eventNames[e], "count", len(ids), "server", strings.Join(ids, ","))
@@ -130,10 +130,10 @@
 		case b := <-s.batches:
 			s.take(s.clock.Now(), b)
 			close(b.taken)
-			s.log()
+			s.logEvents()
 		case <-tick.C:
 			s.sweep()
-			s.log()
+			s.logEvents()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/planner/limits.go
+++ b/planner/limits.go
@@ -7,39 +7,35 @@
 	"galenastair/ratelimit"
 )
 
-// limitLife is how long what a backend server has named is told after any instance last said so.
-const limitLife = 3 * time.Second
+// limitLife is how long a limit counts after an answer has named it: an engine that is asked for
+// nothing any more would keep it for good, and get no load.
+const limitLife = 10 * time.Second
 
 // namedLimit is the rate that a backend server has named last, to any instance.
 type namedLimit struct {
 	perSecond float64
-	// at is when it was named, reported when an instance last told of it.
-	at       time.Time
-	reported time.Time
+	at        time.Time
 }
 
 // noteLimits takes in what servers have named in answers to an instance.
 func (p *Planner) noteLimits(now time.Time, limits []ratelimit.Limit) {
 	for _, l := range limits {
-		at := now.Add(-l.Age)
-		known := p.limits[l.Server]
-		before := known.perSecond
-		if !at.Before(known.at) {
-			known.perSecond, known.at = l.PerSecond, at
+		at, known := now.Add(-l.Age), p.limits[l.Server]
+		if l.Age > limitLife || at.Before(known.at) {
+			continue
 		}
-		known.reported = now
-		p.limits[l.Server] = known
-		if known.perSecond != before {
-			p.logger.Log("event", "limit named", "server", l.Server, "limit", known.perSecond, "before", before)
+		if known.perSecond != l.PerSecond {
+			p.logger.Log("event", "limit named", "server", l.Server, "limit", l.PerSecond, "before", known.perSecond)
 		}
+		p.limits[l.Server] = namedLimit{l.PerSecond, at}
 	}
 }
 
-// currentLimits returns what instances have lately told of.
+// currentLimits returns what servers have lately named.
 func (p *Planner) currentLimits(now time.Time) []ratelimit.Limit {
 	var out []ratelimit.Limit
 	for id, l := range p.limits {
-		if now.Sub(l.reported) > limitLife {
+		if now.Sub(l.at) > limitLife {
 			delete(p.limits, id)
 			continue
 		}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -136,6 +136,30 @@
 	is.True(preferred())
 }
 
+// An engine names a limit and is asked for nothing any more, so that no answer ends the limit:
+// nothing is loaded there for good.
+func TestLimitIsForgottenWithoutAnswers(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 4)
+	b.step(time.Second)
+	id := b.holdersOfM3()[0]
+	report := func(age time.Duration) bool {
+		_, err := b.planner.Exchange(t.Context(), Report{Instance: "i", Limits: []ratelimit.Limit{{Server: id, PerSecond: 1, Age: age}}})
+		is.NoErr(err)
+		preferred := false
+		b.do(func() {
+			s := b.planner.sites["writer"]
+			preferred = s.preferred(s.engines[id])
+		})
+		return preferred
+	}
+	is.True(!report(0))
+	b.step(limitLife / 2)
+	is.True(!report(limitLife / 2))
+	b.step(limitLife)
+	is.True(report(3 * limitLife / 2))
+}
+
 // holdersOfM3 returns the engines that hold the last model, which one engine has at first.
 func (b *bed) holdersOfM3() (ids []galenastair.BackendServerID) {
 	for _, s := range b.world.sims {
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -28,9 +28,9 @@
 	own bool
 }
 
-// Named takes in what an answer says of a server's limit, 0 if it names none; sent is when the
+// NoteLimit takes in what an answer says of a server's limit, 0 if it names none; sent is when the
 // request went there. An answer that was under way when another named a limit does not end it.
-func (p *Pool) Named(now time.Time, id galenastair.BackendServerID, perSecond float64, sent time.Time) {
+func (p *Pool) NoteLimit(now time.Time, id galenastair.BackendServerID, perSecond float64, sent time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.members[id]
@@ -61,8 +61,8 @@
 	return ratelimit.Limit{Server: id, PerSecond: l.perSecond, Age: now.Sub(l.at)}
 }
 
-// SetLimits takes in what servers have named in answers to any instance.
-func (p *Pool) SetLimits(now time.Time, limits []ratelimit.Limit) {
+// SetOthersLimits takes in what servers have named in answers to any instance.
+func (p *Pool) SetOthersLimits(now time.Time, limits []ratelimit.Limit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range limits {
--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -15,10 +15,10 @@
 func TestOlderAnswerDoesNotEndALimit(t *testing.T) {
 	is := is.New(t)
 	p := testPool()
-	p.Named(start.Add(time.Second), "s1", 2, start)
-	p.Named(start.Add(2*time.Second), "s1", 0, start.Add(500*time.Millisecond))
+	p.NoteLimit(start.Add(time.Second), "s1", 2, start)
+	p.NoteLimit(start.Add(2*time.Second), "s1", 0, start.Add(500*time.Millisecond))
 	is.Equal(p.limitOfS1(), 2.0)
-	p.Named(start.Add(3*time.Second), "s1", 0, start.Add(1500*time.Millisecond))
+	p.NoteLimit(start.Add(3*time.Second), "s1", 0, start.Add(1500*time.Millisecond))
 	is.Equal(p.limitOfS1(), 0.0)
 }
 
@@ -26,22 +26,22 @@
 func TestEndOfALimitBeatsItsEcho(t *testing.T) {
 	is := is.New(t)
 	p, other := testPool(), testPool()
-	p.Named(start, "s1", 2, start)
+	p.NoteLimit(start, "s1", 2, start)
 	told := p.Limits(start)
 	is.Equal(len(told), 1)
 	now := start
 	for range 20 {
 		now = now.Add(300 * time.Millisecond)
-		other.SetLimits(now, p.Limits(now))
-		p.SetLimits(now.Add(5*time.Millisecond), p.Limits(now))
+		other.SetOthersLimits(now, p.Limits(now))
+		p.SetOthersLimits(now.Add(5*time.Millisecond), p.Limits(now))
 	}
 	is.Equal(other.limitOfS1(), 2.0)
 	is.Equal(len(other.Limits(now)), 0)
-	p.Named(now, "s1", 0, now.Add(-time.Second))
+	p.NoteLimit(now, "s1", 0, now.Add(-time.Second))
 	is.Equal(p.limitOfS1(), 0.0)
-	other.SetLimits(now.Add(time.Millisecond), p.Limits(now))
+	other.SetOthersLimits(now.Add(time.Millisecond), p.Limits(now))
 	is.Equal(other.limitOfS1(), 0.0)
-	other.SetLimits(now.Add(2*time.Millisecond), told)
+	other.SetOthersLimits(now.Add(2*time.Millisecond), told)
 	is.Equal(other.limitOfS1(), 0.0)
 }
 
@@ -49,7 +49,7 @@
 func TestLimitedServerIsProbed(t *testing.T) {
 	is := is.New(t)
 	p := testPool()
-	p.Named(start, "s1", 2, start)
+	p.NoteLimit(start, "s1", 2, start)
 	chosen := func(now time.Time) bool {
 		for range 50 {
 			c, ok := p.Choose(now, testQuery())
