--- a/follow/follower.go
+++ b/follow/follower.go
@@ -231,12 +231,9 @@
 	return f.store.Follow(ctx, f.topic, f.from, wait)
 }
 
-// stale counts an answer that knows less than what was read before.
-//
-// Failure: after the store has dropped its history, an answer may come from a state of
-// seconds ago; taken in, it would bring back keys that have been withdrawn. It shows
-// as a topic that ends before the offset already read. A topic that stays shorter was
-// begun anew, and is taken after some more answers.
+// stale counts an answer that knows less than what was read before: after the store has dropped
+// its history, one may come from a state of seconds ago, with keys that have been withdrawn. A
+// topic that stays shorter was begun anew.
 func (f *Follower) stale() bool {
 	f.shorter++
 	return f.shorter < rewound
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -44,12 +44,9 @@
 	return min(max(p, 0), mostPriority)
 }
 
-// authorise finds a request's route and organisation in the view in force.
-//
-// Failure: an instance that is cut off from the store, or was suspended, goes on by an
-// old view and lets a withdrawn key in. It shows as requests that run seconds after
-// their key was withdrawn. A view counts from the moment before the call that
-// confirmed it, so whatever was withdrawn before that moment is in it.
+// authorise finds a request's route and organisation in the view in force. A view that is too
+// old, as of an instance that is cut off or was suspended, may hold a withdrawn key and admits
+// none.
 func (g *Gateway) authorise(c *Call) (admission, error) {
 	view, age := g.views.View()
 	if view == nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,8 +51,7 @@
 	}
 	r.runs++
 	if r.headed && answer.Status/100 != 2 {
-		// Failure: a stream goes on at another backend server, which answers with an
-		// error. Passed on, the error would end the caller's answer as if it were whole.
+		// passed on, the error would end the caller's answer as if it were whole
 		flight.End(r.g.clock.Now(), pool.Erred)
 		return eris.Wrapf(errServer, "status %d to a resumed stream", answer.Status)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -117,11 +117,9 @@
 	}
 }
 
-// next returns nil if the request may be sent once more, or else what it ends with.
-//
-// Harm prevented: a request that may not be repeated is never sent again once it may
-// have run; retries don't multiply an overload, since all of a service's retries come
-// out of a share of its traffic; a request that fails everywhere stops.
+// next returns nil if the request may be sent once more, or else what it ends with. One that may
+// not be repeated is not sent again once it may have run, and all retries of a service come out
+// of a share of its traffic, so that they do not multiply an overload.
 func (r *run) next(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return err
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -103,12 +103,8 @@
 }
 
 // registered takes in a registration. While this instance orders, what it lacks is
-// asked for and not dropped.
-//
-// Failure: a registration was written before an order was carried out, and read after
-// the engine's state had shown its effect. Dropped for it, a model or adapter counts as
-// gone, its place is given away a second time, and the engine is ordered to hold more
-// than it can.
+// asked for and not dropped: a registration that was written before an order and read after its
+// effect would have a place given away twice.
 func (e *engine) registered(now time.Time, s pool.Server) {
 	if s.Beat < e.server.Beat {
 		return
@@ -177,11 +173,8 @@
 	return lacks
 }
 
-// fits says whether an order may be sent by all that the engine may hold by now.
-//
-// Failure: an order without an answer acts late, or an adapter that is in use stays
-// while it is unloaded; the load planned in its place then exceeds what the engine
-// holds, which crashes it.
+// fits says whether an order may be sent by all that the engine may hold by now: an unload that
+// acts late, or waits for its users, leaves no room for the load that was planned in its place.
 func (e *engine) fits(c *contents, t task) bool {
 	if t.kind != galenastair.LoadModel {
 		return true
@@ -280,10 +273,8 @@
 	}
 	delete(items, t.name())
 	if t.adapter != "" {
-		// Failure: the answer is the same whether the adapter was unloaded now, which
-		// counts, or was not there. Counted too high, an order without an answer waits
-		// for a count that a later order brings, and acts on top of it: the engine then
-		// holds more than it can. Counted too low, an order is only refused.
+		// the answer does not say whether the adapter was there, so whether this counted;
+		// counted too high, a late order could act on top of others
 		e.unsure = true
 	}
 }
--- a/planner/need.go
+++ b/planner/need.go
@@ -82,10 +82,8 @@
 	return Promise{Server: best.server.ID, Ready: ready}, true
 }
 
-// foretellModel says when a model that is being loaded will answer, or may be loaded.
-//
-// Load: rare models that are asked for now and then, and loads of seconds. Harm: a caller that
-// is told to come back sooner is refused again, and gives up.
+// foretellModel says when a model that is being loaded will answer, or may be loaded: a caller
+// that is told to come back sooner is refused again, and gives up.
 func (s *site) foretellModel(now time.Time, m galenastair.ModelName) Promise {
 	for _, e := range s.engines {
 		it := e.models[m]
--- a/planner/order.go
+++ b/planner/order.go
@@ -95,9 +95,8 @@
 		p.drop(e, t)
 		return
 	case err != nil:
-		// Failure: an order without an answer may act seconds later. It presumes a
-		// sequence, so it can't act once another was accepted; the engine's state
-		// tells whether it has, and the same order is given again if not.
+		// it may act seconds later, but not once another order was accepted; the
+		// engine's state tells whether it has
 		e.unsure, e.rest = true, now.Add(lostRest)
 		e.lost, e.lostUntil = o.Sequence, now.Add(longestLate)
 		return
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -262,11 +262,8 @@
 // exchanges, in which those that ask it say so again.
 const absentFor = 1500 * time.Millisecond
 
-// noteAbsent takes in that nothing listens at some servers' addresses.
-//
-// Failure: an engine's process has crashed. Its registration stays for three of its beats,
-// and until then no copy of its models was made elsewhere: their requests were refused for
-// some four seconds before the load had even begun.
+// noteAbsent takes in that nothing listens at some servers' addresses. The registration of a
+// crashed process stays for three heartbeats; its models are loaded elsewhere before that.
 func (p *Planner) noteAbsent(now time.Time, ids []galenastair.BackendServerID) {
 	for _, id := range ids {
 		s, known := p.servers[id]
--- a/planner/site.go
+++ b/planner/site.go
@@ -193,10 +193,8 @@
 		fresh := newEngine(srv)
 		fresh.strict = s.strict
 		if e != nil && now.Before(e.lostUntil) {
-			// Failure: an order without an answer presumes the count of the start
-			// before. Once orders of the new start have brought it to that count, the
-			// late one acts on top of them, and the engine holds more than it can. So
-			// it is given none until that one can no longer act.
+			// an order without an answer would act once those of the new start have
+			// brought the count to the one that it presumes
 			fresh.rest, fresh.lost, fresh.lostUntil = e.lostUntil, e.lost, e.lostUntil
 		}
 		s.engines[srv.ID] = fresh
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -82,12 +82,8 @@
 }
 
 // EngineTime foretells for how long a request keeps one engine busy: the time in which it
-// reads the prompt, and a slot's part of the time in which it makes the answer.
-//
-// Load: models, engines and prompts that differ from one deployment to the next, in speed
-// and in what is kept of prompts. Harm: by a fixed speed idle engines count as overloaded,
-// copies of models are moved to and fro between them, and each move loses a copy for
-// seconds and what was kept of its prompts.
+// reads the prompt, and a slot's part of the time in which it makes the answer. Speeds are
+// observed: by a fixed one idle engines may count as overloaded, and copies are moved in vain.
 func (p *Pool) EngineTime(q Query) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
