--- a/cmd/galenastair/cmd_measure.go
+++ b/cmd/galenastair/cmd_measure.go
@@ -23,7 +23,7 @@
 	f := flag.NewFlagSet("measure", flag.ContinueOnError)
 	f.SetOutput(errOut)
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the loads; the same one gives the same figures")
-	f.StringVar(&o.Site, "site", "", "only this site: Himalbyte or Furnir")
+	f.StringVar(&o.Site, "site", "", "only this site: four-zones or three-zones")
 	f.StringVar(&o.Scenario, "scenario", "", "only this scenario")
 	f.IntVar(&o.Policies, "policies", 0, "only the first so many policies; 1 is ours alone")
 	accounts := f.Bool("accounts", false, "only the accounts of organisations on the users' platform")
--- a/measure/site.go
+++ b/measure/site.go
@@ -23,7 +23,7 @@
 	prompt float64
 	output float64
 	// capacity is the steady load, in requests a second, at which 95 in 100 calls of
-	// our policy still attain; found by a sweep with seed 1.
+	// our policy still attain.
 	capacity float64
 }
 
@@ -31,12 +31,12 @@
 // makes room for all models with their adapters some 1.6 times.
 var sites = []site{
 	{
-		name: "Himalbyte", zones: 4, engines: 9, entries: 6, models: 20, adaptersPerModel: 2,
+		name: "four-zones", zones: 4, engines: 9, entries: 6, models: 20, adaptersPerModel: 2,
 		memory: 54, loadsInFlight: 2, adaptersInFlight: 15,
 		shares: []float64{0.4, 0.3, 0.2, 0.07, 0.03}, prompt: 400, output: 120, capacity: 51,
 	},
 	{
-		name: "Furnir", zones: 3, engines: 9, entries: 9, models: 20, adaptersPerModel: 2,
+		name: "three-zones", zones: 3, engines: 9, entries: 9, models: 20, adaptersPerModel: 2,
 		memory: 54, loadsInFlight: 3, adaptersInFlight: 25,
 		shares: []float64{0.35, 0.3, 0.25, 0.05, 0.05}, prompt: 700, output: 80, capacity: 63,
 	},
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -20,12 +20,8 @@
 }
 
 // Shares admit requests by an instance's own part of each rate while the leader does not
-// answer.
-//
-// It is made for a leader that is lost under a full queue, and for a store that elects none
-// for long. The instances have their turns one after the other from when they lost the
-// leader, and an unused turn expires, so that a fleet of any size saves up no more than a few
-// requests.
+// answer. The instances have their turns one after the other from when they lost the leader,
+// and an unused turn expires, so that a fleet of any size saves up no more than a few requests.
 type Shares struct {
 	rng *rand.Rand
 
