gateway: a declined request does not end a limit (LIMIT)

What would be seen: a server in need whose queue is full declines without naming its limit, and gets requests at any rate until its next answer names it again. Change: only an answer to a request that it took ends a limit. Test: TestDeclineDoesNotEndALimit failed before (one turn asked for, two now).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -45,7 +45,9 @@
 		return r.failed(ctx, flight, err)
 	}
 	defer answer.Body.Close()
-	r.g.pool.NoteLimit(r.g.clock.Now(), choice.ID, answer.Limit, now)
+	if answer.Limit > 0 || !answer.Declined {
+		r.g.pool.NoteLimit(r.g.clock.Now(), choice.ID, answer.Limit, now)
+	}
 	if answer.Declined {
 		return r.declined(flight, choice, answer)
 	}
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -45,6 +45,19 @@
 	is.Equal(b.limits.asked[0].PerSecond, 1.0)
 }
 
+// A server that declines a request names no limit, as its queue is full, and the limit that it
+// has named ends.
+func TestDeclineDoesNotEndALimit(t *testing.T) {
+	is := is.New(t)
+	b := newBed(limited, declined(), whole(200, "done"), whole(200, "done"))
+	b.leaveOne()
+	for range 4 {
+		_, _, _ = b.serve(t, "/bid/1")
+	}
+	// the answer to the third request ends it
+	is.Equal(len(b.limits.asked), 2)
+}
+
 // The only server takes no more in the request's time: the request is held and then refused, or
 // refused without a time to come back.
 func TestNoTurnInTimeIsRefusedAtOnce(t *testing.T) {
