follow: a tail keeps the newest record of each key (CONFIG)

What callers saw: in a storm of configurations at 295 instances (large site) requests were handled by version 2 more than 4 s after version 4 was acknowledged; a withdrawn key or route would have gone on working as long.

Cause, one of three: an instance that passes the configuration on kept the last 256 KB of records, some four versions of 60 KB. Whoever was further behind got nothing from it, without a word in the log, and whoever was not got every version of those, of which only the last counts, over links of 20 Mbit/s.

Change: a tail keeps the newest record of each key, and says how many superseded ones it leaves out, so that a reader of any earlier position is sent one record and moves to the end. On the wire two fields more; a sender without them is read as before.

Evidence: TestTailKeepsTheNewestOfEachKey fails before (no record passed on); event=configuration of all instances.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -279,3 +279,51 @@
 	is.Equal(len(tail.Since(13).Records), 0)
 	is.Equal(tail.Since(20).End, galenastair.Offset(20))
 }
+
+// In a storm of versions the tail keeps only the last few, and whoever is behind those gets none.
+func TestTailKeepsTheNewestOfEachKey(t *testing.T) {
+	is := is.New(t)
+	const versions = 26
+	var source, next follow.Tail
+	for _, tail := range []*follow.Tail{&source, &next} {
+		tail.Add(galenastair.KeyedBatch{Next: 3, End: 3}, true)
+	}
+	for v := range versions {
+		r := galenastair.KeyedRecord{Key: "config", Value: make([]byte, 60<<10)}
+		r.Value[0] = byte(v)
+		at := galenastair.Offset(4 + v)
+		source.Add(galenastair.KeyedBatch{Records: []galenastair.KeyedRecord{r}, Next: at, End: at}, false)
+	}
+	// passed on by the one that got it
+	next.Add(source.All(3), false)
+	for _, tail := range []*follow.Tail{&source, &next} {
+		b := tail.All(5)
+		is.Equal(len(b.Records), 1)
+		is.Equal(b.Records[0].Value[0], byte(versions-1))
+		is.Equal(b.From(), galenastair.Offset(5))
+		is.Equal(b.Next, galenastair.Offset(3+versions))
+		is.Equal(len(tail.Since(5).Records), 0)
+		is.Equal(tail.Since(5).Next, galenastair.Offset(5))
+	}
+}
+
+// A hint with gaps moves a follower over the versions that it leaves out.
+func TestHintWithSupersededRecordsLeftOut(t *testing.T) {
+	is := is.New(t)
+	s, f, r := start(t)
+	s.Put(string(topic), "a", []byte("1"))
+	until(t, "the first", func() bool { return r.get("a") == "1" })
+	from, _ := f.Position()
+	var tail follow.Tail
+	tail.Add(galenastair.KeyedBatch{Next: from, End: from}, true)
+	for i, value := range []string{"2", "3", "4"} {
+		at := from + galenastair.Offset(i) + 1
+		tail.Add(galenastair.KeyedBatch{Records: []galenastair.KeyedRecord{{Key: "a", Value: []byte(value)}}, Next: at, End: at}, false)
+	}
+	until(t, "the newest", func() bool {
+		f.Tell(follow.Hint{KeyedBatch: tail.Since(from), AsOf: boottime.Now()})
+		return r.get("a") == "4"
+	})
+	at, _ := f.Position()
+	is.Equal(at, from+3)
+}
--- a/follow/hint.go
+++ b/follow/hint.go
@@ -48,14 +48,12 @@
 	if !f.know || f.clock().Sub(h.AsOf) > f.hintLife {
 		return false
 	}
-	first := h.Next - galenastair.Offset(len(h.Records))
 	switch {
 	case h.Changes != nil && h.Next <= f.from && f.from < h.End:
 		h.Changes()
 		f.moveTo(h.End)
-	case len(h.Records) > 0 && first <= f.from && h.Next > f.from:
-		fresh := galenastair.KeyedBatch{Records: h.Records[f.from-first:], Next: h.Next, End: h.End}
-		f.apply(fresh, false)
+	case len(h.Records) > 0 && h.From() <= f.from && h.Next > f.from:
+		f.apply(h.after(f.from), false)
 		f.moveTo(h.Next)
 	}
 	if f.from < h.End && !f.fetch(h) {
@@ -67,13 +65,29 @@
 	return true
 }
 
+// after returns what a hint tells from an offset on, which it has records of.
+func (h Hint) after(from galenastair.Offset) galenastair.KeyedBatch {
+	first := h.From()
+	b := galenastair.KeyedBatch{Next: h.Next, End: h.End}
+	for i, r := range h.Records {
+		if h.Skipped == 0 {
+			r.Offset = first + galenastair.Offset(i)
+		}
+		if r.Offset >= from {
+			b.Records = append(b.Records, r)
+		}
+	}
+	b.Skipped = b.Next - from - galenastair.Offset(len(b.Records))
+	return b
+}
+
 // fetch gets the records before a hint's end from another instance; false if it can't.
 func (f *Follower) fetch(h Hint) bool {
 	if h.Fetch == nil {
 		return false
 	}
 	b, err := h.Fetch(f.from)
-	if err != nil || b.Next-galenastair.Offset(len(b.Records)) != f.from {
+	if err != nil || b.From() != f.from {
 		f.logger.Log("event", "fetch", "topic", f.topic, "offset", f.from, "err", err)
 		return false
 	}
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -116,11 +116,8 @@
 		tail := planner.Tail{Topic: galenastair.Topic(t.Topic), Age: time.Duration(t.AgeMs) * time.Millisecond}
 		tail.Changes, tail.Changed = decodeChanges(t.Changes), t.Changed
 		tail.Peer, tail.Wait = t.Peer, t.Wait
-		tail.Next, tail.End = galenastair.Offset(t.From), galenastair.Offset(t.End)
-		for _, r := range t.Records {
-			tail.Records = append(tail.Records, galenastair.KeyedRecord{Key: r.Key, Value: r.Value, Offset: tail.Next})
-			tail.Next++
-		}
+		tail.KeyedBatch = decodeRecords(t.From, t.Skipped, t.Records)
+		tail.End = galenastair.Offset(t.End)
 		out = append(out, tail)
 	}
 	return out
--- a/peer/planning/fetch.go
+++ b/peer/planning/fetch.go
@@ -15,11 +15,7 @@
 	if err != nil {
 		return galenastair.KeyedBatch{}, err
 	}
-	b := galenastair.KeyedBatch{Next: galenastair.Offset(reply.From)}
-	for _, r := range reply.Records {
-		b.Records = append(b.Records, galenastair.KeyedRecord{Key: r.Key, Value: r.Value, Offset: b.Next})
-		b.Next++
-	}
+	b := decodeRecords(reply.From, reply.Skipped, reply.Records)
 	b.End = b.Next
 	return b, nil
 }
@@ -27,9 +23,27 @@
 // Fetch answers with what this instance has read.
 func (s *server) Fetch(_ context.Context, req *planningpb.Position) (*planningpb.Records, error) {
 	b := s.planner.Fetch(galenastair.Topic(req.Topic), galenastair.Offset(req.From))
-	out := &planningpb.Records{From: int64(b.Next) - int64(len(b.Records))}
-	for _, r := range b.Records {
-		out.Records = append(out.Records, &planningpb.Record{Key: r.Key, Value: r.Value})
+	return &planningpb.Records{From: int64(b.From()), Skipped: int64(b.Skipped), Records: encodeRecords(b.Records)}, nil
+}
+
+func encodeRecords(records []galenastair.KeyedRecord) []*planningpb.Record {
+	var out []*planningpb.Record
+	for _, r := range records {
+		out = append(out, &planningpb.Record{Key: r.Key, Value: r.Value, Offset: int64(r.Offset)})
+	}
+	return out
+}
+
+// decodeRecords takes the offsets of consecutive records from their place, as senders of
+// before there were gaps do not give them.
+func decodeRecords(from, skipped int64, records []*planningpb.Record) galenastair.KeyedBatch {
+	b := galenastair.KeyedBatch{Next: galenastair.Offset(from + skipped + int64(len(records))), Skipped: galenastair.Offset(skipped)}
+	for i, r := range records {
+		offset := galenastair.Offset(r.Offset)
+		if skipped == 0 {
+			offset = galenastair.Offset(from + int64(i))
+		}
+		b.Records = append(b.Records, galenastair.KeyedRecord{Key: r.Key, Value: r.Value, Offset: offset})
 	}
-	return out, nil
+	return b
 }
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -97,7 +97,8 @@
 	for _, t := range ts {
 		tail := &planningpb.Tail{
 			Topic:   string(t.Topic),
-			From:    int64(t.Next) - int64(len(t.Records)),
+			From:    int64(t.From()),
+			Skipped: int64(t.Skipped),
 			End:     int64(t.End),
 			AgeMs:   uint32(t.Age.Milliseconds()) + 1,
 			Changed: t.Changed,
@@ -105,9 +106,7 @@
 			Peer:    t.Peer,
 			Wait:    t.Wait,
 		}
-		for _, r := range t.Records {
-			tail.Records = append(tail.Records, &planningpb.Record{Key: r.Key, Value: r.Value})
-		}
+		tail.Records = encodeRecords(t.Records)
 		out = append(out, tail)
 	}
 	return out
--- a/store.go
+++ b/store.go
@@ -24,8 +24,14 @@
 	// them were not read yet.
 	Next Offset
 	End  Offset
+	// Skipped is how many records before Next were left out, each superseded by a later one
+	// of its key.
+	Skipped Offset
 }
 
+// From returns the offset that a read of consecutive records began at.
+func (b KeyedBatch) From() Offset { return b.Next - b.Skipped - Offset(len(b.Records)) }
+
 // ErrConflict says that the store did nothing, since the topic ends elsewhere than presumed.
 var ErrConflict = eris.New("the topic ends elsewhere")
 
