--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -327,3 +327,36 @@
 	at, _ := f.Position()
 	is.Equal(at, from+3)
 }
+
+// Versions come faster than they get around: what an instance has is a moment old and never
+// all there is, and it asks the store for each version itself.
+func TestHintsOfAStormSpareTheStore(t *testing.T) {
+	is := is.New(t)
+	s, f, r := start(t)
+	s.Put(string(topic), "a", []byte("1"))
+	until(t, "the first", func() bool { return r.get("a") == "1" })
+	at, _ := f.Position()
+	hint := func(behind time.Duration) {
+		now := boottime.Now()
+		f.Tell(follow.Hint{KeyedBatch: galenastair.KeyedBatch{Next: at, End: at + 1}, AsOf: now, FromAsOf: now.Add(-behind), Wait: true})
+	}
+	spared := func(behind time.Duration) bool {
+		calls := s.Calls("/v1/log-read")
+		for range 100 {
+			hint(behind)
+			time.Sleep(20 * time.Millisecond)
+		}
+		return s.Calls("/v1/log-read") == calls
+	}
+	until(t, "the poll under way ends", func() bool {
+		hint(0)
+		calls := s.Calls("/v1/log-read")
+		time.Sleep(120 * time.Millisecond)
+		return s.Calls("/v1/log-read") == calls
+	})
+	is.True(spared(500 * time.Millisecond))
+	age, _ := f.Age()
+	is.True(age >= 500*time.Millisecond && age < time.Second)
+	// too old a version is not gone by
+	is.True(!spared(3 * time.Second))
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -44,6 +44,7 @@
 	logger   log.Logger
 
 	confirmed atomic.Int64
+	history   confirmations
 	answered  atomic.Int64
 	// unanswered is when the last call that got no usable answer was sent; 0 if all did.
 	unanswered atomic.Int64
@@ -242,6 +243,7 @@
 func (f *Follower) confirm(sent boottime.Time) {
 	if int64(sent) > f.confirmed.Load() {
 		f.confirmed.Store(int64(sent))
+		f.history.add(f.from, sent)
 	}
 	f.started.Store(true)
 }
--- a/follow/hint.go
+++ b/follow/hint.go
@@ -16,6 +16,10 @@
 	// AsOf is when the store confirmed that the topic ended there, by this instance's
 	// clock: not later than it was.
 	AsOf boottime.Time
+	// FromAsOf is when the store last confirmed that the topic ended where the hint begins, as
+	// this instance had read it; 0 is not known. While records come faster than they get
+	// around, an instance never has all, and goes by how old what it has is.
+	FromAsOf boottime.Time
 	// Changes takes in what was told in another form than records, from Next to End; nil if
 	// nothing was.
 	Changes func()
@@ -56,15 +60,22 @@
 		f.apply(h.after(f.from), false)
 		f.moveTo(h.Next)
 	}
+	f.heard(h.AsOf)
+	if h.FromAsOf != 0 && h.From() <= f.from {
+		f.confirmHinted(h.FromAsOf)
+	}
 	if f.from < h.End && !f.fetch(h) {
 		return h.Wait
 	}
-	f.confirm(h.AsOf)
-	f.heard(h.AsOf)
-	f.hinted = max(f.hinted, h.AsOf)
+	f.confirmHinted(h.AsOf)
 	return true
 }
 
+func (f *Follower) confirmHinted(asOf boottime.Time) {
+	f.confirm(asOf)
+	f.hinted = max(f.hinted, asOf)
+}
+
 // after returns what a hint tells from an offset on, which it has records of.
 func (h Hint) after(from galenastair.Offset) galenastair.KeyedBatch {
 	first := h.From()
--- a/node/tails.go
+++ b/node/tails.go
@@ -84,17 +84,18 @@
 
 // tailFrom returns what follows a position; the age is from before it is looked up.
 func (f followed) tailFrom(from galenastair.Offset, age time.Duration) planner.Tail {
+	tail := planner.Tail{Topic: f.topic, Age: age}
+	if fromAge, ok := f.follower.AgeAt(from); ok {
+		tail.FromAge = fromAge
+	}
 	if f.tail != nil {
-		return planner.Tail{Topic: f.topic, KeyedBatch: f.tail.Since(from), Age: age}
+		tail.KeyedBatch = f.tail.Since(from)
+		return tail
 	}
 	changes, end, ok := f.since(from)
-	return planner.Tail{
-		Topic:      f.topic,
-		KeyedBatch: galenastair.KeyedBatch{Next: from, End: end},
-		Age:        age,
-		Changes:    changes,
-		Changed:    ok,
-	}
+	tail.KeyedBatch = galenastair.KeyedBatch{Next: from, End: end}
+	tail.Changes, tail.Changed = changes, ok
+	return tail
 }
 
 // positions returns how far this instance has read.
@@ -120,6 +121,9 @@
 				continue
 			}
 			h := follow.Hint{KeyedBatch: t.KeyedBatch, AsOf: sent.Add(-t.Age), Wait: t.Wait}
+			if t.FromAge > 0 {
+				h.FromAsOf = sent.Add(-t.FromAge)
+			}
 			if t.Peer != "" {
 				h.Fetch = func(from galenastair.Offset) (galenastair.KeyedBatch, error) { return fetch(t.Peer, t.Topic, from) }
 			}
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -113,7 +113,8 @@
 func decodeTails(ts []*planningpb.Tail) []planner.Tail {
 	var out []planner.Tail
 	for _, t := range ts {
-		tail := planner.Tail{Topic: galenastair.Topic(t.Topic), Age: time.Duration(t.AgeMs) * time.Millisecond}
+		tail := planner.Tail{Topic: galenastair.Topic(t.Topic)}
+		tail.Age, tail.FromAge = time.Duration(t.AgeMs)*time.Millisecond, time.Duration(t.FromAgeMs)*time.Millisecond
 		tail.Changes, tail.Changed = decodeChanges(t.Changes), t.Changed
 		tail.Peer, tail.Wait = t.Peer, t.Wait
 		tail.KeyedBatch = decodeRecords(t.From, t.Skipped, t.Records)
--- a/peer/planning/fetch.go
+++ b/peer/planning/fetch.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"time"
 
 	"galenastair"
 	"galenastair/peer/planningpb"
 )
 
+// fetchTimeout is for a record of the largest size over a small link that others share; one
+// that is given up is sent again, over the same link.
+const fetchTimeout = 800 * time.Millisecond
+
 // Fetch returns what another instance has read of a topic from an offset on.
 func (c *Client) Fetch(ctx context.Context, address string, t galenastair.Topic, from galenastair.Offset) (galenastair.KeyedBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	reply, err := c.at(address).Fetch(ctx, &planningpb.Position{Topic: string(t), From: int64(from)})
 	if err != nil {
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -96,15 +96,16 @@
 	var out []*planningpb.Tail
 	for _, t := range ts {
 		tail := &planningpb.Tail{
-			Topic:   string(t.Topic),
-			From:    int64(t.From()),
-			Skipped: int64(t.Skipped),
-			End:     int64(t.End),
-			AgeMs:   uint32(t.Age.Milliseconds()) + 1,
-			Changed: t.Changed,
-			Changes: encodeChanges(t.Changes),
-			Peer:    t.Peer,
-			Wait:    t.Wait,
+			Topic:     string(t.Topic),
+			From:      int64(t.From()),
+			Skipped:   int64(t.Skipped),
+			End:       int64(t.End),
+			AgeMs:     uint32(t.Age.Milliseconds()) + 1,
+			FromAgeMs: uint32((t.FromAge + time.Millisecond - 1).Milliseconds()),
+			Changed:   t.Changed,
+			Changes:   encodeChanges(t.Changes),
+			Peer:      t.Peer,
+			Wait:      t.Wait,
 		}
 		tail.Records = encodeRecords(t.Records)
 		out = append(out, tail)
--- a/planner/message.go
+++ b/planner/message.go
@@ -78,8 +78,10 @@
 type Tail struct {
 	Topic galenastair.Topic
 	galenastair.KeyedBatch
-	// Age is how long ago the store confirmed the end.
-	Age time.Duration
+	// Age is how long ago the store confirmed the end, and FromAge how long ago it confirmed
+	// the position that the reader reported to be the end; 0 if that is not known.
+	Age     time.Duration
+	FromAge time.Duration
 	// Changes are told in place of records, where Changed says so.
 	Changes []registry.Change
 	Changed bool
