--- a/place/fence.go
+++ b/place/fence.go
@@ -27,6 +27,41 @@
 	return l.records(now)
 }
 
+// engineState says whether a listed engine can be given orders, and if not, why.
+type engineState string
+
+const (
+	takesOrders  engineState = "TakesOrders"
+	notReported  engineState = "NotReported"
+	fenceNotSeen engineState = "FenceNotSeen"
+	noRecords    engineState = "NoRecords"
+)
+
+func (l *Leader) stateOf(now time.Time, id galenastair.BackendServerID) engineState {
+	r, reported := l.reports[id]
+	switch {
+	case !reported:
+		return notReported
+	case l.takesOrders(now, id):
+		return takesOrders
+	case r.ChecksFence:
+		return fenceNotSeen
+	}
+	return noRecords
+}
+
+// logStates logs each change of what keeps a listed engine from being given orders.
+func (l *Leader) logStates(now time.Time) {
+	for id := range l.servers {
+		state := l.stateOf(now, id)
+		if l.states[id] == state {
+			continue
+		}
+		l.states[id] = state
+		_ = l.logger.Log("event", "engine", "server", id, "state", state, "fence", l.fence, "shown", l.reports[id].HighestFence)
+	}
+}
+
 // raiseFences makes engines that check fences refuse what former leaders have sent.
 func (l *Leader) raiseFences(ctx context.Context, now time.Time) {
 	for _, id := range l.known() {
--- a/place/leader.go
+++ b/place/leader.go
@@ -77,6 +77,7 @@
 	orders    map[galenastair.OrderID]*ownOrder
 	seen      map[galenastair.OrderID]time.Time
 	looked    map[galenastair.BackendServerID]time.Time
+	states    map[galenastair.BackendServerID]engineState
 	slow      []galenastair.BackendServerID
 	counted   map[galenastair.InstanceID]map[galenastair.ModelName]float64
 }
@@ -137,6 +138,7 @@
 		orders:   map[galenastair.OrderID]*ownOrder{},
 		seen:     map[galenastair.OrderID]time.Time{},
 		looked:   map[galenastair.BackendServerID]time.Time{},
+		states:   map[galenastair.BackendServerID]engineState{},
 		counted:  map[galenastair.InstanceID]map[galenastair.ModelName]float64{},
 	}
 	for _, opt := range opts {
--- a/place/round.go
+++ b/place/round.go
@@ -27,8 +27,10 @@
 	if fence != l.fence {
 		l.fence = fence
 		l.planner = NewPlanner(l.settings)
+		clear(l.states)
 		_ = l.logger.Log("event", "leads", "fence", fence)
 	}
+	l.logStates(now)
 	l.settle(ctx, now)
 	l.raiseFences(ctx, now)
 	l.lookAfter(ctx, now)
--- a/quota/alone.go
+++ b/quota/alone.go
@@ -64,7 +64,7 @@
 }
 
 // beginAlone lets an account's own bucket be spent. It begins with what comes in later, in
-// advance, or with a part of the reserve, once in a window.
+// advance, or with a part of the reserve: one of them, once in a window.
 func (s *Share) beginAlone(now time.Time, name galenastair.Organisation, a *account) {
 	s.deal(now, a)
 	if a.alone {
@@ -80,6 +80,7 @@
 		s.deal(now, a)
 		a.own.add(a.rate * float64(s.part) * advance.Seconds())
 		a.own.at = a.advanced
+		a.wasAlone = now
 		return
 	}
 	if now.Sub(a.wasAlone) > s.terms.Window && !now.Before(s.reserveFrom) {
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -134,3 +134,28 @@
 	is.Equal(w.lent(), 0.0)
 	is.Equal(w.passed(), 0.0)
 }
+
+// Instances grant in advance, find a lender, lose it again within one window, and begin with a
+// part of the reserve on top.
+func TestNoReserveWithinAWindowOfAnAdvance(t *testing.T) {
+	is := is.New(t)
+	const rate = 20000.0
+	now := start
+	s := NewShare(terms)
+	s.SetContracts(now, contract(rate, rate))
+	s.Presume(now, "a", Note{Instances: []galenastair.InstanceID{"a"}, Moderate: []galenastair.Organisation{"org"}}, true)
+	s.Unheard(now)
+	for s.Take(now, "org", 100) {
+	}
+	now = now.Add(advance + time.Second)
+	s.SetStanding(now, Standing{Fleet: 1, Part: 1})
+	now = start.Add(terms.Window - time.Second)
+	s.SetStanding(now, Standing{Fleet: 1, Part: 1})
+	s.Unheard(now)
+	is.True(!s.Take(now, "org", 100))
+	// a window later the reserve is there again
+	now = start.Add(terms.Window + time.Second)
+	s.SetStanding(now, Standing{Fleet: 1, Part: 1})
+	s.Unheard(now)
+	is.True(s.Take(now, "org", 100))
+}
