quota: what an instance kept of its own part is void once the lender's bucket has filled (FLOODS)

Change: such a loan ends when the lender's bucket has taken in as much, after 0.4 s. TestOwnPartIsVoidOnceTheLendersBucketHasFilled fails before.

--- a/quota/alone.go
+++ b/quota/alone.go
@@ -30,7 +30,7 @@
 	}
 	ahead := a.rate * float64(s.part) * max(untilLent, a.advanced.Sub(now)).Seconds()
 	if n := min(a.own.level, ahead); n > 0 {
-		a.lend(now, n)
+		a.lend(now, n, untilLent)
 	}
 	a.own.level = min(a.own.level, 0)
 	a.own.at = time.Time{}
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -159,3 +159,20 @@
 	s.Unheard(now)
 	is.True(s.Take(now, "org", 100))
 }
+
+// What instances kept of their own parts was spent beside the full bucket of the lender that
+// they had found a second before.
+func TestOwnPartIsVoidOnceTheLendersBucketHasFilled(t *testing.T) {
+	is := is.New(t)
+	const rate = 20000.0
+	for _, after := range []time.Duration{0, untilLent - time.Millisecond, untilLent} {
+		now := start
+		s := NewShare(terms)
+		s.SetContracts(now, contract(rate, rate))
+		s.Presume(now, "a", Note{Instances: []galenastair.InstanceID{"a"}}, true)
+		s.Unheard(now)
+		now = now.Add(2 * time.Second)
+		s.SetStanding(now, Standing{Fleet: 1, Part: 1})
+		is.Equal(s.Take(now.Add(after), "org", 1000), after < untilLent)
+	}
+}
--- a/quota/share.go
+++ b/quota/share.go
@@ -19,7 +19,8 @@
 	// aheadRequests is how many requests must be expected in that time: below it, what
 	// is borrowed ahead mostly goes void while others lack it.
 	aheadRequests = 4
-	// untilLent is until when an instance needs what it holds after it has found a lender.
+	// untilLent is until when an instance needs what it holds after it has found a lender, whose
+	// bucket fills meanwhile.
 	untilLent = 400 * time.Millisecond
 	// demandMemory smooths the demand; a burst is seen within an exchange or two.
 	demandMemory = time.Second
@@ -131,13 +132,13 @@
 	}
 }
 
-// lend adds to the loan; one that has ended is not spent any more.
-func (a *account) lend(now time.Time, amount float64) {
+// lend adds to the loan, for a time; one that has ended is not spent any more.
+func (a *account) lend(now time.Time, amount float64, life time.Duration) {
 	if !now.Before(a.loanEnds) {
 		a.loan = 0
 	}
 	a.loan += amount
-	a.loanEnds = now.Add(loanLife)
+	a.loanEnds = now.Add(life)
 }
 
 // Fleet returns the number of instances, as far as is known.
@@ -266,7 +267,7 @@
 		a.denied = now.Add(min(deniedFor, wait))
 		return
 	}
-	a.lend(now, amount)
+	a.lend(now, amount, loanLife)
 }
 
 // Wait foretells when an organisation over its quota has room for a request: the time
