--- a/quota/alone.go
+++ b/quota/alone.go
@@ -11,7 +11,7 @@
 	part := float64(s.part)
 	a.own.fill(now)
 	rate := a.rate * part
-	if now.Sub(s.since) > aloneFor {
+	if now.Sub(s.since) > s.wholeFor() {
 		rate *= longAlone
 	}
 	size := a.own.room(a.most*part, a.largest)
@@ -19,6 +19,14 @@
 	a.own.set(rate, size)
 }
 
+// wholeFor is for how long this process spends its whole part while it is alone.
+func (s *Share) wholeFor() time.Duration {
+	if s.heard.IsZero() {
+		return startedAlone
+	}
+	return aloneFor
+}
+
 // endAlone keeps what the own part owes for the next time alone, and as a loan what it
 // holds in advance of its time, or of the last moment: the lender has little to lend before
 // the next exchange. What it holds besides, and a loan that has ended meanwhile, are of
--- a/quota/moderate.go
+++ b/quota/moderate.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -113,7 +112,7 @@
 		return Note{}, false
 	}
 	l.review(now)
-	n := Note{Instances: slices.Sorted(maps.Keys(l.heard))}
+	n := Note{Instances: l.namedInstances(now)}
 	for name, a := range l.accounts {
 		if a.wanted {
 			n.Moderate = append(n.Moderate, name)
@@ -123,6 +122,20 @@
 	return n, true
 }
 
+// namedInstances returns the instances whose processes may begin with their parts. One that was
+// not heard for aloneFor keeps its part for a while, but a process that starts in its place now
+// would still spend it when the part is dealt to others.
+func (l *Lender) namedInstances(now time.Time) []galenastair.InstanceID {
+	var out []galenastair.InstanceID
+	for id, h := range l.heard {
+		if now.Sub(h.at) <= aloneFor {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Noted takes in that a note stands on the platform.
 func (l *Lender) Noted(n Note) {
 	for name, a := range l.accounts {
--- a/quota/terms.go
+++ b/quota/terms.go
@@ -74,4 +74,9 @@
 	aloneFor  = 5 * time.Second
 	missedFor = 7 * time.Second
 	longAlone = 0.1
+	// startedAlone is for how long a process that no lender has answered yet spends its whole
+	// part: the next lender is there by then. The lender may have missed the process before
+	// it for a while; with aloneFor, after which the note names that no more, it is less than
+	// missedFor.
+	startedAlone = 2 * time.Second
 )
