--- a/place/fence.go
+++ b/place/fence.go
@@ -24,7 +24,7 @@
 	if l.reports[id].ChecksFence {
 		return l.ledger.Raised(id, l.fence)
 	}
-	return l.records(now)
+	return l.records(now) && now.Sub(l.unrecorded) >= failureRest
 }
 
 // engineState says whether a listed engine can be given orders, and if not, why.
--- a/place/leader.go
+++ b/place/leader.go
@@ -78,8 +78,11 @@
 	seen      map[galenastair.OrderID]time.Time
 	looked    map[galenastair.BackendServerID]time.Time
 	states    map[galenastair.BackendServerID]engineState
-	slow      []galenastair.BackendServerID
-	counted   map[galenastair.InstanceID]map[galenastair.ModelName]float64
+	waits     map[galenastair.ModelName]waiting
+	// unrecorded is when an order could last not be recorded.
+	unrecorded time.Time
+	slow       []galenastair.BackendServerID
+	counted    map[galenastair.InstanceID]map[galenastair.ModelName]float64
 }
 
 // Option varies a Leader.
--- a/place/order.go
+++ b/place/order.go
@@ -65,7 +65,14 @@
 	if o.unrecorded {
 		return o, nil
 	}
-	return o, l.record(ctx, o)
+	if err := l.record(ctx, o); err != nil {
+		return nil, errors.Join(err, l.noteUnrecorded(ctx))
+	}
+	return o, nil
+}
+
+func (l *Leader) noteUnrecorded(ctx context.Context) error {
+	return l.loop.Do(context.WithoutCancel(ctx), func() { l.unrecorded = l.clock.Now() })
 }
 
 // look asks the engine itself right before an order, and before an unload also one
--- a/place/round.go
+++ b/place/round.go
@@ -40,6 +40,23 @@
 	for _, s := range l.planner.Plan(l.input(now)) {
 		l.enqueue(ctx, s)
 	}
+	l.logWaits()
+}
+
+// logWaits logs what models without a ready copy wait for, when that changes.
+func (l *Leader) logWaits() {
+	now := l.planner.waits()
+	for name, w := range now {
+		if l.waits[name] != w {
+			_ = l.logger.Log("event", "unreachable", "model", name, "waits", w.why, "server", w.server)
+		}
+	}
+	for name := range l.waits {
+		if _, still := now[name]; !still {
+			_ = l.logger.Log("event", "reachable", "model", name)
+		}
+	}
+	l.waits = now
 }
 
 // lookAfter asks the engines with pending orders for a report of their own: only that
@@ -78,11 +95,7 @@
 	for {
 		var step Step
 		var more bool
-		err := l.loop.Do(ctx, func() {
-			if more = len(l.planned[id]) > 0; more {
-				step = l.planned[id][0]
-			}
-		})
+		err := l.loop.Do(ctx, func() { step, more = l.nextStep(id) })
 		if err != nil || !more {
 			return
 		}
@@ -97,6 +110,19 @@
 	}
 }
 
+// nextStep returns the step to carry out at a backend server; false if there is none. Steps for
+// one that takes no orders any more are dropped: queued, they would count as copies that come,
+// and their models be loaded nowhere else.
+func (l *Leader) nextStep(id galenastair.BackendServerID) (Step, bool) {
+	if !l.takesOrders(l.clock.Now(), id) {
+		delete(l.planned, id)
+	}
+	if len(l.planned[id]) == 0 {
+		return Step{}, false
+	}
+	return l.planned[id][0], true
+}
+
 // unplan takes the first step off; it reports whether there are more.
 func (l *Leader) unplan(id galenastair.BackendServerID) bool {
 	l.planned[id] = l.planned[id][1:]
