--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -176,7 +176,7 @@
 func (d *Dispatcher) Slow() []galenastair.BackendServerID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.core.Slow()
+	return d.core.Slow(d.clock.Now())
 }
 
 // Waiting returns the number of requests that wait for a backend server.
--- a/dispatch/flight.go
+++ b/dispatch/flight.go
@@ -102,4 +102,7 @@
 
 // Slow returns the backend servers that stay slow, failing or silent; placement puts
 // other copies of what they hold elsewhere.
-func (c *Core) Slow() []galenastair.BackendServerID { return c.router.Slow() }
+func (c *Core) Slow(now time.Time) []galenastair.BackendServerID {
+	c.router.Review(now)
+	return c.router.Slow()
+}
--- a/measure/placing.go
+++ b/measure/placing.go
@@ -71,7 +71,7 @@
 // slow asks the leader's own router, as the assembly does.
 func (p *placing) slow(id galenastair.BackendServerID) bool {
 	c, ok := p.f.entries[0].decider.(*dispatch.Core)
-	return ok && slices.Contains(c.Slow(), id)
+	return ok && slices.Contains(c.Slow(p.f.now), id)
 }
 
 func copyState(s galenastair.LoadState) place.CopyState {
--- a/route/review.go
+++ b/route/review.go
@@ -113,12 +113,16 @@
 	return xs[(len(xs)-1)/2]
 }
 
-// Slow returns the backend servers that were found slow, failing or silent again
-// right after they had been tried: those for which one bad moment is no explanation.
+// Slow returns the backend servers that are out since they were found slow, failing or
+// silent again right after they had been tried: those for which one bad moment is no
+// explanation. One that holds nothing is not among them after its rest: it can be tried
+// only where it is given something to hold.
 func (r *Router) Slow() []galenastair.BackendServerID {
 	var ids []galenastair.BackendServerID
 	for _, s := range r.list {
-		if s.health.rest > firstRest {
+		h := &s.health
+		triable := r.reviewed.After(h.until) && len(s.loaded) == 0
+		if h.out && h.rest > firstRest && !triable {
 			ids = append(ids, s.ID)
 		}
 	}
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -273,3 +273,43 @@
 		is.True(!r.servers[id(3)].health.out)
 	}
 }
+
+// A backend server crashes twice and comes back empty. It could be tried only by a request for
+// something that it holds, and was given nothing to hold while it had not been tried.
+func TestEmptyBackendServerIsNotSlowForGood(t *testing.T) {
+	is := is.New(t)
+	r := fleet(4, "m")
+	now := start
+	report := func(models ...galenastair.LoadedWeight) {
+		for i := range 4 {
+			r.servers[id(i)].reported = now
+		}
+		r.Report(now, galenastair.EngineReport{BackendServer: id(1), Loaded: models})
+	}
+	fail := func() {
+		for range failuresOut {
+			r.Sent(now, id(1), nil)
+			r.Done(now, id(1), End{Failed: true})
+		}
+		now = now.Add(reviewPeriod)
+		r.Review(now)
+	}
+	fail()
+	is.True(r.servers[id(1)].health.out)
+	now = now.Add(firstRest + time.Second)
+	r.servers[id(1)].health.putBack()
+	fail()
+	is.Equal(r.Slow(), []galenastair.BackendServerID{id(1)})
+	report()
+	now = now.Add(2*firstRest + time.Second)
+	report()
+	r.Review(now)
+	is.Equal(len(r.Slow()), 0)
+	// it holds a copy again, and is tried before more is put there
+	report(galenastair.LoadedWeight{Weight: galenastair.Weight{Name: "m"}, State: galenastair.Ready})
+	is.Equal(r.Slow(), []galenastair.BackendServerID{id(1)})
+	r.servers[id(1)].health.probing = true
+	r.Sent(now, id(1), nil)
+	r.FirstToken(now, id(1), 10*time.Millisecond, 10)
+	is.Equal(len(r.Slow()), 0)
+}
