planner: a request waits for the load of an adapter that is under way

What callers saw: 503, no copy is there or coming, for an adapter that was on its way. Of callers who come for one adapter together, through two instances, the first was promised it; the next was refused where no other engine with the model had a place.

Cause: the answer to Need looked for engines that hold the adapter, and then for one that does not have it; a load that is queued or whose order is not answered yet is neither.

Change: such a request is told where the adapter will be, and waits for the same order. An engine whose last order got no answer comes last. TestNeedWaitsForALoadUnderWay fails before.

--- a/planner/adapters.go
+++ b/planner/adapters.go
@@ -94,11 +94,11 @@
 	return n
 }
 
-// loadAdapter orders an adapter; false if no engine can take it now.
-func (s *site) loadAdapter(now time.Time, name galenastair.ModelName, why place.Reason, done chan<- bool) (*engine, bool) {
+// loadAdapter orders an adapter and returns who waits for it; nil if no engine can take it now.
+func (s *site) loadAdapter(now time.Time, name galenastair.ModelName, why place.Reason) (*engine, *waiters) {
 	e, drop := s.engineForAdapter(now, name)
 	if e == nil {
-		return nil, false
+		return nil, nil
 	}
 	if drop != "" {
 		m, a := splitName(drop)
@@ -106,9 +106,9 @@
 		s.index.moved(drop, -1)
 	}
 	m, a := splitName(name)
-	e.add(now, task{kind: galenastair.LoadModel, model: m, adapter: a, reason: why, done: done})
+	done := e.add(now, task{kind: galenastair.LoadModel, model: m, adapter: a, reason: why})
 	s.index.moved(name, 1)
-	return e, true
+	return e, done
 }
 
 // spreadAdapters gives adapters that are asked for a first copy, and busy ones more,
@@ -131,7 +131,7 @@
 				continue
 			}
 			if s.emptyPlace(m.Name, name) {
-				s.loadAdapter(now, name, place.Adapter, nil)
+				s.loadAdapter(now, name, place.Adapter)
 			}
 		}
 	}
@@ -155,7 +155,7 @@
 			if s.adapterCopies(name) > 0 || !s.emptyPlace(m.Name, name) {
 				continue
 			}
-			if _, ok := s.loadAdapter(now, name, place.Spare, nil); ok {
+			if e, _ := s.loadAdapter(now, name, place.Spare); e != nil {
 				left--
 			}
 		}
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -29,8 +29,8 @@
 	model   galenastair.ModelName
 	adapter string
 	reason  place.Reason
-	// done is told once the order was accepted or given up; it may be nil.
-	done chan<- bool
+	// done are told once the order was accepted or given up.
+	done *waiters
 }
 
 // name is the model's, or the adapter's behind a slash.
@@ -96,7 +96,7 @@
 func (e *engine) endTerm() {
 	for _, t := range e.tasks {
 		e.givenUp(t)
-		notify(t.done, false)
+		t.done.notify(false)
 	}
 	e.tasks = nil
 	e.strict = false
@@ -211,9 +211,21 @@
 }
 
 // add queues an order and counts what it may do at once.
-func (e *engine) add(now time.Time, t task) {
+func (e *engine) add(now time.Time, t task) *waiters {
 	e.count(now, t)
+	t.done = &waiters{}
 	e.tasks = append(e.tasks, t)
+	return t.done
+}
+
+// coming returns who waits for a load that is queued or under way; nil if none is.
+func (e *engine) coming(name galenastair.ModelName) *waiters {
+	for _, t := range e.tasks {
+		if t.kind == galenastair.LoadModel && t.name() == name {
+			return t.done
+		}
+	}
+	return nil
 }
 
 // count counts what a queued order may do.
--- a/planner/need.go
+++ b/planner/need.go
@@ -100,16 +100,48 @@
 // an unload, and the end of the requests that use what goes.
 const makingRoom = time.Second
 
-// fetch orders an adapter for a request that waits, and returns what tells its end.
+// fetch returns where an adapter will be, and what tells the end of its order: one that is under
+// way already, or else a new one. An engine whose last order got no answer comes last, since its
+// next order waits until its state is known.
 func (p *Planner) fetch(now time.Time, s *site, name galenastair.ModelName) (Promise, <-chan bool) {
+	unsure, pending := p.coming(s, name)
+	if pending != nil && !unsure {
+		return pending.promise()
+	}
 	if _, ok := p.lease.Order(); !ok {
-		return Promise{}, nil
+		return pending.promise()
 	}
-	done := make(chan bool, 1)
-	e, ok := s.loadAdapter(now, name, place.Unreachable, done)
-	if !ok {
-		return Promise{}, nil
+	e, done := s.loadAdapter(now, name, place.Unreachable)
+	if e == nil {
+		return pending.promise()
 	}
 	p.startEngine(now, s, e)
-	return Promise{Server: e.server.ID, Ready: adapterLoad}, done
+	return (&pendingLoad{e, done}).promise()
+}
+
+// pendingLoad is a load that an engine has been or will be ordered.
+type pendingLoad struct {
+	engine *engine
+	done   *waiters
+}
+
+// promise says where and when the load will be; nowhere if there is none.
+func (l *pendingLoad) promise() (Promise, <-chan bool) {
+	if l == nil {
+		return Promise{}, nil
+	}
+	return Promise{Server: l.engine.server.ID, Ready: adapterLoad}, l.done.add()
+}
+
+// coming finds a load of an adapter that is queued or under way, on an engine whose state is
+// known if there is one.
+func (p *Planner) coming(s *site, name galenastair.ModelName) (unsure bool, found *pendingLoad) {
+	for _, e := range s.engines {
+		done := e.coming(name)
+		if done == nil || !s.preferred(e) || found != nil && e.unsure {
+			continue
+		}
+		unsure, found = e.unsure, &pendingLoad{e, done}
+	}
+	return unsure, found
 }
--- a/planner/order.go
+++ b/planner/order.go
@@ -123,7 +123,7 @@
 
 func (p *Planner) finish(now time.Time, e *engine, t task) {
 	p.removeTask(e, t)
-	notify(t.done, true)
+	t.done.notify(true)
 	switch {
 	case t.kind == galenastair.UnloadModel:
 		p.announce(now, Placement{e.server.ID, t.name()}, true)
@@ -136,7 +136,7 @@
 	if p.removeTask(e, t) {
 		e.givenUp(t)
 	}
-	notify(t.done, false)
+	t.done.notify(false)
 }
 
 // removeTask takes a task off its queue; a new term may have emptied that meanwhile.
@@ -148,12 +148,6 @@
 	return true
 }
 
-func notify(done chan<- bool, taken bool) {
-	if done != nil {
-		done <- taken
-	}
-}
-
 // ask reads an engine's state where the outcome of an order is not known.
 func (p *Planner) ask(s *site, e *engine) {
 	e.running = true
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -248,3 +248,34 @@
 	_, err = b.planner.Borrow(t.Context(), quota.Ask{Organisation: "o", Amount: 1})
 	is.True(errors.Is(err, ErrNotPlanner))
 }
+
+// Callers of one adapter come at once, through two instances: the second was refused as if no
+// copy were coming, since only an engine without the adapter was looked for.
+func TestNeedWaitsForALoadUnderWay(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 2)
+	b.step(time.Second)
+	b.step(time.Second)
+	b.do(func() {
+		for id, e := range b.planner.sites["writer"].engines {
+			clear(e.adapters)
+			sim := b.world.sims[string(id)]
+			for m := range sim.models {
+				sim.models[m] = nil
+			}
+		}
+	})
+	var promises [3]Promise
+	var waits [3]<-chan bool
+	b.do(func() {
+		for i := range promises {
+			promises[i], waits[i] = b.planner.need("m3/a2")
+		}
+	})
+	b.settle()
+	for i := range promises {
+		is.True(promises[i].Server != "")
+		is.Equal(promises[i].Server, promises[0].Server)
+		is.True(<-waits[i])
+	}
+}
