--- a/place/board.go
+++ b/place/board.go
@@ -151,6 +151,22 @@
 	return n
 }
 
+// strands says whether an adapter has no copy, and all copies of its base are on backend servers
+// that take no orders.
+func (m *boardModel) strands() bool {
+	for _, c := range m.copies {
+		if c.lasting() && c.server.takes() {
+			return false
+		}
+	}
+	for _, a := range m.adapters {
+		if a.lasting() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // readyBeside says whether another copy answers if the one on s goes.
 func (m *boardModel) readyBeside(s *boardServer) bool {
 	for _, c := range m.copies {
--- a/place/planner.go
+++ b/place/planner.go
@@ -116,12 +116,13 @@
 }
 
 // reachModels gives every model that is asked for, or every other, a first copy that
-// will stay: also those whose only backend server leaves. Those that nobody asks for
-// come after the relief of busy ones: callers wait there now.
+// will stay: also those whose only backend server leaves, and those whose adapters can be
+// loaded beside none of their copies. Those that nobody asks for come after the relief of busy
+// ones: callers wait there now.
 func (p *Planner) reachModels(asked bool) {
 	var need []*boardModel
 	for _, m := range p.board.base {
-		if m.lasting() == 0 && !p.wanted(m) && p.asked(m) == asked {
+		if (m.lasting() == 0 || m.strands()) && !p.wanted(m) && p.asked(m) == asked {
 			need = append(need, m)
 		}
 	}
--- a/place/planner_test.go
+++ b/place/planner_test.go
@@ -282,3 +282,23 @@
 		is.True(s.Kind != galenastair.UnloadModel)
 	}
 }
+
+// An adapter has lost its only copy, and its base stands only on a backend server that takes no
+// orders in an outage of the log: nothing was loaded until the log was back.
+func TestAdapterOfAClosedBackendServerIsLoadedElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 1, 1, 30)
+	f.servers[0].Closed = true
+	f.servers[0].Copies = []Copy{{f.catalogue[0], Ready}}
+	f.servers[0].Free -= f.catalogue[0].Memory
+	settings := DefaultSettings()
+	settings.Spares = false
+	p := NewPlanner(settings)
+	for range 40 {
+		f.round(p, 250*time.Millisecond)
+	}
+	is.Equal(f.unreachable(), nil)
+	for _, s := range f.steps {
+		is.True(s.Server != f.servers[0].ID)
+	}
+}
