planner: a leader says where models are while it can't renew its lease

What callers saw: 503, the planner can't be asked, for a model or adapter that an engine holds, through an instance that had not heard of it yet, while the store is slow for more than the lease's 1.3 s.

Cause: Need asked for the lease, as orders do; exchanges and loans go on for 6 s without it, as what is lent or told does not depend on there being one leader. So a request passed the quota and was then refused its place.

Change: Need is answered as long as exchanges are; a new load still needs the lease. TestNeedIsAnsweredWhileTheLeaseCannotBeRenewed fails before.

--- a/node/sources_test.go
+++ b/node/sources_test.go
@@ -50,7 +50,6 @@
 	for i := range fleet {
 		fleet[i].next = begin.Add(period * time.Duration(i) / time.Duration(instances))
 	}
-	name := func(i int) string { return strconv.Itoa(i) }
 	worst := time.Duration(0)
 	for now := begin; now.Sub(begin) < length; now = now.Add(step) {
 		end := galenastair.Offset(now.Sub(begin) / gap)
@@ -67,7 +66,7 @@
 				continue
 			}
 			f.next = now.Add(period)
-			switch d := s.direct(now, "z", name(i), f.position, end); {
+			switch d := s.direct(now, "z", strconv.Itoa(i), f.position, end); {
 			case d.Peer != "":
 				n, _ := strconv.Atoi(d.Peer)
 				source := &fleet[n]
--- a/planner/need.go
+++ b/planner/need.go
@@ -9,13 +9,14 @@
 )
 
 // Need promises a place for a model or adapter that a request waits for. For an
-// adapter it waits until its order was taken; for a model it foretells its load.
+// adapter it waits until its order was taken; for a model it foretells its load. Where one is
+// held is told also while the lease can't be renewed.
 func (p *Planner) Need(ctx context.Context, name galenastair.ModelName) (Promise, error) {
 	var promise Promise
 	var wait <-chan bool
 	err := ErrNotPlanner
 	doErr := p.loop.Do(ctx, func() {
-		if p.lease.Holds() {
+		if p.lease.Hosts() {
 			promise, wait = p.need(name)
 			err = nil
 		}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -279,3 +279,28 @@
 		is.True(<-waits[i])
 	}
 }
+
+// lapsed is the lease of a leader that can't renew it for a moment.
+type lapsed struct{ holder }
+
+func (*lapsed) Order() (galenastair.Fence, bool) { return 0, false }
+func (*lapsed) Holds() bool                      { return false }
+func (*lapsed) Hosts() bool                      { return true }
+
+// The store is slow for a second: callers were refused a model that an engine holds, by
+// instances that had not heard of it yet, since the leader did not say where it is.
+func TestNeedIsAnsweredWhileTheLeaseCannotBeRenewed(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 2)
+	b.step(time.Second)
+	b.step(time.Second)
+	b.do(func() { b.planner.lease = &lapsed{} })
+	promise, err := b.planner.Need(t.Context(), "m3")
+	is.NoErr(err)
+	is.Equal(promise.Server, galenastair.BackendServerID("e1"))
+	// nothing new is ordered meanwhile
+	b.do(func() { clear(b.planner.sites["writer"].engines["e1"].adapters) })
+	promise, err = b.planner.Need(t.Context(), "m3/a2")
+	is.NoErr(err)
+	is.Equal(promise.Server, galenastair.BackendServerID(""))
+}
