--- a/quota/alone.go
+++ b/quota/alone.go
@@ -11,7 +11,7 @@
 	part := float64(s.part)
 	a.own.fill(now)
 	rate := a.rate * part
-	if now.Sub(s.since) > s.wholeFor() {
+	if now.Sub(s.since) > s.fullPartFor() {
 		rate *= longAlone
 	}
 	size := a.own.room(a.most*part, a.largest)
@@ -19,8 +19,8 @@
 	a.own.set(rate, size)
 }
 
-// wholeFor is for how long this process spends its whole part while it is alone.
-func (s *Share) wholeFor() time.Duration {
+// fullPartFor is for how long this process spends its whole part while it is alone.
+func (s *Share) fullPartFor() time.Duration {
 	if s.heard.IsZero() {
 		return startedAlone
 	}
@@ -62,8 +62,8 @@
 }
 
 func (s *Share) goAlone(now time.Time) {
-	if !s.alone {
-		s.since = now
+	if !s.alone && s.dealt {
+		s.since, s.dealt = now, false
 	}
 	s.alone = true
 	for name, a := range s.accounts {
--- a/quota/pass.go
+++ b/quota/pass.go
@@ -78,7 +78,7 @@
 	defer s.mu.Unlock()
 	s.heard = now
 	if told.Fleet > 0 {
-		s.fleet, s.part = told.Fleet, told.Part
+		s.fleet, s.part, s.dealt = told.Fleet, told.Part, true
 	}
 	if told.Version != s.version {
 		s.version = told.Version
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -176,3 +176,29 @@
 		is.Equal(s.Take(now.Add(after), "org", 1000), after < untilLent)
 	}
 }
+
+// An instance that was cut off long enough for its part to be dealt to others meets a lender that
+// does not know the fleet yet, loses it, and spent its whole old part anew.
+func TestPartThatNoLenderHasDealtAgainIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	const rate = 20000.0
+	now := start
+	s := NewShare(terms)
+	s.SetContracts(now, contract(rate, rate))
+	s.SetStanding(now, Standing{Fleet: 2, Part: 0.5})
+	own := func() float64 {
+		s.Unheard(now)
+		s.Take(now, "org", 1)
+		return s.accounts["org"].own.rate
+	}
+	whole := own()
+	now = now.Add(missedFor)
+	spent := own()
+	is.True(spent < whole/2)
+	s.SetStanding(now, Standing{})
+	now = now.Add(time.Second)
+	is.Equal(own(), spent)
+	s.SetStanding(now, Standing{Fleet: 2, Part: 0.5})
+	now = now.Add(time.Second)
+	is.Equal(own(), whole)
+}
--- a/quota/share.go
+++ b/quota/share.go
@@ -52,8 +52,10 @@
 	part  Part
 	heard time.Time
 	alone bool
-	// since is when it last began to be alone.
+	// since is when it began to be alone after a lender had last dealt it its part, and dealt
+	// that one has since.
 	since time.Time
+	dealt bool
 	// passed is up to when its part was passed on to a lender, or spent alone.
 	passed time.Time
 	// reserveFrom is from when it may begin with a part of the reserve.
@@ -92,7 +94,7 @@
 
 // NewShare returns a share without contracts.
 func NewShare(t Terms, opts ...ShareOption) *Share {
-	s := &Share{terms: t, chance: rand.Float64, accounts: map[galenastair.Organisation]*account{}, part: wholeBy(firstFleet),
+	s := &Share{terms: t, chance: rand.Float64, accounts: map[galenastair.Organisation]*account{}, part: wholeBy(firstFleet), dealt: true,
 		moderate: map[galenastair.Organisation]bool{}}
 	for _, o := range opts {
 		o(s)
