--- a/place/board.go
+++ b/place/board.go
@@ -151,9 +151,9 @@
 	return n
 }
 
-// strands says whether an adapter has no copy, and all copies of its base are on backend servers
+// hasStrandedAdapter says whether an adapter has no copy, and all copies of its base are on backend servers
 // that take no orders.
-func (m *boardModel) strands() bool {
+func (m *boardModel) hasStrandedAdapter() bool {
 	for _, c := range m.copies {
 		if c.lasting() && c.server.takes() {
 			return false
--- a/place/fence.go
+++ b/place/fence.go
@@ -24,7 +24,7 @@
 	if l.reports[id].ChecksFence {
 		return l.ledger.Raised(id, l.fence)
 	}
-	return l.records(now) && now.Sub(l.unrecorded) >= failureRest
+	return l.records(now) && now.Sub(l.recordFailed) >= failureRest
 }
 
 // engineState says whether a listed engine can be given orders, and if not, why.
@@ -37,7 +37,7 @@
 	noRecords    engineState = "NoRecords"
 )
 
-func (l *Leader) stateOf(now time.Time, id galenastair.BackendServerID) engineState {
+func (l *Leader) engineStateOf(now time.Time, id galenastair.BackendServerID) engineState {
 	r, reported := l.reports[id]
 	switch {
 	case !reported:
@@ -53,7 +53,7 @@
 // logStates logs each change of what keeps a listed engine from being given orders.
 func (l *Leader) logStates(now time.Time) {
 	for id := range l.servers {
-		state := l.stateOf(now, id)
+		state := l.engineStateOf(now, id)
 		if l.states[id] == state {
 			continue
 		}
--- a/place/leader.go
+++ b/place/leader.go
@@ -79,10 +79,10 @@
 	looked    map[galenastair.BackendServerID]time.Time
 	states    map[galenastair.BackendServerID]engineState
 	waits     map[galenastair.ModelName]waiting
-	// unrecorded is when an order could last not be recorded.
-	unrecorded time.Time
-	slow       []galenastair.BackendServerID
-	counted    map[galenastair.InstanceID]map[galenastair.ModelName]float64
+	// recordFailed is when an order could last not be recorded.
+	recordFailed time.Time
+	slow         []galenastair.BackendServerID
+	counted      map[galenastair.InstanceID]map[galenastair.ModelName]float64
 }
 
 // Option varies a Leader.
--- a/place/leader_test.go
+++ b/place/leader_test.go
@@ -29,6 +29,7 @@
 	leader *Leader
 	fence  atomic.Int64
 	down   atomic.Bool
+	hangs  atomic.Bool
 	// folded runs on the control loop after each record.
 	folded func(galenastair.Record)
 
@@ -108,6 +109,10 @@
 	if b.down.Load() {
 		return 0, galenastair.ErrAppendRefused
 	}
+	if b.hangs.Load() {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	var rec galenastair.Record
 	_ = json.Unmarshal(data, &rec)
 	b.mu.Lock()
@@ -324,3 +329,29 @@
 	defer b.mu.Unlock()
 	is.Equal(len(b.orders), 2)
 }
+
+// The log refuses records, which reads tell seconds later, and each round chose the engine that
+// ignores fences again: the model had no copy though an engine that checks them had room.
+func TestRefusedRecordSendsLoadsElsewhere(t *testing.T) {
+	b := newBench(t, 2, 1)
+	b.mu.Lock()
+	b.engines["a0"].MemoryTotal = 50
+	b.engines["a1"].ChecksFence = true
+	b.mu.Unlock()
+	b.down.Store(true)
+	b.fence.Store(7)
+	b.eventually("the model and its adapter ready", b.allReady)
+}
+
+// The log hangs under the first of two loads on an engine that ignores fences. The second, queued
+// behind it, counted as a copy on its way until it had hung as well.
+func TestHungRecordDoesNotHoldQueuedLoads(t *testing.T) {
+	b := newBench(t, 2, 2)
+	b.mu.Lock()
+	b.engines["a0"].MemoryTotal = 50
+	b.engines["a1"].ChecksFence = true
+	b.mu.Unlock()
+	b.hangs.Store(true)
+	b.fence.Store(7)
+	b.eventually("both models and their adapters ready", b.allReady)
+}
--- a/place/order.go
+++ b/place/order.go
@@ -66,13 +66,13 @@
 		return o, nil
 	}
 	if err := l.record(ctx, o); err != nil {
-		return nil, errors.Join(err, l.noteUnrecorded(ctx))
+		return nil, errors.Join(err, l.noteRecordFailed(ctx))
 	}
 	return o, nil
 }
 
-func (l *Leader) noteUnrecorded(ctx context.Context) error {
-	return l.loop.Do(context.WithoutCancel(ctx), func() { l.unrecorded = l.clock.Now() })
+func (l *Leader) noteRecordFailed(ctx context.Context) error {
+	return l.loop.Do(context.WithoutCancel(ctx), func() { l.recordFailed = l.clock.Now() })
 }
 
 // look asks the engine itself right before an order, and before an unload also one
--- a/place/planner.go
+++ b/place/planner.go
@@ -122,7 +122,7 @@
 func (p *Planner) reachModels(asked bool) {
 	var need []*boardModel
 	for _, m := range p.board.base {
-		if (m.lasting() == 0 || m.strands()) && !p.wanted(m) && p.asked(m) == asked {
+		if (m.lasting() == 0 || m.hasStrandedAdapter()) && !p.wanted(m) && p.asked(m) == asked {
 			need = append(need, m)
 		}
 	}
@@ -254,55 +254,6 @@
 	}
 }
 
-// Wait says what a model without a ready copy waits for.
-type Wait string
-
-// What a model may wait for.
-const (
-	// Loading is a copy that is ordered or on its way.
-	Loading Wait = "Loading"
-	// MakingRoom is the unload of other copies.
-	MakingRoom Wait = "MakingRoom"
-	// Paced is the weight store's limit.
-	Paced Wait = "Paced"
-	// NoRoom is memory on a backend server that takes orders.
-	NoRoom Wait = "NoRoom"
-)
-
-// waits returns what each model without a ready copy waits for after this round, and where.
-func (p *Planner) waits() map[galenastair.ModelName]waiting {
-	out := map[galenastair.ModelName]waiting{}
-	for _, m := range p.board.base {
-		if !m.readyBeside(nil) {
-			out[m.weight.Name] = p.waitOf(m)
-		}
-	}
-	return out
-}
-
-// waiting is a wait and the backend server that it is for, if any.
-type waiting struct {
-	why    Wait
-	server galenastair.BackendServerID
-}
-
-func (p *Planner) waitOf(m *boardModel) waiting {
-	for _, c := range m.copies {
-		if c.state == Coming {
-			return waiting{Loading, c.server.ID}
-		}
-	}
-	for id, s := range p.swaps {
-		if s.want == m.weight.Name {
-			return waiting{MakingRoom, id}
-		}
-	}
-	if !p.mayLoad() {
-		return waiting{why: Paced}
-	}
-	return waiting{why: NoRoom}
-}
-
 // forget drops what no longer bears on a decision.
 func (p *Planner) forget() {
 	for k, at := range p.added {
--- a/place/round.go
+++ b/place/round.go
@@ -48,7 +48,7 @@
 	now := l.planner.waits()
 	for name, w := range now {
 		if l.waits[name] != w {
-			_ = l.logger.Log("event", "unreachable", "model", name, "waits", w.why, "server", w.server)
+			_ = l.logger.Log("event", "unreachable", "model", name, "waits", w.reason, "server", w.server)
 		}
 	}
 	for name := range l.waits {
