--- a/follow/hint.go
+++ b/follow/hint.go
@@ -62,16 +62,16 @@
 	}
 	f.heard(h.AsOf)
 	if h.FromAsOf != 0 && h.From() <= f.from {
-		f.confirmHinted(h.FromAsOf)
+		f.confirmByHint(h.FromAsOf)
 	}
 	if f.from < h.End && !f.fetch(h) {
 		return h.Wait
 	}
-	f.confirmHinted(h.AsOf)
+	f.confirmByHint(h.AsOf)
 	return true
 }
 
-func (f *Follower) confirmHinted(asOf boottime.Time) {
+func (f *Follower) confirmByHint(asOf boottime.Time) {
 	f.confirm(asOf)
 	f.hinted = max(f.hinted, asOf)
 }
--- a/node/sources.go
+++ b/node/sources.go
@@ -47,11 +47,11 @@
 	Peer string
 }
 
-// direct notes how far an instance has read and says where it gets the rest.
+// direct records how far an instance has read and says where it gets the rest.
 func (s *sources) direct(now boottime.Time, zone galenastair.AvailabilityZone, address string, position, end galenastair.Offset) direction {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own := s.note(now, zone, address, position)
+	own := s.record(now, zone, address, position)
 	if position >= end {
 		return direction{}
 	}
@@ -67,8 +67,8 @@
 	return direction{}
 }
 
-// note takes in a report, and forgets the instances that report no more.
-func (s *sources) note(now boottime.Time, zone galenastair.AvailabilityZone, address string, position galenastair.Offset) *reader {
+// record takes in a report, and forgets the instances that report no more.
+func (s *sources) record(now boottime.Time, zone galenastair.AvailabilityZone, address string, position galenastair.Offset) *reader {
 	if s.zones == nil {
 		s.zones = map[galenastair.AvailabilityZone]map[string]*reader{}
 	}
