member: a member that stops in an outage of the log is declared once the log is back

Cause: a leave is a record only. Promises of an outage run for Timing.Outage, and what ends them early is a process with another token at the same address; one that stopped for good has none. Ruled out: the watcher's probe (answers as long as the stopping process does, under its own token).

Change: with each leave record a stopped member sends its watcher a heartbeat that wants no promise. The watcher may declare it as soon as the log answers. Safe as a leave record is: it is sent after the lease has been stopped, and whoever takes over a duty waits as after a leave.

--- a/member/action.go
+++ b/member/action.go
@@ -25,7 +25,7 @@
 	Watch galenastair.Epoch
 	// Sent is a reading of the sender's clock.
 	Sent time.Time
-	// Want is how long a promise it asks for.
+	// Want is how long a promise it asks for; zero from one that has stopped acting on any.
 	Want time.Duration
 	// Claim is how long its lease runs from Sent; from now on only answers to
 	// this heartbeat and later ones, and renewals, can make it longer.
--- a/member/node.go
+++ b/member/node.go
@@ -217,6 +217,7 @@
 	}
 	n.askedAt = now
 	n.append(KindLeave, Leave{Incarnation: n.self.Incarnation})
+	n.release(now)
 }
 
 // Left says whether the instance is no member after Leave.
--- a/member/node_absence.go
+++ b/member/node_absence.go
@@ -26,6 +26,8 @@
 	silent   map[Incarnation]span
 	unlisted map[Incarnation]span
 	replaced map[Incarnation]bool
+	// released holds the members that have said that they act on no promise any more.
+	released map[Incarnation]bool
 	// gone holds since when an earlier watcher is known to be dead.
 	gone     map[Incarnation]time.Time
 	probedAt time.Time
@@ -41,6 +43,7 @@
 		silent:   make(map[Incarnation]span),
 		unlisted: make(map[Incarnation]span),
 		replaced: make(map[Incarnation]bool),
+		released: make(map[Incarnation]bool),
 		gone:     make(map[Incarnation]time.Time),
 	}
 }
@@ -84,6 +87,7 @@
 	maps.DeleteFunc(n.absence.silent, func(inc Incarnation, _ span) bool { return outside(inc) })
 	maps.DeleteFunc(n.absence.unlisted, func(inc Incarnation, _ span) bool { return outside(inc) })
 	maps.DeleteFunc(n.absence.replaced, func(inc Incarnation, _ bool) bool { return outside(inc) })
+	maps.DeleteFunc(n.absence.released, func(inc Incarnation, _ bool) bool { return outside(inc) })
 	maps.DeleteFunc(n.absence.gone, func(inc Incarnation, _ time.Time) bool { return outside(inc) })
 	maps.DeleteFunc(n.heard, func(inc Incarnation, _ int64) bool { return outside(inc) })
 	maps.DeleteFunc(n.renewed, func(inc Incarnation, _ time.Time) bool { return outside(inc) })
--- a/member/node_lease.go
+++ b/member/node_lease.go
@@ -28,13 +28,25 @@
 	if len(n.state.Ring) < 2 {
 		return
 	}
-	watcher, _ := n.state.Watcher(n.self.Incarnation)
-	me, _ := n.state.Find(n.self.Incarnation)
 	want := n.timing.Outage
 	if n.logFresh(now) {
 		want = n.timing.Lease
 		n.renounce(now)
 	}
+	n.ask(now, want)
+}
+
+// release lets the watcher declare this stopped member as soon as the log answers: in an
+// outage the record that it leaves may never be written, and promises run for minutes.
+func (n *Node) release(now time.Time) {
+	if len(n.state.Ring) > 1 {
+		n.ask(now, 0)
+	}
+}
+
+func (n *Node) ask(now time.Time, want time.Duration) {
+	watcher, _ := n.state.Watcher(n.self.Incarnation)
+	me, _ := n.state.Find(n.self.Incarnation)
 	n.beats++
 	n.out = append(n.out, SendHeartbeat{To: watcher, Beat: Heartbeat{
 		From: n.self.Incarnation, To: watcher.Incarnation, Number: n.beats, Watch: me.WatchedSince, Sent: now,
--- a/member/node_watch.go
+++ b/member/node_watch.go
@@ -44,6 +44,10 @@
 // the next watcher beyond the time of a promise. None is given while an own lapse
 // is in doubt: it would revive a lease that the record may already have ended.
 func (n *Node) Promise(now time.Time, beat Heartbeat) time.Duration {
+	if beat.Want == 0 {
+		n.absence.released[beat.From] = true
+		return 0
+	}
 	if !n.holds(now) && !n.rules.promiseWithoutLease {
 		return 0
 	}
@@ -94,7 +98,8 @@
 	if !ok || m.Incarnation == n.self.Incarnation || n.declaring != nil || n.stopping {
 		return
 	}
-	if !n.logFresh(now) || !n.absence.replaced[m.Incarnation] && !n.promisesEnded(now, m) {
+	ended := n.absence.replaced[m.Incarnation] || n.absence.released[m.Incarnation]
+	if !n.logFresh(now) || !ended && !n.promisesEnded(now, m) {
 		return
 	}
 	n.declaring = n.doubtOf(m, KindLapse, Lapse{
--- a/member/restart_test.go
+++ b/member/restart_test.go
@@ -32,3 +32,21 @@
 	})
 	is.True(time.Since(begin) < timing.Outage/4)
 }
+
+// A member that was told to stop while the log is down, and whose leave is lost, stays next in
+// line for each duty until the promise for an outage ends.
+func TestStopInAnOutageIsDeclaredSoonAfterIt(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l, timing := newFakeLog(), quick()
+	timing.Outage = time.Minute
+	all := startThree(t, l, WithTiming(timing))
+	l.setDown(true)
+	time.Sleep(quick().Contact + followWait + 3*quick().Heartbeat) // promises are long by now
+	is.True(all[1].Leave(t.Context()) != nil)
+	all[1].kill()
+	l.setDown(false)
+	begin := time.Now()
+	eventually(t, "the stopped member is declared", func() bool { return all[0].members() == 2 })
+	is.True(time.Since(begin) < timing.Outage/4)
+}
