place: a load that meets an engine without the fence waits for the fence alone

Cause: carryOut asks the engine right before an order, sees that it no longer shows the fence, and fails with errNotRaised; work rests failureRest then, with the step still planned, so that its model counts as on its way and is loaded nowhere else. The fence is raised within half a second. After raising, the report that shows it was waited for until the next look, another half second.

Change: no rest after errNotRaised (the engine is closed to the planner until it shows the fence, its queue is dropped), the fence is raised at the next tick, and the engine is asked right after it. Ruled out: a loop without a pause: each further try takes a raise and a round.

--- a/place/fence.go
+++ b/place/fence.go
@@ -96,8 +96,9 @@
 		BackendServer: id,
 		Kind:          galenastair.UnloadModel,
 	})
-	if errors.Is(err, galenastair.ErrDeclined) {
-		return nil
+	if err != nil && !errors.Is(err, galenastair.ErrDeclined) {
+		return err
 	}
+	_, err = l.ask(ctx, id)
 	return err
 }
--- a/place/leader_test.go
+++ b/place/leader_test.go
@@ -355,3 +355,19 @@
 	b.fence.Store(7)
 	b.eventually("both models and their adapters ready", b.allReady)
 }
+
+// An engine that checks fences is started again, empty and without the fence: the load that met
+// this rested like one that had failed, and its model had no copy meanwhile.
+func TestRestartedEngineIsLoadedOnceItShowsTheFence(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 1)
+	b.checkFences()
+	b.fence.Store(7)
+	b.eventually("the model and its adapter ready", b.allReady)
+	b.mu.Lock()
+	b.engines["a0"].Loaded, b.engines["a0"].HighestFence = nil, 0
+	b.mu.Unlock()
+	begin := time.Now()
+	b.eventually("the model and its adapter ready again", b.allReady)
+	is.True(time.Since(begin) < failureRest)
+}
--- a/place/round.go
+++ b/place/round.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -101,7 +102,7 @@
 		}
 		if err := l.carryOut(ctx, step); err != nil {
 			_ = l.logger.Log("event", "order", "kind", step.Kind, "server", id, "model", step.Weight.Name, "reason", step.Reason, "err", err)
-			rest(ctx, failureRest)
+			l.restAfter(ctx, id, err)
 		}
 		// the step stays planned until here, so that no round plans it twice
 		if l.loop.Do(ctx, func() { more = l.unplan(id) }) != nil || !more {
@@ -110,6 +111,16 @@
 	}
 }
 
+// restAfter waits after a failed step. One that met an engine without the fence needs no wait: its
+// engine gets no step until the fence is raised, and the models count as not on their way.
+func (l *Leader) restAfter(ctx context.Context, id galenastair.BackendServerID, err error) {
+	if errors.Is(err, errNotRaised) {
+		_ = l.loop.Do(ctx, func() { delete(l.looked, id) })
+		return
+	}
+	rest(ctx, failureRest)
+}
+
 // nextStep returns the step to carry out at a backend server; false if there is none. Steps for
 // one that takes no orders any more are dropped: queued, they would count as copies that come,
 // and their models be loaded nowhere else.
