config: the test of republishing waits for the append it checks

Nothing was wrong for callers: the fault is the test's.

Cause: a look reads the clock, then asks whether it leads, where the test holds it. A look that is held while the clock is advanced finds nothing due; the one after it does, and appends after the test has received it. The test counted on its record being there at once. Shown: with 5 ms before the advance and 5 ms in the fake log's append the old test fails 20 of 20, without the first none of 20; the new one 0 of 20, and 0 of 500 without the pauses (nor the old one).

--- a/config/pace_test.go
+++ b/config/pace_test.go
@@ -69,9 +69,10 @@
 	}
 	is.Equal(l.next(), fourRecords) // the next leader knows of it
 	clock.advance(time.Second)
-	<-looks
-	<-looks
-	is.True(l.next() > fourRecords)
+	for range 3 { // what the second look finds due is appended before the third
+		<-looks
+	}
+	is.Equal(l.next(), fourRecords+1)
 
 	l.expire(fourRecords)
 	fresh := NewFollower(l)
