proof: a fault ends also at a stand-in that misses the first word of it

The history has an outage of the log of 36 s that was planned for a few: the call that ends it met no answer within 2 s (context deadline exceeded), and the outage went on until the next fault undid it.

Cause: switchFor tries the undo once. Ruled out: the product; what it met was an outage that lasted. Change: the undo is tried again, ten times. The bound and the check stay; a fault now lasts as planned.

--- a/proof/switches.go
+++ b/proof/switches.go
@@ -13,6 +13,12 @@
 // switchTimeout bounds a word to a stand-in, which may be dead or paused.
 const switchTimeout = 2 * time.Second
 
+// A stand-in that was ended is up again, without the fault, well within these tries.
+const (
+	undoTries = 10
+	undoPause = 100 * time.Millisecond
+)
+
 var errSwitch = eris.New("the stand-in did not take the switch")
 
 // fields are the switches that a fault sets; those it does not name stay.
@@ -47,5 +53,18 @@
 		return err
 	}
 	time.Sleep(d)
-	return setSwitches(address, undo)
+	return undoSwitches(address, undo)
+}
+
+// undoSwitches tries again while the stand-in is too busy to answer: a fault would otherwise last
+// to the end of the run.
+func undoSwitches(address string, undo fields) error {
+	var err error
+	for range undoTries {
+		if err = setSwitches(address, undo); err == nil {
+			return nil
+		}
+		time.Sleep(undoPause)
+	}
+	return err
 }
