planner: loads of a service that comes within a term stay counted

Cause: an instance that orders asks an engine for its state when a registration lacks what was ordered; others take a registration's word after 5 s. Which of the two holds was set on each site when a term began; a site made from a configuration that came within the term was taken for one of an instance that does not order, with all its engines. The first leader after a start reads its configuration after the lease (here 1.5 s), so it was so for its whole term. A load that took longer than 5 s (many at once) was forgotten at the next reading of all registrations, and its room given away. Evidence: term at -9.77 s, configuration at -8.28 s; LoadModel dego8186ea accepted at 2.63 s; history of registrations dropped at 8.27 s, all read again; at 8.64 s LoadModel wubo386253 with dego8186ea missing in held= and no "engine state" before it; the engine is gone at 8.69 s.

Change: a site made within a term is strict. Elsewhere: engines that come later take it from their site; the own interface's leader counts by its ledger.

TestServiceThatComesWithinATermKeepsOrderedLoads fails before, passes since.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -173,6 +173,7 @@
 				return
 			}
 			p.sites[s.Name] = newSite(s)
+			p.sites[s.Name].strict = p.held
 			for _, srv := range p.servers {
 				p.setServer(srv)
 			}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"galenastair"
+	"galenastair/catalog"
 	"galenastair/pool"
 	"galenastair/quota"
 	"galenastair/ratelimit"
@@ -304,3 +305,29 @@
 	is.NoErr(err)
 	is.Equal(promise.Server, galenastair.BackendServerID(""))
 }
+
+// A configuration that comes within a term: a load of its service that takes long was taken for
+// gone at the next registration, and its room given to another.
+func TestServiceThatComesWithinATermKeepsOrderedLoads(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 1)
+	b.step(time.Second)
+	is.NoErr(b.planner.SetCatalog(t.Context(), catalog.New(2, catalog.Limits{}, nil, []*catalog.Service{{Name: "reader", Engine: &catalog.Engine{
+		Slots: 64, Memory: 230 * gigabyte, LoadsPerSecond: 3, Models: []catalog.Model{{Name: "m", Memory: 70 * gigabyte, Load: 6 * time.Second}},
+	}}}, nil)))
+	empty := pool.Server{ID: "r0", Service: "reader", Address: "r0", Slots: 64, Born: 1, Beat: 1}
+	is.NoErr(b.planner.SetServer(t.Context(), empty))
+	load := task{kind: galenastair.LoadModel, model: "m"}
+	var e *engine
+	b.do(func() {
+		e = b.planner.sites["reader"].engines["r0"]
+		e.count(b.world.clock.now, load)
+		e.accepted(b.world.clock.now, load)
+	})
+	b.world.clock.now = b.world.clock.now.Add(unseen + time.Second)
+	empty.Beat++
+	is.NoErr(b.planner.SetServer(t.Context(), empty))
+	counted := false
+	b.do(func() { counted = e.models["m"] != nil })
+	is.True(counted)
+}
