place, ledger: an order's patience counts from its record, not from each leader's start

Three leaders followed each other; each showed event=unreachable ... waits=Loading server=engine-4 and ordered nothing: entry-6, from 13:54:16.1 to 13:54:26.3 in which it led without a break.

Cause: a load that no report shows counts as on its way for orderPatience, 10 s, from when this instance first planned with it as leader. Its order was from 13:53:52, its settlement was lost in an outage of the log with the leader that gave it, and the engine had been started again, empty, since. Every successor began the 10 s anew. The answer to a question asked after a settlement (lookAfter) ends only settled ones.

Ruled out: room (the weight's memory stays reserved for the same weight), the fence (the engine takes orders in the log), an answer lost by that engine (no order was sent).

Change: the ledger knows when an order was decided on, or its record folded, and the patience counts from there.

TestSuccessorWaitsNoLongerForAnOldOrder: not within 5 s before, passes since.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,10 +22,10 @@
 	// report taken after that: the answer to an order may come before a report that
 	// does not show its effect yet.
 	settled time.Time
-	// unrecorded is set for an own order to an engine that checks fences, and begun is
-	// when it was decided on.
+	// unrecorded is set for an own order to an engine that checks fences.
 	unrecorded bool
-	begun      time.Time
+	// begun is when it was decided on, or when its record was folded.
+	begun time.Time
 }
 
 // account is what is known of one backend server's memory.
@@ -64,7 +64,7 @@
 		if !ok || !l.byLeader(rec, body.Order.Fence) || l.orders[body.Order.ID] != nil {
 			return Void
 		}
-		l.orders[body.Order.ID] = &entry{order: body.Order}
+		l.orders[body.Order.ID] = &entry{order: body.Order, begun: now}
 		return Valid
 	case KindSettled:
 		body, ok := decode[Settled](rec)
@@ -141,6 +141,15 @@
 	return out
 }
 
+// Begun returns when an order was decided on, if this process did, or else when this process
+// learnt of it; zero if it is not pending.
+func (l *Ledger) Begun(id galenastair.OrderID) time.Time {
+	if e := l.orders[id]; e != nil {
+		return e.begun
+	}
+	return time.Time{}
+}
+
 // Open says whether an order is recorded and not settled.
 func (l *Ledger) Open(id galenastair.OrderID) bool {
 	e := l.orders[id]
@@ -193,7 +202,7 @@
 	l.restored = now
 	l.leader = leader
 	for _, o := range orders {
-		e := &entry{order: o}
+		e := &entry{order: o, begun: now}
 		if o.Fence != leader.Fence {
 			e.superseded = now
 		}
--- a/place/leader.go
+++ b/place/leader.go
@@ -23,8 +23,8 @@
 	forecastPeriod = 5 * time.Second
 	// cataloguePeriod is how often the weight store is asked what there is.
 	cataloguePeriod = 10 * time.Second
-	// orderPatience is how long a load that no report shows still counts as coming.
-	// After it the model is ordered anew; the memory stays reserved.
+	// orderPatience is how long a load that no report shows still counts as coming,
+	// whoever ordered it. After it the model is ordered anew; the memory stays reserved.
 	orderPatience = 10 * time.Second
 	// callTimeout bounds each call to an engine or the log.
 	callTimeout = 5 * time.Second
@@ -75,7 +75,6 @@
 	catalogue []galenastair.Weight
 	planned   map[galenastair.BackendServerID][]Step
 	orders    map[galenastair.OrderID]*ownOrder
-	seen      map[galenastair.OrderID]time.Time
 	looked    map[galenastair.BackendServerID]time.Time
 	states    map[galenastair.BackendServerID]engineState
 	waits     map[galenastair.ModelName]waiting
@@ -139,7 +138,6 @@
 		reports:  map[galenastair.BackendServerID]galenastair.EngineReport{},
 		planned:  map[galenastair.BackendServerID][]Step{},
 		orders:   map[galenastair.OrderID]*ownOrder{},
-		seen:     map[galenastair.OrderID]time.Time{},
 		looked:   map[galenastair.BackendServerID]time.Time{},
 		states:   map[galenastair.BackendServerID]engineState{},
 		counted:  map[galenastair.InstanceID]map[galenastair.ModelName]float64{},
--- a/place/order.go
+++ b/place/order.go
@@ -301,7 +301,6 @@
 		var body ledger.Settled
 		if json.Unmarshal(rec.Body, &body) == nil && verdict == ledger.Valid {
 			delete(l.orders, body.Order)
-			delete(l.seen, body.Order)
 		}
 	}
 }
--- a/place/round.go
+++ b/place/round.go
@@ -180,7 +180,7 @@
 		Closed:           !l.takesOrders(now, id),
 	}
 	for _, o := range l.ledger.Pending(id) {
-		if o.Kind == galenastair.LoadModel && v.copies[key(o.Weight)] == nil && now.Sub(l.since(now, o.ID)) > orderPatience {
+		if o.Kind == galenastair.LoadModel && v.copies[key(o.Weight)] == nil && now.Sub(l.ledger.Begun(o.ID)) > orderPatience {
 			v.reserve(o.Weight)
 			out.Reserved = append(out.Reserved, o.Weight)
 			continue
@@ -203,16 +203,6 @@
 	return out
 }
 
-// since returns when this instance first saw an order pending.
-func (l *Leader) since(now time.Time, id galenastair.OrderID) time.Time {
-	at, ok := l.seen[id]
-	if !ok {
-		at = now
-		l.seen[id] = now
-	}
-	return at
-}
-
 func stateOf(s galenastair.LoadState) CopyState {
 	switch s {
 	case galenastair.Ready:
--- a/place/successor_test.go
+++ b/place/successor_test.go
@@ -108,3 +108,31 @@
 	<-ended
 	<-ended
 }
+
+// A leader dies before it could record how a load ended, and later the engine. Each successor took
+// that order for a load on its way for 10 s from its own start, and the model had no copy.
+func TestSuccessorWaitsNoLongerForAnOldOrder(t *testing.T) {
+	is := is.New(t)
+	weight := galenastair.Weight{Name: "m", Memory: 10}
+	engines := &fakeEngines{loaded: map[string][]galenastair.LoadedWeight{}}
+	log := &foldingLog{as: ledger.Leader{ID: "entry-2", Fence: 9}, loop: control.NewLoop()}
+	l := NewLeader("entry-2", "r", Ports{
+		Engine: engines, Log: log, Store: fakeStore{[]galenastair.Weight{weight}}, Loop: log.loop,
+		Duty: func(time.Time) (galenastair.Fence, bool) { return 9, true },
+	})
+	log.leader = l
+	issued := settledOrder(t, weight, 5, "entry-1")[0]
+	l.fold(time.Now().Add(-orderPatience), issued, ledger.Leader{ID: "entry-1", Fence: 5})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- log.loop.Run(ctx) }()
+	is.NoErr(l.SetServers(ctx, []route.Server{{ID: "e1", Address: "e1"}}))
+	is.NoErr(l.Report(ctx, galenastair.EngineReport{BackendServer: "e1", MemoryTotal: 100}))
+	go func() { ended <- l.Run(ctx) }()
+	for begin := time.Now(); engines.ordered() == 0; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Since(begin) < orderPatience/2)
+	}
+	cancel()
+	<-ended
+	<-ended
+}
