place: the step behind one that got no answer starts at once

In an outage of the log one engine that checks fences was left; its answers came 2 s late. The first load failed after 2 s (no answer), and the two behind it waited 2 s more, as after a refusal.

Cause: failureRest is there against a tight loop with an engine that refuses, but was added to the time that the failed call had taken. Change: it counts from the step's start. This shortens what came after.

--- a/place/leader_test.go
+++ b/place/leader_test.go
@@ -39,6 +39,8 @@
 	engines   map[string]*galenastair.EngineReport
 	orders    []galenastair.Order
 	unsaid    bool
+	// silent is for how long the first order gets no answer.
+	silent atomic.Int64
 }
 
 func newBench(t *testing.T, engines int, models int, opts ...Option) *bench {
@@ -142,6 +144,9 @@
 }
 
 func (b *bench) Order(_ context.Context, address string, o galenastair.Order) error {
+	if silent := time.Duration(b.silent.Swap(0)); silent > 0 {
+		defer time.Sleep(silent)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.engines[address]
@@ -371,3 +376,17 @@
 	b.eventually("the model and its adapter ready again", b.allReady)
 	is.True(time.Since(begin) < failureRest)
 }
+
+// The first of two loads gets no answer for longer than failed steps are apart, and the second, at
+// the same engine, waited as long once more.
+func TestStepBehindOneWithoutAnswerStartsAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 2)
+	b.unsaid = true
+	b.silent.Store(int64(failureRest + time.Second))
+	b.fence.Store(7)
+	b.eventually("the first order is sent", func() bool { return len(b.orders) > 0 })
+	begin := time.Now()
+	b.eventually("the second order is sent", func() bool { return len(b.orders) > 1 })
+	is.True(time.Since(begin) < 2*failureRest)
+}
--- a/place/round.go
+++ b/place/round.go
@@ -100,9 +100,10 @@
 		if err != nil || !more {
 			return
 		}
+		begun := l.clock.Now()
 		if err := l.carryOut(ctx, step); err != nil {
 			_ = l.logger.Log("event", "order", "kind", step.Kind, "server", id, "model", step.Weight.Name, "reason", step.Reason, "err", err)
-			l.restAfter(ctx, id, err)
+			l.restAfter(ctx, id, begun, err)
 		}
 		// the step stays planned until here, so that no round plans it twice
 		if l.loop.Do(ctx, func() { more = l.unplan(id) }) != nil || !more {
@@ -111,14 +112,15 @@
 	}
 }
 
-// restAfter waits after a failed step. One that met an engine without the fence needs no wait: its
-// engine gets no step until the fence is raised, and the models count as not on their way.
-func (l *Leader) restAfter(ctx context.Context, id galenastair.BackendServerID, err error) {
+// restAfter waits after a failed step, less what the step itself took: the models behind it wait as
+// well. One that met an engine without the fence needs no wait: its engine gets no step until the
+// fence is raised, and the models count as not on their way.
+func (l *Leader) restAfter(ctx context.Context, id galenastair.BackendServerID, begun time.Time, err error) {
 	if errors.Is(err, errNotRaised) {
 		_ = l.loop.Do(ctx, func() { delete(l.looked, id) })
 		return
 	}
-	rest(ctx, failureRest)
+	rest(ctx, failureRest-l.clock.Now().Sub(begun))
 }
 
 // nextStep returns the step to carry out at a backend server; false if there is none. Steps for
