place: no copy is unloaded while an engine with room is about to take orders

The next leader began at 14:01:38.3; engine-1 stood empty and showed its fence 0.75 s later, but in the first round room was made on engine-3 instead, which was ready for the load at 14:01:41.1.

Cause: an engine whose fence is not raised yet is closed like one that can't be reached, and each new leader finds all that check fences so. Change: one that lacks only the fence, for 2 s at most, counts as opening, and for a model that fits there nothing is unloaded elsewhere. A load where there is room already goes on at once.

Ruled out: waiting with the whole first round (engines that ignore fences can be ordered at once).

--- a/place/fence.go
+++ b/place/fence.go
@@ -50,6 +50,15 @@
 	return noRecords
 }
 
+// openingFor is longer than a fence mostly takes to be raised and shown.
+const openingFor = 2 * time.Second
+
+// opening says whether an engine lacks only the fence, and since a moment ago: a new leader that
+// does not wait for it unloads copies elsewhere to make room that is there.
+func (l *Leader) opening(now time.Time, id galenastair.BackendServerID) bool {
+	return l.engineStateOf(now, id) == fenceNotSeen && now.Sub(l.stateSince[id]) < openingFor
+}
+
 // logStates logs each change of what keeps a listed engine from being given orders.
 func (l *Leader) logStates(now time.Time) {
 	for id := range l.servers {
@@ -57,7 +66,7 @@
 		if l.states[id] == state {
 			continue
 		}
-		l.states[id] = state
+		l.states[id], l.stateSince[id] = state, now
 		_ = l.logger.Log("event", "engine", "server", id, "state", state, "fence", l.fence, "shown", l.reports[id].HighestFence)
 	}
 }
--- a/place/input.go
+++ b/place/input.go
@@ -37,6 +37,9 @@
 	Limited bool
 	// Closed says that it can be given no order now; its copies go on answering.
 	Closed bool
+	// Opening says that it is closed, but probably not for longer than room takes to be made
+	// elsewhere.
+	Opening bool
 	// Free is the memory that no order can take any more.
 	Free   galenastair.Bytes
 	Copies []Copy
--- a/place/leader.go
+++ b/place/leader.go
@@ -77,7 +77,9 @@
 	orders    map[galenastair.OrderID]*ownOrder
 	looked    map[galenastair.BackendServerID]time.Time
 	states    map[galenastair.BackendServerID]engineState
-	waits     map[galenastair.ModelName]waiting
+	// stateSince is when an engine came into its state.
+	stateSince map[galenastair.BackendServerID]time.Time
+	waits      map[galenastair.ModelName]waiting
 	// recordFailed is when an order could last not be recorded.
 	recordFailed time.Time
 	slow         []galenastair.BackendServerID
@@ -120,27 +122,28 @@
 // NewLeader returns a leader that does nothing until Run and while duty says no.
 func NewLeader(self galenastair.InstanceID, r galenastair.Region, p Ports, opts ...Option) *Leader {
 	l := &Leader{
-		self:     self,
-		stream:   galenastair.ControlStream(r),
-		engine:   p.Engine,
-		log:      p.Log,
-		store:    p.Store,
-		duty:     p.Duty,
-		loop:     p.Loop,
-		clock:    galenastair.SystemClock{},
-		logger:   log.NewNopLogger(),
-		settings: DefaultSettings(),
-		ordered:  func(galenastair.OrderKind, Reason) {},
-		records:  func(time.Time) bool { return true },
-		life:     ledger.DefaultLife,
-		forecast: forecast.New(),
-		servers:  map[galenastair.BackendServerID]route.Server{},
-		reports:  map[galenastair.BackendServerID]galenastair.EngineReport{},
-		planned:  map[galenastair.BackendServerID][]Step{},
-		orders:   map[galenastair.OrderID]*ownOrder{},
-		looked:   map[galenastair.BackendServerID]time.Time{},
-		states:   map[galenastair.BackendServerID]engineState{},
-		counted:  map[galenastair.InstanceID]map[galenastair.ModelName]float64{},
+		self:       self,
+		stream:     galenastair.ControlStream(r),
+		engine:     p.Engine,
+		log:        p.Log,
+		store:      p.Store,
+		duty:       p.Duty,
+		loop:       p.Loop,
+		clock:      galenastair.SystemClock{},
+		logger:     log.NewNopLogger(),
+		settings:   DefaultSettings(),
+		ordered:    func(galenastair.OrderKind, Reason) {},
+		records:    func(time.Time) bool { return true },
+		life:       ledger.DefaultLife,
+		forecast:   forecast.New(),
+		servers:    map[galenastair.BackendServerID]route.Server{},
+		reports:    map[galenastair.BackendServerID]galenastair.EngineReport{},
+		planned:    map[galenastair.BackendServerID][]Step{},
+		orders:     map[galenastair.OrderID]*ownOrder{},
+		looked:     map[galenastair.BackendServerID]time.Time{},
+		states:     map[galenastair.BackendServerID]engineState{},
+		stateSince: map[galenastair.BackendServerID]time.Time{},
+		counted:    map[galenastair.InstanceID]map[galenastair.ModelName]float64{},
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/place/planner.go
+++ b/place/planner.go
@@ -135,12 +135,19 @@
 			p.board.spread()
 			continue
 		}
-		if asked || p.settings.DropUnasked == 0 {
+		if (asked || p.settings.DropUnasked == 0) && !p.roomOpens(m) {
 			p.swapFor(m, Unreachable)
 		}
 	}
 }
 
+// roomOpens says whether a backend server with room for a model will take orders soon.
+func (p *Planner) roomOpens(m *boardModel) bool {
+	return slices.ContainsFunc(p.board.servers, func(s *boardServer) bool {
+		return s.Opening && s.stays() && s.Free >= m.need(s)
+	})
+}
+
 // roomFor returns the backend server with room for a model and its adapters that
 // has least load, and of equally loaded ones that with most memory left.
 func (p *Planner) roomFor(m *boardModel) *boardServer {
--- a/place/round.go
+++ b/place/round.go
@@ -180,6 +180,7 @@
 		Leaving:          l.servers[id].Leaving,
 		Slow:             slices.Contains(l.slow, id),
 		Closed:           !l.takesOrders(now, id),
+		Opening:          l.opening(now, id),
 	}
 	for _, o := range l.ledger.Pending(id) {
 		if o.Kind == galenastair.LoadModel && v.copies[key(o.Weight)] == nil && now.Sub(l.ledger.Begun(o.ID)) > orderPatience {
