quota: a started process grants less in advance, so that two advances fit into a window

KNOWN-RED: FLOODS=60000 go test ./quota -run NoWindow, seed 50844, 1.1 % more than contract and slack in a window. Nobody is refused by it; an organisation that floods gets a little over its contract.

Cause: instances that lose the lender grant 1.5 s of a moderate organisation's rate in advance, and may do so again when they are started again within the window. The lender left room for 2.7 s of the two, and counted on the platform's bounds for the rest, which in this seed were taken by other things. Change: a process that no lender has answered grants 1.2 s, so that both are what room is left for. Ruled out: holding moderate organisations to a limit in every part of a window (tried on paper: those with a small burst could not be moderate, and would be refused at each change of the lender).

--- a/quota/alone.go
+++ b/quota/alone.go
@@ -84,9 +84,10 @@
 	}
 	if s.moderate[name] {
 		delete(s.moderate, name)
-		a.advanced = now.Add(advance)
+		granted := s.advance()
+		a.advanced = now.Add(granted)
 		s.deal(now, a)
-		a.own.add(a.rate * float64(s.part) * advance.Seconds())
+		a.own.add(a.rate * float64(s.part) * granted.Seconds())
 		a.own.at = a.advanced
 		a.wasAlone = now
 		return
@@ -96,3 +97,11 @@
 		a.wasAlone = now
 	}
 }
+
+// advance is for how long this process may grant in advance.
+func (s *Share) advance() time.Duration {
+	if s.heard.IsZero() {
+		return startedAdvance
+	}
+	return advance
+}
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -5,8 +5,7 @@
 // from parts that were passed on for a time that has gone by, so that each token is spent
 // once, whatever is lost, cut off or restarted, and however many lenders there are. A loan
 // is void after a second or so and what is left of it goes back. An instance that hears
-// nothing from a lender spends its own part. Of 12,000 played floods, in which instances are
-// cut off again and again, two go beyond contract and slack, by 0.04 and 0.02 %.
+// nothing from a lender spends its own part.
 //
 // Units are those of the contract, tokens or requests. Messages: one call of some 150
 // bytes for a request of a quiet organisation, none for those of a busy one, whose
--- a/quota/moderate.go
+++ b/quota/moderate.go
@@ -21,11 +21,11 @@
 	// advance is for how long instances grant in advance. The next lender is there after
 	// 1.3 to 2 s, and callers that were cut off come back with what they asked meanwhile.
 	advance = 1500 * time.Millisecond
-	// advances is for how long a moderate organisation's use leaves room: what is granted in
-	// advance may be so twice within a window, by instances that lose the lender and are then
-	// started again. What of the second time is not left room for is in what the platform
-	// allows beyond the quota.
-	advances = 2700 * time.Millisecond
+	// startedAdvance is the same for a process that no lender has answered: the one before it
+	// may have granted in advance within the same window.
+	startedAdvance = 1200 * time.Millisecond
+	// advances is for how long a moderate organisation's use leaves room: for both.
+	advances = advance + startedAdvance
 	// calmUse is the part of moderateMost below which an organisation becomes moderate, and
 	// highUse the one from which it ends to be. The distance between them keeps the record
 	// from being written over and over, and what is above the second is lent until the
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -144,7 +144,7 @@
 	if s := os.Getenv("FLOODS"); s != "" {
 		floods, _ = strconv.ParseUint(s, 10, 64)
 	}
-	seeds := []uint64{1512, 2423, 765, 1772, 5195, 5897, 7642, 9490, 11926}
+	seeds := []uint64{1512, 2423, 765, 1772, 5195, 5897, 7642, 9490, 11926, 50844}
 	for seed := range floods {
 		seeds = append(seeds, seed)
 	}
