member, quota, planner, pool: names of the field for a dozen methods

Renamed, no change of behaviour: member.Hear -> MergeNews, hearFleet -> mergeFleet, learn -> noteFolded, tell -> exchangeNews; quota.Unheard -> MissLender, retell -> updateModerate, tell -> withModerate, wholeBy -> equalPart, goAlone -> startAlone; planner.heldAlready -> alreadyApplied, told -> handleState; pool.dark -> stalled. How measured: go test of the packages and of node, gateway, entry; lint.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -156,24 +156,24 @@
 	return told[:min(len(told), maxToldRefused)]
 }
 
-// Hear takes the news of another member.
-func (n *Node) Hear(now time.Time, news News) {
-	learnt := news.From != 0 && n.settling.learn(news.From, news.Folded, now)
+// MergeNews takes the news of another member.
+func (n *Node) MergeNews(now time.Time, news News) {
+	learnt := news.From != 0 && n.settling.noteFolded(news.From, news.Folded, now)
 	for _, m := range n.state.Ring {
 		if galenastair.Epoch(m.Incarnation) <= news.All {
-			learnt = n.settling.learn(m.Incarnation, news.All, now) || learnt
+			learnt = n.settling.noteFolded(m.Incarnation, news.All, now) || learnt
 		}
 	}
 	for _, w := range news.Words {
-		learnt = n.settling.learn(w.Incarnation, w.Folded, now) || learnt
+		learnt = n.settling.noteFolded(w.Incarnation, w.Folded, now) || learnt
 	}
 	if learnt {
 		n.gossip.touch(now)
 	}
-	n.hearFleet(now, news)
+	n.mergeFleet(now, news)
 }
 
-func (n *Node) hearFleet(now time.Time, news News) {
+func (n *Node) mergeFleet(now time.Time, news News) {
 	n.Configured(now, news.Configuration)
 	if news.LogAge >= 0 {
 		n.gossip.logContact = later(n.gossip.logContact, now.Add(-news.LogAge))
--- a/member/model_test.go
+++ b/member/model_test.go
@@ -199,11 +199,11 @@
 	case SendHeartbeat:
 		news := p.News(p.clock(m), false)
 		m.request(p, a.To, func(q *process) func() {
-			q.Hear(q.clock(m), news)
+			q.MergeNews(q.clock(m), news)
 			granted := q.Promise(q.clock(m), a.Beat)
 			back, left := q.News(q.clock(m), false), q.Handover(q.clock(m))
 			return func() {
-				p.Hear(p.clock(m), back)
+				p.MergeNews(p.clock(m), back)
 				p.Answered(p.clock(m), a.Beat, granted)
 				p.TakeOver(p.clock(m), left)
 			}
@@ -211,7 +211,7 @@
 	case SendNews:
 		news := p.News(p.clock(m), false)
 		m.request(p, a.To, func(q *process) func() {
-			q.Hear(q.clock(m), news)
+			q.MergeNews(q.clock(m), news)
 			return func() {}
 		})
 	case AskAdmission:
--- a/member/runtime_act.go
+++ b/member/runtime_act.go
@@ -34,7 +34,7 @@
 		r.task(func() { r.heartbeat(ctx, a, req) })
 	case SendNews:
 		news := encodeNews(r.node.News(r.clock.Now(), false))
-		r.task(func() { r.tell(ctx, a.To, news) })
+		r.task(func() { r.exchangeNews(ctx, a.To, news) })
 	case AskAdmission:
 		r.task(func() { r.askAdmission(ctx, a.To) })
 	case Probe:
@@ -87,18 +87,18 @@
 		return
 	}
 	r.post(ctx, func(now time.Time) {
-		r.node.Hear(now, decodeNews(reply.News))
+		r.node.MergeNews(now, decodeNews(reply.News))
 		r.node.Answered(now, a.Beat, time.Duration(reply.GrantedMs)*time.Millisecond)
 		r.node.TakeOver(now, decodeHandover(reply.Handover))
 	})
 }
 
-func (r *Runtime) tell(ctx context.Context, to Member, news *memberpb.News) {
+func (r *Runtime) exchangeNews(ctx context.Context, to Member, news *memberpb.News) {
 	reply, err := call(ctx, r, to, news, memberpb.Member.Tell)
 	if err != nil {
 		return
 	}
-	r.post(ctx, func(now time.Time) { r.node.Hear(now, decodeNews(reply)) })
+	r.post(ctx, func(now time.Time) { r.node.MergeNews(now, decodeNews(reply)) })
 }
 
 func (r *Runtime) askAdmission(ctx context.Context, to Member) {
@@ -112,7 +112,7 @@
 			r.node.AdmissionFailed()
 			return
 		}
-		r.node.Hear(now, decodeNews(reply.News))
+		r.node.MergeNews(now, decodeNews(reply.News))
 		r.node.AdmissionAnswered(to, Admission(reply.Admission))
 	})
 }
--- a/member/server.go
+++ b/member/server.go
@@ -25,7 +25,7 @@
 func (s *server) Heartbeat(ctx context.Context, req *memberpb.HeartbeatRequest) (*memberpb.HeartbeatReply, error) {
 	return answer(ctx, s.r, func(now time.Time) *memberpb.HeartbeatReply {
 		n := s.r.node
-		n.Hear(now, decodeNews(req.News))
+		n.MergeNews(now, decodeNews(req.News))
 		granted := n.Promise(now, decodeHeartbeat(req))
 		return &memberpb.HeartbeatReply{
 			GrantedMs: granted.Milliseconds(), News: encodeNews(n.News(now, req.Fresh)), Handover: encodeHandover(n.Handover(now)),
@@ -36,7 +36,7 @@
 // Tell exchanges news.
 func (s *server) Tell(ctx context.Context, req *memberpb.News) (*memberpb.News, error) {
 	return answer(ctx, s.r, func(now time.Time) *memberpb.News {
-		s.r.node.Hear(now, decodeNews(req))
+		s.r.node.MergeNews(now, decodeNews(req))
 		return encodeNews(s.r.node.News(now, false))
 	})
 }
--- a/member/settling.go
+++ b/member/settling.go
@@ -174,8 +174,8 @@
 	return &c
 }
 
-// learn notes that a member has folded an epoch and says whether that is news.
-func (s *settling) learn(inc Incarnation, epoch galenastair.Epoch, now time.Time) bool {
+// noteFolded notes that a member has folded an epoch and says whether that is news.
+func (s *settling) noteFolded(inc Incarnation, epoch galenastair.Epoch, now time.Time) bool {
 	known := s.words[inc]
 	if len(known) > 0 && known[len(known)-1].epoch >= epoch {
 		return false
--- a/member/status_test.go
+++ b/member/status_test.go
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	for _, m := range s.Ring {
-		n.Hear(modelStart, News{From: m.Incarnation, Folded: s.Epoch, LogAge: -1})
+		n.MergeNews(modelStart, News{From: m.Incarnation, Folded: s.Epoch, LogAge: -1})
 	}
 	n.Tick(modelStart.Add(time.Minute))
 	return n
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -169,7 +169,7 @@
 	} else {
 		x.elector.Suspect()
 	}
-	x.share.Unheard(time.Now())
+	x.share.MissLender(time.Now())
 	x.shares.Lost(time.Now())
 	if !x.lost {
 		x.lost = true
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -43,7 +43,7 @@
 	n, err := q.exchange.borrow(ctx, quota.Ask{Organisation: o, Amount: lacks})
 	if err != nil {
 		q.exchange.logger.Log("event", "borrow", "organisation", o, "err", err)
-		q.Unheard(time.Now())
+		q.MissLender(time.Now())
 		return q.Retake(time.Now(), o, cost)
 	}
 	q.Lent(time.Now(), o, n)
--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -17,7 +17,7 @@
 	n := New(settings.Gateway{PeerAddress: "127.0.0.1:1", Bounds: settings.Bounds{QuotaWindow: 8 * time.Second, QuotaOver: 0.1, QuotaSlack: 17000}})
 	n.share.SetContracts(time.Now(), catalog.New(1, catalog.Limits{}, nil, nil, []*catalog.Organisation{{Name: "org", Rate: 400000, Burst: 400000, InTokens: true}}))
 	now := time.Now()
-	n.share.Unheard(now)
+	n.share.MissLender(now)
 	for i := range 100 {
 		is.True(!n.share.Take(now.Add(time.Duration(i)*20*time.Millisecond), "org", 1000))
 	}
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -276,8 +276,8 @@
 	}
 }
 
-// heldAlready notes that an order had nothing to do, or was done at once.
-func (e *engine) heldAlready(now time.Time, t task) {
+// alreadyApplied notes that an order had nothing to do, or was done at once.
+func (e *engine) alreadyApplied(now time.Time, t task) {
 	items := e.itemsOf(t)
 	if t.kind == galenastair.LoadModel {
 		items[t.name()] = &item{state: place.Ready, since: now, used: now}
--- a/planner/order.go
+++ b/planner/order.go
@@ -106,7 +106,7 @@
 		e.accepted(now, t)
 		p.finish(now, e, t)
 	case galenastair.OrderHeld:
-		e.heldAlready(now, t)
+		e.alreadyApplied(now, t)
 		p.finish(now, e, t)
 	case galenastair.OrderBusy:
 		e.unsure, e.rest = true, now.Add(busyRest)
@@ -156,14 +156,14 @@
 		state, err := p.control.State(p.ctx, address, id)
 		_ = p.loop.Post(p.ctx, func() {
 			e.running = false
-			p.told(s, e, state, err)
+			p.handleState(s, e, state, err)
 		})
 	})
 }
 
-// told takes in an engine's state. If it has accepted more orders than were counted,
+// handleState takes in an engine's state. If it has accepted more orders than were counted,
 // one without an answer has acted.
-func (p *Planner) told(s *site, e *engine, state galenastair.EngineState, err error) {
+func (p *Planner) handleState(s *site, e *engine, state galenastair.EngineState, err error) {
 	now := p.clock.Now()
 	p.logger.Log("event", "engine state", "server", e.server.ID, "sequence", state.Sequence, "counted", e.sequence, "busy", state.Busy, "err", err)
 	switch {
@@ -208,7 +208,7 @@
 		has = has || f == t.name()
 	}
 	if has == (t.kind == galenastair.LoadModel) {
-		e.heldAlready(now, t)
+		e.alreadyApplied(now, t)
 		p.finish(now, e, t)
 	}
 }
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -192,7 +192,7 @@
 		cost = failCostOnce
 	}
 	t += time.Duration(m.health.share * float64(cost) * float64(aim))
-	if m.health.dark(now, t) {
+	if m.health.stalled(now, t) {
 		t += 4 * aim
 	}
 	if now.Before(m.full[q.Model]) {
--- a/pool/health.go
+++ b/pool/health.go
@@ -93,8 +93,8 @@
 	return !h.out.IsZero() && !now.Before(h.out) && !h.probing
 }
 
-// dark says whether it has shown no progress for longer than foretold. A frozen or
+// stalled says whether it has shown no progress for longer than foretold. A frozen or
 // dead server sends nothing at all, and its connections stay open.
-func (h *health) dark(now time.Time, foretold time.Duration) bool {
+func (h *health) stalled(now time.Time, foretold time.Duration) bool {
 	return h.unstarted > 0 && now.Sub(h.progress) > silence+foretold
 }
--- a/quota/alone.go
+++ b/quota/alone.go
@@ -48,20 +48,20 @@
 // noticeSilence goes over to the own buckets once the lender is silent.
 func (s *Share) noticeSilence(now time.Time) {
 	if !s.heard.IsZero() && now.Sub(s.heard) >= silentAfter {
-		s.goAlone(now)
+		s.startAlone(now)
 	}
 }
 
-// Unheard notes that the lender did not answer, or is none any more. The own buckets
+// MissLender notes that the lender did not answer, or is none any more. The own buckets
 // are spent from then on: waiting until it is certain would refuse all for a second or
 // two each time that the lender changes, and one instance's part in that time is small.
-func (s *Share) Unheard(now time.Time) {
+func (s *Share) MissLender(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.goAlone(now)
+	s.startAlone(now)
 }
 
-func (s *Share) goAlone(now time.Time) {
+func (s *Share) startAlone(now time.Time) {
 	if !s.alone && s.dealt {
 		s.since, s.dealt = now, false
 	}
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -82,7 +82,7 @@
 		a.moderation = moderation{}
 	}
 	clear(l.heard)
-	part := wholeBy(len(n.Instances))
+	part := equalPart(len(n.Instances))
 	for _, id := range n.Instances {
 		l.heard[id] = holder{now, part, part}
 	}
@@ -101,15 +101,15 @@
 	l.heard[id] = holder{now, p.Part, p.Part}
 	fleet := l.Fleet(now)
 	if p.Fleet == 0 {
-		p.Part = wholeBy(fleet)
+		p.Part = equalPart(fleet)
 	}
 	l.credit(now, p)
 	if l.counting(now) {
-		return l.tell(p, Standing{})
+		return l.withModerate(p, Standing{})
 	}
 	told := l.deal(now, id)
 	l.heard[id] = holder{now, p.Part, told}
-	return l.tell(p, Standing{Fleet: fleet, Part: told})
+	return l.withModerate(p, Standing{Fleet: fleet, Part: told})
 }
 
 // Counted says whether enough of the term has gone by to know how many instances there are.
@@ -120,8 +120,8 @@
 	return now.Sub(l.began) < firstCount || l.known == 0 && now.Sub(l.began) < firstStart
 }
 
-// tell adds who is moderate, if the instance knows otherwise.
-func (l *Lender) tell(p Passed, s Standing) Standing {
+// withModerate adds who is moderate, if the instance knows otherwise.
+func (l *Lender) withModerate(p Passed, s Standing) Standing {
 	s.Version = l.version
 	if p.Version != l.version {
 		s.Moderate = l.moderate
@@ -137,13 +137,13 @@
 // the others do not hold, until each of them has been heard.
 func (l *Lender) deal(now time.Time, id galenastair.InstanceID) Part {
 	fleet := l.Fleet(now)
-	held := Part(fleet-len(l.heard)) * wholeBy(l.known)
+	held := Part(fleet-len(l.heard)) * equalPart(l.known)
 	for other, h := range l.heard {
 		if other != id {
 			held += max(h.said, h.told)
 		}
 	}
-	return max(0, min(1-held, wholeBy(fleet)))
+	return max(0, min(1-held, equalPart(fleet)))
 }
 
 func (l *Lender) forget(now time.Time) {
--- a/quota/moderate.go
+++ b/quota/moderate.go
@@ -80,7 +80,7 @@
 	free := l.moderateMost(a) - l.used(now, a)
 	if free < wants && a.wanted {
 		a.wanted = false
-		l.retell()
+		l.updateModerate()
 	}
 	return max(0, free)
 }
@@ -145,11 +145,11 @@
 		}
 	}
 	l.noted = n.Moderate
-	l.retell()
+	l.updateModerate()
 }
 
-// retell tells instances of those that the note names and that are to stay.
-func (l *Lender) retell() {
+// updateModerate tells instances of those that the note names and that are to stay.
+func (l *Lender) updateModerate() {
 	told := slices.DeleteFunc(slices.Clone(l.noted), func(o galenastair.Organisation) bool {
 		a := l.accounts[o]
 		return a == nil || !a.wanted
--- a/quota/part.go
+++ b/quota/part.go
@@ -10,8 +10,8 @@
 // at most the whole.
 type Part float64
 
-// wholeBy is the part of one of as many instances.
-func wholeBy(fleet int) Part { return 1 / Part(max(1, fleet)) }
+// equalPart is the part of one of fleet instances that all have the same.
+func equalPart(fleet int) Part { return 1 / Part(max(1, fleet)) }
 
 // Passed is what an instance leaves to the lender: its part, for a time that has gone by.
 type Passed struct {
--- a/quota/pass.go
+++ b/quota/pass.go
@@ -19,7 +19,7 @@
 	}
 	s.fleet, s.part = len(n.Instances), 0
 	if slices.Contains(n.Instances, self) {
-		s.part = wholeBy(s.fleet)
+		s.part = equalPart(s.fleet)
 	}
 	if first {
 		s.setModerate(n.Moderate)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -99,7 +99,7 @@
 		switch lacks, may := s.Lacks(f.now, "org", cost); {
 		case !may:
 		case !reached:
-			s.Unheard(f.now)
+			s.MissLender(f.now)
 			ok = s.Retake(f.now, "org", cost)
 		default:
 			s.Lent(f.now, "org", f.lender.LendAll(f.now, Ask{"org", lacks}))
@@ -192,7 +192,7 @@
 				if reached {
 					f.exchange(i)
 				} else {
-					f.shares[i].Unheard(f.now)
+					f.shares[i].MissLender(f.now)
 				}
 			}
 			for range 2 {
@@ -224,7 +224,7 @@
 				if up {
 					f.exchange(i)
 				} else {
-					f.shares[i].Unheard(f.now)
+					f.shares[i].MissLender(f.now)
 				}
 			}
 			owed[i] += rate * part * w * 0.01
@@ -313,7 +313,7 @@
 func TestContractsThatComeAfterTheLenderIsMissed(t *testing.T) {
 	is := is.New(t)
 	s := NewShare(terms)
-	s.Unheard(start)
+	s.MissLender(start)
 	s.SetContracts(start, contract(200000, 200000))
 	is.True(s.Take(start, "org", 500))
 }
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -70,11 +70,11 @@
 		f.exchange(0)
 		f.exchange(1)
 	}
-	is.Equal(f.shares[0].part, wholeBy(2))
+	is.Equal(f.shares[0].part, equalPart(2))
 	for range 30 { // the second is cut off, and given up
 		f.now = f.now.Add(300 * time.Millisecond)
 		f.exchange(0)
-		f.shares[1].Unheard(f.now)
+		f.shares[1].MissLender(f.now)
 	}
 	is.Equal(f.shares[0].part, Part(1))
 	f.exchange(1)
@@ -84,8 +84,8 @@
 	is.Equal(f.shares[1].part, Part(0)) // the first may not have got the answer
 	f.exchange(0)
 	f.exchange(1)
-	is.Equal(f.shares[0].part, wholeBy(2))
-	is.Equal(f.shares[1].part, wholeBy(2))
+	is.Equal(f.shares[0].part, equalPart(2))
+	is.Equal(f.shares[1].part, equalPart(2))
 }
 
 // Two lenders at once, as when the store moves the duty while the holder is cut off from
@@ -144,19 +144,19 @@
 	s := NewShare(terms)
 	s.SetContracts(now, contract(rate, rate))
 	s.Presume(now, "a", Note{Instances: []galenastair.InstanceID{"a"}, Moderate: []galenastair.Organisation{"org"}}, true)
-	s.Unheard(now)
+	s.MissLender(now)
 	for s.Take(now, "org", 100) {
 	}
 	now = now.Add(advance + time.Second)
 	s.SetStanding(now, Standing{Fleet: 1, Part: 1})
 	now = start.Add(terms.Window - time.Second)
 	s.SetStanding(now, Standing{Fleet: 1, Part: 1})
-	s.Unheard(now)
+	s.MissLender(now)
 	is.True(!s.Take(now, "org", 100))
 	// a window later the reserve is there again
 	now = start.Add(terms.Window + time.Second)
 	s.SetStanding(now, Standing{Fleet: 1, Part: 1})
-	s.Unheard(now)
+	s.MissLender(now)
 	is.True(s.Take(now, "org", 100))
 }
 
@@ -170,7 +170,7 @@
 		s := NewShare(terms)
 		s.SetContracts(now, contract(rate, rate))
 		s.Presume(now, "a", Note{Instances: []galenastair.InstanceID{"a"}}, true)
-		s.Unheard(now)
+		s.MissLender(now)
 		now = now.Add(2 * time.Second)
 		s.SetStanding(now, Standing{Fleet: 1, Part: 1})
 		is.Equal(s.Take(now.Add(after), "org", 1000), after < untilLent)
@@ -187,7 +187,7 @@
 	s.SetContracts(now, contract(rate, rate))
 	s.SetStanding(now, Standing{Fleet: 2, Part: 0.5})
 	own := func() float64 {
-		s.Unheard(now)
+		s.MissLender(now)
 		s.Take(now, "org", 1)
 		return s.accounts["org"].own.rate
 	}
--- a/quota/share.go
+++ b/quota/share.go
@@ -94,7 +94,7 @@
 
 // NewShare returns a share without contracts.
 func NewShare(t Terms, opts ...ShareOption) *Share {
-	s := &Share{terms: t, chance: rand.Float64, accounts: map[galenastair.Organisation]*account{}, part: wholeBy(firstFleet), dealt: true,
+	s := &Share{terms: t, chance: rand.Float64, accounts: map[galenastair.Organisation]*account{}, part: equalPart(firstFleet), dealt: true,
 		moderate: map[galenastair.Organisation]bool{}}
 	for _, o := range opts {
 		o(s)
