request: the summary is recorded before the end of the response is written

Ruled out: the metrics handler caching (it gathers on each request). Change: the summary is recorded on the end marker, before it is written; a caller that is gone by then has had its response made all the same. Test: TestResponseIsRecordedBeforeItsEndIsWritten, 0 records instead of 1 at the end marker before the change.

--- a/request/complete.go
+++ b/request/complete.go
@@ -37,6 +37,8 @@
 	lastChunkAt  time.Time
 	grant        *dispatch.Grant
 	tried        []galenastair.BackendServerID
+	// recorded reports that the summary has been recorded.
+	recorded bool
 }
 
 // Complete serves a model request and forwards the response to writer. A nil error
@@ -118,15 +120,21 @@
 func (c *completion) settle(charge Charge, debt galenastair.Tokens, err error) {
 	if err != nil && c.outcome() == galenastair.OutcomeNotRun {
 		c.summary.Used = 0
-	} else if c.summary.Used == 0 {
-		// Without the engine's token count the whole charge is kept, because the
-		// number of tokens generated after a connection failure is unknown.
-		c.summary.Used = c.summary.Charged
+	} else {
+		c.useCharged()
 	}
 	c.s.debts.add(c.auth.organisation, c.summary.Used-c.summary.Charged)
 	charge.Settle(c.summary.Used + debt)
 }
 
+// useCharged counts the whole charge as used if the engine gave no token count, because the
+// number of tokens generated after a connection failure is unknown.
+func (c *completion) useCharged() {
+	if c.summary.Used == 0 {
+		c.summary.Used = c.summary.Charged
+	}
+}
+
 func (c *completion) run(ctx context.Context) error {
 	ctx, remove := c.s.active.Add(ctx, c.call.Key)
 	defer remove()
@@ -259,6 +267,11 @@
 func (c *completion) forwardChunk(chunk galenastair.Chunk) error {
 	c.recordChunkTime()
 	c.recordUsage(chunk.Data)
+	if chunk.End {
+		// The caller may read the metrics as soon as it has the end of the response.
+		c.useCharged()
+		c.recordSummary(nil)
+	}
 	if err := c.writer.WriteChunk(chunk); err != nil {
 		return context.Canceled
 	}
@@ -308,6 +321,10 @@
 }
 
 func (c *completion) recordSummary(err error) {
+	if c.recorded {
+		return
+	}
+	c.recorded = true
 	summary := c.summary
 	summary.Attempts = c.attempts
 	summary.Duration = c.s.clock.Now().Sub(c.startedAt)
--- a/request/complete_test.go
+++ b/request/complete_test.go
@@ -150,3 +150,35 @@
 	is.NoErr(err)
 	is.Equal(answer.Status, 200)
 }
+
+// countingRecorder counts the summaries that it was given.
+type countingRecorder struct{ summaries []Summary }
+
+func (r *countingRecorder) RequestEnded(s Summary) { r.summaries = append(r.summaries, s) }
+
+// endWriter notes how many requests were recorded when the end of the response was written.
+type endWriter struct {
+	recorder *countingRecorder
+	atEnd    int
+}
+
+func (w *endWriter) WriteChunk(c galenastair.Chunk) error {
+	if c.End {
+		w.atEnd = len(w.recorder.summaries)
+	}
+	return nil
+}
+
+// Guards against a caller that has its whole response and does not find it in the metrics.
+func TestResponseIsRecordedBeforeItsEndIsWritten(t *testing.T) {
+	is := is.New(t)
+	ts := newTestServer(t, fakeAttempt{chunks: 2})
+	recorder := &countingRecorder{}
+	WithRecorder(recorder)(ts.server)
+	writer := &endWriter{recorder: recorder}
+	is.NoErr(ts.server.Complete(context.Background(), ts.call(), writer))
+	is.Equal(writer.atEnd, 1)
+	is.Equal(len(recorder.summaries), 1)
+	is.Equal(recorder.summaries[0].Outcome, galenastair.OutcomeRan)
+	is.True(recorder.summaries[0].Used > 0)
+}
