entry: tests hand over open listeners instead of ports that were free

Change: option WithListen; the tests open their listeners once and hand them over. TestPortInUse keeps its listener open and does not hand it over: the instance still meets a taken port.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,17 +53,26 @@
 	conns           *httpserve.ConnTracker
 	fleet           fleet
 	shutdown        shutdownState
+	openListener    ListenFunc
 }
 
+// ListenFunc opens the TCP listener of an address.
+type ListenFunc func(address string) (net.Listener, error)
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 // Option configures an Entry.
 type Option func(*Entry)
 
 // WithLogger sets the logger for decisions and events.
 func WithLogger(l log.Logger) Option { return func(e *Entry) { e.logger = l } }
 
+// WithListen replaces how the instance opens its listeners, for listeners that are already open.
+func WithListen(f ListenFunc) Option { return func(e *Entry) { e.openListener = f } }
+
 // New returns an entry that does nothing until Run is called.
 func New(s settings.Settings, opts ...Option) (*Entry, error) {
-	e := &Entry{settings: s, logger: log.NewNopLogger(), metrics: operator.NewMetrics(), loop: control.NewLoop(), conns: httpserve.NewConnTracker()}
+	e := &Entry{settings: s, logger: log.NewNopLogger(), metrics: operator.NewMetrics(), loop: control.NewLoop(), conns: httpserve.NewConnTracker(), openListener: listenTCP}
 	for _, o := range opts {
 		o(e)
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -34,16 +34,31 @@
 	client         *logservice.Client
 	stop           context.CancelFunc
 	runErr         chan error
+	// listeners are open for the addresses in the settings: a port that was only looked up could
+	// be taken by another process before the instance listens on it.
+	listeners map[string]net.Listener
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress(t *testing.T) string {
+// reserveAddress returns an address whose listener waits for the instance.
+func (x *testSite) reserveAddress() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		x.t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	x.t.Cleanup(func() { l.Close() })
+	address := l.Addr().String()
+	x.listeners[address] = l
+	return address
+}
+
+// listen returns the reserved listener of an address, once.
+func (x *testSite) listen(address string) (net.Listener, error) {
+	l, reserved := x.listeners[address]
+	if !reserved {
+		return listenTCP(address)
+	}
+	delete(x.listeners, address)
+	return l, nil
 }
 
 func newTestSite(t *testing.T) *testSite {
@@ -56,7 +71,7 @@
 	s.Platform.LogAddress, s.Platform.InstanceListAddress, s.Platform.WeightStoreAddress = address, address, address
 	s.Platform.ListPeriod = 50 * time.Millisecond
 	s.Stop.Notice = 300 * time.Millisecond
-	x := &testSite{t: t, settings: s, platformServer: platformServer, client: logservice.New(address), runErr: make(chan error, 1)}
+	x := &testSite{t: t, settings: s, platformServer: platformServer, client: logservice.New(address), runErr: make(chan error, 1), listeners: map[string]net.Listener{}}
 	t.Cleanup(func() {
 		cancel()
 		p.Close()
@@ -71,8 +86,8 @@
 func (x *testSite) assignInstance(id galenastair.InstanceID) {
 	in := &x.settings.Instance
 	in.ID = id
-	in.CallerAddress, in.OperatorAddress = freeAddress(x.t), freeAddress(x.t)
-	in.PeerAddress = freeAddress(x.t)
+	in.CallerAddress, in.OperatorAddress = x.reserveAddress(), x.reserveAddress()
+	in.PeerAddress = x.reserveAddress()
 	in.PeerListenAddress = in.PeerAddress
 }
 
@@ -116,7 +131,7 @@
 
 func (x *testSite) start() *Entry {
 	is := is.New(x.t)
-	e, err := New(x.settings)
+	e, err := New(x.settings, WithListen(x.listen))
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	x.stop = cancel
@@ -228,11 +243,10 @@
 func TestPortInUse(t *testing.T) {
 	is := is.New(t)
 	x := newTestSite(t)
-	l, err := net.Listen("tcp", x.settings.Instance.PeerAddress)
-	is.NoErr(err)
-	defer l.Close()
+	// the reserved listener keeps the port, but is not handed over
+	delete(x.listeners, x.settings.Instance.PeerAddress)
 	x.start()
-	err = <-x.runErr
+	err := <-x.runErr
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "peers' port: is "+x.settings.Instance.PeerAddress))
 	is.True(!errors.Is(err, context.Canceled))
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -22,7 +22,7 @@
 }
 
 func (e *Entry) listenOn(name, address string, h http.Handler) (*listener, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := e.openListener(address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s port: is %s in use, or not an address of this machine?", name, address)
 	}
