Evacuated zones, cold backend servers and allowed regions

Cause: the code knew none of the platform's records op/evacuate/ZONE, cold-left-ms, cold-start-s, cold-per-s and allowed-regions.

Change: - The configuration topic's evacuations are applied before the version of the same batch, so that an instance never serves without them. A server in an evacuated zone is withdrawn, as one that leaves: only the last copy of a model gets requests there, until EvacuateTimeout (new setting, from the platform's bounds) less the time to arrive, counted from the last state known to be without the evacuation. The planner replaces its copies and gives it no loads; a queued load to a withdrawn engine is dropped. - A model whose copies are all withdrawn counts as not loaded; before, the request was refused as "all were tried" and nothing was loaded for it. - A cold server has its service's rate as a limit over all instances, by the leader's bucket (and turns without a leader) that advertised limits use. Cold is what the registration says, and all servers of a zone that is taken back, for the service's cold start: their registrations are seconds old then. Buckets save up 250 ms instead of 1 s, so that what is granted stays within the bound beside what an older view sends. - Requests whose route or organisation names regions go to these alone; where both do, to those of both.

Ruled out: health probes of returned zones (priced, and later than the presumption); telling cold times with each heartbeat (they count down by themselves; only a later end is a change of the registration).

Tests fail without the change: pool (withdraw, cold: a fleet of 63 and of 300 instances with views of up to 2 s, a tenth without the leader), node (evacuations), planner, platform, gateway. The template's test renders the platform's sections, with and without optional bounds.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -58,6 +58,8 @@
 	// Public routes need no key.
 	Public  bool
 	Targets []Target
+	// Regions are those whose backend servers may run the requests; empty for all.
+	Regions []galenastair.Region
 }
 
 // Model is a model that the engines of a service can load.
@@ -84,6 +86,10 @@
 type Service struct {
 	Name           galenastair.ServiceName
 	MaxConnections int
+	// ColdStart is how long a backend server stays cold after its start. Until then it accepts
+	// ColdRate requests per second from all instances together; 0 is no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is nil for a service without model engines.
 	Engine *Engine
 }
@@ -103,6 +109,8 @@
 	CountsTokens bool
 	// DefaultTokens is the cost of a request without token counts.
 	DefaultTokens galenastair.Tokens
+	// Regions are those whose backend servers may run its requests; empty for all.
+	Regions []galenastair.Region
 }
 
 // Cost returns what one request takes from the organisation's quota. If counted is false, the
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -13,7 +13,7 @@
 // stateEvents are the events that log a change of the state on which an instance bases its
 // decisions about requests.
 var stateEvents = []string{
-	"start", "stopping", "dependency lost", "dependency regained", "configuration", "configuration unreadable", "quota",
+	"start", "stopping", "dependency lost", "dependency regained", "configuration", "configuration unreadable", "quota", "evacuation",
 	"leader", "lease", "term", "note", "charge", "limit named", "limit share", "fetch", "absent", "backend server leaving", "backend server expired", "backend server gone", "history gone", "engine state",
 }
 
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"galenastair"
@@ -27,6 +28,8 @@
 	organisation *catalog.Organisation
 	version      int64
 	age          time.Duration
+	// regions are those whose backend servers may run the request; empty for all.
+	regions []galenastair.Region
 }
 
 func (a admission) organisationName() galenastair.Organisation {
@@ -64,6 +67,7 @@
 		return a, galenastair.NewRefusal(galenastair.ErrNotFound, 0, "no route matches")
 	}
 	if !current.RequiresKey(a.route) {
+		a.regions = a.route.Regions
 		return a, nil
 	}
 	if !fresh {
@@ -76,7 +80,24 @@
 	if a.organisation == nil {
 		return a, galenastair.NewRefusal(galenastair.ErrKeyUnknown, 0, "")
 	}
-	return a, nil
+	return a, a.restrictRegions()
+}
+
+// restrictRegions sets the regions that both the route and the organisation allow.
+func (a *admission) restrictRegions() error {
+	route, organisation := a.route.Regions, a.organisation.Regions
+	switch {
+	case len(organisation) == 0:
+		a.regions = route
+	case len(route) == 0:
+		a.regions = organisation
+	default:
+		a.regions = slices.DeleteFunc(slices.Clone(route), func(r galenastair.Region) bool { return !slices.Contains(organisation, r) })
+		if len(a.regions) == 0 {
+			return galenastair.NewRefusal(galenastair.ErrNoBackendServer, maxRetryAfter, "the route and the organisation allow no common region")
+		}
+	}
+	return nil
 }
 
 // charge deducts a request's cost from its organisation's quota.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"galenastair"
+	"galenastair/catalog"
 	"galenastair/planner"
 )
 
@@ -357,3 +358,25 @@
 	is.NoErr(err)
 	is.Equal(to.status, 200)
 }
+
+// Guards against a request in a region that only its route or only its organisation allows.
+func TestRouteAndOrganisationRegionsBothBind(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		route, organisation, want []galenastair.Region
+		refused                   bool
+	}{
+		{want: nil},
+		{route: []galenastair.Region{"a"}, want: []galenastair.Region{"a"}},
+		{organisation: []galenastair.Region{"b"}, want: []galenastair.Region{"b"}},
+		{route: []galenastair.Region{"a", "b"}, organisation: []galenastair.Region{"b", "c"}, want: []galenastair.Region{"b"}},
+		{route: []galenastair.Region{"a"}, organisation: []galenastair.Region{"c"}, refused: true},
+	} {
+		a := admission{route: &catalog.Route{Regions: c.route}, organisation: &catalog.Organisation{Regions: c.organisation}}
+		err := a.restrictRegions()
+		is.Equal(err != nil, c.refused)
+		if !c.refused {
+			is.Equal(a.regions, c.want)
+		}
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -176,6 +176,7 @@
 		RequestHints:  r.req.Hints,
 		TargetLatency: r.admission.route.TargetLatency,
 		NoRetry:       !r.admission.route.Kind.Retryable(),
+		Regions:       r.admission.regions,
 		Exclude:       r.tried,
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -149,6 +149,7 @@
 		return float64(current.Version)
 	})
 	gauge("galenastair_backend_servers", "Backend servers that are known.", func() float64 { return float64(n.pool.Len()) })
+	gauge("galenastair_evacuated_zones", "Availability zones whose backend servers get no new requests.", func() float64 { return float64(len(n.catalogSource.evacuations.zones())) })
 	gauge("galenastair_fleet", "Instances that the quotas are dealt to.", func() float64 { return float64(n.borrower.FleetSize()) })
 	gauge("galenastair_plans", "1 while this instance plans.", func() float64 {
 		if n.lease.Holds() {
--- a/node/node.go
+++ b/node/node.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -119,7 +121,11 @@
 	n.borrower = quota.NewBorrower(tolerance)
 	// until a leader or its checkpoint gives a fleet size, other instances may hold the whole quota
 	n.borrower.SetFleetSize(0)
-	n.pool = pool.New(s.AvailabilityZone, pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-requestTransitTime)), pool.WithFleetSize(n.borrower.ReportedFleetSize))
+	n.pool = pool.New(s.AvailabilityZone,
+		pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-requestTransitTime)),
+		pool.WithEvacuationGrace(max(0, s.Bounds.EvacuateTimeout-requestTransitTime)),
+		pool.WithRegions(s.Zones),
+		pool.WithFleetSize(n.borrower.ReportedFleetSize))
 	n.accounts = account.New(s.PeerAddress, tolerance)
 	n.backendClient = httpconn.NewPool()
 	backend := platform.NewBackendClient(n.backendClient)
@@ -246,9 +252,14 @@
 func (n *Node) connectFollowers(ctx context.Context) {
 	n.catalogSource.onChange = func(c *catalog.Catalog) {
 		n.borrower.SetContracts(time.Now(), c)
+		n.pool.SetColdStarts(coldStarts(c))
 		n.accounts.SetContracts(c)
 		n.logPostError(n.planner.SetCatalog(ctx, c))
 	}
+	n.catalogSource.evacuations.onChange = func(zones map[galenastair.AvailabilityZone]time.Time) {
+		n.pool.SetEvacuated(time.Now(), zones)
+		n.logPostError(n.planner.SetEvacuated(ctx, slices.Collect(maps.Keys(zones))))
+	}
 	n.serverWatcher.onUpdate = func(s pool.Server) {
 		n.pool.Set(time.Now(), s)
 		n.logPostError(n.planner.SetServer(ctx, s))
@@ -271,6 +282,16 @@
 		follow.WithLogger(n.logger))
 }
 
+func coldStarts(c *catalog.Catalog) map[galenastair.ServiceName]pool.ColdStart {
+	out := map[galenastair.ServiceName]pool.ColdStart{}
+	c.ForEachService(func(s *catalog.Service) {
+		if s.ColdRate > 0 {
+			out[s.Name] = pool.ColdStart{Duration: s.ColdStart, Rate: s.ColdRate}
+		}
+	})
+	return out
+}
+
 // onElected rereads the topics from the store: changes received from other instances lack the
 // fields that only the planner needs.
 func (n *Node) onElected() {
--- a/node/servers.go
+++ b/node/servers.go
@@ -198,7 +198,7 @@
 		s.handleRemoval(id, r.Offset)
 		return
 	}
-	srv, err := platform.DecodeRegistration(r.Key, r.Value)
+	srv, err := platform.DecodeRegistration(now, r.Key, r.Value)
 	if err != nil {
 		if !s.undecodable[id] {
 			s.undecodable[id] = true
--- a/node/status.go
+++ b/node/status.go
@@ -32,6 +32,8 @@
 	FleetSize      int  `json:"Fleet"`
 	InFallback     bool `json:"Alone"`
 	BackendServers []pool.State
+	// EvacuatedZones are the availability zones whose backend servers get no new requests.
+	EvacuatedZones []galenastair.AvailabilityZone
 }
 
 // Status returns the current state of the instance.
@@ -45,6 +47,7 @@
 		FleetSize:        n.borrower.FleetSize(),
 		InFallback:       n.borrower.InFallback(),
 		BackendServers:   n.pool.States(time.Now()),
+		EvacuatedZones:   n.catalogSource.evacuations.zones(),
 	}
 	if err := n.ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
--- a/node/views.go
+++ b/node/views.go
@@ -19,6 +19,8 @@
 	follower *follow.Follower
 	logger   log.Logger
 	onChange func(*catalog.Catalog)
+	// evacuations come with the same topic.
+	evacuations *evacuations
 	// loaded is closed once the first configuration has been read.
 	loaded    chan struct{}
 	startTime time.Time
@@ -29,7 +31,7 @@
 const firstLoadTimeout = time.Second
 
 func newCatalogSource(logger log.Logger) *catalogSource {
-	return &catalogSource{logger: logger, loaded: make(chan struct{}), startTime: time.Now()}
+	return &catalogSource{logger: logger, loaded: make(chan struct{}), startTime: time.Now(), evacuations: newEvacuations(logger)}
 }
 
 // WaitReady waits for the first configuration, at most until firstLoadTimeout after the start.
@@ -73,9 +75,20 @@
 	return defaultBodyBytes
 }
 
-// apply loads the newest version in a batch. It ignores versions older than the current one, as
-// the store may return an older one after it has dropped its history.
-func (s *catalogSource) apply(b galenastair.KeyedBatch, _ bool) {
+// apply applies the evacuations in a batch, and then the newest version: an instance serves from
+// its first version on, and must know by then which zones get no requests.
+func (s *catalogSource) apply(b galenastair.KeyedBatch, snapshot bool) {
+	var confirmed time.Time
+	if age, known := s.follower.Age(); known {
+		confirmed = time.Now().Add(-age)
+	}
+	s.evacuations.apply(b, snapshot, confirmed)
+	s.applyVersion(b)
+}
+
+// applyVersion loads the newest version in a batch. It ignores versions older than the current one,
+// as the store may return an older one after it has dropped its history.
+func (s *catalogSource) applyVersion(b galenastair.KeyedBatch) {
 	var newest []byte
 	for _, r := range b.Records {
 		if r.Key == platform.ConfigurationKey && len(r.Value) > 0 {
--- a/peer/planning/changes.go
+++ b/peer/planning/changes.go
@@ -1,6 +1,8 @@
 package planning
 
 import (
+	"time"
+
 	"galenastair"
 	"galenastair/peer/planningpb"
 	"galenastair/pool"
@@ -34,6 +36,7 @@
 		Slots:   uint32(s.Slots),
 		Leaving: s.Leaving,
 		Born:    s.Incarnation,
+		ColdMs:  max(0, time.Until(s.ColdUntil).Milliseconds()),
 	}
 }
 
@@ -67,7 +70,7 @@
 	if i == nil {
 		return nil
 	}
-	return &pool.Server{
+	s := &pool.Server{
 		ID:               id,
 		Service:          galenastair.ServiceName(i.Service),
 		Address:          i.Address,
@@ -77,6 +80,10 @@
 		Incarnation:      i.Born,
 		Heartbeat:        c.Beat,
 	}
+	if i.ColdMs > 0 {
+		s.ColdUntil = time.Now().Add(time.Duration(i.ColdMs) * time.Millisecond)
+	}
+	return s
 }
 
 func decodeModelNames(names []string) []galenastair.ModelName {
--- a/planner/order.go
+++ b/planner/order.go
@@ -30,7 +30,7 @@
 		return
 	}
 	q := e.queue[0]
-	if !e.hasRoom(s.modelSet, q) {
+	if !e.hasRoom(s.modelSet, q) || q.kind == galenastair.LoadModel && e.server.Leaving {
 		p.logger.Log("event", "order dropped", "kind", q.kind, "name", q.name(), "server", e.server.ID, "reason", q.reason)
 		p.abandon(e, q)
 		return
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,9 +76,11 @@
 	services map[galenastair.ServiceName]*service
 	servers  map[galenastair.BackendServerID]pool.Server
 	// downAt holds the servers that refuse connections, with the time of the last such report.
-	downAt  map[galenastair.BackendServerID]time.Time
-	lender  *quota.Lender
-	reports map[galenastair.InstanceID]instanceReport
+	downAt map[galenastair.BackendServerID]time.Time
+	// evacuated holds the availability zones whose engines get no requests.
+	evacuated []galenastair.AvailabilityZone
+	lender    *quota.Lender
+	reports   map[galenastair.InstanceID]instanceReport
 	// loads is the sum over all reports.
 	loads   loads
 	limits  map[galenastair.BackendServerID]advertisedLimit
@@ -188,9 +191,9 @@
 }
 
 func (p *Planner) setServer(s pool.Server) {
-	if _, down := p.downAt[s.ID]; down {
-		// its copies are lost or soon will be, so they are replaced as for a server that is
-		// leaving
+	_, down := p.downAt[s.ID]
+	if down || slices.Contains(p.evacuated, s.AvailabilityZone) {
+		// its copies cannot be used, so they are replaced as for a server that is leaving
 		s.Leaving = true
 	}
 	if svc := p.services[s.Service]; svc != nil {
@@ -198,6 +201,17 @@
 	}
 }
 
+// SetEvacuated sets the availability zones whose engines get no requests. Their models are loaded
+// elsewhere, and they get no loads.
+func (p *Planner) SetEvacuated(ctx context.Context, zones []galenastair.AvailabilityZone) error {
+	return p.loop.Post(ctx, func() {
+		p.evacuated = zones
+		for _, s := range p.servers {
+			p.setServer(s)
+		}
+	})
+}
+
 // SetServer applies the registration of a backend server.
 func (p *Planner) SetServer(ctx context.Context, s pool.Server) error {
 	return p.loop.Post(ctx, func() {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -103,6 +103,31 @@
 	h.do(func() { is.True(h.planner.services["writer"].up(before[0])) })
 }
 
+// Guards against a model whose only copy stands in an evacuated availability zone: another engine
+// must load it, and engines of the zone get no loads until the zone is taken back.
+func TestModelsOfAnEvacuatedZoneAreLoadedElsewhere(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1, 4)
+	h.step(time.Second)
+	const only = "m3"
+	before := h.enginesWithM3()
+	is.Equal(len(before), 1)
+	moved := h.fleet.fakes[string(before[0])].registration()
+	moved.AvailabilityZone = "z2"
+	moved.Heartbeat += 100
+	is.NoErr(h.planner.SetServer(t.Context(), moved))
+	is.NoErr(h.planner.SetEvacuated(t.Context(), []galenastair.AvailabilityZone{"z2"}))
+	for range 10 {
+		_, err := h.planner.Exchange(t.Context(), Report{Instance: "i", Demands: map[galenastair.ModelName]time.Duration{only: tokens(500)}})
+		is.NoErr(err)
+		h.step(200 * time.Millisecond)
+	}
+	is.True(len(h.enginesWithM3()) > 1)
+	h.do(func() { is.True(!h.planner.services["writer"].up(before[0])) })
+	is.NoErr(h.planner.SetEvacuated(t.Context(), nil))
+	h.do(func() { is.True(h.planner.services["writer"].up(before[0])) })
+}
+
 // A rate-limited engine has the only copy of a model. Callers are refused until another engine
 // holds it.
 func TestModelOfALimitedEngineIsLoadedElsewhere(t *testing.T) {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -44,7 +44,7 @@
 	ReasonLowestLatency = "soonest"
 	ReasonProbe         = "probe of an ejected server"
 	ReasonAllEjected    = "all servers are ejected"
-	ReasonLastCopy      = "last copy, on a leaving server"
+	ReasonLastCopy      = "last copy, on a withdrawn server"
 	ReasonNoServer      = "no server for the service"
 	ReasonNoModel       = "no server holds the model"
 	ReasonExcluded      = "all were tried"
@@ -67,14 +67,14 @@
 	}
 	best, reason := p.best(now, &q, candidates)
 	if best == nil {
-		return Choice{Reason: ReasonExcluded}, false
+		return Choice{Reason: p.noneReason(now, &q)}, false
 	}
 	return Choice{
 		Server:           best.Server,
 		PredictedLatency: p.predictLatency(now, best, &q),
 		CachedTokens:     best.cache.match(q.keys, q.PromptParts),
 		Candidates:       len(candidates),
-		Limit:            best.limit.withAge(now, best.ID),
+		Limit:            p.limitOf(now, best),
 		Reason:           reason,
 	}, true
 }
@@ -89,7 +89,7 @@
 		if b.Service != q.Service || slices.Contains(q.Exclude, b.ID) {
 			continue
 		}
-		if q.engine() && b.isDown(now) {
+		if q.engine() && b.isDown(now) || !p.inRegions(b, q.Regions) {
 			continue
 		}
 		out = append(out, b)
@@ -98,9 +98,10 @@
 }
 
 func (p *Pool) noneReason(now time.Time, q *Query) string {
-	available := func(b *backend) bool { return b.Service == q.Service && !b.isDown(now) }
+	inService := func(b *backend) bool { return !p.isWithdrawn(b) && p.inRegions(b, q.Regions) }
+	available := func(b *backend) bool { return b.Service == q.Service && !b.isDown(now) && inService(b) }
 	switch {
-	case len(p.byService[q.Service]) == 0:
+	case !slices.ContainsFunc(p.byService[q.Service], inService):
 		return ReasonNoServer
 	case q.engine() && !slices.ContainsFunc(p.byModel[q.Model], available):
 		return ReasonNoModel
@@ -112,13 +113,14 @@
 // best compares the candidates. A single server that is slow, failing or unresponsive among
 // healthy ones must lose its load at once. If all servers are slow, none must be removed.
 func (p *Pool) best(now time.Time, q *Query, candidates []*backend) (*backend, string) {
-	var best, ejected, leaving *backend
+	var best, ejected, withdrawn *backend
 	var bestScore, ejectedScore time.Duration
+	var withdrawnEnd time.Time
 	candidates = p.sample(now, candidates)
 	for _, b := range candidates {
-		if b.Leaving {
-			if leaving == nil || b.leaveStart.After(leaving.leaveStart) {
-				leaving = b
+		if end, ok := p.withdrawalEnd(b); ok {
+			if withdrawn == nil || end.After(withdrawnEnd) {
+				withdrawn, withdrawnEnd = b, end
 			}
 			continue
 		}
@@ -141,8 +143,8 @@
 		return best, ReasonLowestLatency
 	case ejected != nil:
 		return ejected, ReasonAllEjected
-	case leaving != nil && now.Sub(leaving.leaveStart) < p.leaveGrace:
-		return leaving, ReasonLastCopy
+	case withdrawn != nil && now.Before(withdrawnEnd):
+		return withdrawn, ReasonLastCopy
 	}
 	return nil, ReasonExcluded
 }
@@ -158,7 +160,7 @@
 
 // sample keeps a random sample of the healthy candidates in a large fleet. Instances know the load
 // of their peers only with a delay of some hundred milliseconds, so without sampling they would
-// all choose the same server. Servers that are ejected or leaving are kept.
+// all choose the same server. Servers that are ejected or withdrawn are kept.
 func (p *Pool) sample(now time.Time, candidates []*backend) []*backend {
 	if p.fleetSize() < minFleetToSample || len(candidates) <= sampleSize {
 		return candidates
@@ -166,7 +168,7 @@
 	p.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	local, remote := 0, 0
 	return slices.DeleteFunc(candidates, func(b *backend) bool {
-		if b.Leaving || b.health.isEjected(now) || !b.health.ejectedUntil.IsZero() {
+		if p.isWithdrawn(b) || b.health.isEjected(now) || !b.health.ejectedUntil.IsZero() {
 			return false
 		}
 		count := &remote
--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -111,6 +111,8 @@
 	TargetLatency time.Duration
 	// NoRetry is set if the request must not be sent twice.
 	NoRetry bool
+	// Regions are those whose servers may run the request; empty for all.
+	Regions []galenastair.Region
 	Exclude []galenastair.BackendServerID
 
 	keys []uint64
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -15,6 +15,9 @@
 	rng  *rand.Rand
 	// leaveGrace applies to the last copy of a model.
 	leaveGrace time.Duration
+	// evacuationGrace is the same for a server whose availability zone is evacuated.
+	evacuationGrace time.Duration
+	regions         map[galenastair.AvailabilityZone]galenastair.Region
 	// fleetSize returns the number of instances that send to the same servers.
 	fleetSize func() int
 
@@ -24,6 +27,9 @@
 	byModel     map[galenastair.ModelName][]*backend
 	modelRatios map[galenastair.ModelName]*latencyRatio
 	costs       map[galenastair.ModelName]*cost
+	// evacuated holds the earliest time at which each evacuation may have begun.
+	evacuated  map[galenastair.AvailabilityZone]time.Time
+	coldStarts map[galenastair.ServiceName]ColdStart
 	// overall is the mean cost over all models.
 	overall cost
 }
@@ -51,6 +57,8 @@
 	limit  limit
 	// throttledUntil is the time until which the server's rate limit allows no more requests.
 	throttledUntil time.Time
+	// coldUntil is the time until which the service's ColdStart limits the server.
+	coldUntil time.Time
 }
 
 // downTTL is how long an engine counts as down after it refused a connection. Its registration
@@ -85,6 +93,15 @@
 // model. The default is 0.
 func WithLeaveGrace(d time.Duration) Option { return func(p *Pool) { p.leaveGrace = d } }
 
+// WithEvacuationGrace sets how long a server in an evacuated availability zone still gets new
+// requests if no other server has the model. The default is 0.
+func WithEvacuationGrace(d time.Duration) Option { return func(p *Pool) { p.evacuationGrace = d } }
+
+// WithRegions sets the regions of the availability zones, which queries with Regions need.
+func WithRegions(r map[galenastair.AvailabilityZone]galenastair.Region) Option {
+	return func(p *Pool) { p.regions = r }
+}
+
 // WithFleetSize sets a function that returns the number of instances that send to the same
 // servers.
 func WithFleetSize(f func() int) Option { return func(p *Pool) { p.fleetSize = f } }
@@ -130,6 +147,7 @@
 		return
 	}
 	b.Server = s
+	b.extendCold(s.ColdUntil)
 	p.setModels(now, b, modelNames(s.Models))
 }
 
@@ -244,25 +262,29 @@
 	}
 }
 
-// HasModel reports whether a server that is not leaving holds a model or adapter.
+// HasModel reports whether a server that is not withdrawn holds a model or adapter.
 func (p *Pool) HasModel(name galenastair.ModelName) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, b := range p.byModel[name] {
-		if !b.Leaving {
+		if !p.isWithdrawn(b) {
 			return true
 		}
 	}
 	return false
 }
 
-// Usable reports whether a server that was chosen may still get the request. It may have started
-// to leave while the connection was set up.
+// Usable reports whether a server that was chosen may still get the request. It may have been
+// withdrawn while the connection was set up.
 func (p *Pool) Usable(now time.Time, id galenastair.BackendServerID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.backends[id]
-	return b != nil && (!b.Leaving || now.Sub(b.leaveStart) < p.leaveGrace)
+	if b == nil {
+		return false
+	}
+	end, withdrawn := p.withdrawalEnd(b)
+	return !withdrawn || now.Before(end)
 }
 
 // Len returns the number of backend servers.
--- a/pool/server.go
+++ b/pool/server.go
@@ -33,6 +33,8 @@
 	Incarnation int64
 	// Heartbeat counts the registrations since its start.
 	Heartbeat int64
+	// ColdUntil is when the server stops being cold after its start, zero if it is warm.
+	ColdUntil time.Time
 	Models    []galenastair.LoadedModel
 	// CachedModels are the models of which the server keeps a local copy in memory or on disk.
 	CachedModels []galenastair.ModelName
--- a/pool/state.go
+++ b/pool/state.go
@@ -30,9 +30,10 @@
 
 // Reasons for sending no requests to a server.
 const (
-	UnavailableLeaving UnavailableReason = "leaving"
-	UnavailableEjected UnavailableReason = "failed"
-	UnavailableProbing UnavailableReason = "tried by one request"
+	UnavailableLeaving   UnavailableReason = "leaving"
+	UnavailableEvacuated UnavailableReason = "evacuated"
+	UnavailableEjected   UnavailableReason = "failed"
+	UnavailableProbing   UnavailableReason = "tried by one request"
 )
 
 // States returns the state of all backend servers, sorted by service and ID.
@@ -43,7 +44,7 @@
 	for _, srv := range p.backends {
 		s := State{
 			ID: srv.ID, Service: srv.Service, Address: srv.Address, AvailabilityZone: srv.AvailabilityZone,
-			Unavailable: srv.unavailableReason(now), InFlight: srv.inFlight, FailureRate: srv.health.failureRate, Limit: srv.limit.perSecond,
+			Unavailable: p.unavailableReason(now, srv), InFlight: srv.inFlight, FailureRate: srv.health.failureRate, Limit: srv.limit.perSecond,
 		}
 		for name := range srv.holds {
 			s.Holds = append(s.Holds, name)
@@ -57,10 +58,13 @@
 	return out
 }
 
-func (b *backend) unavailableReason(now time.Time) UnavailableReason {
+func (p *Pool) unavailableReason(now time.Time, b *backend) UnavailableReason {
+	_, evacuated := p.evacuated[b.AvailabilityZone]
 	switch {
 	case b.Leaving || !b.leaveStart.IsZero():
 		return UnavailableLeaving
+	case evacuated:
+		return UnavailableEvacuated
 	case now.Before(b.health.ejectedUntil):
 		return UnavailableEjected
 	case b.health.probing:
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// burstPeriod is the time for which an unused rate is saved up.
-	burstPeriod = time.Second
+	// burstPeriod is the time for which an unused rate is saved up. What it saves can arrive together
+	// with what another instance, by an older view, sends without asking.
+	burstPeriod = 250 * time.Millisecond
 	// idleTimeout is when the bucket of an unused server is dropped.
 	idleTimeout = time.Minute
 )
--- a/registry/change.go
+++ b/registry/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"galenastair"
 	"galenastair/pool"
@@ -24,10 +25,16 @@
 	Removed []galenastair.ModelName
 }
 
-// sameAttributes reports whether two registrations are equal apart from their models and heartbeat.
+// coldTolerance is the difference of ColdUntil between two registrations of one cold start, which
+// take different times to arrive.
+const coldTolerance = time.Second
+
+// sameAttributes reports whether a registration b equals the one before it, a, apart from its
+// models and heartbeat.
 func sameAttributes(a, b pool.Server) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.AvailabilityZone == b.AvailabilityZone &&
-		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Incarnation == b.Incarnation
+		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Incarnation == b.Incarnation &&
+		b.ColdUntil.Sub(a.ColdUntil) < coldTolerance
 }
 
 // qualifiedNames returns the names of all models, and of all adapters in the form "model/adapter".
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,7 +27,9 @@
 	MemoryLimit galenastair.Bytes
 	// LinkMbps is the bandwidth of the instance's network link in Mbit/s; 0 if unknown.
 	LinkMbps float64
-	Bounds   Bounds
+	// Zones are the availability zones with their regions.
+	Zones  map[galenastair.AvailabilityZone]galenastair.Region
+	Bounds Bounds
 }
 
 // Bounds are the limits that the users' platform requires the system to keep.
@@ -45,6 +48,9 @@
 	// LeaveTimeout is how long a backend server may still get new requests after it has
 	// announced that it is leaving.
 	LeaveTimeout time.Duration
+	// EvacuateTimeout is how long the backend servers of an availability zone may still get new
+	// requests after its evacuation.
+	EvacuateTimeout time.Duration
 	// RetryRatio and RetrySlack bound the retries of all instances together.
 	RetryRatio float64
 	RetrySlack float64
@@ -66,6 +72,7 @@
 		name("Gateway", "ID", true, &g.ID),
 		name("Gateway", "Region", true, &g.Region),
 		name("Gateway", "AvailabilityZone", true, &g.AvailabilityZone),
+		zones("Gateway", "Zones", &g.Zones),
 		address("Gateway", "CallerAddress", &g.CallerAddress),
 		address("Gateway", "ReadyAddress", &g.ReadyAddress),
 		address("Gateway", "PeerAddress", &g.PeerAddress),
@@ -79,6 +86,7 @@
 		required(boolean("Bounds", "FencesChecked", &b.FencesChecked)),
 		required(duration("Bounds", "ApplyTimeout", &b.ApplyTimeout, 500*time.Millisecond, time.Hour)),
 		required(duration("Bounds", "LeaveTimeout", &b.LeaveTimeout, 100*time.Millisecond, time.Hour)),
+		duration("Bounds", "EvacuateTimeout", &b.EvacuateTimeout, 0, time.Hour),
 		required(decimal("Bounds", "RetryRatio", &b.RetryRatio, 0, 10)),
 		required(decimal("Bounds", "RetrySlack", &b.RetrySlack, 0, 1e6)),
 		required(duration("Bounds", "QuotaWindow", &b.QuotaWindow, 100*time.Millisecond, time.Hour)),
@@ -97,6 +105,21 @@
 	}}
 }
 
+// zones is a list of ZONE:REGION, separated by commas.
+func zones(section, key string, dst *map[galenastair.AvailabilityZone]galenastair.Region) field {
+	return field{section, key, false, "availability zones and regions, such as a1:east,a2:east", func(s string) error {
+		*dst = map[galenastair.AvailabilityZone]galenastair.Region{}
+		for item := range strings.SplitSeq(s, ",") {
+			zone, region, ok := strings.Cut(strings.TrimSpace(item), ":")
+			if !ok || zone == "" || region == "" {
+				return errInvalidValue
+			}
+			(*dst)[galenastair.AvailabilityZone(zone)] = galenastair.Region(region)
+		}
+		return nil
+	}}
+}
+
 func required(f field) field {
 	f.required = true
 	return f
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"galenastair"
 	"galenastair/inifile"
 )
 
@@ -68,12 +69,22 @@
 	}
 }
 
-// Guards against a required key that is missing in the template that the platform fills in.
-func TestTemplateNamesAllKeys(t *testing.T) {
-	is := is.New(t)
-	text, err := os.ReadFile("../deploy/gateway.ini")
-	is.NoErr(err)
-	filled := regexp.MustCompile(`\{\{[a-z0-9.-]+\}\}`).ReplaceAllStringFunc(string(text), func(p string) string {
+var (
+	listSection     = regexp.MustCompile(`\{\{#zones\}\}.*\{\{/zones\}\}`)
+	optionalSection = regexp.MustCompile(`(?s)\{\{#([a-z.-]+)\}\}(.*?)\{\{/[a-z.-]+\}\}`)
+	placeholder     = regexp.MustCompile(`\{\{[a-z0-9.-]+\}\}`)
+)
+
+// fillTemplate fills in the template as the platform does; withOptional includes the values that
+// not every deployment has.
+func fillTemplate(text string, withOptional bool) string {
+	text = listSection.ReplaceAllString(text, "a1:east,a2:east")
+	section := ""
+	if withOptional {
+		section = "$2"
+	}
+	text = optionalSection.ReplaceAllString(text, section)
+	return placeholder.ReplaceAllStringFunc(text, func(p string) string {
 		switch {
 		case strings.Contains(p, "listen") || strings.Contains(p, "address"):
 			return "127.0.0.1:1"
@@ -90,6 +101,18 @@
 		}
 		return "100"
 	})
-	_, err = ParseGateway([]byte(filled))
+}
+
+// Guards against a required key that is missing in the template that the platform fills in.
+func TestTemplateNamesAllKeys(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../deploy/gateway.ini")
+	is.NoErr(err)
+	g, err := ParseGateway([]byte(fillTemplate(string(text), true)))
+	is.NoErr(err)
+	is.Equal(g.Bounds.EvacuateTimeout, 3*time.Second)
+	is.Equal(g.Zones["a2"], galenastair.Region("east"))
+	g, err = ParseGateway([]byte(fillTemplate(string(text), false)))
 	is.NoErr(err)
+	is.Equal(g.Bounds.EvacuateTimeout, time.Duration(0))
 }
