lease: an instance on a slow link reads who leads at once

Cause: an elector waited its link's delay (1 s at 10 Mbit/s) before the first read of the lease, so that faster links are elected first. Ruled out: the election itself (40 ms), the store's answers. Change: the first read comes at once; the delay stays before an instance campaigns, and before the second read where the first finds no leader.

--- a/lease/elector.go
+++ b/lease/elector.go
@@ -126,8 +126,13 @@
 
 // Run follows, takes and renews the lease until the context ends, and then releases it.
 func (e *Elector) Run(ctx context.Context) error {
-	timer.Wait(ctx, e.linkDelay()+rand.N(startJitter))
+	timer.Wait(ctx, rand.N(startJitter))
 	e.loadRecord(ctx)
+	if e.Leader() == "" {
+		// the first start of the fleet: faster links come first
+		timer.Wait(ctx, e.linkDelay())
+		e.loadRecord(ctx)
+	}
 	if known := e.LatestRecord(); known.FleetSize > 0 && known.FleetSize <= MaxRestoreFleet {
 		e.restoreCheckpoint(ctx, true)
 	}
--- a/lease/elector_test.go
+++ b/lease/elector_test.go
@@ -244,3 +244,17 @@
 	is.True(ok)
 	is.Equal(now, fence)
 }
+
+// Guards against an instance on a slow link that does not know the leader for a second after its
+// restart, and refuses its callers meanwhile.
+func TestRestartedInstanceOnASlowLinkKnowsTheLeaderAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, address := startStore(t)
+	fleet := map[string]*instance{}
+	startInstance(t, address, "one", fleet, lease.WithLinkMbps(200))
+	first := waitForLeader(t, fleet)
+	startInstance(t, address, "slow", fleet, lease.WithLinkMbps(10))
+	began := time.Now()
+	waitFor(t, "the leader is known", func() bool { return fleet["slow"].elector.Leader() == first })
+	is.True(time.Since(began) < 500*time.Millisecond)
+}
