node: requests of a started instance wait until quotas can be charged

Cause: an instance that had not heard from a leader since its start refused its callers as over their quotas (429), and told them to come back after 1.5 s, together. An owner that was just assigned refused too until its own next exchange. Change: a request that can't be charged waits for the first exchange, up to 2 s after the start, and a charge that the owner does not accept yet is repeated for 0.5 s. startupWait also serves the first configuration. Weighed and left: waiting for room in an account in general (an organisation over its quota would add a standing delay to each of its requests); admitting those who come back first (as many are refused again: a client over the quota comes back once either way).

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -50,6 +50,8 @@
 	topics        func() []topicState
 
 	limitFallback *ratelimit.FallbackLimiter
+	// quotaKnown is finished once a leader has told how the quotas are shared.
+	quotaKnown *startupWait
 	// index is the position of this instance among all instances, from 0.
 	index atomic.Int64
 
@@ -117,6 +119,9 @@
 	c.lastChange, c.lastChangeLeader = update.LastChange, leader
 	c.applyUpdate(update)
 	c.applyOwners(update, sent)
+	if !update.LeaseExpired {
+		c.quotaKnown.finish()
+	}
 	forwardTails(c.topics(), update.Tails, sent, func(peer string, t galenastair.Topic, from galenastair.Offset) (galenastair.KeyedBatch, error) {
 		return c.client.Fetch(ctx, peer, t, from)
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -163,6 +163,7 @@
 		logger:        n.logger,
 		address:       n.settings.PeerAddress,
 		zone:          n.settings.AvailabilityZone,
+		quotaKnown:    newStartupWait(quotaStartTimeout),
 		demands:       map[galenastair.ModelName]time.Duration{},
 		topics:        n.topics,
 	}
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -8,12 +8,24 @@
 	"galenastair/account"
 	"galenastair/boottime"
 	"galenastair/quota"
+	"galenastair/timer"
 )
 
 // ownerDiscoveryTime is the approximate time until a new owner is assigned to an organisation
 // whose owner has failed, and until a new instance knows the owners.
 const ownerDiscoveryTime = 1500 * time.Millisecond
 
+const (
+	// quotaStartTimeout is how long after its start an instance holds requests that it cannot charge
+	// yet, because no leader has told it how the quotas are shared. A leader that is lost with all
+	// other instances is replaced within that time.
+	quotaStartTimeout = 2 * time.Second
+	// An owner that has just been assigned or restarted learns of it with its next exchange: a
+	// charge that it does not accept is repeated for maxOwnerWait.
+	maxOwnerWait       = 500 * time.Millisecond
+	ownerRetryInterval = 100 * time.Millisecond
+)
+
 // quotas charges requests to organisations. In a large fleet the organisation's owner is charged;
 // otherwise this instance spends its own quota and borrows what is missing from the lender.
 type quotas struct {
@@ -32,8 +44,9 @@
 
 // Borrow charges an organisation with a call to its owner or to the lender.
 func (q quotas) Borrow(ctx context.Context, o galenastair.Organisation, cost float64) bool {
-	if t := q.accounts.Table(); t.Version != 0 {
-		return q.charge(ctx, t.Owner(o), o, cost)
+	q.leaderClient.quotaKnown.wait(ctx)
+	if q.accounts.Table().Version != 0 {
+		return q.charge(ctx, o, cost)
 	}
 	now := time.Now()
 	shortfall, ok := q.Shortfall(now, o, cost)
@@ -52,25 +65,40 @@
 
 // charge charges an organisation at its owner, and records a denial or failure so that the
 // following requests are refused without a call.
-func (q quotas) charge(ctx context.Context, owner string, o galenastair.Organisation, cost float64) bool {
-	now := boottime.Now()
-	if q.accounts.RecentlyDenied(now, o) {
-		return false
+func (q quotas) charge(ctx context.Context, o galenastair.Organisation, cost float64) bool {
+	start := boottime.Now()
+	for {
+		now := boottime.Now()
+		if q.accounts.RecentlyDenied(now, o) {
+			return false
+		}
+		result := q.chargeOwner(ctx, o, cost)
+		if result.Owned {
+			if !result.Granted {
+				q.accounts.RecordDenial(now, o, result.RetryAfter)
+			}
+			return result.Granted
+		}
+		if now.Sub(start) >= maxOwnerWait || !timer.Wait(ctx, ownerRetryInterval) {
+			q.accounts.RecordDenial(now, o, ownerDiscoveryTime)
+			return false
+		}
 	}
+}
+
+// chargeOwner calls the owner of an organisation once. The result is not Owned if there is no owner,
+// or if it does not answer or does not know yet that it is the owner.
+func (q quotas) chargeOwner(ctx context.Context, o galenastair.Organisation, cost float64) account.ChargeResult {
+	owner := q.accounts.Table().Owner(o)
 	if owner == "" {
-		q.accounts.RecordDenial(now, o, ownerDiscoveryTime)
-		return false
+		return account.ChargeResult{}
 	}
 	result, err := q.leaderClient.charge(ctx, owner, o, cost)
 	if err != nil || !result.Owned {
 		q.leaderClient.logger.Log("event", "charge", "organisation", o, "owner", owner, "owned", result.Owned, "err", err)
-		q.accounts.RecordDenial(now, o, ownerDiscoveryTime)
-		return false
-	}
-	if !result.Granted {
-		q.accounts.RecordDenial(now, o, result.RetryAfter)
+		return account.ChargeResult{}
 	}
-	return result.Granted
+	return result
 }
 
 // RetryAfter estimates the time until an organisation over its quota can send a request again.
--- a/node/views.go
+++ b/node/views.go
@@ -21,9 +21,8 @@
 	onChange func(*catalog.Catalog)
 	// evacuations come with the same topic.
 	evacuations *evacuations
-	// loaded is closed once the first configuration has been read.
-	loaded    chan struct{}
-	startTime time.Time
+	// loaded is finished once the first configuration has been read.
+	loaded *startupWait
 }
 
 // firstLoadTimeout is the time after its start within which an instance usually has read its
@@ -31,28 +30,11 @@
 const firstLoadTimeout = time.Second
 
 func newCatalogSource(logger log.Logger) *catalogSource {
-	return &catalogSource{logger: logger, loaded: make(chan struct{}), startTime: time.Now(), evacuations: newEvacuations(logger)}
+	return &catalogSource{logger: logger, loaded: newStartupWait(firstLoadTimeout), evacuations: newEvacuations(logger)}
 }
 
 // WaitReady waits for the first configuration, at most until firstLoadTimeout after the start.
-func (s *catalogSource) WaitReady(ctx context.Context) {
-	select {
-	case <-s.loaded:
-		return
-	default:
-	}
-	remaining := firstLoadTimeout - time.Since(s.startTime)
-	if remaining <= 0 {
-		return
-	}
-	t := time.NewTimer(remaining)
-	defer t.Stop()
-	select {
-	case <-s.loaded:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
+func (s *catalogSource) WaitReady(ctx context.Context) { s.loaded.wait(ctx) }
 
 // Current returns the current configuration, and how long ago the store confirmed it. It returns
 // nil before the first configuration.
@@ -109,7 +91,7 @@
 	}
 	s.current.Store(c)
 	if old == nil {
-		close(s.loaded)
+		s.loaded.finish()
 	}
 	s.logger.Log("event", "configuration", "version", c.Version)
 	s.logQuotas(old, c)
