planner: a load takes as long as it does from where the engine has the weights

Change: the configuration's times for both, and the engines' lists of what they have in memory; the time of a load is kept when it is accepted, as its engine lists the weights from then on; of several loads under way the soonest counts.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -67,9 +67,13 @@
 	Name   galenastair.ModelName
 	Memory galenastair.Bytes
 	// LoadTime is how long a load from the weight store takes.
-	LoadTime      time.Duration
-	AdapterCount  int
-	AdapterMemory galenastair.Bytes
+	LoadTime time.Duration
+	// MemoryLoadTime and DiskLoadTime apply to an engine that keeps a copy of the weights in its
+	// host's memory or on its disk; 0 if unknown.
+	MemoryLoadTime time.Duration
+	DiskLoadTime   time.Duration
+	AdapterCount   int
+	AdapterMemory  galenastair.Bytes
 }
 
 // Engine describes the model engines of a service, which are all the same.
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -16,6 +16,8 @@
 	// stateSince is when the state was last confirmed, by an order or by the engine's own list.
 	stateSince time.Time
 	lastUsed   time.Time
+	// loadTime is how long a load takes from its acceptance.
+	loadTime time.Duration
 	// accepted reports that the engine accepted the order that led to this state.
 	accepted bool
 	// inUseUntil is when an adapter that is being unloaded has freed its slot at the latest. Its
--- a/planner/need.go
+++ b/planner/need.go
@@ -1,7 +1,9 @@
 package planner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"galenastair"
@@ -86,15 +88,46 @@
 // predictModelLoad estimates when a model that is being loaded, or may be loaded, will be ready. A
 // caller that is told to retry sooner is refused again and gives up.
 func (s *service) predictModelLoad(now time.Time, m galenastair.ModelName) Availability {
+	var soonest Availability
+	shortest := s.modelSet.models[m].LoadTime
 	for _, e := range s.engines {
+		if e.server.Leaving {
+			continue
+		}
+		shortest = min(shortest, s.loadTime(e, m))
 		c := e.models[m]
-		if c == nil || c.state != place.Loading || e.server.Leaving {
+		if c == nil || c.state != place.Loading {
 			continue
 		}
-		left := c.stateSince.Add(s.modelSet.models[m].LoadTime).Sub(now)
-		return Availability{Server: e.server.ID, ReadyIn: max(0, left)}
+		ready := max(0, c.stateSince.Add(cmp.Or(c.loadTime, s.loadTime(e, m))).Sub(now))
+		if soonest.Server == "" || ready < soonest.ReadyIn {
+			soonest = Availability{Server: e.server.ID, ReadyIn: ready}
+		}
+	}
+	if soonest.Server != "" {
+		return soonest
+	}
+	return Availability{ReadyIn: evictionTime + shortest}
+}
+
+// loadTime returns how long an engine takes to load a model from where it has the weights.
+func (s *service) loadTime(e *engine, name galenastair.ModelName) time.Duration {
+	m := s.modelSet.models[name]
+	switch {
+	case m.MemoryLoadTime > 0 && slices.Contains(e.server.InMemoryModels, name):
+		return m.MemoryLoadTime
+	case m.DiskLoadTime > 0 && slices.Contains(e.server.CachedModels, name):
+		return m.DiskLoadTime
+	}
+	return m.LoadTime
+}
+
+// recordLoadTime keeps the time of a load that was accepted: from then on the engine's registration
+// shows that it has the weights.
+func (s *service) recordLoadTime(e *engine, q queuedOrder) {
+	if c := e.models[q.model]; c != nil && q.adapter == "" && q.kind == galenastair.LoadModel && s.modelSet.models[q.model] != nil {
+		c.loadTime = s.loadTime(e, q.model)
 	}
-	return Availability{ReadyIn: evictionTime + s.modelSet.models[m].LoadTime}
 }
 
 // evictionTime is how long it typically takes before a model without a copy can be loaded: a
--- a/planner/order.go
+++ b/planner/order.go
@@ -105,6 +105,7 @@
 	switch a {
 	case galenastair.OrderAccepted:
 		e.accepted(now, q)
+		s.recordLoadTime(e, q)
 		p.finish(now, e, q)
 	case galenastair.OrderDone:
 		e.alreadyApplied(now, q)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -261,6 +261,39 @@
 	is.Equal(where.ReadyIn, evictionTime+time.Second)
 }
 
+// Guards against callers that are refused because a load counts as one from the weight store, though
+// an engine has the weights in its memory or on its disk.
+func TestNeedEstimatesLoadsFromMemoryAndDisk(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1, 2)
+	h.step(time.Second)
+	h.do(func() {
+		s := h.planner.services["writer"]
+		m := s.modelSet.models["m0"]
+		m.LoadTime, m.MemoryLoadTime, m.DiskLoadTime = 9*time.Second, 1200*time.Millisecond, 2400*time.Millisecond
+		now := h.planner.clock.Now()
+		for _, e := range s.engines {
+			delete(e.models, "m0")
+			e.server.CachedModels, e.server.InMemoryModels = nil, nil
+		}
+		is.Equal(s.predictModelLoad(now, "m0").ReadyIn, evictionTime+9*time.Second)
+		disk, memory := s.engines["e0"], s.engines["e1"]
+		disk.server.CachedModels = []galenastair.ModelName{"m0"}
+		is.Equal(s.predictModelLoad(now, "m0").ReadyIn, evictionTime+2400*time.Millisecond)
+		memory.server.CachedModels, memory.server.InMemoryModels = disk.server.CachedModels, disk.server.CachedModels
+		is.Equal(s.predictModelLoad(now, "m0").ReadyIn, evictionTime+1200*time.Millisecond)
+		load := queuedOrder{kind: galenastair.LoadModel, model: "m0"}
+		disk.reserve(now, load)
+		disk.accepted(now, load)
+		s.recordLoadTime(disk, load)
+		// the load itself leaves a copy in memory
+		disk.server.InMemoryModels = disk.server.CachedModels
+		where := s.predictModelLoad(now.Add(time.Second), "m0")
+		is.Equal(where.Server, galenastair.BackendServerID("e0"))
+		is.Equal(where.ReadyIn, 1400*time.Millisecond)
+	})
+}
+
 // An instance without the lease answers with ErrNotLeader.
 func TestOnlyTheLeaseHolderAnswers(t *testing.T) {
 	is := is.New(t)
--- a/pool/server.go
+++ b/pool/server.go
@@ -38,4 +38,6 @@
 	Models    []galenastair.LoadedModel
 	// CachedModels are the models of which the server keeps a local copy in memory or on disk.
 	CachedModels []galenastair.ModelName
+	// InMemoryModels are those of them that it keeps in memory.
+	InMemoryModels []galenastair.ModelName
 }
