registry: test that a later end of a cold start is told to other instances

Guards the change of sameAttributes in: with the comparison left out the fourth record is no change, with equality in its place the second one is. Seen to fail both ways is not claimed: only the first was tried here, by leaving out the comparison.

--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -131,3 +132,24 @@
 	_, _, ok = table.Since(8)
 	is.True(ok)
 }
+
+// Guards against instances that are not told that a server has turned cold again, and against a
+// change with each registration of one that cools down as expected.
+func TestOnlyALaterColdEndIsAChange(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable()
+	set := func(at galenastair.Offset, coldUntil time.Time) bool {
+		s := newServer("s1", 1, false)
+		s.ColdUntil = coldUntil
+		table.Set(at, s)
+		table.AdvanceTo(at+1, false)
+		changes, _, ok := table.Since(at)
+		is.True(ok)
+		return len(changes) > 0 && changes[0].Attributes != nil && changes[0].Attributes.ColdUntil.Equal(coldUntil)
+	}
+	is.True(set(0, now.Add(3*time.Second)))
+	is.True(!set(1, now.Add(3200*time.Millisecond)))
+	is.True(!set(2, time.Time{}))
+	is.True(set(3, now.Add(10*time.Second)))
+}
