node: an instance whose exchange fails asks another instance who leads

Cause: an instance that the store turns away cannot read the lease. Ruled out: the leader (elected after 1.4 s and answering all others); the hints' age (0.3 to 0.6 s at the others). Change: after a failed exchange an instance exchanges lease records with one owner of the accounts, drawn at random, as charges do.

--- a/account/table.go
+++ b/account/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 
 	"galenastair"
@@ -37,4 +38,13 @@
 	return t.Owners[ShardOf(o)]
 }
 
+// RandomOwner returns the peer address of an owner other than the given ones; empty if there is none.
+func (t Table) RandomOwner(except ...string) string {
+	others := slices.DeleteFunc(slices.Clone(t.Owners), func(owner string) bool { return owner == "" || slices.Contains(except, owner) })
+	if len(others) == 0 {
+		return ""
+	}
+	return others[rand.IntN(len(others))]
+}
+
 func (t Table) clone() Table { return Table{t.Version, slices.Clone(t.Owners)} }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -114,6 +114,7 @@
 	if err != nil {
 		c.handleFailure(err)
 		c.requeue(r)
+		c.askPeer(ctx)
 		return true
 	}
 	c.lastChange, c.lastChangeLeader = update.LastChange, leader
@@ -184,6 +185,20 @@
 	}
 }
 
+// askPeer asks another instance who leads. An instance that the store turns away would not learn of
+// a new leader otherwise, and without the leader's confirmations its configuration becomes too old to
+// admit requests.
+func (c *leaderClient) askPeer(ctx context.Context) {
+	leader, _ := c.leader()
+	peer := c.accounts.Table().RandomOwner(c.address, leader)
+	if peer == "" {
+		return
+	}
+	if record, err := c.client.LatestRecord(ctx, peer, c.elector.LatestRecord()); err == nil {
+		c.elector.Observe(record)
+	}
+}
+
 func (c *leaderClient) applyUpdate(u planner.Update) {
 	now := time.Now()
 	if u.LeaseExpired {
--- a/peer/planning/owners.go
+++ b/peer/planning/owners.go
@@ -24,6 +24,12 @@
 	return v, decodeLeader(reply.Leader), nil
 }
 
+// LatestRecord exchanges the latest known records of the lease with another instance.
+func (c *Client) LatestRecord(ctx context.Context, address string, known lease.Record) (lease.Record, error) {
+	_, latest, err := c.Charge(ctx, address, "", 0, known)
+	return latest, err
+}
+
 // Charge implements planningpb.Planning.
 func (s *server) Charge(_ context.Context, req *planningpb.ChargeRequest) (*planningpb.ChargeReply, error) {
 	v, known := s.planner.Charge(galenastair.Organisation(req.Organisation), req.Cost, decodeLeader(req.Leader))
