--- a/node/exchange_test.go
+++ b/node/exchange_test.go
@@ -44,7 +44,7 @@
 	store.UpdateFaults(func(f *metastore.Faults) { f.Refuse = true })
 	is.Equal(n.elector.Leader(), "127.0.0.1:2")
 	n.connectFollowers(ctx)
-	quotas{n.borrower, n.accounts, n.leaderClient}.setOwner(1, peer.Listener.Addr().String())
+	quotas{n.borrower, n.accounts, n.leaderClient}.setOwner(peer.Listener.Addr().String())
 	n.leaderClient.exchangeOnce(t.Context())
 	is.Equal(n.elector.Leader(), next)
 	cancel()
--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -23,12 +23,12 @@
 	return quotas{n.borrower, n.accounts, n.leaderClient}
 }
 
-func (q quotas) setOwner(version int64, address string) {
+func (q quotas) setOwner(address string) {
 	owners := make([]string, account.ShardCount)
 	for i := range owners {
 		owners[i] = address
 	}
-	q.accounts.SetTable(account.Table{Version: version, Owners: owners})
+	q.accounts.SetTable(account.Table{Version: 1, Owners: owners})
 }
 
 func (q quotas) confirm() {
@@ -42,7 +42,7 @@
 	is := is.New(t)
 	q := newQuotas()
 	time.AfterFunc(150*time.Millisecond, func() {
-		q.setOwner(1, "127.0.0.1:1")
+		q.setOwner("127.0.0.1:1")
 		q.confirm()
 		q.leaderClient.quotaKnown.finish()
 	})
@@ -54,7 +54,7 @@
 	is := is.New(t)
 	q := newQuotas()
 	q.leaderClient.quotaKnown.finish()
-	q.setOwner(1, "127.0.0.1:1")
+	q.setOwner("127.0.0.1:1")
 	time.AfterFunc(150*time.Millisecond, q.confirm)
 	is.True(q.Borrow(t.Context(), "org", 1))
 }
@@ -64,7 +64,7 @@
 	is := is.New(t)
 	q := newQuotas()
 	q.leaderClient.quotaKnown.finish()
-	q.setOwner(1, "")
+	q.setOwner("")
 	began := time.Now()
 	is.True(!q.Borrow(t.Context(), "org", 1))
 	is.True(time.Since(began) < 2*maxOwnerWait)
--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -85,7 +85,7 @@
 			if !ok || c.Limit.PerSecond == 0 {
 				continue
 			}
-			decision := ratelimit.Decision{}
+			var decision ratelimit.Decision
 			if i%10 == 0 {
 				decision = fallback.Admit(now, c.Limit, ratelimit.Position{Index: i, FleetSize: fleet})
 			} else {
