settings: Zones may be empty

Cause: the template renders an empty value where the platform names no zones, and the instance would not have started; found by reading, no deployment at hand is without zones. Test: TestZonesMayBeEmpty, an error before ("ValueForm: Zones is ...").

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -105,10 +105,14 @@
 	}}
 }
 
-// zones is a list of ZONE:REGION, separated by commas.
+// zones is a list of ZONE:REGION, separated by commas. The platform's template renders nothing where
+// the platform names no zones.
 func zones(section, key string, dst *map[galenastair.AvailabilityZone]galenastair.Region) field {
 	return field{section, key, false, "availability zones and regions, such as a1:east,a2:east", func(s string) error {
 		*dst = map[galenastair.AvailabilityZone]galenastair.Region{}
+		if s == "" {
+			return nil
+		}
 		for item := range strings.SplitSeq(s, ",") {
 			zone, region, ok := strings.Cut(strings.TrimSpace(item), ":")
 			if !ok || zone == "" || region == "" {
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -103,6 +103,16 @@
 	})
 }
 
+// Guards against an instance that does not start where the platform names no zones.
+func TestZonesMayBeEmpty(t *testing.T) {
+	is := is.New(t)
+	g, err := ParseGateway([]byte(strings.Replace(gatewayText, "Region = r\n", "Region = r\nZones =\n", 1)))
+	is.NoErr(err)
+	is.Equal(len(g.Zones), 0)
+	_, err = ParseGateway([]byte(strings.Replace(gatewayText, "Region = r\n", "Region = r\nZones = a1\n", 1)))
+	is.True(errors.Is(err, inifile.ErrInvalid))
+}
+
 // Guards against a required key that is missing in the template that the platform fills in.
 func TestTemplateNamesAllKeys(t *testing.T) {
 	is := is.New(t)
