lease: at the first start of a fleet, slow links read the lease later again

Change: setting FirstStart, which the platform fills in from "bootstrap", delays the first read as before; without it the read comes at once. Ruled out: asking other instances (nobody leads, so nobody knows).

--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -44,6 +44,20 @@
 // WithLinkMbps sets the bandwidth of this instance's link in Mbit/s; 0 means unknown.
 func WithLinkMbps(mbps float64) Option { return func(e *Elector) { e.linkMbps = mbps } }
 
+// WithFirstStart sets whether the whole fleet starts for the first time, so that there is no leader
+// yet.
+func WithFirstStart(first bool) Option { return func(e *Elector) { e.firstStart = first } }
+
+// startDelay returns how long this instance waits before its first read of the lease. At the first
+// start, instances on slow links would find no leader and read again.
+func (e *Elector) startDelay() time.Duration {
+	delay := rand.N(startJitter)
+	if e.firstStart {
+		delay += e.linkDelay()
+	}
+	return delay
+}
+
 // linkDelay returns how long this instance leaves the lease to others, so that the exchanges of a
 // large fleet do not fill a slow link.
 func (e *Elector) linkDelay() time.Duration {
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -57,6 +56,8 @@
 	onElected func()
 	// linkMbps is the bandwidth of this instance's link; 0 means unknown.
 	linkMbps float64
+	// firstStart reports that the whole fleet starts for the first time.
+	firstStart bool
 	// started is closed once the record and the checkpoint have been requested from the store.
 	started chan struct{}
 
@@ -126,13 +127,8 @@
 
 // Run follows, takes and renews the lease until the context ends, and then releases it.
 func (e *Elector) Run(ctx context.Context) error {
-	timer.Wait(ctx, rand.N(startJitter))
+	timer.Wait(ctx, e.startDelay())
 	e.loadRecord(ctx)
-	if e.Leader() == "" {
-		// the first start of the fleet: faster links come first
-		timer.Wait(ctx, e.linkDelay())
-		e.loadRecord(ctx)
-	}
 	if known := e.LatestRecord(); known.FleetSize > 0 && known.FleetSize <= MaxRestoreFleet {
 		e.restoreCheckpoint(ctx, true)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -132,7 +132,7 @@
 	l := lease.New(lease.DefaultTiming(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.lease = leaseAdapter{l}
 	n.elector = lease.NewElector(n.store, platform.LeaseTopic, l, s.PeerAddress, lease.WithLogger(n.logger),
-		lease.WithCheckpointer(n.checkpointer(context.Background())), lease.WithFleetSize(n.borrower.ReportedFleetSize), lease.WithLinkMbps(s.LinkMbps), lease.WithOnElected(n.onElected))
+		lease.WithCheckpointer(n.checkpointer(context.Background())), lease.WithFleetSize(n.borrower.ReportedFleetSize), lease.WithLinkMbps(s.LinkMbps), lease.WithFirstStart(s.FirstStart), lease.WithOnElected(n.onElected))
 	n.planner = planner.New(string(s.ID), tolerance, backend, n.lease, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrderObserver(n.metrics.countOrder))
 	n.catalogSource = newCatalogSource(n.logger)
--- a/scenario/gateways.sh
+++ b/scenario/gateways.sh
@@ -25,7 +25,7 @@
 	port; ready_port[$name]=$allotted
 	port; peer_port[$name]=$allotted
 	port; metrics_port[$name]=$allotted
-	sed -e "s/{{#zones}}.*{{\/zones}}/zone-a:region-1/; s/{{[#\/]bounds.evacuate-ms}}//; s/{{bounds.evacuate-ms}}/5000/" \
+	sed -e "s/{{#zones}}.*{{\/zones}}/zone-a:region-1/; s/{{[#\/]bounds.evacuate-ms}}//; s/{{bounds.evacuate-ms}}/5000/; s/{{bootstrap}}/true/" \
 		-e "s/{{node-name}}/$name/; s/{{region}}/region-1/; s/{{zone}}/zone-a/; s/{{listen.front}}/127.0.0.1:${caller_port[$name]}/" \
 		-e "s/{{listen.ready}}/127.0.0.1:${ready_port[$name]}/; s/{{ip}}:{{internal-ports.0}}/127.0.0.1:${peer_port[$name]}/" \
 		-e "s/{{ip}}:7601/127.0.0.1:${metrics_port[$name]}/; s/{{provider.address}}/$store/; s/{{limits.memory-mb}}/284/; s/{{limits.link-mbps}}/1000/" \
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -23,6 +23,8 @@
 	PeerAddress    string
 	MetricsAddress string
 	StoreAddress   string
+	// FirstStart is set when the whole fleet starts for the first time.
+	FirstStart bool
 	// MemoryLimit is the memory limit of the process.
 	MemoryLimit galenastair.Bytes
 	// LinkMbps is the bandwidth of the instance's network link in Mbit/s; 0 if unknown.
@@ -78,6 +80,7 @@
 		address("Gateway", "PeerAddress", &g.PeerAddress),
 		address("Gateway", "MetricsAddress", &g.MetricsAddress),
 		address("Gateway", "StoreAddress", &g.StoreAddress),
+		boolean("Gateway", "FirstStart", &g.FirstStart),
 		required(memoryLimit),
 		decimal("Limits", "LinkMbps", &g.LinkMbps, 0, 1e6),
 		required(duration("Bounds", "KeyLife", &b.KeyLife, 500*time.Millisecond, time.Hour)),
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -90,7 +90,7 @@
 			return "127.0.0.1:1"
 		case p == "{{ip}}":
 			return "127.0.0.1"
-		case strings.Contains(p, "required"):
+		case strings.Contains(p, "required") || strings.Contains(p, "bootstrap"):
 			return "true"
 		case strings.Contains(p, "-ratio") || strings.Contains(p, "-over"):
 			return "0.1"
