gateway, node: log lines for crashes that are counted and announced

Hypotheses 2 and 3 of the incident (docs/incidents/poison-requests.md) could not be told apart by the logs: no line said that a crash was counted, nor when another instance learned of it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -141,6 +141,7 @@
 	attempt.End(now, pool.Failed)
 	if ctx.Err() == nil && errors.Is(err, galenastair.ErrResponseTruncated) {
 		r.g.poison.RecordCrash(now, r.digest)
+		r.g.logger.Log("event", "crash", "request", r.req.ID, "digest", r.digest, "cause", err)
 	}
 	return err
 }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -227,6 +227,7 @@
 	}
 	for _, d := range u.PoisonRequests {
 		c.poisonTracker.RecordRemoteCrash(now, d)
+		c.logger.Log("event", "remote crash", "digest", d)
 	}
 }
 
