gateway, node, planner: failing tests of the request that crashes backend servers

TestCrashAfterResponseHeaderIsCounted: ten attempts are sent in place of three. TestCrashIsAnnouncedToEachInstanceOnce: four announcements of one crash in four exchanges.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -317,6 +317,21 @@
 	is.Equal(len(env.backend.calls), 3)
 }
 
+// Guards against crashes that are not counted, because the server had already sent the response header.
+func TestCrashAfterResponseHeaderIsCounted(t *testing.T) {
+	for name, first := range map[string]script{"no event": truncate(""), "one event": truncate("id: 1\ndata: a\n\n"), "half an event": respond(200, "id: 1\nda")} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(first, first, first, respond(200, "x"))
+			for range 6 {
+				_, _, err := env.serve(t, "/once-stream/1")
+				is.True(err != nil)
+			}
+			is.Equal(len(env.backend.calls), 3)
+		})
+	}
+}
+
 // All servers of a service fail. Retries must stay a share of the traffic, or they would
 // multiply the load on servers that fail because of it.
 func TestRetriesStayWithinBudget(t *testing.T) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -239,7 +239,11 @@
 }
 
 func (c *cluster) attempt(id string, n *runningNode, path, model, key string) response {
-	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodPost, "http://"+n.settings.CallerAddress+path, strings.NewReader("body of "+id))
+	return c.attemptBody(id, n, path, model, key, "body of "+id)
+}
+
+func (c *cluster) attemptBody(id string, n *runningNode, path, model, key, body string) response {
+	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodPost, "http://"+n.settings.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -256,8 +260,8 @@
 		return response{err: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return response{resp.StatusCode, string(body), err}
+	data, err := io.ReadAll(resp.Body)
+	return response{resp.StatusCode, string(data), err}
 }
 
 const completeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n"
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -11,6 +11,7 @@
 
 	"galenastair"
 	"galenastair/catalog"
+	"galenastair/claim"
 	"galenastair/pool"
 	"galenastair/quota"
 	"galenastair/ratelimit"
@@ -389,3 +390,23 @@
 	h.do(func() { counted = e.models["m"] != nil })
 	is.True(counted)
 }
+
+// Guards against one crash that is announced in each exchange and counted as several, so that requests
+// that were only running on the crashed server are refused.
+func TestCrashIsAnnouncedToEachInstanceOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1, 1)
+	h.step(time.Second)
+	_, err := h.planner.Exchange(t.Context(), Report{Instance: "a", PoisonRequests: []claim.Digest{"d"}})
+	is.NoErr(err)
+	var announced int
+	var last int64
+	for range 4 {
+		u, err := h.planner.Exchange(t.Context(), Report{Instance: "b", LastChange: last})
+		is.NoErr(err)
+		announced += len(u.PoisonRequests)
+		last = u.LastChange
+		h.step(300 * time.Millisecond)
+	}
+	is.Equal(announced, 1)
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -28,6 +28,9 @@
 	DropOrderResponses bool
 	// EventInterval is the delay after each event.
 	EventInterval time.Duration
+	// CrashBody breaks off the response to each request with this body after the header; empty
+	// disables it.
+	CrashBody string
 	// ServerLimit is the rate in requests per second that responses carry in the header
 	// Server-Limit; 0 omits the header.
 	ServerLimit float64
@@ -191,6 +194,10 @@
 	r.mu.Unlock()
 	w.Header().Set("Galenastair-Server-Signature", "sig."+r.settings.ID)
 	switch {
+	case faults.CrashBody != "" && faults.CrashBody == run.Body:
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
 	case faults.Hang:
 		<-req.Context().Done()
 		r.markCanceled(run)
