planner: a crash is announced to each instance once

Cause: the leader kept an announcement for 2 s and put it into each of the some six replies that an instance gets in that time, and the instance counted each.

Change: announcements get the numbers by which instances already name the newest change of placement that they have had. A reply that was lost is repeated, since the instance then names the old number.

--- a/planner/message.go
+++ b/planner/message.go
@@ -35,7 +35,8 @@
 	PoisonRequests []claim.Digest
 	// Down lists backend servers that have just refused a connection.
 	Down []galenastair.BackendServerID
-	// LastChange is the number of the newest placement change received from this planner.
+	// LastChange is the number of the newest placement change or poison request received from this
+	// planner.
 	LastChange int64
 	// Limits are the rate limits that backend servers advertised in answers to this instance.
 	Limits []ratelimit.Limit
@@ -63,9 +64,10 @@
 	// have been unloaded or are about to be.
 	Added   []Placement
 	Removed []Placement
-	// LastChange is the number of the newest of these changes.
-	LastChange     int64
+	// PoisonRequests has one entry for each crash that another instance reported.
 	PoisonRequests []claim.Digest
+	// LastChange is the number of the newest of these changes and crashes.
+	LastChange int64
 	// Tails are the records of the store's topics that the planner has read beyond the instance's
 	// positions.
 	Tails []Tail
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -84,8 +84,8 @@
 	loads   loads
 	limits  map[galenastair.BackendServerID]advertisedLimit
 	changes []placementChange
-	// lastChange is the sequence number of the newest entry in changes. It is not reset between
-	// terms.
+	// lastChange is the sequence number of the newest entry in changes and poisonRequests. It is
+	// not reset between terms.
 	lastChange     int64
 	poisonRequests []poisonReport
 	leading        bool
@@ -107,9 +107,10 @@
 }
 
 type poisonReport struct {
-	digest claim.Digest
-	from   galenastair.InstanceID
-	at     time.Time
+	digest   claim.Digest
+	from     galenastair.InstanceID
+	at       time.Time
+	sequence int64
 }
 
 // Option configures a Planner.
@@ -281,7 +282,8 @@
 		}
 	}
 	for _, d := range r.PoisonRequests {
-		p.poisonRequests = append(p.poisonRequests, poisonReport{d, r.Instance, now})
+		p.lastChange++
+		p.poisonRequests = append(p.poisonRequests, poisonReport{d, r.Instance, now, p.lastChange})
 	}
 	p.decideOwners(now)
 	update := Update{LeaseExpired: !p.lease.Holds(), QuotaAllocation: p.lender.Contribute(now, r.Instance, r.QuotaContribution), Loads: p.loads.byKey()}
@@ -313,7 +315,7 @@
 		}
 	}
 	for _, c := range p.poisonRequests {
-		if c.from != r.Instance {
+		if c.from != r.Instance && c.sequence > r.LastChange {
 			update.PoisonRequests = append(update.PoisonRequests, c.digest)
 		}
 	}
