--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,7 +42,7 @@
 	defer stop()
 	resp, err := r.g.backend.Call(ctx, choice.Address, r.backendRequest(choice, now))
 	if err != nil {
-		return r.handleFailure(ctx, attempt, err)
+		return r.handleFailure(attempt, err)
 	}
 	defer resp.Body.Close()
 	if resp.RateLimit > 0 || !resp.Declined {
@@ -122,7 +122,7 @@
 
 // handleFailure reports an attempt without a response to the pool, and counts it as a run
 // if the request may have reached the backend server.
-func (r *activeRequest) handleFailure(ctx context.Context, attempt *pool.Attempt, err error) error {
+func (r *activeRequest) handleFailure(attempt *pool.Attempt, err error) error {
 	now := r.g.clock.Now()
 	switch {
 	case errors.Is(err, galenastair.ErrConnectionRefused):
@@ -139,10 +139,6 @@
 	}
 	r.runs++
 	attempt.End(now, pool.Failed)
-	if ctx.Err() == nil && errors.Is(err, galenastair.ErrResponseTruncated) {
-		r.g.poison.RecordCrash(now, r.digest)
-		r.g.logger.Log("event", "crash", "request", r.req.ID, "digest", r.digest, "cause", err)
-	}
 	return err
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -113,12 +113,23 @@
 		if err == nil {
 			return nil
 		}
+		r.recordCrash(ctx, err)
 		if stop := r.checkRetry(ctx, err); stop != nil {
 			return stop
 		}
 	}
 }
 
+// recordCrash counts a response that broke off, with or without its header, as a crash under
+// the request.
+func (r *activeRequest) recordCrash(ctx context.Context, err error) {
+	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) {
+		return
+	}
+	r.g.poison.RecordCrash(r.g.clock.Now(), r.digest)
+	r.g.logger.Log("event", "crash", "request", r.req.ID, "digest", r.digest, "cause", err)
+}
+
 // checkRetry returns nil if the request may be retried, or else the error that it ends with.
 // A request that is not repeatable is not sent again once it may have run. Retries are
 // limited to a share of the traffic of their service, so that they do not multiply an
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -87,8 +87,11 @@
 	if n == 0 {
 		return eris.Wrapf(galenastair.ErrNotSent, "write: %v", err)
 	}
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
 	// the peer may have responded early and reset the connection; the response is read as usual
-	if ctx.Err() == nil && c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 {
 		return nil
 	}
 	return eris.Wrapf(galenastair.ErrResponseTruncated, "write: %v", err)
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -261,3 +261,20 @@
 	pool.CloseExpired(time.Now().Add(2 * idleTimeout))
 	is.Equal(pool.OpenConnections(server.Addr().String()), 0)
 }
+
+// Guards against a write that its own caller cancelled and that counts as a crash of the server.
+func TestCancelledWriteReturnsTheCause(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	conn, err := NewPool().Get(t.Context(), l.Addr().String())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(50*time.Millisecond, func() { cancel(galenastair.ErrProgressTimeout) })
+	// larger than the socket buffers, so that the write blocks on the peer, which never reads
+	body := make([]byte, 32<<20)
+	_, err = conn.Do(ctx, Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body}, func(http.Header) bool { return true })
+	is.True(errors.Is(err, galenastair.ErrProgressTimeout))
+	is.True(!errors.Is(err, galenastair.ErrResponseTruncated))
+}
