--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -271,10 +271,21 @@
 	conn, err := NewPool().Get(t.Context(), l.Addr().String())
 	is.NoErr(err)
 	ctx, cancel := context.WithCancelCause(t.Context())
-	time.AfterFunc(50*time.Millisecond, func() { cancel(galenastair.ErrProgressTimeout) })
-	// larger than the socket buffers, so that the write blocks on the peer, which never reads
+	peerDone := make(chan error, 1)
+	go func() {
+		peer, err := l.Accept()
+		if err == nil {
+			defer peer.Close()
+			_, err = peer.Read(make([]byte, 1))
+		}
+		cancel(galenastair.ErrProgressTimeout)
+		peerDone <- err
+		<-t.Context().Done()
+	}()
+	// larger than the socket buffers, so that the write blocks on the peer, which reads one byte
 	body := make([]byte, 32<<20)
 	_, err = conn.Do(ctx, Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body}, func(http.Header) bool { return true })
+	is.NoErr(<-peerDone)
 	is.True(errors.Is(err, galenastair.ErrProgressTimeout))
 	is.True(!errors.Is(err, galenastair.ErrResponseTruncated))
 }
