--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,10 +26,14 @@
 
 // attempt sends the request to one backend server and forwards the response.
 func (r *activeRequest) attempt(ctx context.Context, choice pool.Choice) error {
-	// The key may have been withdrawn, or this process suspended, while the request waited.
+	// While the request waited, its key may have been withdrawn, this process suspended, or
+	// servers crashed by identical requests.
 	if _, err := r.g.authorise(&r.req); err != nil {
 		return err
 	}
+	if err := r.checkPoison(); err != nil {
+		return err
+	}
 	now := r.g.clock.Now()
 	attempt := r.g.pool.Begin(now, choice.ID, r.poolQuery())
 	r.tried = append(r.tried, choice.ID)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 
 	"galenastair"
 	"galenastair/catalog"
+	"galenastair/claim"
 	"galenastair/planner"
 )
 
@@ -332,6 +333,36 @@
 	}
 }
 
+// Guards against a retry of a request that has just crashed its last permitted server.
+func TestLastCrashIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(truncate(""), truncate(""), truncate(""), respond(200, "x"))
+	for range 2 {
+		_, _, err := env.serve(t, "/read/1")
+		is.True(err != nil)
+	}
+	is.Equal(len(env.backend.calls), 3)
+}
+
+// Guards against a request that waits for a model while others like it crash servers, and is then sent.
+func TestRequestIsRefusedIfOthersCrashServersWhileItWaits(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(respond(200, "x"))
+	env.placement.availability = planner.Availability{Server: "s1", ReadyIn: 50 * time.Millisecond}
+	req := testRequest("/stream/1")
+	req.Hints.Model = "m/a"
+	time.AfterFunc(10*time.Millisecond, func() {
+		for range 3 {
+			env.gateway.poison.RecordCrash(time.Now(), claim.DigestOf("org", req.Method+" "+req.Target, req.Body))
+		}
+	})
+	_, err := env.gateway.Serve(t.Context(), req, &recordedResponse{})
+	var refusal *galenastair.Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Status(), http.StatusServiceUnavailable)
+	is.Equal(len(env.backend.calls), 0)
+}
+
 // All servers of a service fail. Retries must stay a share of the traffic, or they would
 // multiply the load on servers that fail because of it.
 func TestRetriesStayWithinBudget(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -67,8 +67,8 @@
 	}
 	r.service = a.route.PickService(randomFraction())
 	r.digest = claim.DigestOf(a.organisationName(), r.req.Method+" "+r.req.Target, r.req.Body)
-	if err := r.g.poison.Allow(r.g.clock.Now(), r.digest); err != nil {
-		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, "identical requests crashed the backend servers")
+	if err := r.checkPoison(); err != nil {
+		return err
 	}
 	if err := r.g.charge(ctx, a, r.req.Hints); err != nil {
 		return err
@@ -120,6 +120,14 @@
 	}
 }
 
+// checkPoison returns a refusal if identical requests have crashed too many backend servers.
+func (r *activeRequest) checkPoison() error {
+	if err := r.g.poison.Allow(r.g.clock.Now(), r.digest); err != nil {
+		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, "identical requests crashed the backend servers")
+	}
+	return nil
+}
+
 // recordCrash counts a response that broke off, with or without its header, as a crash under
 // the request.
 func (r *activeRequest) recordCrash(ctx context.Context, err error) {
@@ -148,7 +156,7 @@
 			return err
 		}
 	}
-	if r.sends >= r.admission.route.MaxAttempts+maxExtraSends {
+	if r.sends >= r.admission.route.MaxAttempts+maxExtraSends || r.checkPoison() != nil {
 		return err
 	}
 	// An attempt that was not sent put no load on a backend server and costs no budget.
