claim, planner, gateway: a request is refused after crashes of different servers

Requests that broke off three times at one faulty server were refused everywhere, as crashes had no server.

Change: a crash names the process of its backend server, by id and incarnation, and counts once for each, so that announcements may be repeated. Weighed: one count for each server within a second (a server that resets four requests in ten would be counted again and again). On the wire the servers stand beside the digests; an instance of an older version sends and reads the digests alone. The test of three nodes now has five engines and looks for the third server that was crashed, as its stand-ins keep running as one process; its bounds are the same.

--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -253,19 +253,19 @@
 func TestPoisonRequestIsTriedTwice(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	var announced []Digest
-	here := NewPoisonTracker(func(d Digest) { announced = append(announced, d) })
+	var announced []Crash
+	here := NewPoisonTracker(func(c Crash) { announced = append(announced, c) })
 	there := NewPoisonTracker(nil)
 	is.NoErr(here.Allow(now, "d"))
-	is.True(here.RecordCrash(now, "d"))
+	is.True(here.RecordCrash(now, Crash{Digest: "d"}))
 	there.RecordRemoteCrash(now, announced[0])
 	is.NoErr(there.Allow(now, "d"))
-	is.True(!there.RecordCrash(now, "d"))
+	is.True(!there.RecordCrash(now, Crash{Digest: "d"}))
 	is.True(errors.Is(there.Allow(now, "d"), galenastair.ErrPoisonRequest))
 	is.NoErr(there.Allow(now, "e"))
 	is.NoErr(there.Allow(now.Add(defaultRefusalDuration), "d"))
 	for i := range maxPoisonEntries + 10 {
-		here.RecordRemoteCrash(now, Digest(fmt.Sprint(i)))
+		here.RecordRemoteCrash(now, Crash{Digest: Digest(fmt.Sprint(i))})
 	}
 	is.True(len(here.crashes) <= maxPoisonEntries)
 }
--- a/claim/poison.go
+++ b/claim/poison.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -21,12 +22,21 @@
 	maxPoisonEntries = 4096
 )
 
+// ServerProcess identifies one process of a backend server, from its start to its end.
+type ServerProcess string
+
+// Crash is a backend server's failure to complete a response. Server is empty if unknown.
+type Crash struct {
+	Digest Digest
+	Server ServerProcess
+}
+
 // PoisonTracker counts the backend servers that crashed while they ran a request, by the
 // digest of the request, and refuses a request that has crashed too many.
 type PoisonTracker struct {
 	mu              sync.Mutex
 	crashes         map[Digest]crashRecord
-	announce        func(Digest)
+	announce        func(Crash)
 	maxCrashes      int
 	refusalDuration time.Duration
 }
@@ -42,15 +52,15 @@
 }
 
 type crashRecord struct {
-	count     int
+	servers   []ServerProcess
 	expiresAt time.Time
 }
 
-// NewPoisonTracker returns an empty PoisonTracker. It calls announce, if not nil, with the digest of
-// each request that crashed a backend server, to be passed on to all instances.
-func NewPoisonTracker(announce func(Digest), opts ...PoisonOption) *PoisonTracker {
+// NewPoisonTracker returns an empty PoisonTracker. It calls announce, if not nil, with each crash
+// that this instance is the first to record, to be passed on to all instances.
+func NewPoisonTracker(announce func(Crash), opts ...PoisonOption) *PoisonTracker {
 	if announce == nil {
-		announce = func(Digest) {}
+		announce = func(Crash) {}
 	}
 	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, refusalDuration: defaultRefusalDuration}
 	for _, o := range opts {
@@ -64,22 +74,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.crashes[d]
-	if !ok || !now.Before(s.expiresAt) || s.count < p.maxCrashes {
+	if !ok || !now.Before(s.expiresAt) || len(s.servers) < p.maxCrashes {
 		return nil
 	}
 	return galenastair.NewRefusal(galenastair.ErrPoisonRequest, s.expiresAt.Sub(now), "")
 }
 
-// RecordCrash counts one backend server that crashed while it ran the request, and reports
+// RecordCrash counts a backend server that crashed while it ran the request, and reports
 // whether the request may be tried on another one.
 //
 // The crash is announced to every instance, since the caller may repeat the request through
 // another instance, which would otherwise start counting from zero.
-func (p *PoisonTracker) RecordCrash(now time.Time, d Digest) (retry bool) {
+func (p *PoisonTracker) RecordCrash(now time.Time, c Crash) (retry bool) {
 	p.mu.Lock()
-	count := p.add(now, d, 1)
+	isNew := p.add(now, c)
+	count := len(p.crashes[c.Digest].servers)
 	p.mu.Unlock()
-	p.announce(d)
+	if isNew {
+		p.announce(c)
+	}
 	return count < p.maxCrashes
 }
 
@@ -90,26 +103,32 @@
 	delete(p.crashes, d)
 }
 
-// RecordRemoteCrash counts a crash that another instance announced. It is called once for each
-// backend server that crashed.
-func (p *PoisonTracker) RecordRemoteCrash(now time.Time, d Digest) {
+// RecordRemoteCrash counts a crash that another instance announced.
+func (p *PoisonTracker) RecordRemoteCrash(now time.Time, c Crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.add(now, d, 1)
+	p.add(now, c)
 }
 
-func (p *PoisonTracker) add(now time.Time, d Digest, n int) int {
-	s := p.crashes[d]
+// add counts a crash, once for each known server, and reports whether it was not known yet. A
+// server that breaks off many responses says nothing about the requests.
+func (p *PoisonTracker) add(now time.Time, c Crash) bool {
+	s := p.crashes[c.Digest]
 	if !now.Before(s.expiresAt) {
 		s = crashRecord{}
 	}
-	if s.count == 0 && len(p.crashes) >= maxPoisonEntries {
+	if c.Server != "" && slices.Contains(s.servers, c.Server) {
+		return false
+	}
+	if len(s.servers) == 0 && len(p.crashes) >= maxPoisonEntries {
 		p.evict(now)
 	}
-	s.count += n
+	if len(s.servers) < p.maxCrashes {
+		s.servers = append(s.servers, c.Server)
+	}
 	s.expiresAt = now.Add(p.refusalDuration)
-	p.crashes[d] = s
-	return s.count
+	p.crashes[c.Digest] = s
+	return true
 }
 
 // evict removes expired entries, or if there are none, the entry that expires first.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -271,10 +271,10 @@
 	d := claim.DigestOf("Furnir", "model-1", []byte("poison"))
 	one, two := poisonTracker{claim.NewPoisonTracker(nil), first.members}, poisonTracker{claim.NewPoisonTracker(nil), second.members}
 	now := time.Now()
-	is.True(one.RecordCrash(now, d))
+	is.True(one.RecordCrash(now, claim.Crash{Digest: d}))
 	x.waitUntil("the second has received the crash", func() bool { return second.members.Status().Fleet.Refuses(firstCrashKey(d), now) })
 	is.NoErr(two.Allow(now, d))
-	is.True(!two.RecordCrash(now, d))
+	is.True(!two.RecordCrash(now, claim.Crash{Digest: d}))
 	x.waitUntil("the first refuses the request", func() bool { return errors.Is(one.Allow(now, d), galenastair.ErrPoisonRequest) })
 	is.NoErr(one.Allow(now, claim.DigestOf("Furnir", "model-1", []byte("other"))))
 	x.stop()
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -44,14 +44,14 @@
 }
 
 // RecordCrash counts a crash and reports whether the request may be retried.
-func (p poisonTracker) RecordCrash(now time.Time, d claim.Digest) bool {
-	retry := p.local.RecordCrash(now, d)
-	if p.members.Status().Fleet.Refuses(firstCrashKey(d), now) {
+func (p poisonTracker) RecordCrash(now time.Time, c claim.Crash) bool {
+	retry := p.local.RecordCrash(now, c)
+	if p.members.Status().Fleet.Refuses(firstCrashKey(c.Digest), now) {
 		retry = false
 	}
-	key := secondCrashKey(d)
+	key := secondCrashKey(c.Digest)
 	if retry {
-		key = firstCrashKey(d)
+		key = firstCrashKey(c.Digest)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), fleetRefusalTimeout)
 	defer cancel()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -352,8 +352,8 @@
 	req := testRequest("/stream/1")
 	req.Hints.Model = "m/a"
 	time.AfterFunc(10*time.Millisecond, func() {
-		for range 3 {
-			env.gateway.poison.RecordCrash(time.Now(), claim.DigestOf("org", req.Method+" "+req.Target, req.Body))
+		for _, server := range []claim.ServerProcess{"s1@0", "s2@0", "s3@0"} {
+			env.gateway.poison.RecordCrash(time.Now(), claim.Crash{Digest: claim.DigestOf("org", req.Method+" "+req.Target, req.Body), Server: server})
 		}
 	})
 	_, err := env.gateway.Serve(t.Context(), req, &recordedResponse{})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"galenastair"
@@ -113,7 +114,7 @@
 		if err == nil {
 			return nil
 		}
-		r.recordCrash(ctx, err)
+		r.recordCrash(ctx, choice, err)
 		if stop := r.checkRetry(ctx, err); stop != nil {
 			return stop
 		}
@@ -130,12 +131,13 @@
 
 // recordCrash counts a response that broke off, with or without its header, as a crash under
 // the request.
-func (r *activeRequest) recordCrash(ctx context.Context, err error) {
+func (r *activeRequest) recordCrash(ctx context.Context, choice pool.Choice, err error) {
 	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) {
 		return
 	}
-	r.g.poison.RecordCrash(r.g.clock.Now(), r.digest)
-	r.g.logger.Log("event", "crash", "request", r.req.ID, "digest", r.digest, "cause", err)
+	server := claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
+	r.g.poison.RecordCrash(r.g.clock.Now(), claim.Crash{Digest: r.digest, Server: server})
+	r.g.logger.Log("event", "crash", "request", r.req.ID, "server", server, "digest", r.digest, "cause", err)
 }
 
 // checkRetry returns nil if the request may be retried, or else the error that it ends with.
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -55,10 +55,10 @@
 	// index is the position of this instance among all instances, from 0.
 	index atomic.Int64
 
-	mu             sync.Mutex
-	demands        map[galenastair.ModelName]time.Duration
-	poisonRequests []claim.Digest
-	leaderLost     bool
+	mu         sync.Mutex
+	demands    map[galenastair.ModelName]time.Duration
+	crashes    []claim.Crash
+	leaderLost bool
 
 	// used by run alone: the number of the last placement change received, and its sender
 	lastChange       int64
@@ -72,12 +72,11 @@
 	c.demands[name] += work
 }
 
-// recordPoisonRequest adds a request that stopped a backend server to the next report, from which
-// all instances learn of it.
-func (c *leaderClient) recordPoisonRequest(d claim.Digest) {
+// announceCrash adds a crash to the next report, from which all instances learn of it.
+func (c *leaderClient) announceCrash(crash claim.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.poisonRequests = append(c.poisonRequests, d)
+	c.crashes = append(c.crashes, crash)
 }
 
 // run exchanges reports with the leader until the context is done. It starts once the elector
@@ -105,7 +104,7 @@
 func (c *leaderClient) exchangeOnce(ctx context.Context) bool {
 	r := c.buildReport()
 	sent := boottime.Now()
-	busy := len(r.Loads)+len(r.Demands)+len(r.LoanRequests)+len(r.PoisonRequests) > 0
+	busy := len(r.Loads)+len(r.Demands)+len(r.LoanRequests)+len(r.Crashes) > 0
 	leader, _ := c.leader()
 	if leader == c.lastChangeLeader {
 		r.LastChange = c.lastChange
@@ -131,8 +130,8 @@
 
 func (c *leaderClient) buildReport() planner.Report {
 	c.mu.Lock()
-	r := planner.Report{Instance: c.self, Demands: c.demands, PoisonRequests: c.poisonRequests}
-	c.demands, c.poisonRequests = map[galenastair.ModelName]time.Duration{}, nil
+	r := planner.Report{Instance: c.self, Demands: c.demands, Crashes: c.crashes}
+	c.demands, c.crashes = map[galenastair.ModelName]time.Duration{}, nil
 	c.mu.Unlock()
 	r.Loads, r.Down = c.pool.Loads(), c.pool.Down(time.Now())
 	r.Positions = readOffsets(c.topics())
@@ -143,12 +142,12 @@
 	return r
 }
 
-// requeue keeps the undelivered poison requests for the next report. Undelivered demand is
+// requeue keeps the undelivered crashes for the next report. Undelivered demand is
 // dropped: a planner that has just started would take the sum for the demand of one interval.
 func (c *leaderClient) requeue(r planner.Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.poisonRequests = append(c.poisonRequests, r.PoisonRequests...)
+	c.crashes = append(c.crashes, r.Crashes...)
 }
 
 // leader returns the leader's address, and whether this instance is the leader.
@@ -225,9 +224,9 @@
 	for _, p := range u.Added {
 		c.pool.AddModel(now, p.Server, p.Name)
 	}
-	for _, d := range u.PoisonRequests {
-		c.poisonTracker.RecordRemoteCrash(now, d)
-		c.logger.Log("event", "remote crash", "digest", d)
+	for _, crash := range u.Crashes {
+		c.poisonTracker.RecordRemoteCrash(now, crash)
+		c.logger.Log("event", "remote crash", "digest", crash.Digest, "server", crash.Server)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -167,7 +167,7 @@
 		demands:       map[galenastair.ModelName]time.Duration{},
 		topics:        n.topics,
 	}
-	c.poisonTracker = claim.NewPoisonTracker(c.recordPoisonRequest, claim.WithCrashLimit(poisonThreshold, poisonRefusalTime))
+	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold, poisonRefusalTime))
 	return c
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -46,7 +46,8 @@
 	once     sync.Once
 }
 
-func newCluster(t *testing.T, nodes int) *cluster {
+// newCluster starts nodes, a store and replicas. engines are further engines that hold m1.
+func newCluster(t *testing.T, nodes int, engines ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: metastore.New(), replicas: map[string]*replica.Replica{}}
 	h := httptest.NewServer(c.store.Handler())
@@ -57,6 +58,9 @@
 	c.address = h.Listener.Addr().String()
 	c.addReplica("e1", "writer", "m1", "m2")
 	c.addReplica("e2", "writer", "m1")
+	for _, id := range engines {
+		c.addReplica(id, "writer", "m1")
+	}
 	c.addReplica("p1", "app")
 	c.addReplica("p2", "app")
 	c.publish(key)
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -34,32 +34,45 @@
 	callers.Wait()
 }
 
-// poisonSends returns the times at which the request that crashes servers reached one.
-func (c *cluster) poisonSends() []time.Time {
-	var out []time.Time
-	for _, r := range c.replicas {
+// poisonSend is one arrival of the request that crashes servers.
+type poisonSend struct {
+	server string
+	at     time.Time
+}
+
+func (c *cluster) poisonSends() []poisonSend {
+	var out []poisonSend
+	for id, r := range c.replicas {
 		for _, run := range r.Runs() {
 			if run.Body == poisonBody {
-				out = append(out, run.StartedAt)
+				out = append(out, poisonSend{id, run.StartedAt})
 			}
 		}
 	}
-	slices.SortFunc(out, time.Time.Compare)
+	slices.SortFunc(out, func(a, b poisonSend) int { return a.at.Compare(b.at) })
 	return out
 }
 
-// latePoisonSends returns how often the request was sent after all instances must refuse it.
-func (c *cluster) latePoisonSends() int {
+// latePoisonSends returns how often the request was sent after all instances must refuse it, and
+// whether it has crashed enough servers for that.
+func (c *cluster) latePoisonSends() (int, bool) {
 	sends := c.poisonSends()
-	if len(sends) < poisonThreshold {
-		return 0
+	servers := map[string]bool{}
+	for i, s := range sends {
+		servers[s.server] = true
+		if len(servers) < poisonThreshold {
+			continue
+		}
+		end := s.at.Add(poisonTimeout)
+		return len(slices.DeleteFunc(sends[i:], func(s poisonSend) bool { return s.at.Before(end) })), true
 	}
-	end := sends[poisonThreshold-1].Add(poisonTimeout)
-	return len(slices.DeleteFunc(sends, func(t time.Time) bool { return t.Before(end) }))
+	return 0, false
 }
 
+// newPoisonCluster returns a cluster of three nodes and five engines that the request crashes. The
+// stand-ins keep running, as the same process.
 func newPoisonCluster(t *testing.T) *cluster {
-	c := newCluster(t, 3)
+	c := newCluster(t, 3, "e3", "e4", "e5")
 	for _, r := range c.replicas {
 		r.UpdateFaults(func(f *replica.Faults) { f.CrashBody = poisonBody })
 	}
@@ -72,6 +85,7 @@
 	is := is.New(t)
 	c := newPoisonCluster(t)
 	c.sendPoison(c.nodes, 2*poisonTimeout)
-	is.True(len(c.poisonSends()) >= poisonThreshold)
-	is.True(c.latePoisonSends() <= maxPoisonSends)
+	late, refused := c.latePoisonSends()
+	is.True(refused)
+	is.True(late <= maxPoisonSends)
 }
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"galenastair"
-	"galenastair/claim"
 	"galenastair/lease"
 	"galenastair/peer/planningpb"
 	"galenastair/planner"
@@ -103,9 +102,7 @@
 	for _, a := range r.LoanRequests {
 		out.Asks = append(out.Asks, &planningpb.Loan{Organisation: string(a.Organisation), Amount: a.Amount})
 	}
-	for _, d := range r.PoisonRequests {
-		out.Poisons = append(out.Poisons, string(d))
-	}
+	out.Poisons, out.PoisonServers = encodeCrashes(r.Crashes)
 	for topic, from := range r.Positions {
 		out.Positions = append(out.Positions, &planningpb.Position{Topic: string(topic), From: int64(from)})
 	}
@@ -160,8 +157,6 @@
 	out.Tails = decodeTails(r.Tails)
 	decodeOwners(r, &out)
 	out.Added, out.Removed = decodePlacements(r.Placed), decodePlacements(r.Dropped)
-	for _, d := range r.Poisons {
-		out.PoisonRequests = append(out.PoisonRequests, claim.Digest(d))
-	}
+	out.Crashes = decodeCrashes(r.Poisons, r.PoisonServers)
 	return out
 }
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -8,7 +8,6 @@
 
 	"galenastair"
 	"galenastair/account"
-	"galenastair/claim"
 	"galenastair/lease"
 	"galenastair/peer/planningpb"
 	"galenastair/planner"
@@ -58,9 +57,7 @@
 	for _, id := range req.Absent {
 		r.Down = append(r.Down, galenastair.BackendServerID(id))
 	}
-	for _, d := range req.Poisons {
-		r.PoisonRequests = append(r.PoisonRequests, claim.Digest(d))
-	}
+	r.Crashes = decodeCrashes(req.Poisons, req.PoisonServers)
 	for _, p := range req.Positions {
 		r.Positions[galenastair.Topic(p.Topic)] = galenastair.Offset(p.From)
 	}
@@ -86,9 +83,7 @@
 	}
 	out.Tails = encodeTails(n.Tails)
 	out.Placed, out.Dropped = encodePlacements(n.Added), encodePlacements(n.Removed)
-	for _, d := range n.PoisonRequests {
-		out.Poisons = append(out.Poisons, string(d))
-	}
+	out.Poisons, out.PoisonServers = encodeCrashes(n.Crashes)
 	return out
 }
 
--- a/planner/message.go
+++ b/planner/message.go
@@ -31,12 +31,11 @@
 	QuotaContribution quota.Contribution
 	// Positions are the offsets up to which it has read the topics of the store.
 	Positions map[galenastair.Topic]galenastair.Offset
-	// PoisonRequests are requests that crashed a backend server since the last report.
-	PoisonRequests []claim.Digest
+	// Crashes are those that the instance has recorded since the last report.
+	Crashes []claim.Crash
 	// Down lists backend servers that have just refused a connection.
 	Down []galenastair.BackendServerID
-	// LastChange is the number of the newest placement change or poison request received from this
-	// planner.
+	// LastChange is the number of the newest placement change or crash received from this planner.
 	LastChange int64
 	// Limits are the rate limits that backend servers advertised in answers to this instance.
 	Limits []ratelimit.Limit
@@ -64,8 +63,8 @@
 	// have been unloaded or are about to be.
 	Added   []Placement
 	Removed []Placement
-	// PoisonRequests has one entry for each crash that another instance reported.
-	PoisonRequests []claim.Digest
+	// Crashes are those that the other instances have reported.
+	Crashes []claim.Crash
 	// LastChange is the number of the newest of these changes and crashes.
 	LastChange int64
 	// Tails are the records of the store's topics that the planner has read beyond the instance's
--- a/planner/news.go
+++ b/planner/news.go
@@ -35,8 +35,8 @@
 	for len(p.changes) > 0 && now.Sub(p.changes[0].at) > changeTTL {
 		p.changes = p.changes[1:]
 	}
-	for len(p.poisonRequests) > 0 && now.Sub(p.poisonRequests[0].at) > changeTTL {
-		p.poisonRequests = p.poisonRequests[1:]
+	for len(p.crashes) > 0 && now.Sub(p.crashes[0].at) > changeTTL {
+		p.crashes = p.crashes[1:]
 	}
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -84,11 +84,11 @@
 	loads   loads
 	limits  map[galenastair.BackendServerID]advertisedLimit
 	changes []placementChange
-	// lastChange is the sequence number of the newest entry in changes and poisonRequests. It is
+	// lastChange is the sequence number of the newest entry in changes and crashes. It is
 	// not reset between terms.
-	lastChange     int64
-	poisonRequests []poisonReport
-	leading        bool
+	lastChange int64
+	crashes    []crashReport
+	leading    bool
 	// inherited is the checkpoint that the previous leader stored.
 	inherited Checkpoint
 	// hasOwners reports that the quotas of organisations are assigned to owner instances.
@@ -106,8 +106,8 @@
 	at    time.Time
 }
 
-type poisonReport struct {
-	digest   claim.Digest
+type crashReport struct {
+	claim.Crash
 	from     galenastair.InstanceID
 	at       time.Time
 	sequence int64
@@ -281,9 +281,9 @@
 			s.recordDemand(now, name, work)
 		}
 	}
-	for _, d := range r.PoisonRequests {
+	for _, c := range r.Crashes {
 		p.lastChange++
-		p.poisonRequests = append(p.poisonRequests, poisonReport{d, r.Instance, now, p.lastChange})
+		p.crashes = append(p.crashes, crashReport{c, r.Instance, now, p.lastChange})
 	}
 	p.decideOwners(now)
 	update := Update{LeaseExpired: !p.lease.Holds(), QuotaAllocation: p.lender.Contribute(now, r.Instance, r.QuotaContribution), Loads: p.loads.byKey()}
@@ -314,9 +314,9 @@
 			update.Added = append(update.Added, c.Placement)
 		}
 	}
-	for _, c := range p.poisonRequests {
+	for _, c := range p.crashes {
 		if c.from != r.Instance && c.sequence > r.LastChange {
-			update.PoisonRequests = append(update.PoisonRequests, c.digest)
+			update.Crashes = append(update.Crashes, c.Crash)
 		}
 	}
 	return update
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -397,14 +397,14 @@
 	is := is.New(t)
 	h := newHarness(t, 1, 1)
 	h.step(time.Second)
-	_, err := h.planner.Exchange(t.Context(), Report{Instance: "a", PoisonRequests: []claim.Digest{"d"}})
+	_, err := h.planner.Exchange(t.Context(), Report{Instance: "a", Crashes: []claim.Crash{{Digest: "d", Server: "s1@1"}}})
 	is.NoErr(err)
 	var announced int
 	var last int64
 	for range 4 {
 		u, err := h.planner.Exchange(t.Context(), Report{Instance: "b", LastChange: last})
 		is.NoErr(err)
-		announced += len(u.PoisonRequests)
+		announced += len(u.Crashes)
 		last = u.LastChange
 		h.step(300 * time.Millisecond)
 	}
--- a/request/complete.go
+++ b/request/complete.go
@@ -158,7 +158,7 @@
 	now := c.s.clock.Now()
 	// A request that crashes backend servers is retried once, so that it cannot crash
 	// the whole fleet.
-	if c.delivered && !c.s.poison.RecordCrash(now, c.digest) {
+	if c.delivered && !c.s.poison.RecordCrash(now, claim.Crash{Digest: c.digest}) {
 		return &galenastair.Refusal{Cause: galenastair.ErrPoisonRequest, Outcome: c.outcome()}
 	}
 	if !c.s.retries.MayRetry() {
--- a/request/port.go
+++ b/request/port.go
@@ -69,7 +69,7 @@
 	// Allow returns a refusal if the request has crashed too many backend servers.
 	Allow(now time.Time, d claim.Digest) error
 	// RecordCrash counts a crash and reports whether the request may be retried.
-	RecordCrash(now time.Time, d claim.Digest) bool
+	RecordCrash(now time.Time, c claim.Crash) bool
 }
 
 // RetryBudget limits retries to a fraction of the traffic.
