--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -263,7 +263,7 @@
 	is.True(!there.RecordCrash(now, Crash{Digest: "d"}))
 	is.True(errors.Is(there.Allow(now, "d"), galenastair.ErrPoisonRequest))
 	is.NoErr(there.Allow(now, "e"))
-	is.NoErr(there.Allow(now.Add(defaultRefusalDuration), "d"))
+	is.NoErr(there.Allow(now.Add(refusalDuration), "d"))
 	for i := range maxPoisonEntries + 10 {
 		here.RecordRemoteCrash(now, Crash{Digest: Digest(fmt.Sprint(i))})
 	}
--- a/claim/poison.go
+++ b/claim/poison.go
@@ -14,9 +14,9 @@
 	// second try distinguishes a bad request from a server that failed by chance; a third
 	// would only cost the other organisations one more server.
 	defaultMaxCrashes = 2
-	// defaultRefusalDuration is how long a request is refused. It is long enough for a caller's
+	// refusalDuration is how long a request is refused. It is long enough for a caller's
 	// retries to end and short enough for the request to be served soon after the model is fixed.
-	defaultRefusalDuration = 10 * time.Minute
+	refusalDuration = 10 * time.Minute
 	// maxPoisonEntries bounds the tracker's memory to less than 1 MB when an organisation
 	// keeps sending different requests that crash backend servers.
 	maxPoisonEntries = 4096
@@ -34,21 +34,24 @@
 // PoisonTracker counts the backend servers that crashed while they ran a request, by the
 // digest of the request, and refuses a request that has crashed too many.
 type PoisonTracker struct {
-	mu              sync.Mutex
-	crashes         map[Digest]crashRecord
-	announce        func(Crash)
-	maxCrashes      int
-	refusalDuration time.Duration
+	mu             sync.Mutex
+	crashes        map[Digest]crashRecord
+	announce       func(Crash)
+	maxCrashes     int
+	countingWindow time.Duration
 }
 
 // PoisonOption configures a PoisonTracker.
 type PoisonOption func(*PoisonTracker)
 
-// WithCrashLimit sets how many backend servers one request may crash, and for how long it is
-// refused after that. Where connections often break without a crash, a higher limit and a
-// shorter time prevent the refusal of valid requests.
-func WithCrashLimit(n int, d time.Duration) PoisonOption {
-	return func(p *PoisonTracker) { p.maxCrashes, p.refusalDuration = n, d }
+// WithCrashLimit sets how many backend servers one request may crash. Where connections often
+// break without a crash, a higher limit prevents the refusal of valid requests.
+func WithCrashLimit(n int) PoisonOption { return func(p *PoisonTracker) { p.maxCrashes = n } }
+
+// WithCountingWindow sets the time after a crash within which the next one of the same request
+// must occur to count together with it. The default is the duration of a refusal.
+func WithCountingWindow(d time.Duration) PoisonOption {
+	return func(p *PoisonTracker) { p.countingWindow = d }
 }
 
 type crashRecord struct {
@@ -62,7 +65,7 @@
 	if announce == nil {
 		announce = func(Crash) {}
 	}
-	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, refusalDuration: defaultRefusalDuration}
+	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, countingWindow: refusalDuration}
 	for _, o := range opts {
 		o(p)
 	}
@@ -126,7 +129,10 @@
 	if len(s.servers) < p.maxCrashes {
 		s.servers = append(s.servers, c.Server)
 	}
-	s.expiresAt = now.Add(p.refusalDuration)
+	s.expiresAt = now.Add(p.countingWindow)
+	if len(s.servers) >= p.maxCrashes {
+		s.expiresAt = now.Add(refusalDuration)
+	}
 	p.crashes[c.Digest] = s
 	return true
 }
--- a/claim/poison_test.go
+++ b/claim/poison_test.go
@@ -22,3 +22,17 @@
 	is.True(!p.RecordCrash(now, Crash{"d", "s1@2"}))
 	is.True(p.Allow(now, "d") != nil)
 }
+
+// Guards against a request that crashes further servers each time its refusal has ended.
+func TestRefusalOutlastsTheCountingWindow(t *testing.T) {
+	is := is.New(t)
+	const window = 20 * time.Second
+	now := time.Unix(1000, 0)
+	p := NewPoisonTracker(nil, WithCrashLimit(2), WithCountingWindow(window))
+	is.True(p.RecordCrash(now, Crash{"d", "s1@1"}))
+	now = now.Add(window)
+	is.True(p.RecordCrash(now, Crash{"d", "s2@1"}))
+	is.True(!p.RecordCrash(now.Add(window/2), Crash{"d", "s3@1"}))
+	is.True(p.Allow(now.Add(2*window), "d") != nil)
+	is.NoErr(p.Allow(now.Add(window/2+refusalDuration), "d"))
+}
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -179,7 +179,7 @@
 		Draining:  func() bool { return env.draining },
 	}, Dependencies{
 		CatalogSource: env.catalogSource, Pool: env.pool, Backend: env.backend, Quota: env.quota, Placement: env.placement, Limiter: env.limiter,
-		Poison: claim.NewPoisonTracker(nil, claim.WithCrashLimit(3, time.Minute)),
+		Poison: claim.NewPoisonTracker(nil, claim.WithCrashLimit(3)),
 	})
 	return env
 }
--- a/node/node.go
+++ b/node/node.go
@@ -63,10 +63,10 @@
 	// requestTransitTime is the maximum time from the choice of a leaving server to the arrival
 	// of the request there.
 	requestTransitTime = 600 * time.Millisecond
-	// A request that has broken poisonThreshold connections to backend servers without a
-	// response is refused for poisonRefusalTime.
-	poisonThreshold   = 3
-	poisonRefusalTime = 20 * time.Second
+	// A request that has crashed poisonThreshold backend servers, each within poisonWindow after
+	// the one before, is refused.
+	poisonThreshold = 3
+	poisonWindow    = 20 * time.Second
 )
 
 // Node is one instance on a platform that brings its own store.
@@ -167,7 +167,7 @@
 		demands:       map[galenastair.ModelName]time.Duration{},
 		topics:        n.topics,
 	}
-	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold, poisonRefusalTime))
+	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCountingWindow(poisonWindow))
 	return c
 }
 
