--- a/claim/poison.go
+++ b/claim/poison.go
@@ -113,6 +113,22 @@
 	p.add(now, c)
 }
 
+// Refused returns the crashes of all requests that are refused.
+func (p *PoisonTracker) Refused(now time.Time) []Crash {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Crash
+	for d, s := range p.crashes {
+		if !now.Before(s.expiresAt) || len(s.servers) < p.maxCrashes {
+			continue
+		}
+		for _, server := range s.servers {
+			out = append(out, Crash{d, server})
+		}
+	}
+	return out
+}
+
 // add counts a crash, once for each known server, and reports whether it was not known yet. A
 // server that breaks off many responses says nothing about the requests.
 func (p *PoisonTracker) add(now time.Time, c Crash) bool {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -106,13 +106,17 @@
 	sent := boottime.Now()
 	busy := len(r.Loads)+len(r.Demands)+len(r.LoanRequests)+len(r.Crashes) > 0
 	leader, _ := c.leader()
+	newCrashes := r.Crashes
 	if leader == c.lastChangeLeader {
 		r.LastChange = c.lastChange
+	} else {
+		// a leader that has just started may not know which requests are refused
+		r.Crashes = append(c.poisonTracker.Refused(time.Now()), newCrashes...)
 	}
 	update, err := c.sendReport(ctx, r)
 	if err != nil {
 		c.handleFailure(err)
-		c.requeue(r)
+		c.requeue(newCrashes)
 		c.askPeer(ctx)
 		return true
 	}
@@ -144,10 +148,10 @@
 
 // requeue keeps the undelivered crashes for the next report. Undelivered demand is
 // dropped: a planner that has just started would take the sum for the demand of one interval.
-func (c *leaderClient) requeue(r planner.Report) {
+func (c *leaderClient) requeue(crashes []claim.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashes = append(c.crashes, r.Crashes...)
+	c.crashes = append(c.crashes, crashes...)
 }
 
 // leader returns the leader's address, and whether this instance is the leader.
--- a/node/node.go
+++ b/node/node.go
@@ -134,7 +134,8 @@
 	n.elector = lease.NewElector(n.store, platform.LeaseTopic, l, s.PeerAddress, lease.WithLogger(n.logger),
 		lease.WithCheckpointer(n.checkpointer(context.Background())), lease.WithFleetSize(n.borrower.ReportedFleetSize), lease.WithLinkMbps(s.LinkMbps), lease.WithFirstStart(s.FirstStart), lease.WithOnElected(n.onElected))
 	n.planner = planner.New(string(s.ID), tolerance, backend, n.lease, n.loop,
-		planner.WithLogger(n.logger), planner.WithOrderObserver(n.metrics.countOrder))
+		planner.WithLogger(n.logger), planner.WithOrderObserver(n.metrics.countOrder),
+		planner.WithRefusedRequests(func(now time.Time) []claim.Crash { return n.leaderClient.poisonTracker.Refused(now) }))
 	n.catalogSource = newCatalogSource(n.logger)
 	n.serverWatcher = newServerWatcher(n.logger)
 	n.leaderClient = n.newLeaderClient()
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -89,3 +89,20 @@
 	is.True(refused)
 	is.True(late <= maxPoisonSends)
 }
+
+// Guards against restarted instances that know nothing of a request that all others refuse.
+func TestRestartedInstancesRefuseKnownRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newPoisonCluster(t)
+	c.sendPoison(c.nodes, poisonTimeout)
+	for i := range 3 {
+		c.stopNode(c.nodes[i])
+		n := c.startNode()
+		c.waitFor("an accepted read", func() bool { return c.call(n, "/read/1", "", key).status == 200 })
+		c.sendPoison([]*runningNode{n}, time.Second)
+	}
+	late, refused := c.latePoisonSends()
+	is.True(refused)
+	is.True(late <= maxPoisonSends)
+}
--- /dev/null
+++ b/planner/crashes.go
@@ -0,0 +1,47 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"galenastair"
+	"galenastair/claim"
+)
+
+// maxCrashReports bounds the crashes that are announced at a time. More at once come from the
+// loss of many backend servers, and not from one request.
+const maxCrashReports = 1024
+
+// crashReport is a crash that an instance has reported.
+type crashReport struct {
+	claim.Crash
+	from     galenastair.InstanceID
+	at       time.Time
+	sequence int64
+}
+
+// addCrashes adds the crashes of a report that are not being announced yet.
+func (p *Planner) addCrashes(now time.Time, r Report) {
+	for _, c := range r.Crashes {
+		known := func(o crashReport) bool { return o.Crash == c && c.Server != "" }
+		if len(p.crashes) >= maxCrashReports || slices.ContainsFunc(p.crashes, known) {
+			continue
+		}
+		p.lastChange++
+		p.crashes = append(p.crashes, crashReport{c, r.Instance, now, p.lastChange})
+	}
+}
+
+// crashesSince returns the crashes that an instance has not received yet.
+func (p *Planner) crashesSince(now time.Time, r Report) []claim.Crash {
+	var out []claim.Crash
+	if r.LastChange == 0 {
+		out = p.refused(now)
+	}
+	for _, c := range p.crashes {
+		if c.from != r.Instance && c.sequence > r.LastChange {
+			out = append(out, c.Crash)
+		}
+	}
+	return out
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -69,6 +69,7 @@
 	inFlight sync.WaitGroup
 	limiter  *ratelimit.Limiter
 	onOrder  func(kind galenastair.OrderKind, reason place.Reason, outcome string)
+	refused  func(time.Time) []claim.Crash
 
 	// the fields below are accessed only in the control loop
 	ctx      context.Context
@@ -106,13 +107,6 @@
 	at    time.Time
 }
 
-type crashReport struct {
-	claim.Crash
-	from     galenastair.InstanceID
-	at       time.Time
-	sequence int64
-}
-
 // Option configures a Planner.
 type Option func(*Planner)
 
@@ -127,6 +121,12 @@
 	return func(p *Planner) { p.onOrder = f }
 }
 
+// WithRefusedRequests sets a function that returns the crashes of the requests that this instance
+// refuses. An instance that reports for the first time gets them.
+func WithRefusedRequests(f func(time.Time) []claim.Crash) Option {
+	return func(p *Planner) { p.refused = f }
+}
+
 // New returns a planner that is idle until Run is called and the lease is held. self identifies it
 // as the sender of orders.
 func New(self string, t quota.Tolerance, c galenastair.EngineControl, l Lease, loop *control.Loop, opts ...Option) *Planner {
@@ -138,6 +138,7 @@
 		clock:     galenastair.SystemClock{},
 		logger:    log.NewNopLogger(),
 		onOrder:   func(galenastair.OrderKind, place.Reason, string) {},
+		refused:   func(time.Time) []claim.Crash { return nil },
 		ctx:       context.Background(),
 		services:  map[galenastair.ServiceName]*service{},
 		servers:   map[galenastair.BackendServerID]pool.Server{},
@@ -149,6 +150,8 @@
 		assigner:  account.NewAssigner(),
 		bootClock: boottime.Now,
 		reports:   map[galenastair.InstanceID]instanceReport{},
+		// 0 in a report means that the instance has received no change
+		lastChange: 1,
 	}
 	for _, o := range opts {
 		o(p)
@@ -281,10 +284,7 @@
 			s.recordDemand(now, name, work)
 		}
 	}
-	for _, c := range r.Crashes {
-		p.lastChange++
-		p.crashes = append(p.crashes, crashReport{c, r.Instance, now, p.lastChange})
-	}
+	p.addCrashes(now, r)
 	p.decideOwners(now)
 	update := Update{LeaseExpired: !p.lease.Holds(), QuotaAllocation: p.lender.Contribute(now, r.Instance, r.QuotaContribution), Loads: p.loads.byKey()}
 	p.loads.add(r.Loads)
@@ -314,11 +314,7 @@
 			update.Added = append(update.Added, c.Placement)
 		}
 	}
-	for _, c := range p.crashes {
-		if c.from != r.Instance && c.sequence > r.LastChange {
-			update.Crashes = append(update.Crashes, c.Crash)
-		}
-	}
+	update.Crashes = p.crashesSince(now, r)
 	return update
 }
 
