request: a crash counts whether or not the request may be retried

A request with an idempotency key, or one whose stream broke off midway and could not be resumed, is not retried; sent again and again it crashed one engine each time. TestCrashesOfRequestsThatAreNotRetriedCount: three engines before, two after.

--- a/request/complete.go
+++ b/request/complete.go
@@ -152,15 +152,17 @@
 // checkRetry returns nil if the request may be retried on another backend server.
 func (c *completion) checkRetry(ctx context.Context, err error) error {
 	var refused *galenastair.Refusal
-	if errors.As(err, &refused) || chooseAction(c.requestProgress, err) != actionRetry {
+	if errors.As(err, &refused) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
-	now := c.s.clock.Now()
 	// A request that crashes backend servers is retried once, so that it cannot crash
 	// the whole fleet.
-	if c.delivered && !c.s.poison.RecordCrash(now, claim.Crash{Digest: c.digest}) {
+	if c.delivered && !c.s.poison.RecordCrash(c.s.clock.Now(), claim.Crash{Digest: c.digest}) {
 		return &galenastair.Refusal{Cause: galenastair.ErrPoisonRequest, Outcome: c.outcome()}
 	}
+	if chooseAction(c.requestProgress, err) != actionRetry {
+		return err
+	}
 	if !c.s.retries.MayRetry() {
 		return err
 	}
@@ -169,6 +171,7 @@
 }
 
 func (c *completion) attempt(ctx context.Context) error {
+	c.delivered = false
 	grant, err := c.s.dispatcher.Acquire(ctx, dispatch.Request{
 		ID:           c.call.ID,
 		Organisation: c.auth.organisation,
--- a/request/complete_test.go
+++ b/request/complete_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -182,3 +183,17 @@
 	is.Equal(recorder.summaries[0].Outcome, galenastair.OutcomeRan)
 	is.True(recorder.summaries[0].Used > 0)
 }
+
+// Guards against crashes that are not counted because the request may not be retried.
+func TestCrashesOfRequestsThatAreNotRetriedCount(t *testing.T) {
+	is := is.New(t)
+	errCrash := errors.New("connection reset by peer")
+	ts := newTestServer(t, fakeAttempt{refuse: errCrash}, fakeAttempt{refuse: errCrash}, fakeAttempt{chunks: 1})
+	for i, cause := range []error{galenastair.ErrBackendFailed, galenastair.ErrPoisonRequest, galenastair.ErrPoisonRequest} {
+		call := ts.call()
+		call.IdempotencyKey = galenastair.IdempotencyKey(fmt.Sprint("key", i))
+		writer := &textWriter{}
+		is.True(errors.Is(ts.server.Complete(context.Background(), call, writer), cause))
+		is.Equal(writer.text, "")
+	}
+}
