--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,11 @@
 	// CrashBody breaks off the response to each request with this body after the header; empty
 	// disables it.
 	CrashBody string
+	// Leaving adds the header Server-Leaving to all responses. The registration stays as it is.
+	Leaving bool
+	// RetryAfter is the time in seconds that responses to declined requests carry in the header
+	// Retry-After; 0 omits the header.
+	RetryAfter float64
 	// ServerLimit is the rate in requests per second that responses carry in the header
 	// Server-Limit; 0 omits the header.
 	ServerLimit float64
@@ -81,6 +87,7 @@
 	fence                int64
 	crashReason          string
 	runs                 []*Run
+	declinedAt           []time.Time
 }
 
 // New returns a replica with the models of the settings loaded.
@@ -117,6 +124,13 @@
 	return out
 }
 
+// DeclinedAt returns the times at which the replica declined a request because of Faults.Decline.
+func (r *Replica) DeclinedAt() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.declinedAt)
+}
+
 // CrashReason returns the reason for which an order would have crashed a real server, or
 // "" if none would have.
 func (r *Replica) CrashReason() string {
@@ -170,14 +184,23 @@
 	if faults.ServerLimit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(faults.ServerLimit, 'f', -1, 64))
 	}
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if !r.isLoaded(model) || faults.Decline {
 		missing := !faults.Decline
+		if faults.Decline {
+			r.declinedAt = append(r.declinedAt, time.Now())
+		}
 		r.mu.Unlock()
 		w.Header().Set("Galenastair-Not-Executed", "1")
 		if missing {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if faults.RetryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(faults.RetryAfter, 'f', -1, 64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
