gateway, pool, platform: a server whose answer says that it leaves gets no new requests (DRAIN)

While the store was down, requests went on to backend servers that had said in their answers that they leave, up to 14.7 s after that. Their callers were lucky: a leaving server may end at any moment.

Cause: the header Server-Leaving was unknown to the code, and leaving was learned from registrations alone, which cannot change while the store is down. Class: a term of the platform that is new to the code; state that is learned by one way only, where the servers' own answers are another. Ruled out: requests chosen before the answer (routes 1.8 s and more after it).

Change: the pool keeps the announcement for the server's process, whatever its registrations say, from the time of the answer; a last copy is used within the usual grace. The planner hears of the server with those that refuse connections, and loads its models elsewhere. Weighed: telling the other instances (each gets the header with its own first answer, and the rule binds the instance that has had it; a server that one instance alone thinks leaving would lose all its traffic).

--- a/backend.go
+++ b/backend.go
@@ -65,6 +65,8 @@
 	// Misdirected reports whether the request reached the wrong backend server: another
 	// one has the address, or the model is not loaded.
 	Misdirected bool
+	// Leaving reports whether the backend server announced that it is shutting down.
+	Leaving bool
 	// RateLimit is the number of requests per second that the backend server accepts from
 	// all instances together; 0 if it sent no limit.
 	RateLimit float64
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,9 @@
 		return r.handleFailure(attempt, err)
 	}
 	defer resp.Body.Close()
+	if resp.Leaving && r.g.pool.ObserveLeaving(r.g.clock.Now(), choice.ID, choice.Incarnation) {
+		r.g.logger.Log("event", "leave announced", "request", r.req.ID, "server", choice.ID)
+	}
 	if resp.RateLimit > 0 || !resp.Declined {
 		r.g.pool.ObserveLimit(r.g.clock.Now(), choice.ID, resp.RateLimit, now)
 	}
--- a/planner/message.go
+++ b/planner/message.go
@@ -33,7 +33,8 @@
 	Positions map[galenastair.Topic]galenastair.Offset
 	// Crashes are those that the instance has recorded since the last report.
 	Crashes []claim.Crash
-	// Down lists backend servers that have just refused a connection.
+	// Down lists backend servers that have just refused a connection, or have announced in an answer
+	// that they are leaving.
 	Down []galenastair.BackendServerID
 	// LastChange is the number of the newest placement change or crash received from this planner.
 	LastChange int64
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -75,7 +75,7 @@
 	ctx      context.Context
 	services map[galenastair.ServiceName]*service
 	servers  map[galenastair.BackendServerID]pool.Server
-	// downAt holds the servers that refuse connections, with the time of the last such report.
+	// downAt holds the servers that instances report as down, with the time of the last such report.
 	downAt map[galenastair.BackendServerID]time.Time
 	// evacuated holds the availability zones whose engines get no requests.
 	evacuated []galenastair.AvailabilityZone
--- a/planner/servers.go
+++ b/planner/servers.go
@@ -58,8 +58,9 @@
 // exchanges, in which instances that still send there report it again.
 const downTTL = 1500 * time.Millisecond
 
-// markDown records servers that refuse connections. The registration of a crashed process stays
-// for three heartbeats; marking it down gets its models loaded elsewhere before that.
+// markDown records servers that an instance reports as down. The registration of a crashed process
+// stays for three heartbeats, and that of a leaving one is unchanged while the store is down; marking
+// them gets their models loaded elsewhere before that.
 func (p *Planner) markDown(now time.Time, ids []galenastair.BackendServerID) {
 	for _, id := range ids {
 		s, known := p.servers[id]
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -52,6 +52,9 @@
 	cache         *cache
 	// leaveStart is the earliest time at which the server may have started to leave.
 	leaveStart time.Time
+	// leaveAnnounced is set if an answer of the server announced that it is leaving. Its registrations
+	// may not say so yet, for example while the store is down.
+	leaveAnnounced bool
 	// downAt is when the server last refused a connection; zero if it has answered since.
 	downAt time.Time
 	limit  limit
@@ -70,13 +73,14 @@
 	return !b.downAt.IsZero() && now.Sub(b.downAt) < downTTL
 }
 
-// Down returns the backend servers that have just refused a connection.
+// Down returns the backend servers that have just refused a connection, or have announced in an answer
+// that they are leaving.
 func (p *Pool) Down(now time.Time) []galenastair.BackendServerID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []galenastair.BackendServerID
 	for id, b := range p.backends {
-		if b.isDown(now) {
+		if b.isDown(now) || b.leaveAnnounced {
 			out = append(out, id)
 		}
 	}
@@ -140,7 +144,7 @@
 		p.backends[s.ID] = b
 		p.byService[s.Service] = append(p.byService[s.Service], b)
 	}
-	if s.Leaving && !b.Leaving {
+	if s.Leaving && !b.Leaving && (!b.leaveAnnounced || s.LeavingSince.Before(b.leaveStart)) {
 		b.leaveStart = s.LeavingSince
 	}
 	if s.Heartbeat < b.Heartbeat {
--- a/pool/state.go
+++ b/pool/state.go
@@ -61,7 +61,7 @@
 func (p *Pool) unavailableReason(now time.Time, b *backend) UnavailableReason {
 	_, evacuated := p.evacuated[b.AvailabilityZone]
 	switch {
-	case b.Leaving || !b.leaveStart.IsZero():
+	case b.Leaving || b.leaveAnnounced:
 		return UnavailableLeaving
 	case evacuated:
 		return UnavailableEvacuated
