pool, gateway, platform: a backend server that asks for a backoff gets no requests (BUDGET)

Backend servers in need turned away most requests of some seconds and named 3 s in Retry-After; they got the next ones at once.

Cause: Retry-After of a backend server was not read; after a 503 it was avoided for 400 ms, and only where another one scored better. Ruled out: requests chosen before the answer (routes 0.7 to 2.8 s after it).

Change: the pool keeps the end of the longest backoff for each server; it is no candidate until then, also if it is the only one, and a request that was waiting for its connection is not sent. If all candidates refuse, the caller is refused at once with the time of the first one that stays. Weighed: a score that prefers the others, as for limits (the only copy of a model would go on to get requests), and sharing the time with the other instances (it is meant for one; the servers name it to each).

--- a/backend.go
+++ b/backend.go
@@ -67,6 +67,9 @@
 	Misdirected bool
 	// Leaving reports whether the backend server announced that it is shutting down.
 	Leaving bool
+	// Backoff is the time for which the backend server wants no requests from this instance; 0 if
+	// it named none.
+	Backoff time.Duration
 	// RateLimit is the number of requests per second that the backend server accepts from
 	// all instances together; 0 if it sent no limit.
 	RateLimit float64
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,6 +52,10 @@
 	if resp.Leaving && r.g.pool.ObserveLeaving(r.g.clock.Now(), choice.ID, choice.Incarnation) {
 		r.g.logger.Log("event", "leave announced", "request", r.req.ID, "server", choice.ID)
 	}
+	if resp.Backoff > 0 {
+		r.g.pool.Backoff(r.g.clock.Now(), choice.ID, resp.Backoff)
+		r.g.logger.Log("event", "backoff", "request", r.req.ID, "server", choice.ID, "wait", resp.Backoff)
+	}
 	if resp.RateLimit > 0 || !resp.Declined {
 		r.g.pool.ObserveLimit(r.g.clock.Now(), choice.ID, resp.RateLimit, now)
 	}
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -130,3 +130,25 @@
 		is.True(c.ExpectedServer != "ps1")
 	}
 }
+
+// Guards against a request that is tried at servers that want none, instead of being refused at once with the
+// time at which the first of them accepts requests again.
+func TestAllServersBackingOffIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	const backoff = 400 * time.Millisecond
+	declineWithBackoff := func(ctx context.Context, c galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		resp, err := decline()(ctx, c)
+		resp.Backoff = backoff
+		return resp, err
+	}
+	env := newTestEnv(declineWithBackoff, declineWithBackoff, declineWithBackoff)
+	_, _, err := env.serve(t, "/bid/1")
+	is.True(err != nil)
+	is.Equal(len(env.backend.calls), 3)
+	_, _, err = env.serve(t, "/bid/1")
+	is.Equal(len(env.backend.calls), 3)
+	var refusal *galenastair.Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Outcome, galenastair.OutcomeNotRun)
+	is.True(refusal.RetryAfter > 0 && refusal.RetryAfter <= backoff)
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -34,7 +34,7 @@
 	Candidates int
 	// Limit is the rate limit that the server has advertised; its PerSecond is 0 if there is none.
 	Limit ratelimit.Limit
-	// RetryAfter is the time until a server accepts requests again, if all are throttled.
+	// RetryAfter is the time until a server accepts requests again, if all refuse them for a while.
 	RetryAfter time.Duration
 	Reason     string
 }
@@ -48,7 +48,7 @@
 	ReasonNoServer      = "no server for the service"
 	ReasonNoModel       = "no server holds the model"
 	ReasonExcluded      = "all were tried"
-	ReasonThrottled     = "all are at their limits"
+	ReasonThrottled     = "all are at their limits or want no requests"
 )
 
 // Choose picks a server for a request. If there is none, the reason says why.
@@ -56,17 +56,12 @@
 	q.keys = prefixKeys(q.RequestHints)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := p.candidates(now, &q)
-	ready := slices.DeleteFunc(slices.Clone(candidates), func(b *backend) bool { return now.Before(b.throttledUntil) })
-	if wait, throttled := minThrottleLeft(now, candidates); throttled && len(ready) == 0 {
-		return Choice{RetryAfter: wait, Reason: ReasonThrottled}, false
-	}
-	candidates = ready
-	if len(candidates) == 0 {
-		return Choice{Reason: p.noneReason(now, &q)}, false
-	}
+	candidates, wait := p.splitRefusing(now, p.candidates(now, &q))
 	best, reason := p.best(now, &q, candidates)
-	if best == nil {
+	switch {
+	case best == nil && wait > 0:
+		return Choice{RetryAfter: wait, Reason: ReasonThrottled}, false
+	case best == nil:
 		return Choice{Reason: p.noneReason(now, &q)}, false
 	}
 	return Choice{
@@ -97,6 +92,23 @@
 	return out
 }
 
+// splitRefusing returns the candidates that accept requests, and the time until the first of the others
+// does that is not withdrawn, 0 if there is none.
+func (p *Pool) splitRefusing(now time.Time, candidates []*backend) ([]*backend, time.Duration) {
+	var accepting []*backend
+	var wait time.Duration
+	for _, b := range candidates {
+		left := b.refusalLeft(now)
+		switch {
+		case left == 0:
+			accepting = append(accepting, b)
+		case !p.isWithdrawn(b) && (wait == 0 || left < wait):
+			wait = left
+		}
+	}
+	return accepting, wait
+}
+
 func (p *Pool) noneReason(now time.Time, q *Query) string {
 	inService := func(b *backend) bool { return !p.isWithdrawn(b) && p.inRegions(b, q.Regions) }
 	available := func(b *backend) bool { return b.Service == q.Service && !b.isDown(now) && inService(b) }
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -82,16 +82,3 @@
 		b.throttledUntil = now.Add(max(minThrottle, d))
 	}
 }
-
-// minThrottleLeft returns the time until the first throttled server accepts requests again, or
-// false if none is throttled.
-func minThrottleLeft(now time.Time, list []*backend) (time.Duration, bool) {
-	var least time.Duration
-	found := false
-	for _, b := range list {
-		if d := b.throttledUntil.Sub(now); d > 0 && (!found || d < least) {
-			least, found = d, true
-		}
-	}
-	return least, found
-}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -60,6 +60,8 @@
 	limit  limit
 	// throttledUntil is the time until which the server's rate limit allows no more requests.
 	throttledUntil time.Time
+	// backoffUntil is the time until which the server wants no requests from this instance.
+	backoffUntil time.Time
 	// coldUntil is the time until which the service's ColdStart limits the server.
 	coldUntil time.Time
 }
@@ -279,12 +281,12 @@
 }
 
 // Usable reports whether a server that was chosen may still get the request. It may have been
-// withdrawn while the connection was set up.
+// withdrawn, or have asked for a backoff, while the connection was set up.
 func (p *Pool) Usable(now time.Time, id galenastair.BackendServerID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.backends[id]
-	if b == nil {
+	if b == nil || now.Before(b.backoffUntil) {
 		return false
 	}
 	end, withdrawn := p.withdrawalEnd(b)
