--- a/planner/crashes.go
+++ b/planner/crashes.go
@@ -35,7 +35,7 @@
 // crashesSince returns the crashes that an instance has not received yet.
 func (p *Planner) crashesSince(now time.Time, r Report) []claim.Crash {
 	var out []claim.Crash
-	if r.LastChange == 0 {
+	if r.LastChange < p.expiredCrash {
 		out = p.refused(now)
 	}
 	for _, c := range p.crashes {
--- a/planner/news.go
+++ b/planner/news.go
@@ -36,6 +36,7 @@
 		p.changes = p.changes[1:]
 	}
 	for len(p.crashes) > 0 && now.Sub(p.crashes[0].at) > changeTTL {
+		p.expiredCrash = p.crashes[0].sequence
 		p.crashes = p.crashes[1:]
 	}
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -89,7 +89,9 @@
 	// not reset between terms.
 	lastChange int64
 	crashes    []crashReport
-	leading    bool
+	// expiredCrash is the sequence number of the newest crash that is announced no more.
+	expiredCrash int64
+	leading      bool
 	// inherited is the checkpoint that the previous leader stored.
 	inherited Checkpoint
 	// hasOwners reports that the quotas of organisations are assigned to owner instances.
@@ -122,7 +124,7 @@
 }
 
 // WithRefusedRequests sets a function that returns the crashes of the requests that this instance
-// refuses. An instance that reports for the first time gets them.
+// refuses. An instance that has missed announcements of crashes gets them.
 func WithRefusedRequests(f func(time.Time) []claim.Crash) Option {
 	return func(p *Planner) { p.refused = f }
 }
@@ -150,8 +152,8 @@
 		assigner:  account.NewAssigner(),
 		bootClock: boottime.Now,
 		reports:   map[galenastair.InstanceID]instanceReport{},
-		// 0 in a report means that the instance has received no change
-		lastChange: 1,
+		// 0 in a report means that the instance has received nothing from this planner
+		lastChange: 1, expiredCrash: 1,
 	}
 	for _, o := range opts {
 		o(p)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -410,3 +410,27 @@
 	}
 	is.Equal(announced, 1)
 }
+
+// Guards against an instance that was cut off while crashes were announced and knows nothing of the requests
+// that all others refuse.
+func TestInstanceThatMissedCrashesLearnsWhatIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1, 1)
+	crash := claim.Crash{Digest: "d", Server: "s1@1"}
+	h.planner.refused = func(time.Time) []claim.Crash { return []claim.Crash{crash} }
+	h.step(time.Second)
+	exchange := func(r Report) Update {
+		u, err := h.planner.Exchange(t.Context(), r)
+		is.NoErr(err)
+		return u
+	}
+	first := exchange(Report{Instance: "b"})
+	is.Equal(first.Crashes, []claim.Crash{crash})
+	is.Equal(len(exchange(Report{Instance: "b", LastChange: first.LastChange}).Crashes), 0)
+	exchange(Report{Instance: "a", Crashes: []claim.Crash{crash}})
+	h.step(changeTTL + time.Second)
+	exchange(Report{Instance: "a"})
+	late := exchange(Report{Instance: "b", LastChange: first.LastChange})
+	is.Equal(late.Crashes, []claim.Crash{crash})
+	is.Equal(len(exchange(Report{Instance: "b", LastChange: late.LastChange}).Crashes), 0)
+}
