claim: a request that was completed lately is not blamed for crashes

A page that is read all the time is in flight on every backend server. If three of them lose power at the same moment, it has crashed three servers by the tracker's count, and would be refused everywhere for ten minutes, for which no success can show that it is sound. Weighed: the shorter refusal of before (a request that does crash servers comes back), and counting crashes at the same moment as one (two attempts of a bad request run side by side, too). TestRequestThatServersCompleteIsNotBlamedForAnOutage fails without.

--- a/claim/poison.go
+++ b/claim/poison.go
@@ -39,6 +39,7 @@
 	announce       func(Crash)
 	maxCrashes     int
 	countingWindow time.Duration
+	completed      completions
 }
 
 // PoisonOption configures a PoisonTracker.
@@ -69,6 +70,7 @@
 	for _, o := range opts {
 		o(p)
 	}
+	p.completed.window = p.countingWindow
 	return p
 }
 
@@ -90,6 +92,10 @@
 // another instance, which would otherwise start counting from zero.
 func (p *PoisonTracker) RecordCrash(now time.Time, c Crash) (retry bool) {
 	p.mu.Lock()
+	if p.completed.contains(now, c.Digest) {
+		p.mu.Unlock()
+		return true
+	}
 	isNew := p.add(now, c)
 	count := len(p.crashes[c.Digest].servers)
 	p.mu.Unlock()
@@ -99,18 +105,23 @@
 	return count < p.maxCrashes
 }
 
-// RecordSuccess removes a request that a backend server has completed.
-func (p *PoisonTracker) RecordSuccess(d Digest) {
+// RecordSuccess records that a backend server has completed the request. A crash within the counting
+// window after that is not its fault: a request that is repeated all the time runs on every server
+// that fails for another reason.
+func (p *PoisonTracker) RecordSuccess(now time.Time, d Digest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.crashes, d)
+	p.completed.add(now, d)
 }
 
 // RecordRemoteCrash counts a crash that another instance announced.
 func (p *PoisonTracker) RecordRemoteCrash(now time.Time, c Crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.add(now, c)
+	if !p.completed.contains(now, c.Digest) {
+		p.add(now, c)
+	}
 }
 
 // Refused returns the crashes of all requests that are refused.
--- a/claim/poison_test.go
+++ b/claim/poison_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,3 +37,36 @@
 	is.True(p.Allow(now.Add(2*window), "d") != nil)
 	is.NoErr(p.Allow(now.Add(window/2+refusalDuration), "d"))
 }
+
+// Guards against the refusal of a request that is repeated all the time and was running on each server
+// that failed in an outage.
+func TestRequestThatServersCompleteIsNotBlamedForAnOutage(t *testing.T) {
+	is := is.New(t)
+	const window = 20 * time.Second
+	now := time.Unix(1000, 0)
+	p := NewPoisonTracker(nil, WithCrashLimit(3), WithCountingWindow(window))
+	p.RecordSuccess(now, "hot")
+	outage := now.Add(window - 1)
+	for _, server := range []ServerProcess{"s1@1", "s2@1", "s3@1"} {
+		is.True(p.RecordCrash(outage, Crash{"hot", server}))
+		p.RecordRemoteCrash(outage, Crash{"hot", server})
+	}
+	is.NoErr(p.Allow(outage, "hot"))
+	later := now.Add(window)
+	for _, server := range []ServerProcess{"s1@1", "s2@1", "s3@1"} {
+		p.RecordCrash(later, Crash{"hot", server})
+	}
+	is.True(p.Allow(later, "hot") != nil)
+}
+
+// Guards against a record of completed requests that grows without bound.
+func TestCompletionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := completions{window: time.Hour}
+	for i := range 3 * maxPoisonEntries {
+		c.add(now, Digest(fmt.Sprint(i)))
+	}
+	is.True(len(c.current)+len(c.previous) <= 2*maxPoisonEntries)
+	is.True(c.contains(now, Digest(fmt.Sprint(3*maxPoisonEntries-1))))
+}
