pool: what a server announced outlasts its registration (DRAIN, BUDGET)

A registration that ends in an outage of the store comes back when the store does, and the pool began anew with that server: what it had announced in its answers was lost with the entry. A new process starts without it. TestAnnouncementsOutlastTheRegistration fails without.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -25,6 +25,7 @@
 	backends    map[galenastair.BackendServerID]*backend
 	byService   map[galenastair.ServiceName][]*backend
 	byModel     map[galenastair.ModelName][]*backend
+	departed    departed
 	modelRatios map[galenastair.ModelName]*latencyRatio
 	costs       map[galenastair.ModelName]*cost
 	// evacuated holds the earliest time at which each evacuation may have begun.
@@ -52,16 +53,12 @@
 	cache         *cache
 	// leaveStart is the earliest time at which the server may have started to leave.
 	leaveStart time.Time
-	// leaveAnnounced is set if an answer of the server announced that it is leaving. Its registrations
-	// may not say so yet, for example while the store is down.
-	leaveAnnounced bool
 	// downAt is when the server last refused a connection; zero if it has answered since.
 	downAt time.Time
 	limit  limit
 	// throttledUntil is the time until which the server's rate limit allows no more requests.
 	throttledUntil time.Time
-	// backoffUntil is the time until which the server wants no requests from this instance.
-	backoffUntil time.Time
+	announced
 	// coldUntil is the time until which the service's ColdStart limits the server.
 	coldUntil time.Time
 }
@@ -143,6 +140,7 @@
 	}
 	if b == nil {
 		b = &backend{key: KeyOf(s.ID), holds: map[galenastair.ModelName]bool{}, overriddenAt: map[galenastair.ModelName]time.Time{}, fullUntil: map[galenastair.ModelName]time.Time{}, cache: newCache()}
+		b.announced, b.leaveStart = p.departed.take(s.ID, s.Incarnation)
 		p.backends[s.ID] = b
 		p.byService[s.Service] = append(p.byService[s.Service], b)
 	}
@@ -223,6 +221,7 @@
 		p.removeModel(b, name)
 	}
 	delete(p.backends, b.ID)
+	p.departed.add(b)
 	p.byService[b.Service] = slices.DeleteFunc(p.byService[b.Service], func(o *backend) bool { return o == b })
 }
 
--- a/pool/withdraw.go
+++ b/pool/withdraw.go
@@ -23,22 +23,6 @@
 	p.evacuated = maps.Clone(zones)
 }
 
-// ObserveLeaving records that a server has announced in an answer that it is leaving. It reports
-// whether that was not known yet. An answer of an earlier process with the same ID is ignored.
-func (p *Pool) ObserveLeaving(now time.Time, id galenastair.BackendServerID, incarnation int64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	b := p.backends[id]
-	if b == nil || b.Incarnation != incarnation || b.leaveAnnounced {
-		return false
-	}
-	if !b.Leaving {
-		b.leaveStart = now
-	}
-	b.leaveAnnounced = true
-	return true
-}
-
 // withdrawalEnd reports whether a server is withdrawn, that is, leaving or in an evacuated
 // availability zone, and until when it still gets requests that no other server can answer.
 func (p *Pool) withdrawalEnd(b *backend) (time.Time, bool) {
