--- a/claim/poison.go
+++ b/claim/poison.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -124,7 +125,17 @@
 	}
 }
 
-// Refused returns the crashes of all requests that are refused.
+// RestoreRefused refuses requests again that another instance refused at the given time.
+func (p *PoisonTracker) RestoreRefused(now, at time.Time, crashes []Crash) {
+	if now.Sub(at) >= refusalDuration {
+		return
+	}
+	for _, c := range crashes {
+		p.RecordRemoteCrash(now, c)
+	}
+}
+
+// Refused returns the crashes of all requests that are refused, in a fixed order.
 func (p *PoisonTracker) Refused(now time.Time) []Crash {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -137,6 +148,7 @@
 			out = append(out, Crash{d, server})
 		}
 	}
+	slices.SortFunc(out, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.Digest, b.Digest), cmp.Compare(a.Server, b.Server)) })
 	return out
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -210,11 +210,15 @@
 
 func (c *cluster) waitFor(condition string, ok func() bool) {
 	c.t.Helper()
-	for range 600 {
+	c.waitAtMost(6*time.Second, condition, ok)
+}
+
+func (c *cluster) waitAtMost(timeout time.Duration, condition string, ok func() bool) {
+	c.t.Helper()
+	for began := time.Now(); time.Since(began) < timeout; time.Sleep(10 * time.Millisecond) {
 		if ok() {
 			return
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 	c.t.Fatal("timed out waiting for: " + condition)
 }
--- a/node/note.go
+++ b/node/note.go
@@ -37,6 +37,7 @@
 				return
 			}
 			n.logPostError(n.planner.Restore(ctx, state))
+			n.leaderClient.poisonTracker.RestoreRefused(time.Now(), state.RefusedAt, state.Refused)
 			n.borrower.Restore(time.Now(), n.settings.ID, state.Checkpoint, first)
 		},
 	}
--- a/node/poison_test.go
+++ b/node/poison_test.go
@@ -106,3 +106,27 @@
 	is.True(refused)
 	is.True(late <= maxPoisonSends)
 }
+
+// Guards against refusals that are lost when all instances restart at the same moment.
+func TestRefusalsOutlastARestartOfAllInstances(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newPoisonCluster(t)
+	c.sendPoison(c.nodes, poisonTimeout+2*time.Second)
+	for range 2 {
+		var stopped sync.WaitGroup
+		for _, n := range c.nodes {
+			stopped.Go(func() { c.stopNode(n) })
+		}
+		stopped.Wait()
+		running := []*runningNode{c.startNode(), c.startNode(), c.startNode()}
+		for _, n := range running {
+			// other instances may hold the whole quota for a window after a restart of all
+			c.waitAtMost(3*n.settings.Bounds.QuotaWindow, "an accepted read", func() bool { return c.call(n, "/read/1", "", key).status == 200 })
+		}
+		c.sendPoison(running, time.Second)
+	}
+	late, refused := c.latePoisonSends()
+	is.True(refused)
+	is.True(late <= maxPoisonSends)
+}
--- a/planner/crashes.go
+++ b/planner/crashes.go
@@ -45,3 +45,17 @@
 	}
 	return out
 }
+
+// maxStoredCrashes bounds the crashes in the checkpoint to a few KB.
+const maxStoredCrashes = 64
+
+// refusedCheckpoint returns the crashes of the refused requests for the checkpoint, and when they
+// last changed.
+func (p *Planner) refusedCheckpoint(now time.Time) ([]claim.Crash, time.Time) {
+	refused := p.refused(now)
+	refused = refused[:min(len(refused), maxStoredCrashes)]
+	if !slices.Equal(refused, p.storedRefused) {
+		p.storedRefused, p.storedRefusedAt = refused, now.Round(0)
+	}
+	return p.storedRefused, p.storedRefusedAt
+}
--- a/planner/note.go
+++ b/planner/note.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"galenastair/account"
+	"galenastair/claim"
 	"galenastair/quota"
 )
 
@@ -12,6 +14,9 @@
 	quota.Checkpoint
 	// Table assigns the organisations' accounts to owners, if they have any.
 	account.Table
+	// Refused are crashes of the requests that are refused, and RefusedAt is when they last changed.
+	Refused   []claim.Crash `json:",omitempty"`
+	RefusedAt time.Time     `json:",omitzero"`
 }
 
 // Restore sets the checkpoint that a previous leader stored.
@@ -32,6 +37,7 @@
 		default:
 			c.Checkpoint, ok = p.lender.Checkpoint(p.clock.Now())
 		}
+		c.Refused, c.RefusedAt = p.refusedCheckpoint(p.clock.Now())
 	})
 	return c, ok && err == nil
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -91,7 +91,11 @@
 	crashes    []crashReport
 	// expiredCrash is the sequence number of the newest crash that is announced no more.
 	expiredCrash int64
-	leading      bool
+	// storedRefused are the refused requests in the checkpoint, and storedRefusedAt is when they
+	// last changed.
+	storedRefused   []claim.Crash
+	storedRefusedAt time.Time
+	leading         bool
 	// inherited is the checkpoint that the previous leader stored.
 	inherited Checkpoint
 	// hasOwners reports that the quotas of organisations are assigned to owner instances.
