node: a seeded soak of announcements, crashes, restarts and outages of the store

Three nodes, six engines and two plain servers on loopback: servers announce that they leave or want no requests, one request crashes every engine, nodes are replaced, the store refuses. The history of what callers sent and servers got is checked for the three rules, with their bounds and excuses.

--- a/node/answer_test.go
+++ b/node/answer_test.go
@@ -55,23 +55,23 @@
 			r.UpdateFaults(func(f *replica.Faults) { f.Decline, f.RetryAfter = true, backoff.Seconds() })
 			cl.waitFor("a declined request", func() bool {
 				cl.call(cl.nodes[0], c.path, c.model, key)
-				return len(r.DeclinedAt()) > 0
+				return len(r.Declines()) > 0
 			})
-			first := r.DeclinedAt()[0]
+			first := r.Declines()[0].At
 			for time.Since(first) < backoff-50*time.Millisecond {
 				cl.call(cl.nodes[0], c.path, c.model, key)
 				time.Sleep(5 * time.Millisecond)
 			}
 			arrivals := 0
-			for _, at := range r.DeclinedAt() {
-				if at.After(first.Add(backoffDelay)) {
+			for _, d := range r.Declines() {
+				if d.At.After(first.Add(backoffDelay)) {
 					arrivals++
 				}
 			}
 			is.True(arrivals <= maxBackoffArrivals)
 			cl.waitFor("a request after the backoff", func() bool {
 				cl.call(cl.nodes[0], c.path, c.model, key)
-				return len(r.DeclinedAt()) > 1
+				return len(r.Declines()) > 1
 			})
 		})
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -225,6 +225,7 @@
 
 type response struct {
 	status int
+	header http.Header
 	body   string
 	err    error
 }
@@ -269,7 +270,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return response{resp.StatusCode, string(data), err}
+	return response{resp.StatusCode, resp.Header, string(data), err}
 }
 
 const completeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n"
--- /dev/null
+++ b/node/soak_test.go
@@ -0,0 +1,272 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"galenastair/standin/metastore"
+	"galenastair/standin/replica"
+)
+
+const (
+	soakLength = 15 * time.Second
+	// inTouchAfter is how long a node must have run, with the store available, for the bound on
+	// requests that crash servers to apply.
+	inTouchAfter = 3 * time.Second
+)
+
+// sentRequest is a request of the soak's callers.
+type sentRequest struct {
+	node   int
+	at     time.Time
+	poison bool
+}
+
+// leaveNotice is a response that told a node, and its caller, that a server is leaving.
+type leaveNotice struct {
+	node   int
+	server string
+	at     time.Time
+}
+
+// arrival is a request that reached a server.
+type arrival struct {
+	sentRequest
+	server string
+	at     time.Time
+}
+
+// soak sends requests to a cluster while its servers announce things and its nodes and store fail, and
+// checks what reached the servers.
+type soak struct {
+	*cluster
+	rng *rand.Rand
+
+	mu      sync.Mutex
+	sent    map[string]sentRequest
+	notices []leaveNotice
+	// running are the indexes of the nodes that take requests.
+	running []int
+	started map[int]time.Time
+	outages [][2]time.Time
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{
+		cluster: newCluster(t, 3, "e3", "e4", "e5", "e6"), rng: rand.New(rand.NewPCG(seed, 0)),
+		sent: map[string]sentRequest{}, started: map[int]time.Time{},
+	}
+	for i := range s.nodes {
+		s.running = append(s.running, i)
+	}
+	for _, r := range s.replicas {
+		r.UpdateFaults(func(f *replica.Faults) { f.CrashBody = poisonBody })
+	}
+	return s
+}
+
+// request sends one request through a node that takes requests.
+func (s *soak) request(path, model, body string) {
+	id := newAttemptID()
+	s.mu.Lock()
+	node := s.running[rand.IntN(len(s.running))]
+	n := s.nodes[node]
+	s.sent[id] = sentRequest{node, time.Now(), body == poisonBody}
+	s.mu.Unlock()
+	r := s.attemptBody(id, n, path, model, key, body)
+	if r.header.Get("Server-Leaving") == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server := strings.TrimPrefix(r.header.Get("Galenastair-Server-Signature"), "sig.")
+	s.notices = append(s.notices, leaveNotice{node, server, time.Now()})
+}
+
+// callers sends requests until the context ends.
+func (s *soak) callers(ctx context.Context) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	send := func(interval time.Duration, path, model, body string) {
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				text := body
+				if text == "" {
+					text = fmt.Sprint(path, n)
+				}
+				s.request(path, model, text)
+				time.Sleep(interval)
+			}
+		})
+	}
+	for range 3 {
+		send(10*time.Millisecond, "/read/1", "", "")
+		send(10*time.Millisecond, "/stream/1", "m1", "")
+	}
+	send(150*time.Millisecond, "/stream/1", "m1", poisonBody)
+	return &callers
+}
+
+// disturb causes one fault.
+func (s *soak) disturb() {
+	engines, apps := []string{"e1", "e2", "e3", "e4", "e5", "e6"}, []string{"p1", "p2"}
+	server := engines[s.rng.IntN(len(engines))]
+	if s.rng.IntN(3) == 0 {
+		server = apps[s.rng.IntN(len(apps))]
+	}
+	r := s.replicas[server]
+	switch s.rng.IntN(4) {
+	case 0:
+		r.UpdateFaults(func(f *replica.Faults) { f.Leaving = true })
+	case 1, 2:
+		backoff := 1 + 2*s.rng.Float64()
+		r.UpdateFaults(func(f *replica.Faults) { f.Decline, f.RetryAfter = true, backoff })
+		time.Sleep(time.Duration(s.rng.IntN(1500)) * time.Millisecond)
+		r.UpdateFaults(func(f *replica.Faults) { f.Decline, f.RetryAfter = false, 0 })
+	case 3:
+		if s.rng.IntN(2) == 0 {
+			s.restartNode()
+		} else {
+			s.stopStore(time.Duration(500+s.rng.IntN(2500)) * time.Millisecond)
+		}
+	}
+}
+
+func (s *soak) stopStore(d time.Duration) {
+	began := time.Now()
+	s.store.UpdateFaults(func(f *metastore.Faults) { f.Refuse = true })
+	time.Sleep(d)
+	s.store.UpdateFaults(func(f *metastore.Faults) { f.Refuse = false })
+	s.outages = append(s.outages, [2]time.Time{began, time.Now()})
+}
+
+// restartNode replaces a node by a new one.
+func (s *soak) restartNode() {
+	s.mu.Lock()
+	i := s.rng.IntN(len(s.running))
+	old := s.running[i]
+	s.running = slices.Delete(s.running, i, i+1)
+	s.mu.Unlock()
+	s.stopNode(s.nodes[old])
+	s.mu.Lock()
+	s.started[len(s.nodes)] = time.Now()
+	s.mu.Unlock()
+	s.startNode()
+	s.mu.Lock()
+	s.running = append(s.running, len(s.nodes)-1)
+	s.mu.Unlock()
+}
+
+func (s *soak) run() {
+	ctx, stop := context.WithTimeout(s.t.Context(), soakLength)
+	defer stop()
+	callers := s.callers(ctx)
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(s.rng.IntN(800)) * time.Millisecond)
+		s.disturb()
+	}
+	callers.Wait()
+}
+
+func (s *soak) arrivals() []arrival {
+	var out []arrival
+	for id, r := range s.replicas {
+		for _, run := range r.Runs() {
+			out = append(out, arrival{s.sent[run.ID], id, run.StartedAt})
+		}
+		for _, d := range r.Declines() {
+			out = append(out, arrival{s.sent[d.ID], id, d.At})
+		}
+	}
+	slices.SortFunc(out, func(a, b arrival) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// inTouch reports whether a node has run for some time with the store available.
+func (s *soak) inTouch(node int, at time.Time) bool {
+	if at.Before(s.started[node].Add(inTouchAfter)) {
+		return false
+	}
+	return !slices.ContainsFunc(s.outages, func(o [2]time.Time) bool { return !at.Before(o[0]) && at.Before(o[1].Add(inTouchAfter)) })
+}
+
+// checkLeaves reports requests that reached a server after its leave had been passed on to a caller.
+func (s *soak) checkLeaves(arrivals []arrival) {
+	for _, a := range arrivals {
+		for _, n := range s.notices {
+			if bound := n.at.Add(s.nodes[n.node].settings.Bounds.LeaveTimeout); n.server == a.server && n.node == a.node && a.sentRequest.at.After(bound) {
+				s.t.Errorf("a request reached %s from node %d, sent %v after the bound", a.server, a.node, a.sentRequest.at.Sub(bound))
+				return
+			}
+		}
+	}
+}
+
+// checkBackoffs reports servers that got more requests from a node than they had asked for.
+func (s *soak) checkBackoffs(arrivals []arrival) {
+	for id, r := range s.replicas {
+		for _, d := range r.Declines() {
+			node := s.sent[d.ID].node
+			n := 0
+			for _, a := range arrivals {
+				if a.server == id && a.node == node && a.at.After(d.At.Add(backoffDelay)) && a.at.Before(d.At.Add(d.Backoff)) {
+					n++
+				}
+			}
+			if n > maxBackoffArrivals {
+				s.t.Errorf("%s got %d requests from node %d within the %v that it had asked for", id, n, node, d.Backoff)
+				return
+			}
+		}
+	}
+}
+
+// checkPoison reports a request that is sent on after it has crashed enough servers.
+func (s *soak) checkPoison(arrivals []arrival) {
+	crashed := map[string]bool{}
+	var bound time.Time
+	late := 0
+	for _, a := range arrivals {
+		switch {
+		case !a.poison:
+		case !bound.IsZero() && a.at.After(bound) && s.inTouch(a.node, a.at):
+			late++
+		case bound.IsZero():
+			crashed[a.server] = true
+			if len(crashed) >= poisonThreshold {
+				bound = a.at.Add(poisonTimeout)
+			}
+		}
+	}
+	if late > maxPoisonSends {
+		s.t.Errorf("a request was sent %d times after it had crashed %d servers", late, poisonThreshold)
+	}
+}
+
+// Guards against requests to servers that have announced that they leave or want none, and against requests
+// that crash servers, while nodes restart and the store fails. SOAK_SEEDS sets how many seeds are played.
+func TestAnnouncementsHoldWhileNodesAndStoreFail(t *testing.T) {
+	seeds := 2
+	if n, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
+		seeds = n
+	}
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSoak(t, seed)
+			s.run()
+			arrivals := s.arrivals()
+			s.checkLeaves(arrivals)
+			s.checkBackoffs(arrivals)
+			s.checkPoison(arrivals)
+			t.Logf("%d requests, %d arrivals, %d leave notices, %d outages, %d restarts", len(s.sent), len(arrivals), len(s.notices), len(s.outages), len(s.started))
+		})
+	}
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -57,6 +57,14 @@
 	Canceled bool
 }
 
+// Decline is a request that was not executed.
+type Decline struct {
+	ID string
+	At time.Time
+	// Backoff is the time that the response named in Retry-After; 0 if it named none.
+	Backoff time.Duration
+}
+
 // Settings configures a Replica.
 type Settings struct {
 	ID      string
@@ -87,7 +95,7 @@
 	fence                int64
 	crashReason          string
 	runs                 []*Run
-	declinedAt           []time.Time
+	declines             []Decline
 }
 
 // New returns a replica with the models of the settings loaded.
@@ -124,11 +132,11 @@
 	return out
 }
 
-// DeclinedAt returns the times at which the replica declined a request because of Faults.Decline.
-func (r *Replica) DeclinedAt() []time.Time {
+// Declines returns the requests that the replica declined because of Faults.Decline.
+func (r *Replica) Declines() []Decline {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.declinedAt)
+	return slices.Clone(r.declines)
 }
 
 // CrashReason returns the reason for which an order would have crashed a real server, or
@@ -190,7 +198,8 @@
 	if !r.isLoaded(model) || faults.Decline {
 		missing := !faults.Decline
 		if faults.Decline {
-			r.declinedAt = append(r.declinedAt, time.Now())
+			backoff := time.Duration(faults.RetryAfter * float64(time.Second))
+			r.declines = append(r.declines, Decline{req.Header.Get("Galenastair-Attempt-Id"), time.Now(), backoff})
 		}
 		r.mu.Unlock()
 		w.Header().Set("Galenastair-Not-Executed", "1")
