pool: model names that callers make up leave no state

Cause: reading a model's cost created it. Now only an observation does, which needs a server that holds the model. A model without observations goes by the mean over all models as it is, not as it was when the model was first asked for. TestUnknownModelsLeaveNoState fails without (100 names, 100 costs).

--- a/pool/cost.go
+++ b/pool/cost.go
@@ -50,9 +50,17 @@
 	return galenastair.ModelName(base)
 }
 
-// costOf returns the cost of a model. A model without observations starts with the mean over all
-// models.
+// costOf returns the cost of a model, or the mean over all models if it has no observations.
 func (p *Pool) costOf(q *Query) *cost {
+	if c := p.costs[baseModel(q.Model)]; c != nil {
+		return c
+	}
+	return &p.overall
+}
+
+// observedCost returns the cost of a model to add an observation to. It starts with the mean over
+// all models.
+func (p *Pool) observedCost(q *Query) *cost {
 	base := baseModel(q.Model)
 	if p.costs[base] == nil {
 		p.costs[base] = &cost{prefill: mean{value: p.overall.prefill.value}, decode: mean{value: p.overall.decode.value}}
@@ -67,7 +75,7 @@
 		return
 	}
 	seconds := now.Sub(a.beganAt).Seconds() / float64(a.query.PromptTokens)
-	a.pool.costOf(&a.query).prefill.observe(seconds)
+	a.pool.observedCost(&a.query).prefill.observe(seconds)
 	a.pool.overall.prefill.observe(seconds)
 }
 
@@ -77,7 +85,7 @@
 		return
 	}
 	seconds := now.Sub(a.startedAt).Seconds() / float64(a.query.OutputTokens)
-	a.pool.costOf(&a.query).decode.observe(seconds)
+	a.pool.observedCost(&a.query).decode.observe(seconds)
 	a.pool.overall.decode.observe(seconds)
 }
 
--- a/pool/cost_test.go
+++ b/pool/cost_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -54,3 +55,19 @@
 	}
 	is.Equal(p.EngineTime(q).Round(time.Millisecond), alone.Round(time.Millisecond))
 }
+
+// Guards against memory that grows with the model names that callers make up.
+func TestUnknownModelsLeaveNoState(t *testing.T) {
+	is := is.New(t)
+	p := testPool()
+	q := testQuery()
+	q.Model = "m"
+	want := p.EngineTime(q)
+	for i := range 100 {
+		q.Model = galenastair.ModelName("unknown" + strconv.Itoa(i))
+		is.Equal(p.EngineTime(q), want)
+		_, ok := p.Choose(start, q)
+		is.True(!ok)
+	}
+	is.Equal(len(p.costs)+len(p.modelRatios), 0)
+}
