gateway: a caller that leaves does not count against the backend server

A caller that closed its connection while a response of known length was written counted as a failed attempt of the server: a few of them eject a healthy one, and the request was logged as BackendServer. Cause: forwardResponse took an error of the caller's connection for one of the server's. Now the write is told apart, as it was for longer bodies and streams, and the log and metric say CallerLeft. TestCallerThatLeavesDoesNotCountAgainstTheServer fails without.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -187,15 +187,7 @@
 	if length > maxBufferedBytes {
 		length = -1
 	}
-	r.wroteHeader = true
-	err = r.w.WriteHeader(resp.Status, resp.Header, length)
-	if err == nil {
-		err = r.w.Write(data)
-	}
-	if err == nil && length < 0 {
-		err = r.copyBody(resp.Body)
-	}
-	if err != nil {
+	if err := r.writeResponse(resp, data, length); err != nil {
 		return r.handleTruncation(ctx, attempt, err)
 	}
 	result := pool.Succeeded
@@ -207,6 +199,19 @@
 	return nil
 }
 
+// writeResponse writes the response to the caller: the part that was read and, if its length is not
+// known, the rest.
+func (r *activeRequest) writeResponse(resp *galenastair.BackendResponse, data []byte, length int64) error {
+	r.wroteHeader = true
+	if r.w.WriteHeader(resp.Status, resp.Header, length) != nil || r.w.Write(data) != nil {
+		return errCallerGone
+	}
+	if length >= 0 {
+		return nil
+	}
+	return r.copyBody(resp.Body)
+}
+
 // mayRetryFailure reports whether an error status may be retried on another backend server.
 func (r *activeRequest) mayRetryFailure() bool {
 	route := r.admission.route
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"galenastair/catalog"
 	"galenastair/claim"
 	"galenastair/planner"
+	"galenastair/pool"
 )
 
 // A backend server closes the connection after it has read a bid, so the bid may have taken
@@ -426,3 +428,25 @@
 		}
 	}
 }
+
+// goneCaller is a ResponseWriter whose caller has closed the connection.
+type goneCaller struct{ recordedResponse }
+
+func (*goneCaller) Write([]byte) error { return errors.New("broken pipe") }
+
+// Guards against a healthy server that is ejected because callers closed their connections.
+func TestCallerThatLeavesDoesNotCountAgainstTheServer(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(slices.Repeat([]script{respond(200, "page")}, 6)...)
+	env.keepOneServer()
+	for range 6 {
+		_, err := env.gateway.Serve(t.Context(), testRequest("/read/1"), &goneCaller{})
+		var refusal *galenastair.Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(errorCode(refusal), galenastair.Code("CallerLeft"))
+	}
+	for _, s := range env.pool.States(time.Now()) {
+		is.Equal(s.FailureRate, 0.0)
+		is.Equal(s.Unavailable, pool.UnavailableReason(""))
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -214,7 +214,7 @@
 		return refused.WithOutcome(outcome)
 	case errors.Is(err, galenastair.ErrStopping):
 		return &galenastair.Refusal{Cause: galenastair.ErrStopping, Outcome: outcome, RetryAfter: minRetryAfter}
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled), errors.Is(err, errCallerGone):
 		return &galenastair.Refusal{Cause: errCallerGone, Outcome: outcome}
 	case errors.Is(err, context.DeadlineExceeded):
 		if outcome == galenastair.OutcomeNotRun {
