--- a/node/servers.go
+++ b/node/servers.go
@@ -247,6 +247,7 @@
 	delete(s.offsets, id)
 	delete(s.expired, id)
 	delete(s.leaving, id)
+	delete(s.undecodable, id)
 	s.recordEvent(serverRemoved, id)
 	s.onRemove(id)
 }
--- a/node/servers_test.go
+++ b/node/servers_test.go
@@ -147,3 +147,14 @@
 	cancel()
 	running.Wait()
 }
+
+// Guards against memory that grows with each backend server whose registration could not be read.
+func TestUnreadableRegistrationsAreForgottenWithTheServer(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := newServerView()
+	v.applyRecords(now, 0, false, galenastair.KeyedRecord{Key: "i-1", Value: []byte("no registration")})
+	is.Equal(len(v.undecodable), 1)
+	v.applyRecords(now, 1, false, tombstone("i-1"))
+	is.Equal(len(v.undecodable)+len(v.offsets), 0)
+}
