--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,16 +49,7 @@
 		return r.handleFailure(attempt, err)
 	}
 	defer resp.Body.Close()
-	if resp.Leaving && r.g.pool.ObserveLeaving(r.g.clock.Now(), choice.ID, choice.Incarnation) {
-		r.g.logger.Log("event", "leave announced", "request", r.req.ID, "server", choice.ID)
-	}
-	if resp.Backoff > 0 {
-		r.g.pool.Backoff(r.g.clock.Now(), choice.ID, resp.Backoff)
-		r.g.logger.Log("event", "backoff", "request", r.req.ID, "server", choice.ID, "wait", resp.Backoff)
-	}
-	if resp.RateLimit > 0 || !resp.Declined {
-		r.g.pool.ObserveLimit(r.g.clock.Now(), choice.ID, resp.RateLimit, now)
-	}
+	r.recordAnnouncements(choice, resp, now)
 	if resp.Declined {
 		return r.handleDecline(attempt, choice, resp)
 	}
@@ -74,6 +65,21 @@
 	return r.forwardStream(ctx, attempt, resp, stop)
 }
 
+// recordAnnouncements passes what a response says of its server on to the pool.
+func (r *activeRequest) recordAnnouncements(choice pool.Choice, resp *galenastair.BackendResponse, sentAt time.Time) {
+	now := r.g.clock.Now()
+	if resp.Leaving && r.g.pool.ObserveLeaving(now, choice.ID, choice.Incarnation) {
+		r.g.logger.Log("event", "leave announced", "request", r.req.ID, "server", choice.ID)
+	}
+	if resp.Backoff > 0 {
+		r.g.pool.Backoff(now, choice.ID, resp.Backoff)
+		r.g.logger.Log("event", "backoff", "request", r.req.ID, "server", choice.ID, "wait", resp.Backoff)
+	}
+	if resp.RateLimit > 0 || !resp.Declined {
+		r.g.pool.ObserveLimit(now, choice.ID, resp.RateLimit, sentAt)
+	}
+}
+
 func (r *activeRequest) backendRequest(choice pool.Choice, now time.Time) galenastair.BackendRequest {
 	c := galenastair.BackendRequest{
 		ID:             r.req.ID,
