--- a/pool/announced_test.go
+++ b/pool/announced_test.go
@@ -90,6 +90,8 @@
 	}
 	is.True(!p.Usable(start.Add(backoff-1), "s1"))
 	is.True(p.Usable(start.Add(backoff), "s1"))
+	is.Equal(p.States(start)[0].Unavailable, UnavailableBackoff)
+	is.Equal(p.States(start.Add(backoff))[0].Unavailable, UnavailableReason(""))
 }
 
 // Guards against a refusal that names no time, or the time of a server that will be gone by then.
--- a/pool/state.go
+++ b/pool/state.go
@@ -34,6 +34,7 @@
 	UnavailableEvacuated UnavailableReason = "evacuated"
 	UnavailableEjected   UnavailableReason = "failed"
 	UnavailableProbing   UnavailableReason = "tried by one request"
+	UnavailableBackoff   UnavailableReason = "wants no requests"
 )
 
 // States returns the state of all backend servers, sorted by service and ID.
@@ -65,6 +66,8 @@
 		return UnavailableLeaving
 	case evacuated:
 		return UnavailableEvacuated
+	case now.Before(b.backoffUntil):
+		return UnavailableBackoff
 	case now.Before(b.health.ejectedUntil):
 		return UnavailableEjected
 	case b.health.probing:
