--- a/claim/poison.go
+++ b/claim/poison.go
@@ -18,8 +18,8 @@
 	// refusalDuration is how long a request is refused. It is long enough for a caller's
 	// retries to end and short enough for the request to be served soon after the model is fixed.
 	refusalDuration = 10 * time.Minute
-	// maxPoisonEntries bounds the tracker's memory to less than 1 MB when an organisation
-	// keeps sending different requests that crash backend servers.
+	// maxPoisonEntries bounds the tracker's memory to less than 2.5 MB when an organisation
+	// keeps sending different requests, also ones that crash backend servers.
 	maxPoisonEntries = 4096
 )
 
