--- a/planner/message.go
+++ b/planner/message.go
@@ -31,7 +31,8 @@
 	QuotaContribution quota.Contribution
 	// Positions are the offsets up to which it has read the topics of the store.
 	Positions map[galenastair.Topic]galenastair.Offset
-	// Crashes are those that the instance has recorded since the last report.
+	// Crashes are those that the instance has recorded since the last report. The first report to
+	// a leader also has those of all requests that the instance refuses.
 	Crashes []claim.Crash
 	// Down lists backend servers that have just refused a connection, or have announced in an answer
 	// that they are leaving.
@@ -64,7 +65,8 @@
 	// have been unloaded or are about to be.
 	Added   []Placement
 	Removed []Placement
-	// Crashes are those that the other instances have reported.
+	// Crashes are those that the other instances have reported. An instance that has missed some
+	// also gets those of all requests that the leader refuses.
 	Crashes []claim.Crash
 	// LastChange is the number of the newest of these changes and crashes.
 	LastChange int64
