--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROTOC_GEN_TWIRP_VERSION = v8.1.3+incompatible
 TOOLS = $(CURDIR)/.tools/bin
 
-.PHONY: all build test lint fmt gopls generate demo clean proof outage bench measure
+.PHONY: all build test lint fmt gopls generate demo clean proof outage soak bench measure
 
 all: build
 
@@ -66,6 +66,11 @@
 	bash scenario/proof.sh 1 130s 1s -outage 2m
 	bash scenario/proof.sh 2 130s 1s -outage 2m -kill
 
+# nodes, store and stand-ins of backend servers in one process, under faults; make soak SOAK_SEEDS=n plays n seeds
+SOAK_SEEDS ?= 50
+soak:
+	SOAK_SEEDS=$(SOAK_SEEDS) go test -timeout 30m -parallel 4 ./node -run TestAnnouncementsHoldWhileNodesAndStoreFail -v
+
 bench: build
 	bash scenario/bench.sh
 	bash scenario/bench-gateway.sh
