--- a/node/soak_test.go
+++ b/node/soak_test.go
@@ -37,6 +37,12 @@
 	at     time.Time
 }
 
+// soakNode is a node with its index among all that were started.
+type soakNode struct {
+	*runningNode
+	index int
+}
+
 // arrival is a request that reached a server.
 type arrival struct {
 	sentRequest
@@ -53,8 +59,8 @@
 	mu      sync.Mutex
 	sent    map[string]sentRequest
 	notices []leaveNotice
-	// running are the indexes of the nodes that take requests.
-	running []int
+	// running are the nodes that take requests.
+	running []soakNode
 	started map[int]time.Time
 	outages [][2]time.Time
 }
@@ -64,8 +70,8 @@
 		cluster: newCluster(t, 3, "e3", "e4", "e5", "e6"), rng: rand.New(rand.NewPCG(seed, 0)),
 		sent: map[string]sentRequest{}, started: map[int]time.Time{},
 	}
-	for i := range s.nodes {
-		s.running = append(s.running, i)
+	for i, n := range s.nodes {
+		s.running = append(s.running, soakNode{n, i})
 	}
 	for _, r := range s.replicas {
 		r.UpdateFaults(func(f *replica.Faults) { f.CrashBody = poisonBody })
@@ -77,18 +83,17 @@
 func (s *soak) request(path, model, body string) {
 	id := newAttemptID()
 	s.mu.Lock()
-	node := s.running[rand.IntN(len(s.running))]
-	n := s.nodes[node]
-	s.sent[id] = sentRequest{node, time.Now(), body == poisonBody}
+	n := s.running[rand.IntN(len(s.running))]
+	s.sent[id] = sentRequest{n.index, time.Now(), body == poisonBody}
 	s.mu.Unlock()
-	r := s.attemptBody(id, n, path, model, key, body)
+	r := s.attemptBody(id, n.runningNode, path, model, key, body)
 	if r.header.Get("Server-Leaving") == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server := strings.TrimPrefix(r.header.Get("Galenastair-Server-Signature"), "sig.")
-	s.notices = append(s.notices, leaveNotice{node, server, time.Now()})
+	s.notices = append(s.notices, leaveNotice{n.index, server, time.Now()})
 }
 
 // callers sends requests until the context ends.
@@ -154,14 +159,14 @@
 	old := s.running[i]
 	s.running = slices.Delete(s.running, i, i+1)
 	s.mu.Unlock()
-	s.stopNode(s.nodes[old])
-	s.mu.Lock()
-	s.started[len(s.nodes)] = time.Now()
-	s.mu.Unlock()
-	s.startNode()
+	s.stopNode(old.runningNode)
+	began := time.Now()
+	n := s.startNode()
 	s.mu.Lock()
-	s.running = append(s.running, len(s.nodes)-1)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	index := len(s.nodes) - 1
+	s.started[index] = began
+	s.running = append(s.running, soakNode{n, index})
 }
 
 func (s *soak) run() {
