--- a/node/soak_test.go
+++ b/node/soak_test.go
@@ -119,8 +119,8 @@
 	return &callers
 }
 
-// disturb causes one fault.
-func (s *soak) disturb() {
+// injectFault injects one random fault.
+func (s *soak) injectFault() {
 	engines, apps := []string{"e1", "e2", "e3", "e4", "e5", "e6"}, []string{"p1", "p2"}
 	server := engines[s.rng.IntN(len(engines))]
 	if s.rng.IntN(3) == 0 {
@@ -175,7 +175,7 @@
 	callers := s.callers(ctx)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(s.rng.IntN(800)) * time.Millisecond)
-		s.disturb()
+		s.injectFault()
 	}
 	callers.Wait()
 }
