--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,13 +38,14 @@
 	attempt := r.g.pool.Begin(now, choice.ID, r.poolQuery())
 	r.tried = append(r.tried, choice.ID)
 	r.sends++
-	r.g.logger.Log("event", "route", "request", r.req.ID, "server", choice.ID, "zone", choice.AvailabilityZone, "reason", choice.Reason,
+	outgoing := r.backendRequest(choice, now)
+	r.g.logger.Log("event", "route", "request", r.req.ID, "server", choice.ID, "server_version", choice.Version, "after", outgoing.LastEventID, "resumes", r.req.Resumes, "zone", choice.AvailabilityZone, "reason", choice.Reason,
 		"candidates", choice.Candidates, "foretold", choice.PredictedLatency, "cached", int64(choice.CachedTokens), "send", r.sends)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(context.Canceled)
 	stop := r.watchSilence(cancel, choice)
 	defer stop()
-	resp, err := r.g.backend.Call(ctx, choice.Address, r.backendRequest(choice, now))
+	resp, err := r.g.backend.Call(ctx, choice.Address, outgoing)
 	if err != nil {
 		return r.handleFailure(attempt, err)
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -24,7 +24,9 @@
 	Timeout time.Duration
 	// LastEventID is the id of the last event of this stream that the caller has received.
 	LastEventID string
-	Received    time.Time
+	// Resumes is the ID of the caller's attempt that received the first event of this stream.
+	Resumes  galenastair.RequestID
+	Received time.Time
 	// Forwarded is set if another instance has forwarded the request, and Charged if that one has
 	// deducted its cost from the organisation's quota.
 	Forwarded bool
--- a/id.go
+++ b/id.go
@@ -20,6 +20,10 @@
 // BackendServerID identifies a backend server, that is, a model engine or a plain service.
 type BackendServerID string
 
+// SoftwareVersion is the version of a backend server's software. Events of two versions do not fit
+// together in one stream.
+type SoftwareVersion string
+
 // ModelName is the name by which callers request a model or an adapter.
 type ModelName string
 
--- a/peer/planning/changes.go
+++ b/peer/planning/changes.go
@@ -36,6 +36,7 @@
 		Slots:   uint32(s.Slots),
 		Leaving: s.Leaving,
 		Born:    s.Incarnation,
+		Version: string(s.Version),
 		ColdMs:  max(0, time.Until(s.ColdUntil).Milliseconds()),
 	}
 }
@@ -75,6 +76,7 @@
 		Service:          galenastair.ServiceName(i.Service),
 		Address:          i.Address,
 		AvailabilityZone: galenastair.AvailabilityZone(i.Zone),
+		Version:          galenastair.SoftwareVersion(i.Version),
 		Slots:            int(i.Slots),
 		Leaving:          i.Leaving,
 		Incarnation:      i.Born,
--- a/pool/server.go
+++ b/pool/server.go
@@ -24,6 +24,7 @@
 	Service          galenastair.ServiceName
 	Address          string
 	AvailabilityZone galenastair.AvailabilityZone
+	Version          galenastair.SoftwareVersion
 	// Slots is the number of requests that it runs concurrently.
 	Slots   int
 	Leaving bool
--- a/registry/change.go
+++ b/registry/change.go
@@ -32,7 +32,7 @@
 // sameAttributes reports whether a registration b equals the one before it, a, apart from its
 // models and heartbeat.
 func sameAttributes(a, b pool.Server) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.AvailabilityZone == b.AvailabilityZone &&
+	return a.Service == b.Service && a.Address == b.Address && a.AvailabilityZone == b.AvailabilityZone && a.Version == b.Version &&
 		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Incarnation == b.Incarnation &&
 		b.ColdUntil.Sub(a.ColdUntil) < coldTolerance
 }
