--- /dev/null
+++ b/gateway/version_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/pool"
+)
+
+// setVersions replaces the servers of the service by one of each version.
+func (env *testEnv) setVersions(versions map[galenastair.BackendServerID]galenastair.SoftwareVersion) {
+	for _, id := range []galenastair.BackendServerID{"s1", "s2", "s3"} {
+		env.pool.Remove(id)
+	}
+	for id, v := range versions {
+		env.pool.Set(time.Now(), pool.Server{ID: id, Service: "writer", Address: string(id), AvailabilityZone: "z1", Version: v, Slots: 8,
+			Models: []galenastair.LoadedModel{{Name: "m"}}})
+	}
+}
+
+// breakAfter truncates a stream after one event, and adds servers before.
+func (env *testEnv) breakAfter(servers map[galenastair.BackendServerID]galenastair.SoftwareVersion) script {
+	return func(ctx context.Context, c galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		env.setVersions(servers)
+		return truncate("id: 1\ndata: a\n\n")(ctx, c)
+	}
+}
+
+// Guards against a stream that goes on at another software version than the one that began it.
+func TestBrokenStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		env := newTestEnv()
+		env.setVersions(map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1"})
+		env.backend.scripts = []script{
+			env.breakAfter(map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1", "s2": "v2", "s3": "v2", "s4": "v1", "s5": "v2"}),
+			respond(200, "id: 2\ndata: b\n\n"),
+		}
+		_, _, err := env.serve(t, "/stream/1")
+		is.NoErr(err)
+		is.Equal(env.backend.calls[1].ExpectedServer, galenastair.BackendServerID("s4"))
+	}
+}
+
+// Guards against a stream that is completed by another software version, as no server of its own is left.
+func TestBrokenStreamEndsWithoutAServerOfItsVersion(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv()
+	env.setVersions(map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1"})
+	env.backend.scripts = []script{
+		env.breakAfter(map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s2": "v2", "s3": "v2"}),
+		respond(200, "id: 2\ndata: b\n\n"),
+	}
+	_, wroteHeader, err := env.serve(t, "/stream/1")
+	is.True(err != nil)
+	is.True(wroteHeader)
+	is.Equal(len(env.backend.calls), 1)
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -35,6 +35,8 @@
 	store    *metastore.Store
 	address  string
 	replicas map[string]*replica.Replica
+	// versions has the software versions of the replicas.
+	versions map[string]string
 	version  int
 	nodes    []*runningNode
 }
@@ -48,10 +50,10 @@
 	once  sync.Once
 }
 
-// newCluster starts nodes, a store and replicas. engines are further engines that hold m1.
+// newCluster starts nodes, a store and replicas. engines are the names of further engines that hold m1.
 func newCluster(t *testing.T, nodes int, engines ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: metastore.New(), replicas: map[string]*replica.Replica{}}
+	c := &cluster{t: t, store: metastore.New(), replicas: map[string]*replica.Replica{}, versions: map[string]string{}}
 	h := httptest.NewServer(c.store.Handler())
 	t.Cleanup(func() {
 		h.CloseClientConnections()
@@ -86,12 +88,17 @@
 	return c
 }
 
-func (c *cluster) addReplica(id, service string, models ...string) {
+// addReplica adds a replica. The name is its ID, or ID@VERSION if its software is not of version v1.
+func (c *cluster) addReplica(name, service string, models ...string) {
+	id, version, ok := strings.Cut(name, "@")
+	if !ok {
+		version = "v1"
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	s := replica.Settings{ID: id, Service: service, Address: l.Addr().String(), Zone: "z1", Slots: 8, EventsPerStream: 6}
+	s := replica.Settings{ID: id, Service: service, Address: l.Addr().String(), Zone: "z1", Version: version, Slots: 8, EventsPerStream: 6}
 	if len(models) > 0 {
 		s.MaxModels, s.MaxAdapters, s.Models = 3, 2, models
 	}
@@ -102,7 +109,7 @@
 		h.CloseClientConnections()
 		h.Close()
 	})
-	c.replicas[id] = r
+	c.replicas[id], c.versions[id] = r, version
 	c.store.Put("keyed.servers", id, r.Registration())
 }
 
--- a/standin/replica/order.go
+++ b/standin/replica/order.go
@@ -123,7 +123,7 @@
 		state = "draining"
 	}
 	body := map[string]any{
-		"service": r.settings.Service, "address": r.settings.Address, "zone": r.settings.Zone, "version": "v1",
+		"service": r.settings.Service, "address": r.settings.Address, "zone": r.settings.Zone, "version": r.settings.Version,
 		"slots": r.settings.Slots, "state": state, "sequence": r.registrationSequence, "born": r.startedAtMillis,
 	}
 	if r.settings.MaxModels > 0 {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -79,6 +79,8 @@
 	Service string
 	Address string
 	Zone    string
+	// Version is the version of the software; "v1" if it is empty.
+	Version string
 	Slots   int
 	// MaxModels and MaxAdapters are the capacity. A replica with MaxModels 0 is a plain
 	// service: its registration lists no models.
@@ -108,6 +110,9 @@
 
 // New returns a replica with the models of the settings loaded.
 func New(s Settings) *Replica {
+	if s.Version == "" {
+		s.Version = "v1"
+	}
 	r := &Replica{settings: s, startedAtMillis: time.Now().UnixMilli(), models: map[string]map[string]bool{}}
 	for _, m := range s.Models {
 		r.models[m] = map[string]bool{}
