--- a/backend.go
+++ b/backend.go
@@ -64,6 +64,8 @@
 	Charged bool
 	// Attempts is the number of backend servers that may still run the request.
 	Attempts int
+	// Version is the software version of the servers that may run it; nil for any.
+	Version *SoftwareVersion
 }
 
 // BackendResponse is the header of a backend server's response and a reader of its body.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,7 +36,7 @@
 	}
 	now := r.g.clock.Now()
 	attempt := r.g.pool.Begin(now, choice.ID, r.poolQuery())
-	r.tried = append(r.tried, choice.ID)
+	r.tried, r.serverVersion = append(r.tried, choice.ID), choice.Version
 	r.sends++
 	outgoing := r.backendRequest(choice, now)
 	r.g.logger.Log("event", "route", "request", r.req.ID, "server", choice.ID, "server_version", choice.Version, "after", outgoing.LastEventID, "resumes", r.req.Resumes, "zone", choice.AvailabilityZone, "reason", choice.Reason,
@@ -312,6 +312,15 @@
 	return r.writeEvents(resp, nil)
 }
 
+// fixVersion restricts the rest of the stream to the software version that sends its first event. The
+// instance that a request is forwarded to does so for it.
+func (r *activeRequest) fixVersion() {
+	if r.streamVersion == nil && !r.forwarded {
+		v := r.serverVersion
+		r.streamVersion = &v
+	}
+}
+
 // writeEvents writes complete events to the caller, preceded by the header of the first
 // response.
 func (r *activeRequest) writeEvents(resp *galenastair.BackendResponse, complete []byte) error {
@@ -325,6 +334,7 @@
 	if len(complete) == 0 {
 		return nil
 	}
+	r.fixVersion()
 	now := r.g.clock.Now()
 	if !r.lastWriteAt.IsZero() {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastWriteAt))
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,6 +34,8 @@
 	// Attempts is the number of backend servers that may run a forwarded request; 0 if its route
 	// decides.
 	Attempts int
+	// Version is the software version that may send further events of a forwarded stream; nil for any.
+	Version *galenastair.SoftwareVersion
 }
 
 // ResponseWriter sends a response to the caller.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -91,7 +91,7 @@
 
 func (r *activeRequest) forwardedRequest(now time.Time) galenastair.BackendRequest {
 	c := r.outgoingRequest(now)
-	c.Forwarding = &galenastair.Forwarding{Key: r.req.Key, Charged: r.charged, Attempts: r.maxAttempts() - r.runs}
+	c.Forwarding = &galenastair.Forwarding{Key: r.req.Key, Charged: r.charged, Attempts: r.maxAttempts() - r.runs, Version: r.streamVersion}
 	return c
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -40,9 +40,13 @@
 	firstByteAt time.Time
 	// lastWriteAt is when the caller last got events; longestPause is the longest time
 	// between two such writes.
-	lastWriteAt       time.Time
-	longestPause      time.Duration
-	events            eventSplitter
+	lastWriteAt  time.Time
+	longestPause time.Duration
+	events       eventSplitter
+	// serverVersion is the software version of the last attempt's server, and streamVersion the one
+	// that sent the first event and must send all others; nil before.
+	serverVersion     galenastair.SoftwareVersion
+	streamVersion     *galenastair.SoftwareVersion
 	placementRequests int
 	status            int
 }
@@ -51,7 +55,7 @@
 // the error is a *galenastair.Refusal to be sent to the caller. If wroteHeader is true, the
 // response has begun: it must be aborted instead, so that the caller sees it as truncated.
 func (g *Gateway) Serve(ctx context.Context, req Request, w ResponseWriter) (wroteHeader bool, err error) {
-	r := &activeRequest{g: g, req: req, w: w, startedAt: req.Received}
+	r := &activeRequest{g: g, req: req, w: w, startedAt: req.Received, streamVersion: req.Version}
 	err = r.serve(ctx)
 	if err != nil {
 		err = r.toRefusal(err)
@@ -237,6 +241,7 @@
 		TargetLatency: r.admission.route.TargetLatency,
 		NoRetry:       !r.admission.route.Kind.Retryable(),
 		Regions:       r.admission.regions,
+		Version:       r.streamVersion,
 		Exclude:       r.tried,
 	}
 }
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -60,3 +60,19 @@
 	is.True(wroteHeader)
 	is.Equal(len(env.backend.calls), 1)
 }
+
+// Guards against a stream that another instance goes on with at any software version.
+func TestForwardedStreamNamesItsSoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv()
+	env.setVersions(map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1"})
+	env.peers.addresses = []string{"peer-1"}
+	env.backend.scripts = []script{func(ctx context.Context, c galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		env.peers.partitioned = true
+		return truncate("id: 1\ndata: a\n\n")(ctx, c)
+	}}
+	env.peerBackend.scripts = []script{respond(200, "id: 2\ndata: b\n\n")}
+	_, _, err := env.serve(t, "/stream/1")
+	is.NoErr(err)
+	is.Equal(*env.peerBackend.calls[0].Forwarding.Version, galenastair.SoftwareVersion("v1"))
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -48,6 +48,7 @@
 	ReasonNoServer      = "no server for the service"
 	ReasonNoModel       = "no server holds the model"
 	ReasonExcluded      = "all were tried"
+	ReasonNoVersion     = "no server of the stream's software version"
 	ReasonThrottled     = "all are at their limits or want no requests"
 )
 
@@ -84,7 +85,7 @@
 		if b.Service != q.Service || slices.Contains(q.Exclude, b.ID) {
 			continue
 		}
-		if q.engine() && b.isDown(now) || !p.inRegions(b, q.Regions) {
+		if q.engine() && b.isDown(now) || !p.inRegions(b, q.Regions) || !q.allowsVersion(b.Version) {
 			continue
 		}
 		out = append(out, b)
@@ -115,6 +116,8 @@
 	switch {
 	case !slices.ContainsFunc(p.byService[q.Service], inService):
 		return ReasonNoServer
+	case q.Version != nil && len(p.candidates(now, q)) == 0:
+		return ReasonNoVersion
 	case q.engine() && !slices.ContainsFunc(p.byModel[q.Model], available):
 		return ReasonNoModel
 	default:
--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -113,9 +113,13 @@
 	NoRetry bool
 	// Regions are those whose servers may run the request; empty for all.
 	Regions []galenastair.Region
+	// Version is the software version that may run the request; nil for any.
+	Version *galenastair.SoftwareVersion
 	Exclude []galenastair.BackendServerID
 
 	keys []uint64
 }
 
+func (q *Query) allowsVersion(v galenastair.SoftwareVersion) bool { return q.Version == nil || *q.Version == v }
+
 func (q *Query) engine() bool { return q.Model != "" }
