stream, gateway, node: callers resume streams at the software version that began them (ORDER)

Callers saw: streams whose events came from two software versions of a service, over several attempts. Cause: an instance that a caller resumes a stream at does not know where it began, and sent it to any server of the service.

Change: an instance records the service and version of each resumable stream when its caller gets the first event, and copies the record every 0.2 s to four recorders, instances of the region that the leader names. An instance that does not know the attempt in Resumes asks them. If none knows it, the stream goes on only if the service has had a single version for ten minutes as far as all that were asked know, and one of them has seen all registrations within the platform's bound; otherwise it is refused with 503 before it is charged. Where the caller names no attempt, a single version is enough.

Weighed: records to all instances (370 messages each 0.2 s at the size to come); to the owner of a hash of the attempt (a message to nearly each instance of the region each 0.2 s); to two neighbours and asking all (cheaper at rest, 52 questions for each resumed stream); to the leader with its reports (lost with it); a version chosen by a hash of the attempt (breaks when the list of servers differs). Recorders cost four messages an interval and four questions a resumed stream.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -220,6 +220,11 @@
 	}
 }
 
+// Allows reports whether the route sends requests to a service.
+func (r *Route) Allows(s galenastair.ServiceName) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == s && t.Weight > 0 })
+}
+
 // PickService picks one of the route's targets at random by weight; draw is a random number in
 // [0, 1).
 func (r *Route) PickService(draw float64) galenastair.ServiceName {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -312,15 +312,6 @@
 	return r.writeEvents(resp, nil)
 }
 
-// fixVersion restricts the rest of the stream to the software version that sends its first event. The
-// instance that a request is forwarded to does so for it.
-func (r *activeRequest) fixVersion() {
-	if r.streamVersion == nil && !r.forwarded {
-		v := r.serverVersion
-		r.streamVersion = &v
-	}
-}
-
 // writeEvents writes complete events to the caller, preceded by the header of the first
 // response.
 func (r *activeRequest) writeEvents(resp *galenastair.BackendResponse, complete []byte) error {
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -15,6 +15,7 @@
 	"galenastair/planner"
 	"galenastair/pool"
 	"galenastair/ratelimit"
+	"galenastair/stream"
 )
 
 // script answers one request to a backend server.
@@ -162,9 +163,29 @@
 	limiter       *fakeLimiter
 	peers         *fakePeers
 	peerBackend   *fakeBackend
+	streams       *fakeStreams
 	draining      bool
 }
 
+// fakeStreams knows the streams that were recorded.
+type fakeStreams struct {
+	origins map[galenastair.RequestID]stream.Origin
+}
+
+func (s *fakeStreams) Record(id galenastair.RequestID, o stream.Origin, _ time.Duration) {
+	s.origins[id] = o
+}
+
+func (s *fakeStreams) Origin(_ context.Context, id galenastair.RequestID, service galenastair.ServiceName) (stream.Origin, error) {
+	if id == "" {
+		return stream.Origin{Service: service}, nil
+	}
+	if o, ok := s.origins[id]; ok {
+		return o, nil
+	}
+	return stream.Origin{}, stream.ErrUnknown
+}
+
 // fakePeers are other instances. confirmed is what Confirm finds out.
 type fakePeers struct {
 	partitioned, confirmed bool
@@ -196,6 +217,7 @@
 		limiter:       &fakeLimiter{},
 		peers:         &fakePeers{},
 		peerBackend:   &fakeBackend{},
+		streams:       &fakeStreams{origins: map[galenastair.RequestID]stream.Origin{}},
 	}
 	env.addServers()
 	env.gateway = New(Settings{
@@ -203,7 +225,7 @@
 		FleetSize: func() int { return 1 },
 		Draining:  func() bool { return env.draining },
 	}, Dependencies{
-		CatalogSource: env.catalogSource, Pool: env.pool, Backend: env.backend, Peers: env.peers, PeerBackend: env.peerBackend, Quota: env.quota, Placement: env.placement, Limiter: env.limiter,
+		CatalogSource: env.catalogSource, Pool: env.pool, Backend: env.backend, Peers: env.peers, PeerBackend: env.peerBackend, Quota: env.quota, Placement: env.placement, Limiter: env.limiter, Streams: env.streams,
 		Poison: claim.NewPoisonTracker(nil, claim.WithCrashLimit(3)),
 	})
 	return env
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 	quota         Quota
 	placement     Placement
 	limiter       Limiter
+	streams       Streams
 	poison        *claim.PoisonTracker
 	clock         galenastair.Clock
 	logger        log.Logger
@@ -104,6 +105,7 @@
 	Quota       Quota
 	Placement   Placement
 	Limiter     Limiter
+	Streams     Streams
 	Poison      *claim.PoisonTracker
 }
 
@@ -131,6 +133,7 @@
 		quota:         d.Quota,
 		placement:     d.Placement,
 		limiter:       d.Limiter,
+		streams:       d.Streams,
 		poison:        d.Poison,
 		clock:         galenastair.SystemClock{},
 		logger:        log.NewNopLogger(),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -86,6 +86,9 @@
 	if targets := r.forwardTargets(); len(targets) > 0 {
 		return r.forward(ctx, targets)
 	}
+	if err := r.resolveOrigin(ctx); err != nil {
+		return err
+	}
 	if err := r.charge(ctx); err != nil {
 		return err
 	}
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"galenastair"
 	"galenastair/pool"
+	"galenastair/stream"
 )
 
 // setVersions replaces the servers of the service by one of each version.
@@ -76,3 +78,41 @@
 	is.NoErr(err)
 	is.Equal(*env.peerBackend.calls[0].Forwarding.Version, galenastair.SoftwareVersion("v1"))
 }
+
+// Guards against a caller that resumes a stream at another software version.
+func TestResumedStreamGoesToItsSoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		env := newTestEnv(respond(200, "id: 2\ndata: b\n\n"))
+		env.setVersions(map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1", "s2": "v2", "s3": "v1"})
+		env.streams.origins["r0"] = stream.Origin{Service: "writer", Version: "v2"}
+		req := testRequest("/stream/1")
+		req.LastEventID, req.Resumes = "1", "r0"
+		_, err := env.gateway.Serve(t.Context(), req, &recordedResponse{})
+		is.NoErr(err)
+		is.Equal(env.backend.calls[0].ExpectedServer, galenastair.BackendServerID("s2"))
+	}
+}
+
+// Guards against a stream of an unknown version that is sent to a server, or charged.
+func TestResumedStreamOfUnknownVersionIsNotSent(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv()
+	req := testRequest("/stream/1")
+	req.LastEventID, req.Resumes = "1", "r0"
+	_, err := env.gateway.Serve(t.Context(), req, &recordedResponse{})
+	is.True(errors.Is(err, galenastair.ErrStreamUnknown))
+	is.Equal(len(env.backend.calls), 0)
+	is.Equal(env.quota.taken, 0)
+}
+
+// Guards against a stream that cannot be resumed elsewhere, as its first event was not recorded.
+func TestFirstEventRecordsTheSoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(truncate(""), respond(200, "id: 1\ndata: a\n\n"))
+	env.setVersions(map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1", "s2": "v2"})
+	_, _, err := env.serve(t, "/stream/1")
+	is.NoErr(err)
+	last := env.backend.calls[1].ExpectedServer
+	is.Equal(env.streams.origins["r1"].Version, map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1", "s2": "v2"}[last])
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -40,6 +40,7 @@
 	client        *planning.Client
 	localPlanner  *planner.Planner
 	partition     *partitionWatcher
+	streams       *streamOrigins
 	directory     *forwardDirectory
 	pool          *pool.Pool
 	borrower      *quota.Borrower
@@ -124,6 +125,9 @@
 	}
 	c.lastChange, c.lastChangeLeader = update.LastChange, leader
 	c.partition.setTargets(update.ForwardTo)
+	if len(update.StreamRecorders) > 0 {
+		c.streams.outbox.SetRecorders(time.Now(), update.StreamRecorders)
+	}
 	c.applyUpdate(update)
 	c.applyOwners(update, sent)
 	if !update.LeaseExpired {
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -26,10 +26,13 @@
 
 	mu        sync.Mutex
 	instances map[string]forwardTarget
-	prunedAt  boottime.Time
+	// recorderSets are the recorders of each region.
+	recorderSets map[galenastair.Region]recorderSet
+	prunedAt     boottime.Time
 }
 
 type forwardTarget struct {
+	zone            galenastair.AvailabilityZone
 	region          galenastair.Region
 	partitionedFrom []galenastair.ServiceName
 	stopping        bool
@@ -45,7 +48,7 @@
 	}
 	d.prune(now)
 	if r.Address != "" {
-		d.instances[r.Address] = forwardTarget{d.regions[r.Zone], r.PartitionedFrom, r.Stopping, now}
+		d.instances[r.Address] = forwardTarget{r.Zone, d.regions[r.Zone], r.PartitionedFrom, r.Stopping, now}
 	}
 }
 
@@ -76,11 +79,12 @@
 	return out[:min(len(out), maxForwardTargets)]
 }
 
-// exchange records a report, and adds the targets for the services that the instance doesn't reach to
-// the reply.
+// exchange records a report, and adds to the reply the recorders of streams and the targets for the
+// services that the instance doesn't reach.
 func (d *forwardDirectory) exchange(r planner.Report, u *planner.Update) {
 	now := boottime.Now()
 	d.record(now, r)
+	u.StreamRecorders = d.recorders(now, r.Zone)
 	for _, s := range r.PartitionedFrom {
 		if u.ForwardTo == nil {
 			u.ForwardTo = map[galenastair.ServiceName][]string{}
--- a/node/listen.go
+++ b/node/listen.go
@@ -74,7 +74,7 @@
 const peerFetchTime = 2500 * time.Millisecond
 
 func (n *Node) peerServer() peerServer {
-	t := peerServer{Planner: n.planner, directory: n.directory, topics: n.topics, elector: n.elector, accounts: n.accounts}
+	t := peerServer{Planner: n.planner, directory: n.directory, topics: n.topics, elector: n.elector, accounts: n.accounts, streamOrigins: n.streams}
 	if n.settings.Bounds.ApplyTimeout >= peerFetchTime+hintMargin {
 		t.scheduler = &fetchScheduler{}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	"galenastair/ratelimit"
 	"galenastair/rungroup"
 	"galenastair/settings"
+	"galenastair/stream"
 )
 
 const (
@@ -94,6 +95,7 @@
 	lease        leaseAdapter
 	planner      *planner.Planner
 	leaderClient *leaderClient
+	streams      *streamOrigins
 	gateway      *gateway.Gateway
 	metrics      *metrics
 	storeCalls   storeCalls
@@ -154,6 +156,8 @@
 	n.serverWatcher = newServerWatcher(n.logger)
 	n.partition = newPartitionWatcher(n.pool, n.backendClient, n.otherLeader, n.logger)
 	n.leaderClient = n.newLeaderClient()
+	n.streams = n.newStreamOrigins()
+	n.leaderClient.streams = n.streams
 	n.gateway = n.newGateway(backend)
 	n.metrics.registerGauges(n)
 	return n
@@ -197,6 +201,20 @@
 	return c
 }
 
+func (n *Node) newStreamOrigins() *streamOrigins {
+	return &streamOrigins{
+		self:        n.settings.PeerAddress,
+		incarnation: newStreamIncarnation(),
+		table:       stream.NewTable(),
+		outbox:      stream.NewOutbox(),
+		client:      n.leaderClient.client,
+		pool:        n.pool,
+		viewAge:     func() (time.Duration, bool) { return n.serverWatcher.follower.Age() },
+		maxViewAge:  n.settings.Bounds.LeaveTimeout,
+		logger:      n.logger,
+	}
+}
+
 func (n *Node) newGateway(backend galenastair.Backend) *gateway.Gateway {
 	b := n.settings.Bounds
 	return gateway.New(gateway.Settings{
@@ -215,6 +233,7 @@
 		Quota:         quotas{n.borrower, n.accounts, n.leaderClient},
 		Placement:     n.leaderClient,
 		Limiter:       newLimiter(n.leaderClient, n.metrics),
+		Streams:       n.streams,
 		Poison:        n.leaderClient.poisonTracker,
 	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
 }
@@ -276,6 +295,7 @@
 	add("exchange", n.leaderClient.run)
 	add("connections", n.pruneConnections)
 	add("partition", n.partition.run)
+	add("streams", n.streams.run)
 	add("store calls", n.logStoreCalls)
 	if err := n.listen(&g); err != nil {
 		return err
--- /dev/null
+++ b/node/recorders.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"galenastair"
+	"galenastair/boottime"
+)
+
+const (
+	// recorderCount is the number of instances of a region that keep where its streams began. One of
+	// them outlives the loss of half of a small fleet in nine of ten cases.
+	recorderCount = 4
+	// recordersTTL is how long the leader names the same recorders.
+	recordersTTL = 500 * time.Millisecond
+)
+
+// recorderSet are the recorders of a region as the leader names them.
+type recorderSet struct {
+	addresses []string
+	namedAt   boottime.Time
+}
+
+// recorderCandidate is an instance that may be named as a recorder.
+type recorderCandidate struct {
+	address string
+	zone    galenastair.AvailabilityZone
+	inOther bool
+	rank    uint64
+}
+
+// recorders returns the instances that keep where the streams of a region began: the same ones from call
+// to call as long as they report, in as many availability zones as possible.
+func (d *forwardDirectory) recorders(now boottime.Time, zone galenastair.AvailabilityZone) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	region := d.regions[zone]
+	if set, ok := d.recorderSets[region]; ok && now.Sub(set.namedAt) < recordersTTL {
+		return set.addresses
+	}
+	if d.recorderSets == nil {
+		d.recorderSets = map[galenastair.Region]recorderSet{}
+	}
+	addresses := chooseRecorders(d.recorderCandidates(now, region))
+	d.recorderSets[region] = recorderSet{addresses, now}
+	return addresses
+}
+
+func (d *forwardDirectory) recorderCandidates(now boottime.Time, region galenastair.Region) []recorderCandidate {
+	var out []recorderCandidate
+	for address, i := range d.instances {
+		if !i.stopping && !i.isGone(now) {
+			out = append(out, recorderCandidate{address, i.zone, i.region != region, xxhash.Sum64String(address)})
+		}
+	}
+	return out
+}
+
+// chooseRecorders prefers instances of the region, and then zones that have no recorder yet.
+func chooseRecorders(candidates []recorderCandidate) []string {
+	slices.SortFunc(candidates, func(a, b recorderCandidate) int { return cmp.Compare(a.rank, b.rank) })
+	inZone := map[galenastair.AvailabilityZone]int{}
+	order := map[string]int{}
+	for _, c := range candidates {
+		order[c.address] = inZone[c.zone]
+		inZone[c.zone]++
+	}
+	slices.SortStableFunc(candidates, func(a, b recorderCandidate) int {
+		if a.inOther != b.inOther {
+			if a.inOther {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(order[a.address], order[b.address])
+	})
+	out := make([]string, 0, recorderCount)
+	for _, c := range candidates[:min(recorderCount, len(candidates))] {
+		out = append(out, c.address)
+	}
+	return out
+}
--- /dev/null
+++ b/node/recorders_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/boottime"
+	"galenastair/planner"
+)
+
+// Guards against recorders that end together, are about to end, or change while they report.
+func TestRecordersOutliveAnInstanceAndAZone(t *testing.T) {
+	is := is.New(t)
+	d := &forwardDirectory{regions: map[galenastair.AvailabilityZone]galenastair.Region{"a": "r1", "b": "r1", "c": "r2"}}
+	now := boottime.Time(time.Hour)
+	report := func() {
+		for i := range 12 {
+			zone := []galenastair.AvailabilityZone{"a", "a", "b", "c"}[i%4]
+			d.record(now, planner.Report{Address: fmt.Sprintf("%s%d", zone, i), Zone: zone, Stopping: i < 4})
+		}
+	}
+	report()
+	named := d.recorders(now, "a")
+	is.Equal(len(named), recorderCount)
+	inZone := map[byte]int{}
+	for _, address := range named {
+		inZone[address[0]]++
+	}
+	is.Equal(inZone['c'], 0)
+	is.Equal(inZone['b'], 2)
+	is.True(!slices.Contains(named, "a0") && !slices.Contains(named, "b2"))
+	now = now.Add(2 * recordersTTL)
+	report()
+	is.Equal(d.recorders(now, "b"), named)
+}
--- /dev/null
+++ b/node/streams.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"galenastair"
+	"galenastair/peer/planning"
+	"galenastair/pool"
+	"galenastair/stream"
+	"galenastair/timer"
+)
+
+// streamFlushInterval is the interval at which new records are sent to the recorders. A stream whose
+// instance ends sooner after its first event can't be resumed.
+const streamFlushInterval = 200 * time.Millisecond
+
+// streamOrigins knows where streams began: those of this instance, and those that others have had it
+// record.
+type streamOrigins struct {
+	self        string
+	incarnation stream.Incarnation
+	table       *stream.Table
+	outbox      *stream.Outbox
+	client      *planning.Client
+	pool        *pool.Pool
+	// viewAge returns how long ago the registrations were known to be complete, false if they never were.
+	viewAge    func() (time.Duration, bool)
+	maxViewAge time.Duration
+	logger     log.Logger
+}
+
+// Record keeps where a stream began, also at the recorders.
+func (s *streamOrigins) Record(id galenastair.RequestID, o stream.Origin, timeLeft time.Duration) {
+	now := time.Now()
+	r := stream.Record{Key: stream.KeyOf(id), Origin: o, TimeLeft: timeLeft}
+	s.table.Add(now, r)
+	s.outbox.Add(now, r)
+}
+
+// RecordStreams keeps where other instances' streams began.
+func (s *streamOrigins) RecordStreams(records []stream.Record) stream.Incarnation {
+	s.table.Add(time.Now(), records...)
+	return s.incarnation
+}
+
+// StreamOrigin returns what this instance knows of a stream.
+func (s *streamOrigins) StreamOrigin(k stream.Key, service galenastair.ServiceName) stream.Answer {
+	now := time.Now()
+	a := stream.Answer{Versions: s.pool.Versions(now, service)}
+	a.Origin, a.Known = s.table.Find(now, k)
+	age, ok := s.viewAge()
+	a.Fresh = ok && age < s.maxViewAge
+	return a
+}
+
+// Origin returns where a stream began. If this instance does not know it, it asks the recorders.
+func (s *streamOrigins) Origin(ctx context.Context, id galenastair.RequestID, service galenastair.ServiceName) (stream.Origin, error) {
+	own := s.StreamOrigin(stream.KeyOf(id), service)
+	if id == "" {
+		// nobody can know the stream
+		own.Fresh = true
+		return stream.Resolve(service, []stream.Answer{own}, true)
+	}
+	if own.Known {
+		return own.Origin, nil
+	}
+	answers, complete := s.askRecorders(ctx, stream.KeyOf(id), service)
+	origin, err := stream.Resolve(service, append(answers, own), complete)
+	s.logger.Log("event", "stream origin", "resumes", id, "service", origin.Service, "server_version", origin.Version, "answers", len(answers), "complete", complete, "err", err)
+	return origin, err
+}
+
+// askRecorders returns the answers of the recorders, and whether all of them have answered. It returns as
+// soon as one of them knows the stream.
+func (s *streamOrigins) askRecorders(ctx context.Context, k stream.Key, service galenastair.ServiceName) ([]stream.Answer, bool) {
+	recorders, complete := s.outbox.Recorders()
+	recorders = slices.DeleteFunc(recorders, func(address string) bool { return address == s.self })
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan *stream.Answer, len(recorders))
+	for _, address := range recorders {
+		go func() {
+			a, err := s.client.StreamOrigin(ctx, address, k, service)
+			if err != nil {
+				results <- nil
+				return
+			}
+			results <- &a
+		}()
+	}
+	var answers []stream.Answer
+	for range recorders {
+		a := <-results
+		if a == nil {
+			complete = false
+			continue
+		}
+		answers = append(answers, *a)
+		if a.Known {
+			return answers, complete
+		}
+	}
+	return answers, complete
+}
+
+// run sends the records of this instance's streams to the recorders until the context is done.
+func (s *streamOrigins) run(ctx context.Context) error {
+	for timer.Wait(ctx, streamFlushInterval) {
+		s.flush(ctx)
+	}
+	return ctx.Err()
+}
+
+func (s *streamOrigins) flush(ctx context.Context) {
+	var g errgroup.Group
+	for address, b := range s.outbox.Batches(time.Now()) {
+		if address == s.self {
+			s.outbox.Confirm(address, b, s.incarnation)
+			continue
+		}
+		g.Go(func() error {
+			if process, err := s.client.RecordStreams(ctx, address, b.Records); err == nil {
+				s.outbox.Confirm(address, b, process)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// newStreamIncarnation returns a number that differs between the processes of an instance.
+func newStreamIncarnation() stream.Incarnation { return stream.Incarnation(time.Now().UnixNano()) }
--- a/node/tails.go
+++ b/node/tails.go
@@ -32,6 +32,7 @@
 	directory *forwardDirectory
 	elector   *lease.Elector
 	accounts  *account.Accounts
+	*streamOrigins
 	// scheduler assigns sources to the instances of a large fleet; nil if the platform's
 	// ApplyTimeout is too short for that.
 	scheduler *fetchScheduler
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -153,6 +153,7 @@
 func decodeUpdate(r *planningpb.ExchangeReply) planner.Update {
 	out := planner.Update{LeaseExpired: r.Lapsed, QuotaAllocation: decodeAllocation(r), Loads: decodeKeyedLoads(r), LastChange: r.Newest}
 	out.Limits, out.Index, out.ForwardTo = decodeLimits(r.Limits), int(r.Index), decodeForwardTargets(r.ForwardTo)
+	out.StreamRecorders = r.StreamRecorders
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.LoanRequest{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -13,6 +13,7 @@
 	"galenastair/planner"
 	"galenastair/quota"
 	"galenastair/ratelimit"
+	"galenastair/stream"
 )
 
 // Planner handles the calls of other instances.
@@ -26,6 +27,10 @@
 	Admit(l ratelimit.Limit, maxWait time.Duration) (ratelimit.Decision, error)
 	// Fetch returns the records of a topic that this instance has read, from an offset on.
 	Fetch(t galenastair.Topic, from galenastair.Offset) galenastair.KeyedBatch
+	// RecordStreams keeps where streams began, and returns the incarnation of this instance.
+	RecordStreams(records []stream.Record) stream.Incarnation
+	// StreamOrigin returns what this instance knows of a stream.
+	StreamOrigin(k stream.Key, s galenastair.ServiceName) stream.Answer
 }
 
 type server struct{ planner Planner }
@@ -78,6 +83,7 @@
 	out := &planningpb.ExchangeReply{Holds: true, Lapsed: n.LeaseExpired, Newest: n.LastChange}
 	encodeKeyedLoads(out, n.Loads)
 	out.Limits, out.Index, out.ForwardTo = encodeLimits(n.Limits), uint32(n.Index), encodeForwardTargets(n.ForwardTo)
+	out.StreamRecorders = n.StreamRecorders
 	out.Renewal, out.RenewalAgeMs = int64(n.Renewal.Offset), uint32(n.Renewal.Age.Milliseconds())
 	encodeAllocation(out, n.QuotaAllocation)
 	encodeOwners(out, n)
--- a/planner/message.go
+++ b/planner/message.go
@@ -82,6 +82,8 @@
 	// ForwardTo are the peer addresses of instances that reach the services from which the reporting
 	// one is partitioned.
 	ForwardTo map[galenastair.ServiceName][]string
+	// StreamRecorders are the peer addresses of the instances that keep where streams began.
+	StreamRecorders []string
 }
 
 // Tail holds the latest records of one topic.
--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -120,6 +120,8 @@
 	keys []uint64
 }
 
-func (q *Query) allowsVersion(v galenastair.SoftwareVersion) bool { return q.Version == nil || *q.Version == v }
+func (q *Query) allowsVersion(v galenastair.SoftwareVersion) bool {
+	return q.Version == nil || *q.Version == v
+}
 
 func (q *Query) engine() bool { return q.Model != "" }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -31,6 +31,7 @@
 	// evacuated holds the earliest time at which each evacuation may have begun.
 	evacuated  map[galenastair.AvailabilityZone]time.Time
 	coldStarts map[galenastair.ServiceName]ColdStart
+	versions   map[galenastair.ServiceName]versionHistory
 	// overall is the mean cost over all models.
 	overall cost
 }
@@ -131,6 +132,7 @@
 		modelRatios: map[galenastair.ModelName]*latencyRatio{},
 		costs:       map[galenastair.ModelName]*cost{},
 		overall:     initialCost(),
+		versions:    map[galenastair.ServiceName]versionHistory{},
 		fleetSize:   func() int { return 1 },
 	}
 	for _, o := range opts {
@@ -162,6 +164,7 @@
 		return
 	}
 	b.Server = s
+	p.recordVersion(now, s)
 	b.extendCold(s.ColdUntil)
 	p.setModels(now, b, modelNames(s.Models))
 }
--- a/refusal.go
+++ b/refusal.go
@@ -24,6 +24,7 @@
 	ErrRateUnavailable     = eris.New("no holder of the organisation's rate can answer")
 	ErrOverloaded          = eris.New("the request cannot be served in time")
 	ErrNoBackendServer     = eris.New("no backend server is ready for this model or service")
+	ErrStreamUnknown       = eris.New("the stream cannot be resumed here: its software version is not known")
 	ErrNotMember           = eris.New("this instance holds no lease")
 	ErrStopping            = eris.New("this instance is stopping")
 	ErrDuplicate           = eris.New("a request with this idempotency key was already sent")
@@ -59,6 +60,7 @@
 	{ErrRateUnavailable, "RateUnavailable", http.StatusServiceUnavailable},
 	{ErrOverloaded, "Overloaded", http.StatusServiceUnavailable},
 	{ErrNoBackendServer, "NoBackendServer", http.StatusServiceUnavailable},
+	{ErrStreamUnknown, "StreamUnknown", http.StatusServiceUnavailable},
 	{ErrNotMember, "NotMember", http.StatusServiceUnavailable},
 	{ErrStopping, "Stopping", http.StatusServiceUnavailable},
 	{ErrDuplicate, "Duplicate", http.StatusConflict},
