--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,6 +8,8 @@
 	partial []byte
 	// lastEventID is the id of the last complete event, after which a stream is resumed.
 	lastEventID string
+	// forwardedPart is set once an event has been forwarded in parts.
+	forwardedPart bool
 }
 
 // maxEventBytes bounds the buffering of one event. A longer one is forwarded in parts.
@@ -21,7 +23,7 @@
 		if len(e.partial) < maxEventBytes {
 			return nil
 		}
-		end = len(e.partial)
+		end, e.forwardedPart = len(e.partial), true
 	}
 	complete := bytes.Clone(e.partial[:end])
 	e.partial = append(e.partial[:0], e.partial[end:]...)
@@ -49,6 +51,10 @@
 	}
 }
 
+// resumable reports whether another backend server can continue after what has been forwarded. It
+// would send an event again that has no id, or that was forwarded in part.
+func (e *eventSplitter) resumable() bool { return e.lastEventID != "" && !e.forwardedPart }
+
 // discardPartial discards an incomplete event; a resumed stream repeats it from its start.
 func (e *eventSplitter) discardPartial() { e.partial = e.partial[:0] }
 
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,3 +117,20 @@
 	last := env.backend.calls[1].ExpectedServer
 	is.Equal(env.streams.origins["r1"].Version, map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1", "s2": "v2"}[last])
 }
+
+// Guards against a stream that holds an event twice, as the server that goes on can't know what was forwarded.
+func TestStreamIsNotContinuedWithoutItsPosition(t *testing.T) {
+	for name, first := range map[string]string{
+		"no id":          "data: a\n\n",
+		"part forwarded": "id: 1\ndata: a\n\nid: 2\ndata: " + strings.Repeat("b", maxEventBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(truncate(first), respond(200, "id: 2\ndata: b\n\n"))
+			_, wroteHeader, err := env.serve(t, "/stream/1")
+			is.True(err != nil)
+			is.True(wroteHeader)
+			is.Equal(len(env.backend.calls), 1)
+		})
+	}
+}
