--- a/node/servers_test.go
+++ b/node/servers_test.go
@@ -68,7 +68,7 @@
 }
 
 func registration(id string, heartbeat int) galenastair.KeyedRecord {
-	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":1,"sequence":%d}`, heartbeat)
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready","born":1,"sequence":%d}`, heartbeat)
 	return galenastair.KeyedRecord{Key: id, Value: []byte(value)}
 }
 
