--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -33,6 +33,9 @@
 	// CrashBody breaks off the response to each request with this body after the header; empty
 	// disables it.
 	CrashBody string
+	// CrashPart breaks off the response to each request that has this part in its prompt, but not as the
+	// last, and restarts the replica; empty disables it.
+	CrashPart string
 	// Leaving adds the header Server-Leaving to all responses. The registration stays as it is.
 	Leaving bool
 	// RetryAfter is the time in seconds that responses to declined requests carry in the header
@@ -48,11 +51,13 @@
 
 // Run is one execution of a request.
 type Run struct {
-	ID          string
-	RequestURI  string
-	Tenant      string
-	Body        string
-	LastEventID string
+	ID         string
+	RequestURI string
+	Tenant     string
+	Body       string
+	// PromptPrefix lists the parts of the prompt.
+	PromptPrefix string
+	LastEventID  string
 	// HasKey is set if the request had an Authorization header.
 	HasKey bool
 	// Source is the host that sent the request.
@@ -230,20 +235,26 @@
 		return
 	}
 	run := &Run{
-		ID:          req.Header.Get("Galenastair-Attempt-Id"),
-		RequestURI:  req.RequestURI,
-		Tenant:      req.Header.Get("Galenastair-Tenant"),
-		Body:        string(body[:n]),
-		LastEventID: req.Header.Get("Last-Event-Id"),
-		HasKey:      req.Header.Get("Authorization") != "",
-		Source:      source(req),
-		StartedAt:   time.Now(),
+		ID:           req.Header.Get("Galenastair-Attempt-Id"),
+		RequestURI:   req.RequestURI,
+		Tenant:       req.Header.Get("Galenastair-Tenant"),
+		Body:         string(body[:n]),
+		PromptPrefix: req.Header.Get("Galenastair-Prompt-Prefix"),
+		LastEventID:  req.Header.Get("Last-Event-Id"),
+		HasKey:       req.Header.Get("Authorization") != "",
+		Source:       source(req),
+		StartedAt:    time.Now(),
 	}
 	r.runs = append(r.runs, run)
+	crashes := faults.CrashBody != "" && faults.CrashBody == run.Body
+	if run.hasPart(faults.CrashPart) {
+		crashes = true
+		r.startedAtMillis, r.registrationSequence = time.Now().UnixMilli(), 0
+	}
 	r.mu.Unlock()
 	w.Header().Set("Galenastair-Server-Signature", "sig."+r.settings.ID)
 	switch {
-	case faults.CrashBody != "" && faults.CrashBody == run.Body:
+	case crashes:
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -261,6 +272,12 @@
 	}
 }
 
+// hasPart reports whether the prompt has a part in any place but the last.
+func (r *Run) hasPart(part string) bool {
+	parts := strings.Split(r.PromptPrefix, ",")
+	return part != "" && slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool { return strings.HasPrefix(p, part+":") })
+}
+
 func source(req *http.Request) string {
 	host, _, _ := net.SplitHostPort(req.RemoteAddr)
 	return host
