--- /dev/null
+++ b/claim/parts.go
@@ -0,0 +1,171 @@
+package claim
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"galenastair"
+)
+
+const (
+	// defaultMaxPartCrashes is the number of backend servers that requests with one part may crash. It
+	// is higher than that of a single request, as a refused part concerns many callers.
+	defaultMaxPartCrashes = 4
+	// maxPartServers bounds the servers that are remembered for a part.
+	maxPartServers = 64
+	// tiedCrashes is the number of a part's crashes that another one which explains all others need not
+	// explain. Some crashes have other causes, or are observed for one of the parts only.
+	tiedCrashes = 2
+)
+
+// PartTracker finds parts of prompts that crash the backend servers which begin to answer requests with
+// them, and refuses those requests. It is designed for requests of which no two are alike, and which
+// share other parts with sound ones.
+//
+// A part is suspected once several servers have crashed under it, on any instance, while no request with
+// it was completed. A request whose suspected parts may all be blameless, as a suspected part that it
+// lacks has crashed the same servers, is allowed: its completion clears them.
+type PartTracker struct {
+	mu             sync.Mutex
+	records        map[Part]*partRecord
+	announce       func(PartEvent)
+	threshold      int
+	countingWindow time.Duration
+}
+
+// NewPartTracker returns an empty PartTracker. It calls announce with each event that all instances have to
+// know. Crashes count together that follow each other within the window.
+func NewPartTracker(announce func(PartEvent), window time.Duration) *PartTracker {
+	if announce == nil {
+		announce = func(PartEvent) {}
+	}
+	return &PartTracker{records: map[Part]*partRecord{}, announce: announce, threshold: defaultMaxPartCrashes, countingWindow: window}
+}
+
+// Allow returns a refusal if one of the parts crashes servers.
+func (p *PartTracker) Allow(now time.Time, parts []Part) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		if p.suspected(now, part) && !p.explained(now, part, parts) {
+			return galenastair.NewRefusal(galenastair.ErrPoisonRequest, refusalDuration, "a part of the prompt crashes backend servers")
+		}
+	}
+	return nil
+}
+
+func (p *PartTracker) suspected(now time.Time, part Part) bool {
+	r := p.records[part]
+	return r != nil && r.suspect(p.threshold) && !r.expired(now, p.threshold, p.countingWindow)
+}
+
+// explained reports whether a suspected part that a request lacks may be the cause of the crashes under
+// one of its parts.
+func (p *PartTracker) explained(now time.Time, part Part, parts []Part) bool {
+	r := p.records[part]
+	for other, o := range p.records {
+		if !slices.Contains(parts, other) && p.suspected(now, other) && r.unexplainedBy(o) <= tiedCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordCrash counts a server that crashed before it had answered anything of a request with the parts.
+func (p *PartTracker) RecordCrash(now time.Time, parts []Part, server ServerProcess) {
+	for _, part := range parts {
+		e := PartEvent{part, server, now}
+		if p.Apply(now, e) {
+			p.announce(e)
+		}
+	}
+}
+
+// RecordSuccess clears the parts of a request that a server has completed.
+func (p *PartTracker) RecordSuccess(now time.Time, parts []Part) {
+	for _, part := range parts {
+		e := PartEvent{Part: part, At: now}
+		if p.Apply(now, e) {
+			p.announce(e)
+		}
+	}
+}
+
+// Apply applies an event of this or another instance, and reports whether it was news.
+func (p *PartTracker) Apply(now time.Time, e PartEvent) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.records[e.Part]
+	if e.IsClear() {
+		delete(p.records, e.Part)
+		return r != nil
+	}
+	if r == nil || r.expired(now, p.threshold, p.countingWindow) {
+		p.makeRoom(now)
+		r = &partRecord{}
+		p.records[e.Part] = r
+	}
+	return r.add(e)
+}
+
+// makeRoom removes expired records or, if there are none, the one with the oldest crash.
+func (p *PartTracker) makeRoom(now time.Time) {
+	if len(p.records) < maxPoisonEntries {
+		return
+	}
+	var oldest Part
+	for part, r := range p.records {
+		if r.expired(now, p.threshold, p.countingWindow) {
+			delete(p.records, part)
+			continue
+		}
+		if o := p.records[oldest]; o == nil || r.lastAt.Before(o.lastAt) {
+			oldest = part
+		}
+	}
+	if len(p.records) >= maxPoisonEntries {
+		delete(p.records, oldest)
+	}
+}
+
+// Restore applies the crashes that an earlier leader has stored. A clock that differs from the leader's
+// must not make them outlast a refusal.
+func (p *PartTracker) Restore(now time.Time, events []PartEvent) {
+	for _, e := range events {
+		if e.At.After(now) {
+			e.At = now
+		}
+		p.Apply(now, e)
+	}
+}
+
+// Suspected returns the crashes under all parts that are suspected, in a fixed order.
+func (p *PartTracker) Suspected(now time.Time) []PartEvent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []PartEvent
+	for part := range p.records {
+		if p.suspected(now, part) {
+			out = append(out, p.records[part].events(part)...)
+		}
+	}
+	slices.SortFunc(out, func(a, b PartEvent) int {
+		return cmp.Or(cmp.Compare(a.Part, b.Part), a.At.Compare(b.At), cmp.Compare(a.Server, b.Server))
+	})
+	return out
+}
+
+// events returns the crashes of a record, with the times of the first and the last.
+func (r *partRecord) events(part Part) []PartEvent {
+	out := make([]PartEvent, 0, len(r.servers))
+	for i, s := range r.servers {
+		at := r.lastAt
+		if i == 0 {
+			at = r.firstAt
+		}
+		out = append(out, PartEvent{part, s, at})
+	}
+	return out
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,7 @@
 	attempt := r.g.pool.Begin(now, choice.ID, r.poolQuery())
 	r.tried, r.serverVersion = append(r.tried, choice.ID), choice.Version
 	r.sends++
+	r.attemptWrites = 0
 	outgoing := r.backendRequest(choice, now)
 	r.g.logger.Log("event", "route", "request", r.req.ID, "server", choice.ID, "server_version", choice.Version, "after", outgoing.LastEventID, "resumes", r.req.Resumes, "zone", choice.AvailabilityZone, "reason", choice.Reason,
 		"candidates", choice.Candidates, "foretold", choice.PredictedLatency, "cached", int64(choice.CachedTokens), "send", r.sends)
@@ -326,6 +327,7 @@
 		return nil
 	}
 	r.fixVersion()
+	r.attemptWrites++
 	now := r.g.clock.Now()
 	if !r.lastWriteAt.IsZero() {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastWriteAt))
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"crypto/rand"
 	"errors"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +15,7 @@
 	"galenastair"
 	"galenastair/claim"
 	"galenastair/planner"
+	"galenastair/pool"
 )
 
 // A request that crashes every server is sent repeatedly. After three crashed servers it is
@@ -69,3 +74,77 @@
 	is.Equal(refusal.Status(), http.StatusServiceUnavailable)
 	is.Equal(len(env.backend.calls), 0)
 }
+
+// stepClock is a clock that the test advances.
+type stepClock struct{ now time.Time }
+
+func (c *stepClock) Now() time.Time { return c.now }
+
+// restartServers replaces the processes of all engines.
+func (env *testEnv) restartServers(now time.Time) {
+	for _, id := range []galenastair.BackendServerID{"s1", "s2", "s3"} {
+		env.pool.Set(now, pool.Server{ID: id, Service: "writer", Address: string(id), AvailabilityZone: "z1", Slots: 8,
+			Incarnation: now.UnixMilli(), Models: []galenastair.LoadedModel{{Name: "m"}}})
+	}
+}
+
+// sendPieces sends a body in pieces and breaks it off.
+func sendPieces(pieces ...string) script {
+	return func(context.Context, galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		var readers []io.Reader
+		for _, piece := range pieces {
+			readers = append(readers, strings.NewReader(piece))
+		}
+		return &galenastair.BackendResponse{Status: 200, Header: http.Header{}, Body: truncatedBody{io.MultiReader(readers...)}}, nil
+	}
+}
+
+// serveParts serves a request that differs from all others, with these parts in its prompt.
+func (env *testEnv) serveParts(t *testing.T, parts ...string) error {
+	t.Helper()
+	req := testRequest("/stream/1")
+	req.Body, req.Received = []byte(rand.Text()), env.gateway.clock.Now()
+	for _, id := range append(parts, rand.Text()) {
+		req.Hints.PromptParts = append(req.Hints.PromptParts, galenastair.PromptPart{ID: id, Tokens: 10})
+	}
+	_, err := env.gateway.Serve(t.Context(), req, &recordedResponse{})
+	return err
+}
+
+// Guards against requests that differ in all but one part of their prompts and crash one server after the other.
+func TestRequestsThatShareACrashingPartAreRefused(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv()
+	clock := &stepClock{now: time.Now()}
+	env.gateway.clock = clock
+	var crashes int
+	for range 10 {
+		clock.now = clock.now.Add(300 * time.Millisecond)
+		env.restartServers(clock.now)
+		before := len(env.backend.calls)
+		env.backend.scripts = append(env.backend.scripts, truncate(""), truncate(""))
+		is.True(env.serveParts(t, "a", "bad") != nil)
+		crashes += len(env.backend.calls) - before
+		env.backend.scripts = env.backend.scripts[:len(env.backend.calls)]
+	}
+	is.True(crashes <= 5)
+	env.backend.scripts = append(env.backend.scripts, respond(200, "id: 1\ndata: a\n\n"))
+	is.NoErr(env.serveParts(t, "a", "good"))
+	is.True(env.serveParts(t, "a", "bad") != nil)
+}
+
+// Guards against a part that is blamed for the loss of servers that had answered its request for some time.
+func TestBrokenStreamsDoNotBlameTheirParts(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv()
+	clock := &stepClock{now: time.Now()}
+	env.gateway.clock = clock
+	for range 10 {
+		clock.now = clock.now.Add(300 * time.Millisecond)
+		env.restartServers(clock.now)
+		env.backend.scripts = append(env.backend.scripts[:len(env.backend.calls)], sendPieces("id: 1\ndata: a\n\n", "id: 2\ndata: a\n\n"), sendPieces("id: 3\ndata: a\n\n", "id: 4\ndata: a\n\n"))
+		is.True(env.serveParts(t, "a", "sound") != nil)
+	}
+	env.backend.scripts = append(env.backend.scripts[:len(env.backend.calls)], respond(200, "id: 1\ndata: a\n\n"))
+	is.NoErr(env.serveParts(t, "a", "sound"))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,7 @@
 	limiter       Limiter
 	streams       Streams
 	poison        *claim.PoisonTracker
+	parts         *claim.PartTracker
 	clock         galenastair.Clock
 	logger        log.Logger
 	recorder      Recorder
@@ -107,6 +108,7 @@
 	Limiter     Limiter
 	Streams     Streams
 	Poison      *claim.PoisonTracker
+	Parts       *claim.PartTracker
 }
 
 // Option configures a Gateway.
@@ -135,6 +137,7 @@
 		limiter:       d.Limiter,
 		streams:       d.Streams,
 		poison:        d.Poison,
+		parts:         d.Parts,
 		clock:         galenastair.SystemClock{},
 		logger:        log.NewNopLogger(),
 		recorder:      noRecorder{},
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"galenastair"
@@ -35,6 +34,8 @@
 	// sends counts the attempts; runs counts those that a backend server may have executed.
 	sends int
 	runs  int
+	// attemptWrites counts how often the last attempt has sent events to the caller.
+	attemptWrites int
 	// wroteHeader reports whether the caller has received a response header.
 	wroteHeader bool
 	firstByteAt time.Time
@@ -151,33 +152,6 @@
 	}
 }
 
-// checkPoison returns a refusal if identical requests have crashed too many backend servers.
-func (r *activeRequest) checkPoison() error {
-	if err := r.g.poison.Allow(r.g.clock.Now(), r.digest); err != nil {
-		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, "identical requests crashed the backend servers")
-	}
-	return nil
-}
-
-// recordCrash counts a response that broke off, with or without its header, as a crash under
-// the request.
-func (r *activeRequest) recordCrash(ctx context.Context, choice pool.Choice, err error) {
-	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) {
-		return
-	}
-	server := claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
-	r.g.poison.RecordCrash(r.g.clock.Now(), claim.Crash{Digest: r.digest, Server: server})
-	r.g.logger.Log("event", "crash", "request", r.req.ID, "server", server, "digest", r.digest, "cause", err)
-}
-
-// recordCompletion records that a backend server has completed the request. Of a request that is
-// forwarded, only the other instance knows whether the response is a server's.
-func (r *activeRequest) recordCompletion(now time.Time) {
-	if !r.forwarded {
-		r.g.poison.RecordSuccess(now, r.digest)
-	}
-}
-
 // checkRetry returns nil if the request may be retried, or else the error that it ends with.
 // A request that is not repeatable is not sent again once it may have run. Retries are
 // limited to a share of the traffic of their service, so that they do not multiply an
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -47,6 +47,7 @@
 	accounts      *account.Accounts
 	stopping      func() bool
 	poisonTracker *claim.PoisonTracker
+	partTracker   *claim.PartTracker
 	logger        log.Logger
 	address       string
 	zone          galenastair.AvailabilityZone
@@ -61,6 +62,7 @@
 	mu         sync.Mutex
 	demands    map[galenastair.ModelName]time.Duration
 	crashes    []claim.Crash
+	partEvents []claim.PartEvent
 	leaderLost bool
 
 	// used by run alone: the number of the last placement change received, and its sender
@@ -82,6 +84,13 @@
 	c.crashes = append(c.crashes, crash)
 }
 
+// announcePart does the same with an event of a prompt part.
+func (c *leaderClient) announcePart(e claim.PartEvent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partEvents = append(c.partEvents, e)
+}
+
 // run exchanges reports with the leader until the context is done. It starts once the elector
 // has read the previous leader's checkpoint, or after electorStartTimeout if the store does not
 // answer.
@@ -107,19 +116,20 @@
 func (c *leaderClient) exchangeOnce(ctx context.Context) bool {
 	r := c.buildReport()
 	sent := boottime.Now()
-	busy := len(r.Loads)+len(r.Demands)+len(r.LoanRequests)+len(r.Crashes) > 0
+	busy := len(r.Loads)+len(r.Demands)+len(r.LoanRequests)+len(r.Crashes)+len(r.PartEvents) > 0
 	leader, _ := c.leader()
-	newCrashes := r.Crashes
+	newCrashes, newPartEvents := r.Crashes, r.PartEvents
 	if leader == c.lastChangeLeader {
 		r.LastChange = c.lastChange
 	} else {
 		// a leader that has just started may not know which requests are refused
 		r.Crashes = append(c.poisonTracker.Refused(time.Now()), newCrashes...)
+		r.PartEvents = append(c.partTracker.Suspected(time.Now()), newPartEvents...)
 	}
 	update, err := c.sendReport(ctx, r)
 	if err != nil {
 		c.handleFailure(err)
-		c.requeue(newCrashes)
+		c.requeue(newCrashes, newPartEvents)
 		c.askPeer(ctx)
 		return true
 	}
@@ -141,8 +151,8 @@
 
 func (c *leaderClient) buildReport() planner.Report {
 	c.mu.Lock()
-	r := planner.Report{Instance: c.self, Demands: c.demands, Crashes: c.crashes}
-	c.demands, c.crashes = map[galenastair.ModelName]time.Duration{}, nil
+	r := planner.Report{Instance: c.self, Demands: c.demands, Crashes: c.crashes, PartEvents: c.partEvents}
+	c.demands, c.crashes, c.partEvents = map[galenastair.ModelName]time.Duration{}, nil, nil
 	c.mu.Unlock()
 	r.Loads, r.Down = c.pool.Loads(), c.pool.Down(time.Now())
 	r.Positions = readOffsets(c.topics())
@@ -154,14 +164,20 @@
 	return r
 }
 
+// maxQueuedEvents bounds the crashes, and the events of prompt parts, that wait for a leader.
+const maxQueuedEvents = 4096
+
 // requeue keeps the undelivered crashes for the next report. Undelivered demand is
 // dropped: a planner that has just started would take the sum for the demand of one interval.
-func (c *leaderClient) requeue(crashes []claim.Crash) {
+func (c *leaderClient) requeue(crashes []claim.Crash, events []claim.PartEvent) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashes = append(c.crashes, crashes...)
+	c.crashes = newest(append(crashes, c.crashes...))
+	c.partEvents = newest(append(events, c.partEvents...))
 }
 
+func newest[E any](events []E) []E { return events[max(0, len(events)-maxQueuedEvents):] }
+
 // leader returns the leader's address, and whether this instance is the leader.
 func (c *leaderClient) leader() (string, bool) {
 	leader := c.elector.Leader()
@@ -242,6 +258,10 @@
 		c.poisonTracker.RecordRemoteCrash(now, crash)
 		c.logger.Log("event", "remote crash", "digest", crash.Digest, "server", crash.Server)
 	}
+	for _, e := range u.PartEvents {
+		c.partTracker.Apply(now, e)
+		c.logger.Log("event", "remote crash", "part", e.Part, "server", e.Server, "cleared", e.IsClear())
+	}
 }
 
 // applyOwners applies the table of organisation owners and this instance's grants. sent is the
--- a/node/node.go
+++ b/node/node.go
@@ -151,7 +151,8 @@
 		lease.WithCheckpointer(n.checkpointer(context.Background())), lease.WithFleetSize(n.borrower.ReportedFleetSize), lease.WithLinkMbps(s.LinkMbps), lease.WithFirstStart(s.FirstStart), lease.WithOnElected(n.onElected))
 	n.planner = planner.New(string(s.ID), tolerance, backend, n.lease, n.loop,
 		planner.WithLogger(n.logger), planner.WithOrderObserver(n.metrics.countOrder),
-		planner.WithRefusedRequests(func(now time.Time) []claim.Crash { return n.leaderClient.poisonTracker.Refused(now) }))
+		planner.WithRefusedRequests(func(now time.Time) []claim.Crash { return n.leaderClient.poisonTracker.Refused(now) }),
+		planner.WithSuspectedParts(func(now time.Time) []claim.PartEvent { return n.leaderClient.partTracker.Suspected(now) }))
 	n.catalogSource = newCatalogSource(n.logger)
 	n.serverWatcher = newServerWatcher(n.logger)
 	n.partition = newPartitionWatcher(n.pool, n.backendClient, n.otherLeader, n.logger)
@@ -198,6 +199,7 @@
 		topics:        n.topics,
 	}
 	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCountingWindow(poisonWindow))
+	c.partTracker = claim.NewPartTracker(c.announcePart, poisonWindow)
 	return c
 }
 
@@ -235,6 +237,7 @@
 		Limiter:       newLimiter(n.leaderClient, n.metrics),
 		Streams:       n.streams,
 		Poison:        n.leaderClient.poisonTracker,
+		Parts:         n.leaderClient.partTracker,
 	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
 }
 
--- a/node/note.go
+++ b/node/note.go
@@ -38,6 +38,7 @@
 			}
 			n.logPostError(n.planner.Restore(ctx, state))
 			n.leaderClient.poisonTracker.RestoreRefused(time.Now(), state.RefusedAt, state.Refused)
+			n.leaderClient.partTracker.Restore(time.Now(), state.Suspected)
 			n.borrower.Restore(time.Now(), n.settings.ID, state.Checkpoint, first)
 		},
 	}
--- a/node/prompt_test.go
+++ b/node/prompt_test.go
@@ -146,3 +146,23 @@
 	}
 	p.check()
 }
+
+// Guards against parts that are forgotten when all instances restart at the same moment.
+func TestRefusedPromptPartsOutlastARestartOfAllInstances(t *testing.T) {
+	t.Parallel()
+	c := newPromptCluster(t)
+	p := &promptTraffic{c: c}
+	p.run(c.nodes, poisonTimeout+2*time.Second)
+	var stopped sync.WaitGroup
+	for _, n := range c.nodes {
+		stopped.Go(func() { c.stopNode(n) })
+	}
+	stopped.Wait()
+	running := []*runningNode{c.startNode(), c.startNode(), c.startNode()}
+	for _, n := range running {
+		// other instances may hold the whole quota for a window after a restart of all
+		c.waitAtMost(3*n.settings.Bounds.QuotaWindow, "an accepted read", func() bool { return c.call(n, "/read/1", "", key).status == 200 })
+	}
+	p.run(running, 2*time.Second)
+	p.check()
+}
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -106,6 +106,7 @@
 		out.Asks = append(out.Asks, &planningpb.Loan{Organisation: string(a.Organisation), Amount: a.Amount})
 	}
 	out.Poisons, out.PoisonServers = encodeCrashes(r.Crashes)
+	out.PartEvents = encodePartEvents(time.Now(), r.PartEvents)
 	for topic, from := range r.Positions {
 		out.Positions = append(out.Positions, &planningpb.Position{Topic: string(topic), From: int64(from)})
 	}
@@ -162,5 +163,6 @@
 	decodeOwners(r, &out)
 	out.Added, out.Removed = decodePlacements(r.Placed), decodePlacements(r.Dropped)
 	out.Crashes = decodeCrashes(r.Poisons, r.PoisonServers)
+	out.PartEvents = decodePartEvents(time.Now(), r.PartEvents)
 	return out
 }
--- a/peer/planning/crashes.go
+++ b/peer/planning/crashes.go
@@ -1,6 +1,11 @@
 package planning
 
-import "galenastair/claim"
+import (
+	"time"
+
+	"galenastair/claim"
+	"galenastair/peer/planningpb"
+)
 
 // encodeCrashes returns the digests and, in the same order, the servers.
 func encodeCrashes(crashes []claim.Crash) (digests, servers []string) {
@@ -22,3 +27,23 @@
 	}
 	return out
 }
+
+func encodePartEvents(now time.Time, events []claim.PartEvent) []*planningpb.PartEvent {
+	var out []*planningpb.PartEvent
+	for _, e := range events {
+		out = append(out, &planningpb.PartEvent{Part: uint64(e.Part), Server: string(e.Server), AgeMs: uint32(max(0, now.Sub(e.At)).Milliseconds())})
+	}
+	return out
+}
+
+func decodePartEvents(now time.Time, events []*planningpb.PartEvent) []claim.PartEvent {
+	var out []claim.PartEvent
+	for _, e := range events {
+		out = append(out, claim.PartEvent{
+			Part:   claim.Part(e.Part),
+			Server: claim.ServerProcess(e.Server),
+			At:     now.Add(-time.Duration(e.AgeMs) * time.Millisecond),
+		})
+	}
+	return out
+}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -66,6 +66,7 @@
 		r.PartitionedFrom = append(r.PartitionedFrom, galenastair.ServiceName(s))
 	}
 	r.Crashes = decodeCrashes(req.Poisons, req.PoisonServers)
+	r.PartEvents = decodePartEvents(time.Now(), req.PartEvents)
 	for _, p := range req.Positions {
 		r.Positions[galenastair.Topic(p.Topic)] = galenastair.Offset(p.From)
 	}
@@ -93,6 +94,7 @@
 	out.Tails = encodeTails(n.Tails)
 	out.Placed, out.Dropped = encodePlacements(n.Added), encodePlacements(n.Removed)
 	out.Poisons, out.PoisonServers = encodeCrashes(n.Crashes)
+	out.PartEvents = encodePartEvents(time.Now(), n.PartEvents)
 	return out
 }
 
--- a/planner/message.go
+++ b/planner/message.go
@@ -34,6 +34,8 @@
 	// Crashes are those that the instance has recorded since the last report. The first report to
 	// a leader also has those of all requests that the instance refuses.
 	Crashes []claim.Crash
+	// PartEvents are the same for parts of prompts.
+	PartEvents []claim.PartEvent
 	// Down lists backend servers that have just refused a connection, or have announced in an answer
 	// that they are leaving.
 	Down []galenastair.BackendServerID
@@ -70,6 +72,8 @@
 	// Crashes are those that the other instances have reported. An instance that has missed some
 	// also gets those of all requests that the leader refuses.
 	Crashes []claim.Crash
+	// PartEvents are the same for parts of prompts.
+	PartEvents []claim.PartEvent
 	// LastChange is the number of the newest of these changes and crashes.
 	LastChange int64
 	// Tails are the records of the store's topics that the planner has read beyond the instance's
--- a/planner/news.go
+++ b/planner/news.go
@@ -39,6 +39,7 @@
 		p.expiredCrash = p.crashes[0].sequence
 		p.crashes = p.crashes[1:]
 	}
+	p.expirePartEvents(now)
 }
 
 // publishUnloads publishes all models that are being unloaded.
--- a/planner/note.go
+++ b/planner/note.go
@@ -17,6 +17,8 @@
 	// Refused are crashes of the requests that are refused, and RefusedAt is when they last changed.
 	Refused   []claim.Crash `json:",omitempty"`
 	RefusedAt time.Time     `json:",omitzero"`
+	// Suspected are the crashes under prompt parts that are refused.
+	Suspected []claim.PartEvent `json:",omitempty"`
 }
 
 // Restore sets the checkpoint that a previous leader stored.
@@ -38,6 +40,7 @@
 			c.Checkpoint, ok = p.lender.Checkpoint(p.clock.Now())
 		}
 		c.Refused, c.RefusedAt = p.refusedCheckpoint(p.clock.Now())
+		c.Suspected = p.suspectedCheckpoint(p.clock.Now())
 	})
 	return c, ok && err == nil
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -70,6 +70,8 @@
 	limiter  *ratelimit.Limiter
 	onOrder  func(kind galenastair.OrderKind, reason place.Reason, outcome string)
 	refused  func(time.Time) []claim.Crash
+	// suspected returns the crashes under the prompt parts that this instance refuses.
+	suspected func(time.Time) []claim.PartEvent
 
 	// the fields below are accessed only in the control loop
 	ctx      context.Context
@@ -89,8 +91,11 @@
 	// not reset between terms.
 	lastChange int64
 	crashes    []crashReport
-	// expiredCrash is the sequence number of the newest crash that is announced no more.
+	partEvents []partReport
+	// expiredCrash and expiredPart are the sequence numbers of the newest crash and event of a part
+	// that are announced no more.
 	expiredCrash int64
+	expiredPart  int64
 	// storedRefused are the refused requests in the checkpoint, and storedRefusedAt is when they
 	// last changed.
 	storedRefused   []claim.Crash
@@ -133,6 +138,11 @@
 	return func(p *Planner) { p.refused = f }
 }
 
+// WithSuspectedParts does the same for the crashes under prompt parts.
+func WithSuspectedParts(f func(time.Time) []claim.PartEvent) Option {
+	return func(p *Planner) { p.suspected = f }
+}
+
 // New returns a planner that is idle until Run is called and the lease is held. self identifies it
 // as the sender of orders.
 func New(self string, t quota.Tolerance, c galenastair.EngineControl, l Lease, loop *control.Loop, opts ...Option) *Planner {
@@ -145,6 +155,7 @@
 		logger:    log.NewNopLogger(),
 		onOrder:   func(galenastair.OrderKind, place.Reason, string) {},
 		refused:   func(time.Time) []claim.Crash { return nil },
+		suspected: func(time.Time) []claim.PartEvent { return nil },
 		ctx:       context.Background(),
 		services:  map[galenastair.ServiceName]*service{},
 		servers:   map[galenastair.BackendServerID]pool.Server{},
@@ -291,6 +302,7 @@
 		}
 	}
 	p.addCrashes(now, r)
+	p.addPartEvents(now, r)
 	p.decideOwners(now)
 	update := Update{LeaseExpired: !p.lease.Holds(), QuotaAllocation: p.lender.Contribute(now, r.Instance, r.QuotaContribution), Loads: p.loads.byKey()}
 	p.loads.add(r.Loads)
@@ -320,7 +332,7 @@
 			update.Added = append(update.Added, c.Placement)
 		}
 	}
-	update.Crashes = p.crashesSince(now, r)
+	update.Crashes, update.PartEvents = p.crashesSince(now, r), p.partEventsSince(now, r)
 	return update
 }
 
