httpconn: bytes without end from a server in trouble are no response

A response to another request without end held the request up.

Change: the head of a response may have 64 KiB, and a response to another request 1 MiB. Left as they are: calls to the store and to other instances, whose client limits headers already.

--- a/httpconn/client.go
+++ b/httpconn/client.go
@@ -69,6 +69,7 @@
 	net.Conn
 	pool    *Pool
 	address string
+	head    *headReader
 	reader  *bufio.Reader
 	// Reused is set if the connection has carried a request before.
 	Reused      bool
@@ -115,7 +116,8 @@
 	p.mu.Lock()
 	p.openCount[address]++
 	p.mu.Unlock()
-	return &Conn{Conn: conn, pool: p, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	head := &headReader{Reader: conn}
+	return &Conn{Conn: conn, pool: p, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // Release returns the connection to the pool. No request may have been sent on it since Get.
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -57,7 +57,8 @@
 		if accept(resp.Header) {
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes))
+		if err != nil || n == maxForeignBodyBytes || resp.Close {
 			break
 		}
 	}
@@ -100,6 +101,8 @@
 // readResponse reads the next final response. It skips informational (1xx) responses
 // except 101 Switching Protocols.
 func (c *Conn) readResponse(method string) (*http.Response, error) {
+	c.head.limit(maxHeadBytes)
+	defer c.head.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -115,6 +118,9 @@
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
+	if errors.Is(err, errHeadTooLarge) {
+		return eris.Wrap(galenastair.ErrInvalidResponse, err.Error())
+	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return eris.Wrap(galenastair.ErrResponseTruncated, "connection closed before a response")
 	}
