--- a/node/listen.go
+++ b/node/listen.go
@@ -60,6 +60,9 @@
 		if err != nil {
 			return eris.Wrapf(err, "%s port: is %s in use, or not an address of this machine?", p.name, p.address)
 		}
+		if p.name == callerPort {
+			l = n.overload.Listen(l)
+		}
 		served := httpserve.Add(g, p.server, l)
 		if p.name == callerPort {
 			n.callerListener, n.callerServerDone = l, served
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -151,6 +151,10 @@
 	gauge("galenastair_backend_servers", "Backend servers that are known.", func() float64 { return float64(n.pool.Len()) })
 	gauge("galenastair_evacuated_zones", "Availability zones whose backend servers get no new requests.", func() float64 { return float64(len(n.catalogSource.evacuations.zones())) })
 	gauge("galenastair_partitioned_services", "Services from all of whose backend servers this instance is partitioned.", func() float64 { return float64(len(n.partition.From())) })
+	gauge("galenastair_streams_recorded", "Streams whose software version this instance keeps.", func() float64 { return float64(n.streams.table.Len()) })
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "galenastair_connections_closed_unread_total", Help: "New connections that were closed for lack of processor time.",
+	}, func() float64 { return float64(n.overload.Closed()) }))
 	gauge("galenastair_fleet", "Instances that the quotas are dealt to.", func() float64 { return float64(n.borrower.FleetSize()) })
 	gauge("galenastair_plans", "1 while this instance plans.", func() float64 {
 		if n.lease.Holds() {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"galenastair/httpconn"
 	"galenastair/httpserve"
 	"galenastair/lease"
+	"galenastair/overload"
 	"galenastair/peer/planning"
 	"galenastair/planner"
 	"galenastair/platform"
@@ -99,6 +100,8 @@
 	gateway      *gateway.Gateway
 	metrics      *metrics
 	storeCalls   storeCalls
+	// overload closes new connections of callers that this instance can't serve in time.
+	overload overload.Guard
 	// stopping is set on the signal to stop, draining once no new connections are accepted.
 	stopping       atomic.Bool
 	draining       atomic.Bool
@@ -384,11 +387,16 @@
 func (n *Node) pruneConnections(ctx context.Context) error {
 	tick := time.NewTicker(pruneInterval)
 	defer tick.Stop()
+	var logged int64
 	for {
 		select {
 		case now := <-tick.C:
 			n.backendClient.CloseExpired(now)
 			n.peerClient.CloseExpired(now)
+			if closed := n.overload.Closed(); closed > logged {
+				n.logger.Log("event", "overload", "closed", closed-logged)
+				logged = closed
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
