--- a/node/node.go
+++ b/node/node.go
@@ -212,6 +212,7 @@
 		incarnation: newStreamIncarnation(),
 		table:       stream.NewTable(),
 		outbox:      stream.NewOutbox(),
+		added:       make(chan struct{}, 1),
 		client:      n.leaderClient.client,
 		pool:        n.pool,
 		viewAge:     func() (time.Duration, bool) { return n.serverWatcher.follower.Age() },
--- a/node/streams.go
+++ b/node/streams.go
@@ -15,10 +15,13 @@
 	"galenastair/timer"
 )
 
-// streamFlushInterval is the interval at which new records are sent to the recorders. A stream whose
-// instance ends sooner after its first event can't be resumed.
+// streamFlushInterval is the least time between two messages to a recorder. A stream whose instance ends
+// before its record was sent can't be resumed.
 const streamFlushInterval = 200 * time.Millisecond
 
+// streamRetryInterval is the interval at which records are offered to recorders that lack some.
+const streamRetryInterval = time.Second
+
 // streamOrigins knows where streams began: those of this instance, and those that others have had it
 // record.
 type streamOrigins struct {
@@ -26,8 +29,10 @@
 	incarnation stream.Incarnation
 	table       *stream.Table
 	outbox      *stream.Outbox
-	client      *planning.Client
-	pool        *pool.Pool
+	// added is signalled when the outbox gets a record.
+	added  chan struct{}
+	client *planning.Client
+	pool   *pool.Pool
 	// viewAge returns how long ago the registrations were known to be complete, false if they never were.
 	viewAge    func() (time.Duration, bool)
 	maxViewAge time.Duration
@@ -40,6 +45,10 @@
 	r := stream.Record{Key: stream.KeyOf(id), Origin: o, TimeLeft: timeLeft}
 	s.table.Add(now, r)
 	s.outbox.Add(now, r)
+	select {
+	case s.added <- struct{}{}:
+	default:
+	}
 }
 
 // RecordStreams keeps where other instances' streams began.
@@ -110,10 +119,18 @@
 
 // run sends the records of this instance's streams to the recorders until the context is done.
 func (s *streamOrigins) run(ctx context.Context) error {
-	for timer.Wait(ctx, streamFlushInterval) {
+	retry := time.NewTicker(streamRetryInterval)
+	defer retry.Stop()
+	for {
+		select {
+		case <-s.added:
+		case <-retry.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 		s.flush(ctx)
+		timer.Wait(ctx, streamFlushInterval)
 	}
-	return ctx.Err()
 }
 
 func (s *streamOrigins) flush(ctx context.Context) {
