--- a/node/node.go
+++ b/node/node.go
@@ -217,6 +217,7 @@
 		pool:        n.pool,
 		viewAge:     func() (time.Duration, bool) { return n.serverWatcher.follower.Age() },
 		maxViewAge:  n.settings.Bounds.LeaveTimeout,
+		fleetSize:   n.borrower.ReportedFleetSize,
 		logger:      n.logger,
 	}
 }
--- a/node/recorders_test.go
+++ b/node/recorders_test.go
@@ -38,3 +38,12 @@
 	report()
 	is.Equal(d.recorders(now, "b"), named)
 }
+
+// Guards against recorders whose messages grow with the fleet, and records that wait long in a small one.
+func TestFlushIntervalFollowsTheFleet(t *testing.T) {
+	is := is.New(t)
+	is.Equal(flushInterval(0), minFlushInterval)
+	is.Equal(flushInterval(9), minFlushInterval)
+	is.Equal(flushInterval(25), 500*time.Millisecond)
+	is.Equal(flushInterval(370), maxFlushInterval)
+}
--- a/node/streams.go
+++ b/node/streams.go
@@ -15,9 +15,14 @@
 	"galenastair/timer"
 )
 
-// streamFlushInterval is the least time between two messages to a recorder. A stream whose instance ends
-// before its record was sent can't be resumed.
-const streamFlushInterval = 200 * time.Millisecond
+// The time between two messages to a recorder is flushTimePerInstance for each instance of the fleet,
+// within these bounds, so that a recorder gets few messages. A stream whose instance ends before its
+// record was sent can't be resumed.
+const (
+	flushTimePerInstance = 20 * time.Millisecond
+	minFlushInterval     = 200 * time.Millisecond
+	maxFlushInterval     = time.Second
+)
 
 // streamRetryInterval is the interval at which records are offered to recorders that lack some.
 const streamRetryInterval = time.Second
@@ -36,6 +41,7 @@
 	// viewAge returns how long ago the registrations were known to be complete, false if they never were.
 	viewAge    func() (time.Duration, bool)
 	maxViewAge time.Duration
+	fleetSize  func() int
 	logger     log.Logger
 }
 
@@ -129,10 +135,14 @@
 			return ctx.Err()
 		}
 		s.flush(ctx)
-		timer.Wait(ctx, streamFlushInterval)
+		timer.Wait(ctx, flushInterval(s.fleetSize()))
 	}
 }
 
+func flushInterval(fleetSize int) time.Duration {
+	return min(maxFlushInterval, max(minFlushInterval, time.Duration(fleetSize)*flushTimePerInstance))
+}
+
 func (s *streamOrigins) flush(ctx context.Context) {
 	var g errgroup.Group
 	for address, b := range s.outbox.Batches(time.Now()) {
