--- a/peer/planning/streams_test.go
+++ b/peer/planning/streams_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"galenastair"
+	"galenastair/claim"
 	"galenastair/stream"
 )
 
@@ -32,3 +33,18 @@
 	t.Logf("%d bytes for %d records", proto.Size(m), len(sent))
 	is.True(proto.Size(m) < 16*len(sent))
 }
+
+// Guards against events of prompt parts that lose their server, their age or that they clear a part.
+func TestPartEventsArriveAsSent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	sent := []claim.PartEvent{
+		{Part: 1 << 63, Server: "i-583a046e81@1783084667189", At: now.Add(-1500 * time.Millisecond)},
+		{Part: 2, At: now},
+	}
+	m := encodePartEvents(now, sent)
+	t.Logf("%d and %d bytes", proto.Size(m[0]), proto.Size(m[1]))
+	is.Equal(decodePartEvents(now, m), sent)
+	later := decodePartEvents(now.Add(time.Second), m)
+	is.Equal(later[0].At, now.Add(-500*time.Millisecond))
+}
