--- /dev/null
+++ b/node/soak_streams_test.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"galenastair/standin/replica"
+)
+
+// maxMixedStreams is the number of streams that may hold events of two software versions.
+const maxMixedStreams = 2
+
+// streamSoak has callers break streams off and resume them at other nodes.
+type streamSoak struct {
+	*soak
+	// attempts are the IDs of the attempts of each stream.
+	attempts [][]string
+	// begun and resumed count what nodes in touch were asked for and have served.
+	begun, resumed share
+}
+
+// share counts requests and those of them that were served.
+type share struct{ asked, served atomic.Int64 }
+
+func (s *share) count(served bool) {
+	s.asked.Add(1)
+	if served {
+		s.served.Add(1)
+	}
+}
+
+func (s *share) of() float64 { return float64(s.served.Load()) / float64(max(1, s.asked.Load())) }
+
+func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
+	c := newVersionedCluster(t, 4)
+	s := &soak{cluster: c, rng: rand.New(rand.NewPCG(seed, 1)), sent: map[string]sentRequest{}, started: map[int]time.Time{}}
+	for i, n := range c.nodes {
+		s.running = append(s.running, soakNode{n, i})
+	}
+	for _, r := range c.replicas {
+		r.UpdateFaults(func(f *replica.Faults) { f.EventInterval = 50 * time.Millisecond })
+	}
+	return &streamSoak{soak: s}
+}
+
+// callers begins and resumes streams until the context ends.
+func (s *streamSoak) callers(ctx context.Context) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				ids := s.playStream()
+				s.mu.Lock()
+				s.attempts = append(s.attempts, ids)
+				s.mu.Unlock()
+			}
+		})
+	}
+	return &callers
+}
+
+// playStream begins a stream, breaks it off after some events and resumes it, up to three times. It
+// returns the IDs of its attempts.
+func (s *streamSoak) playStream() []string {
+	first, last := "", 0
+	var ids []string
+	for range 4 {
+		s.mu.Lock()
+		n := s.running[rand.IntN(len(s.running))]
+		s.mu.Unlock()
+		id, at := newAttemptID(), time.Now()
+		req := s.streamRequest(id, n.runningNode)
+		if first != "" {
+			req.Header.Set("Last-Event-Id", strconv.Itoa(last))
+			req.Header.Set("Resumes", first)
+		}
+		ids = append(ids, id)
+		status, event := readEvents(req, 1+rand.IntN(2))
+		if s.inTouch(n.index, at) && s.inTouch(n.index, time.Now()) {
+			counted := &s.resumed
+			if first == "" {
+				counted = &s.begun
+			}
+			counted.count(status == http.StatusOK)
+		}
+		if status != http.StatusOK {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if event > 0 && first == "" {
+			first = id
+		}
+		last = max(last, event)
+	}
+	return ids
+}
+
+// readEvents sends a request and reads some events. It returns the status and the ID of the last event.
+func readEvents(req *http.Request, count int) (status, last int) {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, 0
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); count > 0 && lines.Scan(); {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok && resp.StatusCode == http.StatusOK {
+			last, _ = strconv.Atoi(id)
+			count--
+		}
+	}
+	return resp.StatusCode, last
+}
+
+// run plays the callers while nodes restart, the store fails and nodes are partitioned from servers.
+func (s *streamSoak) run() {
+	ctx, stop := context.WithTimeout(s.t.Context(), soakLength)
+	defer stop()
+	callers := s.callers(ctx)
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
+		switch s.rng.IntN(3) {
+		case 0:
+			s.restartNode()
+		case 1:
+			s.stopStore(time.Duration(500+s.rng.IntN(2500)) * time.Millisecond)
+		case 2:
+			s.partitionNode(time.Duration(500+s.rng.IntN(1500)) * time.Millisecond)
+		}
+	}
+	callers.Wait()
+}
+
+// check reports streams of two software versions, and streams that are resumed too rarely.
+func (s *streamSoak) check() {
+	versions := map[string]map[string]bool{}
+	for id, r := range s.replicas {
+		for _, run := range r.Runs() {
+			if versions[run.ID] == nil {
+				versions[run.ID] = map[string]bool{}
+			}
+			versions[run.ID][s.versions[id]] = true
+		}
+	}
+	mixed := 0
+	for _, ids := range s.attempts {
+		all := map[string]bool{}
+		for _, id := range ids {
+			for v := range versions[id] {
+				all[v] = true
+			}
+		}
+		// a first attempt without events may have run on the other version
+		if len(all) > 1 && len(versions[ids[0]]) == 1 {
+			mixed++
+		}
+	}
+	if mixed > maxMixedStreams {
+		s.t.Errorf("%d streams hold events of two software versions", mixed)
+	}
+	if s.resumed.asked.Load() >= 12 && s.resumed.of() < s.begun.of()/2 {
+		s.t.Errorf("%.2f of the resumed streams went on, %.2f of the new ones", s.resumed.of(), s.begun.of())
+	}
+	s.t.Logf("%d streams, %d of two versions, %.2f of %d resumed, %.2f of %d begun, %d outages, %d restarts",
+		len(s.attempts), mixed, s.resumed.of(), s.resumed.asked.Load(), s.begun.of(), s.begun.asked.Load(), len(s.outages), len(s.started))
+}
+
+// Guards against streams of two software versions, or that can't be resumed, while nodes restart or are
+// partitioned and the store fails.
+func TestStreamsKeepTheirSoftwareVersionWhileNodesAndStoreFail(t *testing.T) {
+	for seed := range uint64(soakSeeds()) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newStreamSoak(t, seed)
+			s.run()
+			s.check()
+		})
+	}
+}
--- a/node/soak_test.go
+++ b/node/soak_test.go
@@ -302,14 +302,18 @@
 	}
 }
 
+// soakSeeds returns how many seeds are played.
+func soakSeeds() int {
+	if n, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
+		return n
+	}
+	return 2
+}
+
 // Guards against requests to servers that have announced that they leave or want none, and against requests
 // that crash servers or run too often, while nodes restart or are partitioned and the store fails. SOAK_SEEDS sets how many seeds are played.
 func TestAnnouncementsHoldWhileNodesAndStoreFail(t *testing.T) {
-	seeds := 2
-	if n, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
-		seeds = n
-	}
-	for seed := range uint64(seeds) {
+	for seed := range uint64(soakSeeds()) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			s := newSoak(t, seed)
