--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,7 @@
 # nodes, store and stand-ins of backend servers in one process, under faults; make soak SOAK_SEEDS=n plays n seeds
 SOAK_SEEDS ?= 50
 soak:
-	SOAK_SEEDS=$(SOAK_SEEDS) go test -timeout 30m -parallel 4 ./node -run TestAnnouncementsHoldWhileNodesAndStoreFail -v
+	SOAK_SEEDS=$(SOAK_SEEDS) go test -timeout 30m -parallel 4 ./node -run 'WhileNodesAndStoreFail' -v
 
 bench: build
 	bash scenario/bench.sh
--- a/node/prompt_test.go
+++ b/node/prompt_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -81,12 +82,14 @@
 	callers.Wait()
 }
 
+func hasCrashPart(run replica.Run) bool { return strings.Contains(run.PromptPrefix, ","+crashPart+":") }
+
 // crashTimes returns when requests with the part reached servers.
 func (c *cluster) crashTimes() []time.Time {
 	var out []time.Time
 	for _, r := range c.replicas {
 		for _, run := range r.Runs() {
-			if run.PromptPrefix != "" && len(run.PromptPrefix) > 9 && run.PromptPrefix[6:10] == crashPart {
+			if hasCrashPart(run) {
 				out = append(out, run.StartedAt)
 			}
 		}
--- /dev/null
+++ b/node/soak_prompt_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"galenastair/standin/replica"
+)
+
+// promptSoak has callers send requests with a part that crashes servers, and sound ones.
+type promptSoak struct {
+	*soak
+	traffic promptTraffic
+	begun   share
+}
+
+func newPromptSoak(t *testing.T, seed uint64) *promptSoak {
+	c := newCluster(t, 4, "e3", "e4", "e5", "e6")
+	s := &soak{cluster: c, rng: rand.New(rand.NewPCG(seed, 2)), sent: map[string]sentRequest{}, started: map[int]time.Time{}}
+	for i, n := range c.nodes {
+		s.running = append(s.running, soakNode{n, i})
+	}
+	for _, r := range c.replicas {
+		r.UpdateFaults(func(f *replica.Faults) { f.CrashPart, f.EventInterval = crashPart, 5*time.Millisecond })
+	}
+	return &promptSoak{soak: s, traffic: promptTraffic{c: c}}
+}
+
+func (s *promptSoak) pickNode() soakNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[rand.IntN(len(s.running))]
+}
+
+// callers sends both kinds of requests until the context ends.
+func (s *promptSoak) callers(ctx context.Context) *sync.WaitGroup {
+	began := time.Now()
+	var callers sync.WaitGroup
+	for range 2 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				s.traffic.send(s.pickNode().runningNode, crashPart)
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	for range 4 {
+		callers.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				n, at := s.pickNode(), time.Now()
+				served := s.traffic.send(n.runningNode, fmt.Sprintf("c%d", i%3))
+				if at.After(began.Add(2*poisonTimeout)) && s.inTouch(n.index, at) && s.inTouch(n.index, time.Now()) {
+					s.begun.count(served)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	return &callers
+}
+
+// run plays the callers while nodes restart, the store fails and nodes are partitioned from servers.
+func (s *promptSoak) run() {
+	ctx, stop := context.WithTimeout(s.t.Context(), soakLength)
+	defer stop()
+	callers := s.callers(ctx)
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
+		switch s.rng.IntN(3) {
+		case 0:
+			s.restartNode()
+		case 1:
+			s.stopStore(time.Duration(500+s.rng.IntN(2500)) * time.Millisecond)
+		case 2:
+			s.partitionNode(time.Duration(500+s.rng.IntN(1500)) * time.Millisecond)
+		}
+	}
+	callers.Wait()
+}
+
+// check reports a part that is sent on after it has crashed enough servers, and sound requests that are
+// served too rarely.
+func (s *promptSoak) check() {
+	crashes := s.crashTimes()
+	late := 0
+	if len(crashes) >= partCrashes {
+		end := crashes[partCrashes-1].Add(poisonTimeout)
+		for _, r := range s.replicas {
+			for _, run := range r.Runs() {
+				if run.StartedAt.After(end) && hasCrashPart(run) && s.inTouch(nodeIndex(run.Source), run.StartedAt) {
+					late++
+				}
+			}
+		}
+	}
+	if late > maxPoisonSends {
+		s.t.Errorf("%d requests with the part were sent later than %s after the fifth crash", late, poisonTimeout)
+	}
+	if s.begun.asked.Load() >= 20 && s.begun.of() < 0.5 {
+		s.t.Errorf("%.2f of the requests without the part were served", s.begun.of())
+	}
+	s.t.Logf("%d crashes, %d late, %.2f of %d sound requests served, %d outages, %d restarts",
+		len(crashes), late, s.begun.of(), s.begun.asked.Load(), len(s.outages), len(s.started))
+}
+
+// Guards against a part that crashes servers on and on, or is refused beside sound ones, while nodes
+// restart or are partitioned and the store fails.
+func TestPromptPartsAreRefusedWhileNodesAndStoreFail(t *testing.T) {
+	for seed := range uint64(soakSeeds()) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newPromptSoak(t, seed)
+			s.run()
+			s.check()
+		})
+	}
+}
