--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -29,10 +29,10 @@
 	}
 	origin, err := r.g.streams.Origin(ctx, r.req.Resumes, r.service)
 	if err != nil {
-		return galenastair.NewRefusal(galenastair.ErrStreamUnknown, minRetryAfter, err.Error())
+		return galenastair.NewRefusal(galenastair.ErrStreamUnknown, minRetryAfter, "")
 	}
 	if !r.admission.route.Allows(origin.Service) {
-		return galenastair.NewRefusal(galenastair.ErrStreamUnknown, maxRetryAfter, "the route has no longer the service that began it")
+		return galenastair.NewRefusal(galenastair.ErrStreamUnknown, maxRetryAfter, "the route no longer has the service that began it")
 	}
 	r.service, r.streamVersion = origin.Service, &origin.Version
 	if r.req.Resumes != "" {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -41,7 +41,7 @@
 	localPlanner  *planner.Planner
 	partition     *partitionWatcher
 	streams       *streamOrigins
-	directory     *forwardDirectory
+	directory     *instanceDirectory
 	pool          *pool.Pool
 	borrower      *quota.Borrower
 	accounts      *account.Accounts
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -19,19 +19,20 @@
 // maxForwardTargets is the number of instances that the leader names to a partitioned one.
 const maxForwardTargets = 4
 
-// forwardDirectory is the leader's record of the instances to which partitioned ones may forward their
-// requests.
-type forwardDirectory struct {
+// instanceDirectory is the leader's record of the instances that report to it. It names those to which
+// partitioned ones may forward their requests, and those that record streams.
+type instanceDirectory struct {
 	regions map[galenastair.AvailabilityZone]galenastair.Region
 
 	mu        sync.Mutex
-	instances map[string]forwardTarget
+	instances map[string]directoryEntry
 	// recorderSets are the recorders of each region.
 	recorderSets map[galenastair.Region]recorderSet
 	prunedAt     boottime.Time
 }
 
-type forwardTarget struct {
+// directoryEntry is the last report of an instance.
+type directoryEntry struct {
 	zone            galenastair.AvailabilityZone
 	region          galenastair.Region
 	partitionedFrom []galenastair.ServiceName
@@ -40,33 +41,33 @@
 }
 
 // record applies a report.
-func (d *forwardDirectory) record(now boottime.Time, r planner.Report) {
+func (d *instanceDirectory) record(now boottime.Time, r planner.Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.instances == nil {
-		d.instances = map[string]forwardTarget{}
+		d.instances = map[string]directoryEntry{}
 	}
 	d.prune(now)
 	if r.Address != "" {
-		d.instances[r.Address] = forwardTarget{r.Zone, d.regions[r.Zone], r.PartitionedFrom, r.Stopping, now}
+		d.instances[r.Address] = directoryEntry{r.Zone, d.regions[r.Zone], r.PartitionedFrom, r.Stopping, now}
 	}
 }
 
 // prune removes instances that have stopped reporting. It does so rarely, as each instance of a large
 // fleet reports several times per second.
-func (d *forwardDirectory) prune(now boottime.Time) {
+func (d *instanceDirectory) prune(now boottime.Time) {
 	if now.Sub(d.prunedAt) < reportTimeout {
 		return
 	}
 	d.prunedAt = now
-	maps.DeleteFunc(d.instances, func(_ string, i forwardTarget) bool { return i.isGone(now) })
+	maps.DeleteFunc(d.instances, func(_ string, i directoryEntry) bool { return i.isGone(now) })
 }
 
-func (i forwardTarget) isGone(now boottime.Time) bool { return now.Sub(i.reportedAt) > reportTimeout }
+func (i directoryEntry) isGone(now boottime.Time) bool { return now.Sub(i.reportedAt) > reportTimeout }
 
 // targets returns some instances that may serve the requests to a service of an instance in a zone.
 // They are of its region, so that no request leaves it.
-func (d *forwardDirectory) targets(now boottime.Time, s galenastair.ServiceName, zone galenastair.AvailabilityZone) []string {
+func (d *instanceDirectory) targets(now boottime.Time, s galenastair.ServiceName, zone galenastair.AvailabilityZone) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []string
@@ -81,7 +82,7 @@
 
 // exchange records a report, and adds to the reply the recorders of streams and the targets for the
 // services that the instance doesn't reach.
-func (d *forwardDirectory) exchange(r planner.Report, u *planner.Update) {
+func (d *instanceDirectory) exchange(r planner.Report, u *planner.Update) {
 	now := boottime.Now()
 	d.record(now, r)
 	u.StreamRecorders = d.recorders(now, r.Zone)
--- a/node/forwarding_test.go
+++ b/node/forwarding_test.go
@@ -16,7 +16,7 @@
 // gone, or lies in another region.
 func TestForwardTargetsCanServe(t *testing.T) {
 	is := is.New(t)
-	d := &forwardDirectory{regions: map[galenastair.AvailabilityZone]galenastair.Region{"a": "r1", "b": "r1", "c": "r2"}}
+	d := &instanceDirectory{regions: map[galenastair.AvailabilityZone]galenastair.Region{"a": "r1", "b": "r1", "c": "r2"}}
 	now := boottime.Time(time.Hour)
 	d.record(now.Add(-3*time.Second), planner.Report{Address: "gone", Zone: "a"})
 	for _, r := range []planner.Report{
@@ -37,7 +37,7 @@
 // Guards against a leader that names so many instances that its replies grow with the fleet.
 func TestForwardTargetsAreFew(t *testing.T) {
 	is := is.New(t)
-	d := &forwardDirectory{}
+	d := &instanceDirectory{}
 	now := boottime.Time(time.Hour)
 	for n := range 100 {
 		d.record(now, planner.Report{Address: string(rune('a' + n)), Zone: "a"})
@@ -48,7 +48,7 @@
 // Guards against a directory that grows with each instance that was ever replaced.
 func TestForwardDirectoryForgetsInstances(t *testing.T) {
 	is := is.New(t)
-	d := &forwardDirectory{}
+	d := &instanceDirectory{}
 	now := boottime.Time(time.Hour)
 	for n := range 100 {
 		now = now.Add(reportTimeout / 2)
--- a/node/node.go
+++ b/node/node.go
@@ -89,7 +89,7 @@
 	// peerClient has the connections on which requests are forwarded to other instances.
 	peerClient *httpconn.Pool
 	partition  *partitionWatcher
-	directory  *forwardDirectory
+	directory  *instanceDirectory
 	// forwarded counts the requests that other instances have forwarded to this one.
 	forwarded    requestCounter
 	elector      *lease.Elector
@@ -131,7 +131,7 @@
 func New(s settings.Gateway, opts ...Option) *Node {
 	n := &Node{
 		settings: s, logger: log.NewNopLogger(), loop: control.NewLoop(), metrics: newMetrics(), callerConns: httpserve.NewConnTracker(),
-		backendClient: httpconn.NewPool(), peerClient: httpconn.NewPool(), directory: &forwardDirectory{regions: s.Zones},
+		backendClient: httpconn.NewPool(), peerClient: httpconn.NewPool(), directory: &instanceDirectory{regions: s.Zones},
 	}
 	for _, o := range opts {
 		o(n)
--- a/node/recorders.go
+++ b/node/recorders.go
@@ -13,7 +13,7 @@
 
 const (
 	// recorderCount is the number of instances of a region that keep where its streams began. One of
-	// them outlives the loss of half of a small fleet in nine of ten cases.
+	// them outlives the loss of half of a small fleet in nearly all cases.
 	recorderCount = 4
 	// recordersTTL is how long the leader names the same recorders.
 	recordersTTL = 500 * time.Millisecond
@@ -29,13 +29,16 @@
 type recorderCandidate struct {
 	address string
 	zone    galenastair.AvailabilityZone
-	inOther bool
-	rank    uint64
+	// distance is 0 in the region that the recorder is for, and 1 elsewhere.
+	distance int
+	hash     uint64
+	// zoneRank is the number of instances of its zone that come before it.
+	zoneRank int
 }
 
 // recorders returns the instances that keep where the streams of a region began: the same ones from call
 // to call as long as they report, in as many availability zones as possible.
-func (d *forwardDirectory) recorders(now boottime.Time, zone galenastair.AvailabilityZone) []string {
+func (d *instanceDirectory) recorders(now boottime.Time, zone galenastair.AvailabilityZone) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	region := d.regions[zone]
@@ -50,33 +53,31 @@
 	return addresses
 }
 
-func (d *forwardDirectory) recorderCandidates(now boottime.Time, region galenastair.Region) []recorderCandidate {
+func (d *instanceDirectory) recorderCandidates(now boottime.Time, region galenastair.Region) []recorderCandidate {
 	var out []recorderCandidate
 	for address, i := range d.instances {
-		if !i.stopping && !i.isGone(now) {
-			out = append(out, recorderCandidate{address, i.zone, i.region != region, xxhash.Sum64String(address)})
+		if i.stopping || i.isGone(now) {
+			continue
 		}
+		c := recorderCandidate{address: address, zone: i.zone, hash: xxhash.Sum64String(address)}
+		if i.region != region {
+			c.distance = 1
+		}
+		out = append(out, c)
 	}
 	return out
 }
 
 // chooseRecorders prefers instances of the region, and then zones that have no recorder yet.
 func chooseRecorders(candidates []recorderCandidate) []string {
-	slices.SortFunc(candidates, func(a, b recorderCandidate) int { return cmp.Compare(a.rank, b.rank) })
+	slices.SortFunc(candidates, func(a, b recorderCandidate) int { return cmp.Compare(a.hash, b.hash) })
 	inZone := map[galenastair.AvailabilityZone]int{}
-	order := map[string]int{}
-	for _, c := range candidates {
-		order[c.address] = inZone[c.zone]
+	for i, c := range candidates {
+		candidates[i].zoneRank = inZone[c.zone]
 		inZone[c.zone]++
 	}
 	slices.SortStableFunc(candidates, func(a, b recorderCandidate) int {
-		if a.inOther != b.inOther {
-			if a.inOther {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(order[a.address], order[b.address])
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.zoneRank, b.zoneRank))
 	})
 	out := make([]string, 0, recorderCount)
 	for _, c := range candidates[:min(recorderCount, len(candidates))] {
--- a/node/recorders_test.go
+++ b/node/recorders_test.go
@@ -16,7 +16,7 @@
 // Guards against recorders that end together, are about to end, or change while they report.
 func TestRecordersOutliveAnInstanceAndAZone(t *testing.T) {
 	is := is.New(t)
-	d := &forwardDirectory{regions: map[galenastair.AvailabilityZone]galenastair.Region{"a": "r1", "b": "r1", "c": "r2"}}
+	d := &instanceDirectory{regions: map[galenastair.AvailabilityZone]galenastair.Region{"a": "r1", "b": "r1", "c": "r2"}}
 	now := boottime.Time(time.Hour)
 	report := func() {
 		for i := range 12 {
--- a/node/tails.go
+++ b/node/tails.go
@@ -29,7 +29,7 @@
 type peerServer struct {
 	*planner.Planner
 	topics    func() []topicState
-	directory *forwardDirectory
+	directory *instanceDirectory
 	elector   *lease.Elector
 	accounts  *account.Accounts
 	*streamOrigins
--- a/node/tails_test.go
+++ b/node/tails_test.go
@@ -50,7 +50,7 @@
 	// the term begins with the planner's first round
 	time.Sleep(300 * time.Millisecond)
 	peers := peerServer{
-		Planner: p, directory: &forwardDirectory{},
+		Planner: p, directory: &instanceDirectory{},
 		topics: func() []topicState {
 			return []topicState{{topic: platform.ConfigurationTopic, follower: f, tail: &tail}}
 		},
