--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -307,10 +307,14 @@
 	}
 	attempt.End(now, pool.Succeeded)
 	r.recordCompletion(now)
-	if r.wroteHeader {
+	rest := r.events.partial
+	if r.wroteHeader && len(rest) == 0 {
 		return nil
 	}
-	return r.writeEvents(resp, nil)
+	if r.writeEvents(resp, rest) != nil {
+		return errCallerGone
+	}
+	return nil
 }
 
 // writeEvents writes complete events to the caller, preceded by the header of the first
