--- a/node/soak_prompt_test.go
+++ b/node/soak_prompt_test.go
@@ -20,20 +20,10 @@
 
 func newPromptSoak(t *testing.T, seed uint64) *promptSoak {
 	c := newCluster(t, 4, "e3", "e4", "e5", "e6")
-	s := &soak{cluster: c, rng: rand.New(rand.NewPCG(seed, 2)), sent: map[string]sentRequest{}, started: map[int]time.Time{}}
-	for i, n := range c.nodes {
-		s.running = append(s.running, soakNode{n, i})
-	}
 	for _, r := range c.replicas {
 		r.UpdateFaults(func(f *replica.Faults) { f.CrashPart, f.EventInterval = crashPart, 5*time.Millisecond })
 	}
-	return &promptSoak{soak: s, traffic: promptTraffic{c: c}}
-}
-
-func (s *promptSoak) pickNode() soakNode {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.running[rand.IntN(len(s.running))]
+	return &promptSoak{soak: newSoakOf(c, rand.New(rand.NewPCG(seed, 2))), traffic: promptTraffic{c: c}}
 }
 
 // callers sends both kinds of requests until the context ends.
@@ -63,25 +53,6 @@
 	return &callers
 }
 
-// run plays the callers while nodes restart, the store fails and nodes are partitioned from servers.
-func (s *promptSoak) run() {
-	ctx, stop := context.WithTimeout(s.t.Context(), soakLength)
-	defer stop()
-	callers := s.callers(ctx)
-	for ctx.Err() == nil {
-		time.Sleep(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
-		switch s.rng.IntN(3) {
-		case 0:
-			s.restartNode()
-		case 1:
-			s.stopStore(time.Duration(500+s.rng.IntN(2500)) * time.Millisecond)
-		case 2:
-			s.partitionNode(time.Duration(500+s.rng.IntN(1500)) * time.Millisecond)
-		}
-	}
-	callers.Wait()
-}
-
 // check reports a part that is sent on after it has crashed enough servers, and sound requests that are
 // served too rarely.
 func (s *promptSoak) check() {
@@ -114,7 +85,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			s := newPromptSoak(t, seed)
-			s.run()
+			s.runWith(s.callers, s.failNodeOrStore)
 			s.check()
 		})
 	}
--- a/node/soak_streams_test.go
+++ b/node/soak_streams_test.go
@@ -42,14 +42,10 @@
 
 func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
 	c := newVersionedCluster(t, 4)
-	s := &soak{cluster: c, rng: rand.New(rand.NewPCG(seed, 1)), sent: map[string]sentRequest{}, started: map[int]time.Time{}}
-	for i, n := range c.nodes {
-		s.running = append(s.running, soakNode{n, i})
-	}
 	for _, r := range c.replicas {
 		r.UpdateFaults(func(f *replica.Faults) { f.EventInterval = 50 * time.Millisecond })
 	}
-	return &streamSoak{soak: s}
+	return &streamSoak{soak: newSoakOf(c, rand.New(rand.NewPCG(seed, 1)))}
 }
 
 // callers begins and resumes streams until the context ends.
@@ -74,10 +70,7 @@
 	first, last := "", 0
 	var ids []string
 	for range 4 {
-		s.mu.Lock()
-		n := s.running[rand.IntN(len(s.running))]
-		s.mu.Unlock()
-		id, at := newAttemptID(), time.Now()
+		n, id, at := s.pickNode(), newAttemptID(), time.Now()
 		req := s.streamRequest(id, n.runningNode)
 		if first != "" {
 			req.Header.Set("Last-Event-Id", strconv.Itoa(last))
@@ -119,25 +112,6 @@
 	return resp.StatusCode, last
 }
 
-// run plays the callers while nodes restart, the store fails and nodes are partitioned from servers.
-func (s *streamSoak) run() {
-	ctx, stop := context.WithTimeout(s.t.Context(), soakLength)
-	defer stop()
-	callers := s.callers(ctx)
-	for ctx.Err() == nil {
-		time.Sleep(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
-		switch s.rng.IntN(3) {
-		case 0:
-			s.restartNode()
-		case 1:
-			s.stopStore(time.Duration(500+s.rng.IntN(2500)) * time.Millisecond)
-		case 2:
-			s.partitionNode(time.Duration(500+s.rng.IntN(1500)) * time.Millisecond)
-		}
-	}
-	callers.Wait()
-}
-
 // check reports streams of two software versions, and streams that are resumed too rarely.
 func (s *streamSoak) check() {
 	versions := map[string]map[string]bool{}
@@ -179,7 +153,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			s := newStreamSoak(t, seed)
-			s.run()
+			s.runWith(s.callers, s.failNodeOrStore)
 			s.check()
 		})
 	}
--- a/node/soak_test.go
+++ b/node/soak_test.go
@@ -67,19 +67,29 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{
-		cluster: newCluster(t, 3, "e3", "e4", "e5", "e6"), rng: rand.New(rand.NewPCG(seed, 0)),
-		sent: map[string]sentRequest{}, started: map[int]time.Time{},
-	}
-	for i, n := range s.nodes {
-		s.running = append(s.running, soakNode{n, i})
-	}
+	s := newSoakOf(newCluster(t, 3, "e3", "e4", "e5", "e6"), rand.New(rand.NewPCG(seed, 0)))
 	for _, r := range s.replicas {
 		r.UpdateFaults(func(f *replica.Faults) { f.CrashBody = poisonBody })
 	}
 	return s
 }
 
+// newSoakOf returns a soak of a cluster.
+func newSoakOf(c *cluster, rng *rand.Rand) *soak {
+	s := &soak{cluster: c, rng: rng, sent: map[string]sentRequest{}, started: map[int]time.Time{}}
+	for i, n := range c.nodes {
+		s.running = append(s.running, soakNode{n, i})
+	}
+	return s
+}
+
+// pickNode returns a random node that takes requests.
+func (s *soak) pickNode() soakNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[rand.IntN(len(s.running))]
+}
+
 // request sends one request through a node that takes requests.
 func (s *soak) request(path, model, body string) {
 	id := newAttemptID()
@@ -190,14 +200,31 @@
 }
 
 func (s *soak) run() {
+	s.runWith(s.callers, s.injectFault)
+}
+
+// runWith plays callers and injects faults.
+func (s *soak) runWith(callers func(context.Context) *sync.WaitGroup, injectFault func()) {
 	ctx, stop := context.WithTimeout(s.t.Context(), soakLength)
 	defer stop()
-	callers := s.callers(ctx)
+	running := callers(ctx)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(s.rng.IntN(800)) * time.Millisecond)
-		s.injectFault()
+		injectFault()
+	}
+	running.Wait()
+}
+
+// failNodeOrStore restarts a node, stops the store, or partitions a node from all servers.
+func (s *soak) failNodeOrStore() {
+	switch s.rng.IntN(3) {
+	case 0:
+		s.restartNode()
+	case 1:
+		s.stopStore(time.Duration(500+s.rng.IntN(2500)) * time.Millisecond)
+	case 2:
+		s.partitionNode(time.Duration(500+s.rng.IntN(1500)) * time.Millisecond)
 	}
-	callers.Wait()
 }
 
 func (s *soak) arrivals() []arrival {
