--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # the front door: make demo, make test
 GOLANGCI_VERSION = v2.15.0
 GOPLS_VERSION = v0.23.0
+BUF_VERSION = v1.75.0
 PROTOC_GEN_GO_VERSION = v1.36.12
 PROTOC_GEN_TWIRP_VERSION = v8.1.3+incompatible
 TOOLS = $(CURDIR)/.tools/bin
@@ -35,14 +36,12 @@
 test: lint
 	go test -race -timeout 8m ./...
 
-# needs protoc (Debian: protobuf-compiler); what it writes is committed
+# what it writes is committed
 generate:
+	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
 	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
 	GOBIN=$(TOOLS) go install github.com/twitchtv/twirp/protoc-gen-twirp@$(PROTOC_GEN_TWIRP_VERSION)
-	for f in peer/*pb/*.proto; do \
-		PATH="$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=galenastair \
-			--twirp_out=. --twirp_opt=module=galenastair $$f || exit 1; \
-	done
+	PATH="$(TOOLS):$$PATH" buf generate --path peer
 
 demo: build
 	bash scenario/demo.sh
