node: the soaks of streams and prompt parts count served requests once the faults have ended

An outage that was going on did not count as one, either. Requests are kept and judged at the end now, by the same bounds.

--- a/node/soak_prompt_test.go
+++ b/node/soak_prompt_test.go
@@ -43,8 +43,8 @@
 			for i := 0; ctx.Err() == nil; i++ {
 				n, at := s.pickNode(), time.Now()
 				served := s.traffic.send(n.runningNode, fmt.Sprintf("c%d", i%3))
-				if at.After(began.Add(2*poisonTimeout)) && s.inTouch(n.index, at) && s.inTouch(n.index, time.Now()) {
-					s.begun.count(served)
+				if at.After(began.Add(2 * poisonTimeout)) {
+					s.begun.count(n.index, at, served)
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
@@ -71,11 +71,12 @@
 	if late > maxPoisonSends {
 		s.t.Errorf("%d requests with the part were sent later than %s after the fifth crash", late, poisonTimeout)
 	}
-	if s.begun.asked.Load() >= 20 && s.begun.of() < 0.5 {
-		s.t.Errorf("%.2f of the requests without the part were served", s.begun.of())
+	asked, served := s.begun.of(s.soak)
+	if asked >= 20 && served < 0.5 {
+		s.t.Errorf("%.2f of the requests without the part were served", served)
 	}
 	s.t.Logf("%d crashes, %d late, %.2f of %d sound requests served, %d outages, %d restarts",
-		len(crashes), late, s.begun.of(), s.begun.asked.Load(), len(s.outages), len(s.started))
+		len(crashes), late, served, asked, len(s.outages), len(s.started))
 }
 
 // Guards against a part that crashes servers on and on, or is refused beside sound ones, while nodes
--- a/node/soak_streams_test.go
+++ b/node/soak_streams_test.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,21 +23,44 @@
 	*soak
 	// attempts are the IDs of the attempts of each stream.
 	attempts [][]string
-	// begun and resumed count what nodes in touch were asked for and have served.
+	// begun and resumed count the first and the further attempts.
 	begun, resumed share
 }
 
 // share counts requests and those of them that were served.
-type share struct{ asked, served atomic.Int64 }
+type share struct {
+	mu       sync.Mutex
+	requests []countedRequest
+}
 
-func (s *share) count(served bool) {
-	s.asked.Add(1)
-	if served {
-		s.served.Add(1)
-	}
+// countedRequest is a request at a node from its start to its end.
+type countedRequest struct {
+	node       int
+	start, end time.Time
+	served     bool
 }
 
-func (s *share) of() float64 { return float64(s.served.Load()) / float64(max(1, s.asked.Load())) }
+func (s *share) count(node int, start time.Time, served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, countedRequest{node, start, time.Now(), served})
+}
+
+// of returns the number of the requests at nodes in touch, and the share of them that was served. It is
+// called once the faults have ended.
+func (s *share) of(k *soak) (asked int, served float64) {
+	n := 0
+	for _, r := range s.requests {
+		if !k.inTouch(r.node, r.start) || !k.inTouch(r.node, r.end) {
+			continue
+		}
+		asked++
+		if r.served {
+			n++
+		}
+	}
+	return asked, float64(n) / float64(max(1, asked))
+}
 
 func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
 	c := newVersionedCluster(t, 4)
@@ -78,13 +100,11 @@
 		}
 		ids = append(ids, id)
 		status, event := readEvents(req, 1+rand.IntN(2))
-		if s.inTouch(n.index, at) && s.inTouch(n.index, time.Now()) {
-			counted := &s.resumed
-			if first == "" {
-				counted = &s.begun
-			}
-			counted.count(status == http.StatusOK)
+		counted := &s.resumed
+		if first == "" {
+			counted = &s.begun
 		}
+		counted.count(n.index, at, status == http.StatusOK)
 		if status != http.StatusOK {
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -139,11 +159,13 @@
 	if mixed > maxMixedStreams {
 		s.t.Errorf("%d streams hold events of two software versions", mixed)
 	}
-	if s.resumed.asked.Load() >= 12 && s.resumed.of() < s.begun.of()/2 {
-		s.t.Errorf("%.2f of the resumed streams went on, %.2f of the new ones", s.resumed.of(), s.begun.of())
+	resumes, resumed := s.resumed.of(s.soak)
+	begins, begun := s.begun.of(s.soak)
+	if resumes >= 12 && resumed < begun/2 {
+		s.t.Errorf("%.2f of the resumed streams went on, %.2f of the new ones", resumed, begun)
 	}
 	s.t.Logf("%d streams, %d of two versions, %.2f of %d resumed, %.2f of %d begun, %d outages, %d restarts",
-		len(s.attempts), mixed, s.resumed.of(), s.resumed.asked.Load(), s.begun.of(), s.begun.asked.Load(), len(s.outages), len(s.started))
+		len(s.attempts), mixed, resumed, resumes, begun, begins, len(s.outages), len(s.started))
 }
 
 // Guards against streams of two software versions, or that can't be resumed, while nodes restart or are
