stream: expired records hold up no batch for a recorder (ORDER)

Found by reading: where a whole batch of records that a recorder lacked had expired behind one that had not, the batch was empty and never confirmed, so that the recorder got nothing more until that record expired. TestExpiredRecordsHoldUpNoBatch failed before.

--- a/stream/outbox.go
+++ b/stream/outbox.go
@@ -100,7 +100,11 @@
 	defer o.mu.Unlock()
 	out := map[string]Batch{}
 	for address, r := range o.recorders {
-		if b := o.batch(now, r.delivered); r.named && len(b.Records) > 0 {
+		b := o.batch(now, r.delivered)
+		switch {
+		case len(b.Records) == 0:
+			r.delivered = b.last
+		case r.named:
 			out[address] = b
 		}
 	}
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -83,6 +83,24 @@
 	is.Equal(asked, []string{"b"})
 }
 
+// Guards against a recorder that gets nothing more, as the records that it lacks have expired.
+func TestExpiredRecordsHoldUpNoBatch(t *testing.T) {
+	is := is.New(t)
+	o := NewOutbox()
+	o.SetRecorders(start, []string{"a"})
+	long := record("long")
+	long.TimeLeft = time.Hour
+	o.Add(start, long)
+	o.Confirm("a", o.Batches(start)["a"], 1)
+	for i := range maxBatch {
+		o.Add(start, Record{Key: Key(i), TimeLeft: time.Second})
+	}
+	now := start.Add(time.Minute)
+	o.Add(now, record("r1"))
+	o.Batches(now)
+	is.Equal(len(o.Batches(now)["a"].Records), 1)
+}
+
 // Guards against a memory that grows with the streams of an instance, or records that a recorder lacks.
 func TestOutboxDeliversAllRecordsThatHaveNotExpired(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
