--- a/claim/parts.go
+++ b/claim/parts.go
@@ -20,13 +20,9 @@
 	tiedCrashes = 2
 )
 
-// PartTracker finds parts of prompts that crash the backend servers which begin to answer requests with
-// them, and refuses those requests. It is designed for requests of which no two are alike, and which
-// share other parts with sound ones.
-//
-// A part is suspected once several servers have crashed under it, on any instance, while no request with
-// it was completed. A request whose suspected parts may all be blameless, as a suspected part that it
-// lacks has crashed the same servers, is allowed: its completion clears them.
+// PartTracker refuses requests with a part in their prompts that crashes backend servers, though no two
+// of them are alike. A part is suspected once several servers have crashed under it, on any instance,
+// while no request with it was completed.
 type PartTracker struct {
 	mu             sync.Mutex
 	records        map[Part]*partRecord
@@ -62,7 +58,7 @@
 }
 
 // explained reports whether a suspected part that a request lacks may be the cause of the crashes under
-// one of its parts.
+// one of its parts. Such a request is allowed, as its completion clears the blameless part.
 func (p *PartTracker) explained(now time.Time, part Part, parts []Part) bool {
 	r := p.records[part]
 	for other, o := range p.records {
--- a/node/prompt_test.go
+++ b/node/prompt_test.go
@@ -98,14 +98,21 @@
 	return out
 }
 
+// refusalDue returns from when on the part must be refused: some time after the fifth crash, or the last
+// of fewer.
+func refusalDue(t *testing.T, crashes []time.Time) time.Time {
+	t.Helper()
+	if len(crashes) == 0 {
+		t.Fatal("no server has crashed")
+	}
+	return crashes[min(partCrashes, len(crashes))-1].Add(poisonTimeout)
+}
+
 // check checks that servers get the part no more, and that the other requests are served.
 func (p *promptTraffic) check() {
 	p.c.t.Helper()
 	crashes := p.c.crashTimes()
-	if len(crashes) < partCrashes {
-		return
-	}
-	end := crashes[partCrashes-1].Add(poisonTimeout)
+	end := refusalDue(p.c.t, crashes)
 	if late := len(slices.DeleteFunc(slices.Clone(crashes), func(at time.Time) bool { return at.Before(end) })); late > maxPoisonSends {
 		p.c.t.Errorf("%d requests with the part were sent later than %s after the fifth crash", late, poisonTimeout)
 	}
--- a/node/soak_prompt_test.go
+++ b/node/soak_prompt_test.go
@@ -57,14 +57,11 @@
 // served too rarely.
 func (s *promptSoak) check() {
 	crashes := s.crashTimes()
-	late := 0
-	if len(crashes) >= partCrashes {
-		end := crashes[partCrashes-1].Add(poisonTimeout)
-		for _, r := range s.replicas {
-			for _, run := range r.Runs() {
-				if run.StartedAt.After(end) && hasCrashPart(run) && s.inTouch(nodeIndex(run.Source), run.StartedAt) {
-					late++
-				}
+	late, end := 0, refusalDue(s.t, crashes)
+	for _, r := range s.replicas {
+		for _, run := range r.Runs() {
+			if run.StartedAt.After(end) && hasCrashPart(run) && s.inTouch(nodeIndex(run.Source), run.StartedAt) {
+				late++
 			}
 		}
 	}
@@ -72,8 +69,8 @@
 		s.t.Errorf("%d requests with the part were sent later than %s after the fifth crash", late, poisonTimeout)
 	}
 	asked, served := s.begun.of(s.soak)
-	if asked >= 20 && served < 0.5 {
-		s.t.Errorf("%.2f of the requests without the part were served", served)
+	if len(s.begun.requests) == 0 || asked >= 20 && served < 0.5 {
+		s.t.Errorf("%.2f of %d requests without the part were served", served, asked)
 	}
 	s.t.Logf("%d crashes, %d late, %.2f of %d sound requests served, %d outages, %d restarts",
 		len(crashes), late, served, asked, len(s.outages), len(s.started))
