--- a/node/exchange.go
+++ b/node/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +15,7 @@
 	"galenastair/account"
 	"galenastair/boottime"
 	"galenastair/claim"
+	"galenastair/httpclient"
 	"galenastair/lease"
 	"galenastair/peer/planning"
 	"galenastair/planner"
@@ -70,6 +73,31 @@
 	lastChangeLeader string
 }
 
+func (n *Node) newLeaderClient() *leaderClient {
+	c := &leaderClient{
+		self:          n.settings.ID,
+		elector:       n.elector,
+		client:        planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
+		localPlanner:  n.planner,
+		partition:     n.partition,
+		directory:     n.directory,
+		pool:          n.pool,
+		borrower:      n.borrower,
+		accounts:      n.accounts,
+		limitFallback: ratelimit.NewFallbackLimiter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		stopping:      n.stopping.Load,
+		logger:        n.logger,
+		address:       n.settings.PeerAddress,
+		zone:          n.settings.AvailabilityZone,
+		quotaKnown:    newStartupWait(quotaStartTimeout),
+		demands:       map[galenastair.ModelName]time.Duration{},
+		topics:        n.topics,
+	}
+	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCountingWindow(poisonWindow))
+	c.partTracker = claim.NewPartTracker(c.announcePart, poisonWindow)
+	return c
+}
+
 // RecordDemand adds the engine time of a request to the input of the planner's demand forecast.
 func (c *leaderClient) RecordDemand(name galenastair.ModelName, work time.Duration) {
 	c.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net"
-	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -20,20 +18,16 @@
 	"galenastair/control"
 	"galenastair/follow"
 	"galenastair/gateway"
-	"galenastair/httpclient"
 	"galenastair/httpconn"
 	"galenastair/httpserve"
 	"galenastair/lease"
 	"galenastair/overload"
-	"galenastair/peer/planning"
 	"galenastair/planner"
 	"galenastair/platform"
 	"galenastair/pool"
 	"galenastair/quota"
-	"galenastair/ratelimit"
 	"galenastair/rungroup"
 	"galenastair/settings"
-	"galenastair/stream"
 )
 
 const (
@@ -41,28 +35,6 @@
 	// accepted. It covers the time between the check of a key and the arrival of the request
 	// at the backend server.
 	authorisationMargin = 300 * time.Millisecond
-	// maxConfigPollTimeout and registrationPollTimeout are the timeouts of long polls. They bound
-	// how long a dead connection can hide a new version, or that a server is leaving.
-	maxConfigPollTimeout    = 1700 * time.Millisecond
-	registrationPollTimeout = 2 * time.Second
-	// leaderReadInterval is the minimum time between two reads by the leader, which reads for
-	// all instances.
-	leaderReadInterval = 400 * time.Millisecond
-	// hintMargin is subtracted from the time within which a change must take effect. It covers
-	// the call to the store that an instance makes once the leader's last hint is too old.
-	hintMargin = 400 * time.Millisecond
-	// leaderPollTimeout is the timeout of the leader's long polls. It bounds the age of the
-	// leader's hints while nothing changes.
-	leaderPollTimeout = 450 * time.Millisecond
-	// maxHintAgeFloor is the minimum of maxHintAge on platforms whose bounds leave no time.
-	maxHintAgeFloor = 100 * time.Millisecond
-	// minConfigPollTimeout is the minimum of configPollTimeout on such platforms.
-	minConfigPollTimeout = 100 * time.Millisecond
-	// configReadInterval and registrationReadInterval are the minimum times between two reads,
-	// so that one call returns several changes in a row. They are well below the times within
-	// which a version, or the leaving of a server, must take effect.
-	configReadInterval       = 150 * time.Millisecond
-	registrationReadInterval = time.Second
 	// requestTransitTime is the maximum time from the choice of a leaving server to the arrival
 	// of the request there.
 	requestTransitTime = 600 * time.Millisecond
@@ -181,47 +153,6 @@
 	n.storeCalls.observe(c)
 }
 
-func (n *Node) newLeaderClient() *leaderClient {
-	c := &leaderClient{
-		self:          n.settings.ID,
-		elector:       n.elector,
-		client:        planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
-		localPlanner:  n.planner,
-		partition:     n.partition,
-		directory:     n.directory,
-		pool:          n.pool,
-		borrower:      n.borrower,
-		accounts:      n.accounts,
-		limitFallback: ratelimit.NewFallbackLimiter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		stopping:      n.stopping.Load,
-		logger:        n.logger,
-		address:       n.settings.PeerAddress,
-		zone:          n.settings.AvailabilityZone,
-		quotaKnown:    newStartupWait(quotaStartTimeout),
-		demands:       map[galenastair.ModelName]time.Duration{},
-		topics:        n.topics,
-	}
-	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCountingWindow(poisonWindow))
-	c.partTracker = claim.NewPartTracker(c.announcePart, poisonWindow)
-	return c
-}
-
-func (n *Node) newStreamOrigins() *streamOrigins {
-	return &streamOrigins{
-		self:        n.settings.PeerAddress,
-		incarnation: newStreamIncarnation(),
-		table:       stream.NewTable(),
-		outbox:      stream.NewOutbox(),
-		added:       make(chan struct{}, 1),
-		client:      n.leaderClient.client,
-		pool:        n.pool,
-		viewAge:     func() (time.Duration, bool) { return n.serverWatcher.follower.Age() },
-		maxViewAge:  n.settings.Bounds.LeaveTimeout,
-		fleetSize:   n.borrower.ReportedFleetSize,
-		logger:      n.logger,
-	}
-}
-
 func (n *Node) newGateway(backend galenastair.Backend) *gateway.Gateway {
 	b := n.settings.Bounds
 	return gateway.New(gateway.Settings{
@@ -246,37 +177,6 @@
 	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
 }
 
-// maxHintAge returns the maximum age of a hint that this instance uses instead of reading the
-// store itself.
-func (n *Node) maxHintAge() time.Duration {
-	return max(maxHintAgeFloor, min(n.settings.Bounds.ApplyTimeout, n.settings.Bounds.LeaveTimeout)-hintMargin)
-}
-
-// pollTimeout returns the timeout of a long poll. The leader polls more often, because the age of
-// its data bounds the age of all other instances' data.
-func (n *Node) pollTimeout(nonLeader time.Duration) time.Duration {
-	if n.lease.Holds() {
-		return leaderPollTimeout
-	}
-	return nonLeader
-}
-
-// configPollTimeout returns the timeout of an instance that reads the configuration itself. While
-// nothing changes, its configuration gets as old as two polls take, which must be less than the age
-// at which it can deny no request any more.
-func (n *Node) configPollTimeout() time.Duration {
-	return min(maxConfigPollTimeout, max(minConfigPollTimeout, (n.settings.Bounds.ApplyTimeout-hintMargin)/2))
-}
-
-// registrationReadInterval returns the minimum time between two reads of the registrations. The
-// leader reads more often, because its changes reach the other instances one exchange later.
-func (n *Node) registrationReadInterval() time.Duration {
-	if n.lease.Holds() {
-		return leaderReadInterval
-	}
-	return registrationReadInterval
-}
-
 // topics returns the topics that this instance follows. It must not be called before Run.
 func (n *Node) topics() []topicState {
 	return []topicState{
--- a/node/streams.go
+++ b/node/streams.go
@@ -45,6 +45,22 @@
 	logger     log.Logger
 }
 
+func (n *Node) newStreamOrigins() *streamOrigins {
+	return &streamOrigins{
+		self:        n.settings.PeerAddress,
+		incarnation: newStreamIncarnation(),
+		table:       stream.NewTable(),
+		outbox:      stream.NewOutbox(),
+		added:       make(chan struct{}, 1),
+		client:      n.leaderClient.client,
+		pool:        n.pool,
+		viewAge:     func() (time.Duration, bool) { return n.serverWatcher.follower.Age() },
+		maxViewAge:  n.settings.Bounds.LeaveTimeout,
+		fleetSize:   n.borrower.ReportedFleetSize,
+		logger:      n.logger,
+	}
+}
+
 // Record keeps where a stream began, also at the recorders.
 func (s *streamOrigins) Record(id galenastair.RequestID, o stream.Origin, timeLeft time.Duration) {
 	now := time.Now()
