httpconn, gateway: tests of responses without length or chunks, and of streams that end inside an event

The cases without a Connection header were missing: one that ends with its connection is complete, one that is reset is not. A stream that ends inside an event goes on at another server after its last whole event. All pass without a change of the product.

--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -48,3 +48,13 @@
 	is.NoErr(err)
 	is.Equal(to.body.String(), body)
 }
+
+// Guards against a stream without a length that ends inside an event and is taken for complete.
+func TestStreamThatEndsInsideAnEventGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(respond(200, "id: 1\ndata: a\n\nid: 2\nda"), respond(200, "id: 2\ndata: b\n\n"))
+	to, _, err := env.serve(t, "/stream/1")
+	is.NoErr(err)
+	is.Equal(to.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	is.Equal(env.backend.calls[1].LastEventID, "1")
+}
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -190,6 +190,8 @@
 		"reset without length":    {scriptedResponse{raw: "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\nhalf", reset: true}, "half", true},
 		"complete chunked":        {scriptedResponse{raw: chunked + "5\r\nwhole\r\n0\r\n\r\n"}, "whole", false},
 		"complete until close":    {scriptedResponse{raw: "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\nwhole", close: true}, "whole", false},
+		"no length, no header":    {scriptedResponse{raw: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole", close: true}, "whole", false},
+		"reset, no header":        {scriptedResponse{raw: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf", reset: true}, "half", true},
 		"malformed response":      {scriptedResponse{raw: "\x00\x01garbage\r\n\r\n", close: true}, "", true},
 	} {
 		t.Run(name, func(t *testing.T) {
