--- a/follow/follower.go
+++ b/follow/follower.go
@@ -21,9 +21,6 @@
 	// and the retries of 370 instances take a tenth of the store's capacity.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
-	// maxConnIdle is the time for which a connection to the store may have been idle before a
-	// long poll uses it. One that was idle for longer may have failed without being closed.
-	maxConnIdle = 500 * time.Millisecond
 	// maxStaleReads is the number of consecutive answers with a topic end below the current
 	// offset after which the topic counts as recreated; fewer are treated as stale reads.
 	maxStaleReads = 8
@@ -68,8 +65,6 @@
 	// has dropped the records at next.
 	listed     bool
 	staleReads int
-	// lastPoll is when the store last answered a poll of this instance.
-	lastPoll boottime.Time
 	// lastHint is the time of the newest confirmation from a hint, or of the last listing.
 	lastHint boottime.Time
 }
@@ -219,7 +214,6 @@
 	case err != nil:
 		return 0, err
 	}
-	f.lastPoll = f.clock()
 	snapshot := !f.listed
 	if batch.End < f.next && f.countStaleRead() {
 		return 0, galenastair.ErrStoreUnavailable
@@ -243,7 +237,7 @@
 		return f.store.Newest(ctx, f.topic)
 	}
 	wait := f.pollTimeout()
-	if f.unavailable.Load() || f.clock().Sub(f.lastPoll) > maxConnIdle {
+	if f.unavailable.Load() {
 		// without a long poll, a call that doesn't reach the store fails sooner, and the
 		// store's recovery is noticed sooner
 		wait = 0
