--- a/place/board.go
+++ b/place/board.go
@@ -47,6 +47,9 @@
 
 // loadFor returns the load that work causes on the backend server.
 func (s *planServer) loadFor(work float64) float64 {
+	if s.SpeedFactor > 0 {
+		work *= s.SpeedFactor
+	}
 	if s.RateLimited {
 		return rateLimitedLoadFactor * work
 	}
--- a/place/input.go
+++ b/place/input.go
@@ -35,6 +35,9 @@
 	// RateLimited is set while the backend server accepts few requests, so that routers choose
 	// it last. Its copies keep models reachable and do little work.
 	RateLimited bool
+	// SpeedFactor is the time that the backend server takes for work, relative to the fleet: 2 is
+	// half as fast; 0 counts as 1.
+	SpeedFactor float64
 	// Unschedulable is set when no order can be sent now; loaded copies keep answering.
 	Unschedulable bool
 	// SchedulableSoon is set when the backend server is unschedulable, but probably for less
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -32,6 +32,7 @@
 	// Zones are the availability zones with their regions.
 	Zones  map[galenastair.AvailabilityZone]galenastair.Region
 	Bounds Bounds
+	Load   LoadHandling
 }
 
 // Bounds are the limits that the users' platform requires the system to keep.
@@ -64,6 +65,30 @@
 	QuotaSlack  float64
 }
 
+// LoadHandling switches what an instance does under shortage, and where demand or backend servers are uneven.
+type LoadHandling struct {
+	// ServerSpeeds has the instances share how fast each backend server is.
+	ServerSpeeds bool
+	// YieldToUrgent has requests wait for more urgent ones, or refuses them.
+	YieldToUrgent Mode
+	// RelieveSaturated has the leader order copies of models of saturated engines.
+	RelieveSaturated bool
+	// HeldMemory is the fraction of the memory limit that may hold bytes for callers and backend
+	// servers; 0 is no limit.
+	HeldMemory float64
+}
+
+// Mode is how a mechanism is run.
+type Mode string
+
+// The modes of a mechanism.
+const (
+	ModeOff Mode = "false"
+	ModeOn  Mode = "true"
+	// ModeLog logs what the mechanism would do, and does nothing.
+	ModeLog Mode = "log"
+)
+
 // bytesPerMB is decimal, as the platform's memory limits are.
 const bytesPerMB = 1_000_000
 
@@ -95,6 +120,10 @@
 		required(duration("Bounds", "QuotaWindow", &b.QuotaWindow, 100*time.Millisecond, time.Hour)),
 		required(decimal("Bounds", "QuotaOver", &b.QuotaOver, 0, 10)),
 		required(decimal("Bounds", "QuotaSlack", &b.QuotaSlack, 0, 1e12)),
+		boolean("Load", "ServerSpeeds", &g.Load.ServerSpeeds),
+		mode("Load", "YieldToUrgent", &g.Load.YieldToUrgent),
+		boolean("Load", "RelieveSaturated", &g.Load.RelieveSaturated),
+		decimal("Load", "HeldMemory", &g.Load.HeldMemory, 0, 0.9),
 	}
 }
 
@@ -108,6 +137,17 @@
 	}}
 }
 
+func mode(section, key string, dst *Mode) field {
+	return field{section, key, false, "true, false or log", func(s string) error {
+		switch m := Mode(s); m {
+		case ModeOff, ModeOn, ModeLog:
+			*dst = m
+			return nil
+		}
+		return errInvalidValue
+	}}
+}
+
 // zones is a list of ZONE:REGION, separated by commas. The platform's template renders nothing where
 // the platform names no zones.
 func zones(section, key string, dst *map[galenastair.AvailabilityZone]galenastair.Region) field {
@@ -143,7 +183,7 @@
 
 // ParseGateway parses and validates the text of such a file. The error lists all problems.
 func ParseGateway(text []byte) (Gateway, error) {
-	var g Gateway
+	g := Gateway{Load: LoadHandling{YieldToUrgent: ModeOff}}
 	fields := g.fields()
 	file, err := inifile.Parse(text, fields.schema(), maxFileBytes)
 	if err != nil {
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -38,6 +38,11 @@
 QuotaOver = 0.1
 QuotaSlack = 17000
 FencesChecked = true
+[Load]
+ServerSpeeds = true
+YieldToUrgent = log
+RelieveSaturated = true
+HeldMemory = 0.25
 `
 
 func TestParseGateway(t *testing.T) {
@@ -48,6 +53,7 @@
 	is.Equal(g.Bounds.KeyLife, 5*time.Second)
 	is.True(g.Bounds.FencesChecked)
 	is.Equal(g.LinkMbps, 1000.0)
+	is.Equal(g.Load, LoadHandling{ServerSpeeds: true, YieldToUrgent: ModeLog, RelieveSaturated: true, HeldMemory: 0.25})
 }
 
 // Guards against a required key that is missing or empty and goes unnoticed, as when the platform
@@ -58,6 +64,7 @@
 		"missing":    strings.Replace(gatewayText, "KeyLife = 5000ms\n", "", 1),
 		"empty":      strings.Replace(gatewayText, "5000ms", "ms", 1),
 		"unknown":    gatewayText + "Other = 1\n",
+		"mode":       strings.Replace(gatewayText, "= log", "= maybe", 1),
 		"no boolean": strings.Replace(gatewayText, "= true", "= yes", 1),
 		"host name":  strings.Replace(gatewayText, "127.0.0.1:8225", "store:8225", 1),
 	} {
