platform, registry, pool, gateway: a backend server that announces when it ends gets nothing that it would cut

Its registration may say for how long it still runs (leaves-ms). The time is carried to all instances as the earliest possible one. Requests that are not expected to end before are sent elsewhere, also where it has the only copy; resumable streams that would be cut go on at another server before, at random times, within the route's attempts and the retry budget. Its end does not count as a crash under the requests that it cut.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,11 +35,13 @@
 		return err
 	}
 	now := r.g.clock.Now()
-	attempt := r.g.pool.Begin(now, choice.ID, r.poolQuery())
+	query := r.poolQuery()
+	attempt := r.g.pool.Begin(now, choice.ID, query)
+	r.lastAttempt, r.moveAt = attempt, time.Time{}
 	r.tried, r.serverVersion = append(r.tried, choice.ID), choice.Version
 	r.sends++
 	r.attemptWrites = 0
-	outgoing := r.backendRequest(choice, now)
+	outgoing := r.backendRequest(choice, query, now)
 	r.g.logger.Log("event", "route", "request", r.req.ID, "server", choice.ID, "server_version", choice.Version, "after", outgoing.LastEventID, "resumes", r.req.Resumes, "zone", choice.AvailabilityZone, "reason", choice.Reason,
 		"candidates", choice.Candidates, "foretold", choice.PredictedLatency, "cached", int64(choice.CachedTokens), "send", r.sends)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -91,11 +93,14 @@
 	}
 }
 
-func (r *activeRequest) backendRequest(choice pool.Choice, now time.Time) galenastair.BackendRequest {
+func (r *activeRequest) backendRequest(choice pool.Choice, query pool.Query, now time.Time) galenastair.BackendRequest {
 	c := r.outgoingRequest(now)
 	c.ExpectedServer = choice.ID
 	c.Organisation = r.admission.organisationName()
-	c.ShouldSend = func() bool { return r.g.pool.Usable(r.g.clock.Now(), choice.ID) }
+	c.ShouldSend = func() bool {
+		now := r.g.clock.Now()
+		return r.g.pool.Usable(now, choice.ID) && r.g.pool.EndsBeforeServer(now, choice.ID, query)
+	}
 	if r.req.Hints.Model != "" {
 		c.Priority = r.admission.priority()
 	}
@@ -287,6 +292,11 @@
 				attempt.End(r.g.clock.Now(), pool.Neutral)
 				return errCallerGone
 			}
+			if err == nil && r.shouldMove(r.g.clock.Now(), attempt) {
+				r.events.discardPartial()
+				attempt.End(r.g.clock.Now(), pool.Neutral)
+				return errServerEnds
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return r.finishStream(attempt, resp)
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -25,9 +25,9 @@
 }
 
 // recordCrash counts a response that broke off, with or without its header, as a crash under
-// the request.
+// the request. A server that ends when it has announced to has not crashed.
 func (r *activeRequest) recordCrash(ctx context.Context, choice pool.Choice, err error) {
-	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) {
+	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) || r.lastAttempt.ServerEnded(r.g.clock.Now()) {
 		return
 	}
 	server := claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,6 +50,10 @@
 	streamVersion     *galenastair.SoftwareVersion
 	placementRequests int
 	status            int
+	lastAttempt       *pool.Attempt
+	// moveAt is when the stream of the last attempt is resumed elsewhere if its server ends before it;
+	// zero if not decided.
+	moveAt time.Time
 }
 
 // Serve handles one request. A nil error means that w got a complete response. Otherwise
@@ -176,8 +180,9 @@
 	if r.sends >= r.maxAttempts()+maxExtraSends || r.checkPoison() != nil {
 		return err
 	}
-	// An attempt that was not sent put no load on a backend server and costs no budget.
-	if !errors.Is(err, galenastair.ErrNotSent) && !r.g.spendRetry(r.service) {
+	// An attempt that was not sent put no load on a backend server and costs no budget. For a stream
+	// that is moved, shouldMove has spent it.
+	if !errors.Is(err, galenastair.ErrNotSent) && !errors.Is(err, errServerEnds) && !r.g.spendRetry(r.service) {
 		return err
 	}
 	r.g.recorder.Retried(retryReason(err))
@@ -209,6 +214,8 @@
 		return "Cut"
 	case errors.Is(err, galenastair.ErrInvalidResponse):
 		return "Crossed"
+	case errors.Is(err, errServerEnds):
+		return "Leaving"
 	}
 	return "Failed"
 }
--- a/node/servers.go
+++ b/node/servers.go
@@ -22,6 +22,9 @@
 	reregisterTimeout = 2600 * time.Millisecond
 	// sweepInterval is the interval at which expired registrations are checked.
 	sweepInterval = 250 * time.Millisecond
+	// maxRegistrationAge bounds the age of a registration that is read before the store has confirmed
+	// any: a registration expires three heartbeats of a second after the last.
+	maxRegistrationAge = 3 * time.Second
 )
 
 // serverWatcher follows the registrations of backend servers.
@@ -45,6 +48,9 @@
 	leaving     map[galenastair.BackendServerID]bool
 	// pendingEvents are the servers of each kind of event that are not logged yet.
 	pendingEvents [numServerEvents][]string
+	endAnnounced  map[galenastair.BackendServerID]bool
+	// soonestEnd is the shortest time left of the servers in pendingEvents that announced their end.
+	soonestEnd time.Duration
 }
 
 // serverEvent is a kind of change of a backend server's registration.
@@ -52,13 +58,15 @@
 
 const (
 	serverLeaving serverEvent = iota
+	// serverEndAnnounced is the announcement of the time at which a leaving server ends.
+	serverEndAnnounced
 	// serverExpired is the loss of a registration whose server may register again.
 	serverExpired
 	serverRemoved
 	numServerEvents
 )
 
-var eventNames = [numServerEvents]string{"backend server leaving", "backend server expired", "backend server gone"}
+var eventNames = [numServerEvents]string{"backend server leaving", "backend server end announced", "backend server expired", "backend server gone"}
 
 func (s *serverWatcher) recordEvent(e serverEvent, id galenastair.BackendServerID) {
 	s.pendingEvents[e] = append(s.pendingEvents[e], string(id))
@@ -68,9 +76,14 @@
 // would cause as many lines as there are instances times servers.
 func (s *serverWatcher) logEvents() {
 	for e, ids := range s.pendingEvents {
-		if len(ids) > 0 {
-			s.logger.Log("event", eventNames[e], "count", len(ids), "server", strings.Join(ids, ","))
+		if len(ids) == 0 {
+			continue
+		}
+		keyvals := []any{"event", eventNames[e], "count", len(ids), "server", strings.Join(ids, ",")}
+		if serverEvent(e) == serverEndAnnounced {
+			keyvals = append(keyvals, "left", s.soonestEnd)
 		}
+		s.logger.Log(keyvals...)
 	}
 	s.pendingEvents = [numServerEvents][]string{}
 }
@@ -96,7 +109,9 @@
 		expired:     map[galenastair.BackendServerID]bool{},
 		undecodable: map[galenastair.BackendServerID]bool{},
 		leaving:     map[galenastair.BackendServerID]bool{},
-		table:       registry.NewTable(),
+
+		endAnnounced: map[galenastair.BackendServerID]bool{},
+		table:        registry.NewTable(),
 	}
 }
 
@@ -206,8 +221,18 @@
 		}
 		return
 	}
-	s.table.Set(r.Offset, srv)
-	s.update(now, srv)
+	if !srv.GoneAt.IsZero() {
+		srv.GoneAt = srv.GoneAt.Add(-s.maxRecordAge())
+	}
+	s.update(now, s.table.Set(r.Offset, srv))
+}
+
+// maxRecordAge returns how long ago a record that has just been read may have been written.
+func (s *serverWatcher) maxRecordAge() time.Duration {
+	if age, known := s.follower.Age(); known {
+		return age
+	}
+	return maxRegistrationAge
 }
 
 // update passes the current registration of a server to onUpdate.
@@ -217,9 +242,26 @@
 		s.recordEvent(serverLeaving, srv.ID)
 	}
 	s.leaving[srv.ID] = srv.Leaving
+	s.recordEnd(now, srv)
 	s.onUpdate(s.withLeavingSince(now, srv))
 }
 
+// recordEnd records the first announcement of when a server ends.
+func (s *serverWatcher) recordEnd(now time.Time, srv pool.Server) {
+	if srv.GoneAt.IsZero() {
+		delete(s.endAnnounced, srv.ID)
+		return
+	}
+	if s.endAnnounced[srv.ID] {
+		return
+	}
+	s.endAnnounced[srv.ID] = true
+	if left := srv.GoneAt.Sub(now); len(s.pendingEvents[serverEndAnnounced]) == 0 || left < s.soonestEnd {
+		s.soonestEnd = left
+	}
+	s.recordEvent(serverEndAnnounced, srv.ID)
+}
+
 // handleRemoval handles a registration that no longer exists. It defers the removal of the server
 // after a failed call to the store: in an outage no server can renew its registration, so that all
 // of them expire at once and return shortly after. Other instances are sent the removal
@@ -247,6 +289,7 @@
 	delete(s.offsets, id)
 	delete(s.expired, id)
 	delete(s.leaving, id)
+	delete(s.endAnnounced, id)
 	delete(s.undecodable, id)
 	s.recordEvent(serverRemoved, id)
 	s.onRemove(id)
--- a/node/servers_test.go
+++ b/node/servers_test.go
@@ -158,3 +158,25 @@
 	v.applyRecords(now, 1, false, tombstone("i-1"))
 	is.Equal(len(v.undecodable)+len(v.offsets), 0)
 }
+
+// Guards against an end of a server that instances take for later than it is: the registration may have
+// been written some time before it was read. Instances that have it from another one must know it, too.
+func TestAnnouncedEndIsKnownToAllInstances(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	const left = 8 * time.Second
+	leader, other := newServerView(), newServerView()
+	ends := map[*serverView]time.Time{}
+	for _, v := range []*serverView{leader, other} {
+		v.onUpdate = func(s pool.Server) { ends[v] = s.GoneAt }
+		v.applyRecords(now, 0, true, registration("e1", 1))
+		is.True(ends[v].IsZero())
+	}
+	value := `{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"draining","leaves-ms":8000,"born":1,"sequence":2}`
+	leader.applyRecords(now, 1, false, galenastair.KeyedRecord{Key: "e1", Value: []byte(value)})
+	is.Equal(ends[leader], now.Add(left-maxRegistrationAge)) // the store has confirmed nothing yet
+	is.Equal(len(leader.pendingEvents[serverEndAnnounced]), 1)
+	is.Equal(leader.soonestEnd, left-maxRegistrationAge)
+	other.applyPeerChanges(t, now, leader)
+	is.Equal(ends[other], ends[leader])
+}
--- a/peer/planning/changes.go
+++ b/peer/planning/changes.go
@@ -5,6 +5,7 @@
 
 	"galenastair"
 	"galenastair/peer/planningpb"
+	"galenastair/planner"
 	"galenastair/pool"
 	"galenastair/registry"
 )
@@ -29,7 +30,7 @@
 	if s == nil {
 		return nil
 	}
-	return &planningpb.Identity{
+	out := &planningpb.Identity{
 		Service: string(s.Service),
 		Address: s.Address,
 		Zone:    string(s.AvailabilityZone),
@@ -39,6 +40,11 @@
 		Version: string(s.Version),
 		ColdMs:  max(0, time.Until(s.ColdUntil).Milliseconds()),
 	}
+	if !s.GoneAt.IsZero() {
+		// 0 would mean that the server has not announced when it ends
+		out.LeavesMs = max(1, time.Until(s.GoneAt).Milliseconds())
+	}
+	return out
 }
 
 func encodeModelNames(names []galenastair.ModelName) []string {
@@ -49,6 +55,7 @@
 	return out
 }
 
+// decodeChanges returns the changes in a message that was received just now.
 func decodeChanges(cs []*planningpb.Change) []registry.Change {
 	var out []registry.Change
 	for _, c := range cs {
@@ -85,9 +92,24 @@
 	if i.ColdMs > 0 {
 		s.ColdUntil = time.Now().Add(time.Duration(i.ColdMs) * time.Millisecond)
 	}
+	if i.LeavesMs > 0 {
+		s.GoneAt = time.Now().Add(time.Duration(i.LeavesMs) * time.Millisecond)
+	}
 	return s
 }
 
+// deductTransit makes the times at which servers end those that hold if the message was sent as long
+// ago as the call that it answers has taken. A time that is too late would have requests cut off.
+func deductTransit(tails []planner.Tail, call time.Duration) {
+	for _, t := range tails {
+		for _, c := range t.Changes {
+			if a := c.Attributes; a != nil && !a.GoneAt.IsZero() {
+				a.GoneAt = a.GoneAt.Add(-call)
+			}
+		}
+	}
+}
+
 func decodeModelNames(names []string) []galenastair.ModelName {
 	var out []galenastair.ModelName
 	for _, n := range names {
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -39,6 +39,7 @@
 func (c *Client) Exchange(ctx context.Context, address string, r planner.Report) (planner.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := time.Now()
 	reply, err := c.client(address).Exchange(ctx, encodeReport(r))
 	if err != nil {
 		return planner.Update{}, err
@@ -46,7 +47,9 @@
 	if !reply.Holds {
 		return planner.Update{}, planner.ErrNotLeader
 	}
-	return decodeUpdate(reply), nil
+	update := decodeUpdate(reply)
+	deductTransit(update.Tails, time.Since(sent))
+	return update, nil
 }
 
 // EnsureLoaded requests that a model or adapter be loaded on a backend server, and returns where
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -88,6 +88,9 @@
 		if q.engine() && b.isDown(now) || !p.inRegions(b, q.Regions) || !q.allowsVersion(b.Version) {
 			continue
 		}
+		if !p.endsBeforeServer(now, b, q) {
+			continue
+		}
 		out = append(out, b)
 	}
 	return out
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -294,12 +294,12 @@
 }
 
 // Usable reports whether a server that was chosen may still get the request. It may have been
-// withdrawn, or have asked for a backoff, while the connection was set up.
+// withdrawn, have ended, or have asked for a backoff, while the connection was set up.
 func (p *Pool) Usable(now time.Time, id galenastair.BackendServerID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.backends[id]
-	if b == nil || now.Before(b.backoffUntil) {
+	if b == nil || now.Before(b.backoffUntil) || !b.GoneAt.IsZero() && !now.Before(b.GoneAt) {
 		return false
 	}
 	end, withdrawn := p.withdrawalEnd(b)
--- a/pool/server.go
+++ b/pool/server.go
@@ -30,6 +30,9 @@
 	Leaving bool
 	// LeavingSince is a time not later than the start of leaving, or zero if unknown.
 	LeavingSince time.Time
+	// GoneAt is the earliest time at which a leaving server ends, whatever it runs. It is zero if the
+	// server has not announced one.
+	GoneAt time.Time
 	// Incarnation distinguishes restarts, since an ID can be reused.
 	Incarnation int64
 	// Heartbeat counts the registrations since its start.
--- a/registry/change.go
+++ b/registry/change.go
@@ -29,12 +29,16 @@
 // take different times to arrive.
 const coldTolerance = time.Second
 
+// goneTolerance is the difference of GoneAt between two registrations of one announcement. GoneAt is
+// a lower bound, which differs by the time for which the registrations may have been on their way.
+const goneTolerance = time.Second
+
 // sameAttributes reports whether a registration b equals the one before it, a, apart from its
 // models and heartbeat.
 func sameAttributes(a, b pool.Server) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.AvailabilityZone == b.AvailabilityZone && a.Version == b.Version &&
 		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Incarnation == b.Incarnation &&
-		b.ColdUntil.Sub(a.ColdUntil) < coldTolerance
+		b.ColdUntil.Sub(a.ColdUntil) < coldTolerance && a.GoneAt.IsZero() == b.GoneAt.IsZero() && b.GoneAt.Sub(a.GoneAt).Abs() < goneTolerance
 }
 
 // qualifiedNames returns the names of all models, and of all adapters in the form "model/adapter".
--- a/registry/table.go
+++ b/registry/table.go
@@ -41,8 +41,8 @@
 	return &Table{entries: map[galenastair.BackendServerID]*entry{}, tombstones: map[galenastair.BackendServerID]galenastair.Offset{}}
 }
 
-// Set applies a record that contains a registration.
-func (t *Table) Set(at galenastair.Offset, s pool.Server) {
+// Set applies a record that contains a registration, and returns the resulting registration.
+func (t *Table) Set(at galenastair.Offset, s pool.Server) pool.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.upsert(at, s)
@@ -56,18 +56,29 @@
 			e.remove(at, name)
 		}
 	}
+	return e.server
 }
 
 // upsert creates the entry of a server or updates its attributes, and returns it. If the server
 // has restarted, its entry is replaced by one without models. The caller holds t.mu.
+//
+// While a process is leaving, the time at which it ends is kept if a registration has none: an
+// instance of an earlier release does not pass it on.
 func (t *Table) upsert(at galenastair.Offset, s pool.Server) *entry {
 	e := t.entries[s.ID]
-	if e == nil || e.server.Incarnation != s.Incarnation {
+	if e != nil && e.server.Incarnation == s.Incarnation && s.Leaving && s.GoneAt.IsZero() {
+		s.GoneAt = e.server.GoneAt
+	}
+	switch {
+	case e == nil || e.server.Incarnation != s.Incarnation:
 		e = &entry{createdAt: at, attributesChangedAt: at, lastChangedAt: at, addedAt: map[galenastair.ModelName]galenastair.Offset{}, removedAt: map[galenastair.ModelName]galenastair.Offset{}}
 		t.entries[s.ID] = e
 		delete(t.tombstones, s.ID)
-	} else if !sameAttributes(e.server, s) {
+	case !sameAttributes(e.server, s):
 		e.attributesChangedAt, e.lastChangedAt = at, max(e.lastChangedAt, at)
+	default:
+		// the value that the other instances have, so that small differences do not add up
+		s.GoneAt = e.server.GoneAt
 	}
 	e.server = s
 	return e
--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -153,3 +153,56 @@
 	is.True(!set(2, time.Time{}))
 	is.True(set(3, now.Add(10*time.Second)))
 }
+
+// Guards against instances that are not told when a server ends, and against a change with each of its
+// registrations, which give that time a little differently.
+func TestAnnouncedEndIsAChangeOnce(t *testing.T) {
+	is := is.New(t)
+	end := time.Now().Add(5 * time.Second)
+	table := NewTable()
+	set := func(at galenastair.Offset, leaving bool, goneAt time.Time) (changed bool, got time.Time) {
+		s := newServer("s1", 1, leaving)
+		s.GoneAt = goneAt
+		got = table.Set(at, s).GoneAt
+		table.AdvanceTo(at+1, false)
+		changes, _, ok := table.Since(at)
+		is.True(ok)
+		return len(changes) > 0, got
+	}
+	set(0, false, time.Time{})
+	changed, got := set(1, true, end)
+	is.True(changed)
+	is.Equal(got, end)
+	for at := range galenastair.Offset(4) {
+		// small differences must not add up unnoticed
+		changed, got = set(2+at, true, end.Add(time.Duration(at)*300*time.Millisecond))
+		is.True(!changed)
+		is.Equal(got, end)
+	}
+	changed, got = set(6, true, end.Add(-2*time.Second))
+	is.True(changed)
+	is.Equal(got, end.Add(-2*time.Second))
+	changed, got = set(7, false, time.Time{})
+	is.True(changed)
+	is.True(got.IsZero())
+}
+
+// Guards against an announced end that is lost when an instance of an earlier release, which does not
+// know it, passes on another change of the server.
+func TestAnnouncedEndSurvivesAChangeWithoutIt(t *testing.T) {
+	is := is.New(t)
+	end := time.Now().Add(5 * time.Second)
+	table := NewTable()
+	s := newServer("s1", 1, true)
+	s.GoneAt = end
+	table.Set(0, s)
+	table.AdvanceTo(1, false)
+	apply := func(next galenastair.Offset, incarnation int64, leaving bool) time.Time {
+		changed := newServer("s1", incarnation, leaving)
+		got, ok := table.Apply(Change{ID: "s1", Attributes: &changed}, next)
+		is.True(ok)
+		return got.GoneAt
+	}
+	is.Equal(apply(2, 1, true), end)
+	is.True(apply(3, 2, true).IsZero()) // another process
+}
