place, planner: models of a server that ends wait for no swap and no other load

A model whose only active copy is on a server that has announced its end was not loaded where there is room while a swap for it was in progress elsewhere, which takes up to 30 s; and its load could be queued on an engine that carries out another one. Models of other servers are placed as before.

--- a/place/board.go
+++ b/place/board.go
@@ -175,6 +175,16 @@
 	return false
 }
 
+// ending reports whether a copy is on a backend server that has announced when it ends.
+func (m *planModel) ending() bool {
+	return slices.ContainsFunc(m.copies, func(c *planCopy) bool { return c.server.Ending })
+}
+
+// inTransition reports whether a model is being loaded or unloaded on the backend server.
+func (s *planServer) inTransition() bool {
+	return slices.ContainsFunc(s.models, func(m *planModel) bool { return m.copyOn(s).state != Ready })
+}
+
 // readyElsewhere reports whether a backend server other than s has a ready copy. A nil s
 // stands for no backend server.
 func (m *planModel) readyElsewhere(s *planServer) bool {
--- a/place/input.go
+++ b/place/input.go
@@ -30,6 +30,8 @@
 	ID               galenastair.BackendServerID
 	AvailabilityZone galenastair.AvailabilityZone
 	Leaving          bool
+	// Ending is set if the backend server leaves and has announced when it ends.
+	Ending bool
 	// Unhealthy is set when routers avoid the backend server because it does not answer in time.
 	Unhealthy bool
 	// RateLimited is set while the backend server accepts few requests, so that routers choose
--- a/place/planner.go
+++ b/place/planner.go
@@ -125,7 +125,7 @@
 func (p *Planner) placeMissingModels(inDemand bool) {
 	var missing []*planModel
 	for _, m := range p.plan.baseModels {
-		if (m.activeCopies() == 0 || m.hasUnplaceableAdapter()) && !p.hasSwap(m) && p.inDemand(m) == inDemand {
+		if (m.activeCopies() == 0 || m.hasUnplaceableAdapter()) && (m.ending() || !p.hasSwap(m)) && p.inDemand(m) == inDemand {
 			missing = append(missing, m)
 		}
 	}
@@ -134,10 +134,14 @@
 	})
 	for _, m := range missing {
 		if s := p.serverWithRoom(m); s != nil {
+			p.dropSwaps(m)
 			p.load(m, s, Unreachable)
 			p.plan.distributeLoad()
 			continue
 		}
+		if p.hasSwap(m) {
+			continue
+		}
 		if (inDemand || p.settings.IdleEvictionThreshold == 0) && !p.roomExpected(m) {
 			p.startCheapestSwap(m, Unreachable)
 		}
@@ -152,20 +156,32 @@
 }
 
 // serverWithRoom returns a backend server with room for a model and its adapters, or nil. It
-// prefers those that have the model cached, then the least load, then the most free memory.
+// prefers those that have the model cached, then the least load, then the most free memory; for a model
+// of an ending server, before that those that load or unload nothing.
 func (p *Planner) serverWithRoom(m *planModel) *planServer {
 	var best *planServer
 	for _, s := range p.plan.servers {
 		if !s.acceptsOrders() || s.swapping || s.FreeMemory < m.missingMemory(s) || m.copyOn(s) != nil || !p.canLoadOn(m, s) {
 			continue
 		}
-		if best == nil || cmp.Or(compareCached(m, best, s), cmp.Compare(s.load, best.load), cmp.Compare(best.FreeMemory, s.FreeMemory)) < 0 {
+		if best == nil || cmp.Or(compareBusy(m, best, s), compareCached(m, best, s), cmp.Compare(s.load, best.load), cmp.Compare(best.FreeMemory, s.FreeMemory)) < 0 {
 			best = s
 		}
 	}
 	return best
 }
 
+// compareBusy compares s with other and orders a backend server first that loads or unloads nothing: an
+// engine carries out one order after the other, and the model's copy on an ending server is soon gone.
+// Other models are placed as if all engines were idle.
+func compareBusy(m *planModel, other, s *planServer) int {
+	if !m.ending() {
+		return 0
+	}
+	rank := map[bool]int{false: 0, true: 1}
+	return cmp.Compare(rank[s.inTransition()], rank[other.inTransition()])
+}
+
 // compareCached compares s with other and orders a backend server that has the model cached first.
 func compareCached(m *planModel, other, s *planServer) int {
 	rank := map[bool]int{true: 0, false: 1}
--- a/place/swap.go
+++ b/place/swap.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,8 +31,14 @@
 	return false
 }
 
+// dropSwaps ends the swaps for a model that is loaded elsewhere.
+func (p *Planner) dropSwaps(m *planModel) {
+	maps.DeleteFunc(p.swaps, func(_ galenastair.BackendServerID, s *swap) bool { return s.model == m.weight.Name })
+}
+
 // startCheapestSwap starts a swap for a model on the backend server where the load of the
-// victims plus the load of the server is lowest, preferring those that have the model cached.
+// victims plus the load of the server is lowest, preferring those that have the model cached and, for a
+// model of an ending server, before that those that load or unload nothing.
 func (p *Planner) startCheapestSwap(m *planModel, why Reason) bool {
 	var best *planServer
 	var victims []*planModel
@@ -44,7 +51,7 @@
 		if !ok || !p.canLoadOn(m, s) {
 			continue
 		}
-		if best == nil || cmp.Or(compareCached(m, best, s), cmp.Compare(lost+s.load, cost)) < 0 {
+		if best == nil || cmp.Or(compareBusy(m, best, s), compareCached(m, best, s), cmp.Compare(lost+s.load, cost)) < 0 {
 			best, victims, cost = s, models, lost+s.load
 		}
 	}
--- a/planner/bed_test.go
+++ b/planner/bed_test.go
@@ -183,6 +183,8 @@
 	lease   *fakeLease
 	planner *Planner
 	loop    *control.Loop
+	// leaving are the engines that have announced when they end.
+	leaving map[galenastair.BackendServerID]time.Time
 }
 
 func newHarness(t *testing.T, seed uint64, engines int) *harness {
--- a/planner/site.go
+++ b/planner/site.go
@@ -107,6 +107,7 @@
 		ID:               id,
 		AvailabilityZone: e.server.AvailabilityZone,
 		Leaving:          e.server.Leaving,
+		Ending:           !e.server.GoneAt.IsZero(),
 		RateLimited:      s.isRateLimited(e),
 		FreeMemory:       e.freeMemory(s.modelSet),
 	}
