gateway: the route's priority orders requests of organisations of equal priority

Callers saw: urgent drafts late or cut, while patient requests of the same service, which can wait ten seconds, were answered at once.

Cause: an organisation's priority replaced that of the route. Where all organisations have one, all requests reached the engines at the same level, and the engines took them in order of arrival. Seen in the configuration: 15 of 16 organisations at priority 1, one at 0, and 34 % of the urgent drafts on time beside 76 % of the patient digests.

Change: requests are ordered by the organisation's priority and, among equal ones, by the route's, on the ten levels that engines accept. An organisation without a priority has that of the route, so that its requests keep their place among those of the others.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -20,6 +20,9 @@
 	maxRetryAfter = 5 * time.Second
 	// maxPriority is the least urgent level that backend servers accept.
 	maxPriority = 9
+	// routePriorities is the number of route priorities that are told apart within one priority of
+	// organisations, so that the ten levels hold three of these.
+	routePriorities = 3
 )
 
 // admission is the configuration that a request was admitted under.
@@ -39,13 +42,17 @@
 	return a.organisation.Name
 }
 
-// priority returns the organisation's priority if it has one, or else the route's.
+// priority returns the level at which backend servers order the request: by the priority of its
+// organisation first, and by that of its route among equal organisations. Otherwise the patient
+// requests of an organisation with a priority of its own would go before its urgent ones. An
+// organisation without a priority has that of the route.
 func (a admission) priority() int {
-	p := a.route.Priority
+	route := max(0, a.route.Priority)
+	organisation := route
 	if a.organisation != nil && a.organisation.HasPriority {
-		p = a.organisation.Priority
+		organisation = max(0, a.organisation.Priority)
 	}
-	return min(max(p, 0), maxPriority)
+	return min(maxPriority, organisation*routePriorities+min(route, routePriorities-1))
 }
 
 // authorise looks up a request's route and organisation in the current catalog. An
--- a/gateway/admit_test.go
+++ b/gateway/admit_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"galenastair"
+	"galenastair/catalog"
 	"galenastair/planner"
 )
 
@@ -68,3 +69,21 @@
 	is.True(errors.Is(err, galenastair.ErrNoConfiguration))
 	is.Equal(len(env.backend.calls), 0)
 }
+
+// Guards against urgent requests that wait behind the patient ones of organisations of equal priority.
+func TestPriorityIsTheOrganisationsThenTheRoutes(t *testing.T) {
+	is := is.New(t)
+	level := func(organisation, route int) int {
+		a := admission{route: &catalog.Route{Priority: route}, organisation: &catalog.Organisation{Priority: organisation, HasPriority: organisation >= 0}}
+		return a.priority()
+	}
+	const none = -1
+	is.True(level(1, 0) < level(1, 1))
+	is.True(level(1, 1) < level(1, 2))
+	is.True(level(0, 2) < level(1, 0))
+	is.True(level(none, 0) < level(none, 1))
+	is.True(level(none, 0) < level(1, 0))
+	is.True(level(1, 2) < level(none, 2))
+	is.Equal(level(9, 9), maxPriority)
+	is.Equal(admission{route: &catalog.Route{}}.priority(), 0)
+}
