--- a/pool/end.go
+++ b/pool/end.go
@@ -11,9 +11,15 @@
 const plainEndMargin = 2
 
 // endsBeforeServer reports whether a request sent now is expected to end before its server does, if the
-// server has announced when that is.
+// server has announced when that is. Of an answer of unknown length nothing can be expected.
 func (p *Pool) endsBeforeServer(now time.Time, b *backend, q *Query) bool {
-	return b.GoneAt.IsZero() || now.Add(p.expectedDuration(now, b, q)).Before(b.GoneAt)
+	switch {
+	case b.GoneAt.IsZero():
+		return true
+	case q.engine() && q.OutputTokens <= 0:
+		return false
+	}
+	return now.Add(p.expectedDuration(now, b, q)).Before(b.GoneAt)
 }
 
 // expectedDuration returns the expected time from the sending of a request to the end of its answer.
--- a/pool/end_test.go
+++ b/pool/end_test.go
@@ -36,6 +36,9 @@
 	is.True(!ok)
 	is.Equal(none.Reason, ReasonNoServer)
 	is.True(!p.EndsBeforeServer(start, "s1", long))
+	unknown := testQuery()
+	unknown.OutputTokens = 0
+	is.True(!p.EndsBeforeServer(start, "s1", unknown))
 	_, ok = p.Choose(start.Add(1400*time.Millisecond), short)
 	is.True(!ok)
 	is.True(p.Usable(start.Add(1500*time.Millisecond-1), "s1"))
