speed, pool, planner: instances share how fast each backend server is

Each instance reports the ratio of actual to expected time of requests that met no others. The leader estimates a factor per process of a server and distributes those that change by a tenth. Predictions and the work that placement counts are multiplied by the factor. Off unless [Load] ServerSpeeds is set.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -22,6 +22,7 @@
 	"galenastair/pool"
 	"galenastair/quota"
 	"galenastair/ratelimit"
+	"galenastair/speed"
 	"galenastair/timer"
 )
 
@@ -68,9 +69,11 @@
 	partEvents []claim.PartEvent
 	leaderLost bool
 
-	// used by run alone: the number of the last placement change received, and its sender
+	// used by run alone: the numbers of the last placement change and speed factor received, and
+	// their sender
 	lastChange       int64
 	lastChangeLeader string
+	lastSpeed        speed.Sequence
 }
 
 func (n *Node) newLeaderClient() *leaderClient {
@@ -148,7 +151,7 @@
 	leader, _ := c.leader()
 	newCrashes, newPartEvents := r.Crashes, r.PartEvents
 	if leader == c.lastChangeLeader {
-		r.LastChange = c.lastChange
+		r.LastChange, r.LastSpeed = c.lastChange, c.lastSpeed
 	} else {
 		// a leader that has just started may not know which requests are refused
 		r.Crashes = append(c.poisonTracker.Refused(time.Now()), newCrashes...)
@@ -161,7 +164,7 @@
 		c.askPeer(ctx)
 		return true
 	}
-	c.lastChange, c.lastChangeLeader = update.LastChange, leader
+	c.lastChange, c.lastSpeed, c.lastChangeLeader = update.LastChange, update.Speeds.Newest, leader
 	c.partition.setTargets(update.ForwardTo)
 	if len(update.StreamRecorders) > 0 {
 		c.streams.outbox.SetRecorders(time.Now(), update.StreamRecorders)
@@ -188,6 +191,7 @@
 	r.Zone, r.Limits = c.zone, c.pool.Limits(time.Now())
 	r.Address, r.TableVersion, r.Stopping = c.address, c.accounts.Table().Version, c.stopping()
 	now := time.Now()
+	r.SpeedObservations = c.pool.TakeSpeedObservations()
 	r.LoanRequests, r.QuotaContribution = c.borrower.LoanRequests(now), c.borrower.TakeContribution(now)
 	return r
 }
@@ -276,6 +280,7 @@
 	c.index.Store(int64(u.Index))
 	c.pool.SetPeerLimits(now, u.Limits)
 	c.pool.SetPeerLoads(now, u.Loads)
+	c.pool.SetSpeeds(now, u.Speeds)
 	for _, p := range u.Removed {
 		c.pool.RemoveModel(now, p.Server, p.Name)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -113,21 +113,31 @@
 	n.borrower = quota.NewBorrower(tolerance)
 	// until a leader or its checkpoint gives a fleet size, other instances may hold the whole quota
 	n.borrower.SetFleetSize(0)
-	n.pool = pool.New(s.AvailabilityZone,
+	poolOptions := []pool.Option{
 		pool.WithLeaveGrace(max(0, s.Bounds.LeaveTimeout-requestTransitTime)),
 		pool.WithEvacuationGrace(max(0, s.Bounds.EvacuateTimeout-requestTransitTime)),
 		pool.WithRegions(s.Zones),
-		pool.WithFleetSize(n.borrower.ReportedFleetSize))
+		pool.WithFleetSize(n.borrower.ReportedFleetSize),
+	}
+	if s.Load.ServerSpeeds {
+		poolOptions = append(poolOptions, pool.WithServerSpeeds())
+	}
+	n.pool = pool.New(s.AvailabilityZone, poolOptions...)
 	n.accounts = account.New(s.PeerAddress, tolerance)
 	backend := platform.NewBackendClient(n.backendClient)
 	l := lease.New(lease.DefaultTiming(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.lease = leaseAdapter{l}
 	n.elector = lease.NewElector(n.store, platform.LeaseTopic, l, s.PeerAddress, lease.WithLogger(n.logger),
 		lease.WithCheckpointer(n.checkpointer(context.Background())), lease.WithFleetSize(n.borrower.ReportedFleetSize), lease.WithLinkMbps(s.LinkMbps), lease.WithFirstStart(s.FirstStart), lease.WithOnElected(n.onElected))
-	n.planner = planner.New(string(s.ID), tolerance, backend, n.lease, n.loop,
+	plannerOptions := []planner.Option{
 		planner.WithLogger(n.logger), planner.WithOrderObserver(n.metrics.countOrder),
 		planner.WithRefusedRequests(func(now time.Time) []claim.Crash { return n.leaderClient.poisonTracker.Refused(now) }),
-		planner.WithSuspectedParts(func(now time.Time) []claim.PartEvent { return n.leaderClient.partTracker.Suspected(now) }))
+		planner.WithSuspectedParts(func(now time.Time) []claim.PartEvent { return n.leaderClient.partTracker.Suspected(now) }),
+	}
+	if s.Load.ServerSpeeds {
+		plannerOptions = append(plannerOptions, planner.WithServerSpeeds(n.pool.SpeedFactors))
+	}
+	n.planner = planner.New(string(s.ID), tolerance, backend, n.lease, n.loop, plannerOptions...)
 	n.catalogSource = newCatalogSource(n.logger)
 	n.serverWatcher = newServerWatcher(n.logger)
 	n.partition = newPartitionWatcher(n.pool, n.backendClient, n.otherLeader, n.logger)
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -96,6 +96,7 @@
 		out.PartitionedFrom = append(out.PartitionedFrom, string(s))
 	}
 	encodeContribution(out, r.QuotaContribution)
+	encodeSpeedReport(out, r)
 	for _, id := range r.Down {
 		out.Absent = append(out.Absent, string(id))
 	}
@@ -154,7 +155,7 @@
 func decodeUpdate(r *planningpb.ExchangeReply) planner.Update {
 	out := planner.Update{LeaseExpired: r.Lapsed, QuotaAllocation: decodeAllocation(r), Loads: decodeKeyedLoads(r), LastChange: r.Newest}
 	out.Limits, out.Index, out.ForwardTo = decodeLimits(r.Limits), int(r.Index), decodeForwardTargets(r.ForwardTo)
-	out.StreamRecorders = r.StreamRecorders
+	out.StreamRecorders, out.Speeds = r.StreamRecorders, decodeSpeeds(r)
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.LoanRequest{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -13,6 +13,7 @@
 	"galenastair/planner"
 	"galenastair/quota"
 	"galenastair/ratelimit"
+	"galenastair/speed"
 	"galenastair/stream"
 )
 
@@ -67,6 +68,7 @@
 	}
 	r.Crashes = decodeCrashes(req.Poisons, req.PoisonServers)
 	r.PartEvents = decodePartEvents(time.Now(), req.PartEvents)
+	r.SpeedObservations, r.LastSpeed = decodeSpeedObservations(req), speed.Sequence(req.SpeedSeen)
 	for _, p := range req.Positions {
 		r.Positions[galenastair.Topic(p.Topic)] = galenastair.Offset(p.From)
 	}
@@ -85,6 +87,7 @@
 	encodeKeyedLoads(out, n.Loads)
 	out.Limits, out.Index, out.ForwardTo = encodeLimits(n.Limits), uint32(n.Index), encodeForwardTargets(n.ForwardTo)
 	out.StreamRecorders = n.StreamRecorders
+	encodeSpeeds(out, n.Speeds)
 	out.Renewal, out.RenewalAgeMs = int64(n.Renewal.Offset), uint32(n.Renewal.Age.Milliseconds())
 	encodeAllocation(out, n.QuotaAllocation)
 	encodeOwners(out, n)
--- a/planner/message.go
+++ b/planner/message.go
@@ -11,6 +11,7 @@
 	"galenastair/quota"
 	"galenastair/ratelimit"
 	"galenastair/registry"
+	"galenastair/speed"
 )
 
 // Report is what an instance sends to the planner in each exchange.
@@ -45,6 +46,10 @@
 	Limits []ratelimit.Limit
 	// PartitionedFrom are the services from all of whose servers the instance is partitioned.
 	PartitionedFrom []galenastair.ServiceName
+	// SpeedObservations are those since the last report. LastSpeed is the number of the newest speed
+	// factor received from this planner.
+	SpeedObservations []speed.Observation
+	LastSpeed         speed.Sequence
 }
 
 // Update is the planner's reply to a Report.
@@ -88,6 +93,8 @@
 	ForwardTo map[galenastair.ServiceName][]string
 	// StreamRecorders are the peer addresses of the instances that keep where streams began.
 	StreamRecorders []string
+	// Speeds are the speed factors of backend servers that have changed.
+	Speeds speed.Update
 }
 
 // Tail holds the latest records of one topic.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -18,6 +18,7 @@
 	"galenastair/pool"
 	"galenastair/quota"
 	"galenastair/ratelimit"
+	"galenastair/speed"
 )
 
 // ErrNotLeader is returned by an instance that does not hold the lease.
@@ -72,6 +73,9 @@
 	refused  func(time.Time) []claim.Crash
 	// suspected returns the crashes under the prompt parts that this instance refuses.
 	suspected func(time.Time) []claim.PartEvent
+	// knownSpeeds returns the speed factors that this instance has received; nil if speeds are not
+	// estimated.
+	knownSpeeds func() []speed.Factor
 
 	// the fields below are accessed only in the control loop
 	ctx      context.Context
@@ -111,6 +115,7 @@
 	bootClock     boottime.Clock
 	termStart     time.Time
 	lastForecast  time.Time
+	speeds        *speed.Aggregator
 }
 
 type instanceReport struct {
@@ -173,6 +178,7 @@
 	for _, o := range opts {
 		o(p)
 	}
+	p.speeds = speed.NewAggregator(p.clock.Now())
 	return p
 }
 
@@ -222,11 +228,12 @@
 		return
 	}
 	p.stepForecasts(now)
+	p.stepSpeeds(now)
 	p.expireDown(now)
 	_, orders := p.lease.OrderFence()
 	p.expireReports(now)
 	for _, s := range p.services {
-		s.loads, s.limits = p.loads, p.limits
+		s.loads, s.limits, s.speeds = p.loads, p.limits, p.speeds
 		if orders && now.Sub(p.termStart) >= termWarmUp {
 			s.planRound(now)
 		}
@@ -241,6 +248,7 @@
 		p.lender.Reset(now, p.inherited.Checkpoint)
 		p.limiter.Reset()
 		p.resetOwners()
+		p.restartSpeeds(now)
 		clear(p.reports)
 		clear(p.loads)
 	}
@@ -304,8 +312,10 @@
 	p.addCrashes(now, r)
 	p.addPartEvents(now, r)
 	p.decideOwners(now)
+	speeds := p.exchangeSpeeds(now, r)
 	update := Update{LeaseExpired: !p.lease.Holds(), QuotaAllocation: p.lender.Contribute(now, r.Instance, r.QuotaContribution), Loads: p.loads.byKey()}
 	p.loads.add(r.Loads)
+	update.Speeds = speeds
 	update.Limits, update.Index = p.currentLimits(now), p.fleetIndex(r.Instance)
 	p.addOwners(r, &update)
 	for _, a := range r.LoanRequests {
--- a/planner/servers.go
+++ b/planner/servers.go
@@ -15,6 +15,8 @@
 		if old, ok := p.servers[s.ID]; ok && old.Incarnation != s.Incarnation {
 			delete(p.downAt, s.ID)
 		}
+		old, known := p.servers[s.ID]
+		p.setSpeedServer(old, known, s)
 		p.servers[s.ID] = s
 		p.setServer(s)
 	})
@@ -23,6 +25,9 @@
 // RemoveServer removes a backend server.
 func (p *Planner) RemoveServer(ctx context.Context, id galenastair.BackendServerID) error {
 	return p.loop.Post(ctx, func() {
+		if s, known := p.servers[id]; known {
+			p.speeds.RemoveServer(p.clock.Now(), speedKey(s))
+		}
 		delete(p.servers, id)
 		delete(p.downAt, id)
 		delete(p.limits, id)
--- a/planner/site.go
+++ b/planner/site.go
@@ -8,6 +8,7 @@
 	"galenastair/forecast"
 	"galenastair/place"
 	"galenastair/pool"
+	"galenastair/speed"
 )
 
 const (
@@ -47,6 +48,8 @@
 	loads    loads
 	// limits holds the rate limits that engines have advertised.
 	limits map[galenastair.BackendServerID]advertisedLimit
+	// speeds holds the speed factors of engines.
+	speeds *speed.Aggregator
 	// leading is set while this instance sends the orders.
 	leading bool
 	// index is set only during a planning round.
@@ -109,6 +112,7 @@
 		Leaving:          e.server.Leaving,
 		RateLimited:      s.isRateLimited(e),
 		FreeMemory:       e.freeMemory(s.modelSet),
+		SpeedFactor:      s.speedFactor(e),
 	}
 	in.CachedModels = make(map[galenastair.ModelName]bool, len(e.server.CachedModels))
 	for _, name := range e.server.CachedModels {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -223,7 +223,7 @@
 }
 
 func (p *Pool) predictLatency(now time.Time, b *backend, q *Query) time.Duration {
-	return time.Duration(float64(b.nominal(now, q)) * b.ratio.value(now) * p.modelRatio(q).value(now))
+	return time.Duration(float64(b.nominal(now, q)) * float64(b.factor) * b.ratio.value(now) * p.modelRatio(q).value(now))
 }
 
 // modelRatio returns the latency ratio of a model, or of a service without models.
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -74,7 +74,7 @@
 	if !a.unqueued || a.query.PromptTokens <= 0 {
 		return
 	}
-	seconds := now.Sub(a.beganAt).Seconds() / float64(a.query.PromptTokens)
+	seconds := now.Sub(a.beganAt).Seconds() / float64(a.query.PromptTokens) / a.factor
 	a.pool.observedCost(&a.query).prefill.observe(seconds)
 	a.pool.overall.prefill.observe(seconds)
 }
@@ -84,7 +84,7 @@
 	if !a.query.engine() || a.query.OutputTokens <= 0 {
 		return
 	}
-	seconds := now.Sub(a.startedAt).Seconds() / float64(a.query.OutputTokens)
+	seconds := now.Sub(a.startedAt).Seconds() / float64(a.query.OutputTokens) / a.factor
 	a.pool.observedCost(&a.query).decode.observe(seconds)
 	a.pool.overall.decode.observe(seconds)
 }
--- a/pool/flight.go
+++ b/pool/flight.go
@@ -12,12 +12,19 @@
 	backend *backend
 	query   Query
 	beganAt time.Time
+	// nominal and factor are the predicted time and the speed factor when the request was sent.
 	nominal time.Duration
+	factor  float64
 	started bool
 	ended   bool
 	// unqueued reports that no other prompt was pending at the server when the request was sent.
-	unqueued  bool
-	startedAt time.Time
+	unqueued bool
+	// showsSpeed reports that the request had to wait for nothing at the server.
+	showsSpeed bool
+	// plainRatio is the ratio of actual to expected time of a request without a model. It counts once
+	// the answer is known to be complete, as failures are fast.
+	plainRatio float64
+	startedAt  time.Time
 }
 
 // Result is the outcome of an attempt, as far as it says something about the server.
@@ -53,6 +60,8 @@
 	a.backend = b
 	a.nominal = b.nominal(now, &q)
 	a.unqueued = q.engine() && b.pendingTokens == 0 && b.peerPendingTokens(now) < 1
+	a.factor = float64(b.factor)
+	a.showsSpeed = b.showsSpeed(now, a)
 	b.inFlight++
 	b.pendingTokens += q.PromptTokens
 	if !q.NoRetry && b.health.mayProbe(now) {
@@ -63,6 +72,15 @@
 	return a
 }
 
+// showsSpeed reports whether the time of an attempt that begins tells the server's speed: there is no
+// other prompt, and no wait for a slot.
+func (b *backend) showsSpeed(now time.Time, a *Attempt) bool {
+	if b.Slots > 0 && float64(b.inFlight)+b.peerInFlight(now) >= float64(b.Slots) {
+		return false
+	}
+	return a.unqueued || !a.query.engine()
+}
+
 // Started records the first event of a streamed answer, or the header of any other.
 func (a *Attempt) Started(now time.Time) {
 	a.pool.mu.Lock()
@@ -74,8 +92,16 @@
 	a.backend.pendingTokens -= a.query.PromptTokens
 	a.backend.health.started(now)
 	a.observePrefill(now)
-	ratio := float64(now.Sub(a.beganAt)) / float64(a.nominal)
+	raw := float64(now.Sub(a.beganAt)) / float64(a.nominal)
+	ratio := raw / a.factor
 	modelRatio := a.pool.modelRatio(&a.query)
+	switch raw /= modelRatio.value(now); {
+	case !a.showsSpeed:
+	case a.query.engine():
+		a.observeSpeed(raw)
+	default:
+		a.plainRatio = raw
+	}
 	a.backend.ratio.observe(now, ratio/(a.backend.ratio.value(now)*modelRatio.value(now)), serverLearningRate)
 	modelRatio.observe(now, ratio/(a.backend.ratio.value(now)*modelRatio.value(now)), modelLearningRate)
 }
@@ -99,6 +125,9 @@
 		if a.started {
 			a.observeDecode(now)
 		}
+		if a.plainRatio > 0 {
+			a.observeSpeed(a.plainRatio)
+		}
 		b.health.succeeded()
 		b.downAt = time.Time{}
 	case Failed:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/speed"
 )
 
 // Pool tracks the backend servers, their models, load and health.
@@ -32,6 +33,9 @@
 	evacuated  map[galenastair.AvailabilityZone]time.Time
 	coldStarts map[galenastair.ServiceName]ColdStart
 	versions   map[galenastair.ServiceName]versionHistory
+	// speeds is nil if all servers count as equally fast.
+	speeds            *speed.Table
+	speedObservations []speed.Observation
 	// overall is the mean cost over all models.
 	overall cost
 }
@@ -50,8 +54,11 @@
 	peerLoad      Load
 	peerLoadAt    time.Time
 	ratio         latencyRatio
-	health        health
-	cache         *cache
+	speedKey      speed.Key
+	// factor is the speed factor, 1 if none is known.
+	factor speed.Ratio
+	health health
+	cache  *cache
 	// leaveStart is the earliest time at which the server may have started to leave.
 	leaveStart time.Time
 	// downAt is when the server last refused a connection; zero if it has answered since.
@@ -153,6 +160,7 @@
 	}
 	if b == nil {
 		b = &backend{key: KeyOf(s.ID), holds: map[galenastair.ModelName]bool{}, overriddenAt: map[galenastair.ModelName]time.Time{}, fullUntil: map[galenastair.ModelName]time.Time{}, cache: newCache()}
+		b.speedKey, b.factor = speed.KeyOf(s.ID, s.Incarnation), p.speedFactor(s)
 		b.announced, b.leaveStart = p.departed.take(s.ID, s.Incarnation)
 		p.backends[s.ID] = b
 		p.byService[s.Service] = append(p.byService[s.Service], b)
