--- a/speed/aggregator.go
+++ b/speed/aggregator.go
@@ -11,18 +11,19 @@
 
 const (
 	// window is the number of observations that an estimate covers. A busy server gets about two per
-	// second, so it follows a lasting change within some 20 s, and a slow moment of a few seconds
-	// moves it by less than a tenth.
-	window = 64
+	// second, so it follows a lasting change within some 20 s.
+	window = 48
 	// minObservations is the number from which an estimate is used: some seconds after a server's
 	// start.
 	minObservations = 8
-	// prior is the number of observations at the usual time that a new estimate contains. If 15 % of a
-	// server's moments are slow, half of its first eight observations are with a probability of 2 %.
-	prior = 4
-	// clip bounds how far an observation may be from the median, as a difference of logarithms. One
-	// at 2.5 times the usual time counts as one at 1.35 times.
-	clip = 0.3
+	// The fastest tenth of the observations and the slowest six tenths do not count. Prompts that the
+	// instance did not know of delay a request, and servers are slow for moments; prefixes that the
+	// instance did not know to be cached make one fast.
+	fastest = 0.1
+	slowest = 0.6
+	// clip bounds the effect of an observation on the measured scatter, by which equal servers with
+	// unequal queues are not taken for uneven ones.
+	clip = 1
 	// minDifference is the logarithm of the smallest factor that counts: smaller differences do not
 	// affect callers, and a fleet of equal servers should not be treated as uneven.
 	minDifference = 0.0953
@@ -32,16 +33,13 @@
 	doubt = 4
 	// changeDoubt is the same for a difference from the announced factor.
 	changeDoubt = 2
-	// initialScatter is the assumed standard deviation of observations, after clipping.
-	initialScatter = 0.2
 	// offsetWindowPerServer is the number of observations per server that the offset of a service
 	// covers. It is short against window, so that a change that affects all servers alike, as of the
 	// load, does not move factors.
 	offsetWindowPerServer = 3
-	// minOffsetWindow bounds the scatter of the offset of a small service.
+	// minOffsetWindow and maxOffsetWindow bound it.
 	minOffsetWindow = 20
-	// scatterWindow is the number of observations that the scatter of a service covers.
-	scatterWindow = 500
+	maxOffsetWindow = 512
 	// observationTTL is how long an estimate counts without an observation. A server that is avoided
 	// as slow gets tried again then.
 	observationTTL = 2 * time.Minute
@@ -62,10 +60,9 @@
 type server struct {
 	key     Key
 	service *service
-	// logs are the logarithms of the latest observations without the service's offset, the oldest at
-	// next once there are window of them. log is their mean, with those far from the median clipped.
-	logs       []float32
-	next       int
+	// logs are the logarithms of the latest observations without the service's offset, and log is
+	// their level.
+	logs       ring
 	log        float64
 	observedAt time.Time
 	// removedAt is when the registration ended; zero while there is one.
@@ -77,13 +74,13 @@
 
 // service holds what the observations of all servers of a service have in common.
 type service struct {
-	// offset is the mean logarithm of the observed ratios, apart from the factors. The expected
-	// times are assumptions, and the load affects all servers.
-	offset       float64
-	observations int
-	// variance is the mean square of the clipped differences from a server's mean.
-	variance float64
-	servers  []*server
+	// residuals are the logarithms of the latest observed ratios without the server's factors, and
+	// offset is their level. The expected times are assumptions, and the load affects all servers.
+	residuals ring
+	offset    float64
+	// deviation is the standard deviation of the residuals, after clipping.
+	deviation float64
+	servers   []*server
 }
 
 type publication struct {
@@ -117,7 +114,7 @@
 	}
 	svc := a.services[name]
 	if svc == nil {
-		svc = &service{variance: initialScatter * initialScatter}
+		svc = &service{}
 		a.services[name] = svc
 	}
 	s := &server{key: k, service: svc, factor: 1}
@@ -149,7 +146,7 @@
 	a.published = nil
 	a.last = max(a.last+1, Sequence(now.UnixMicro()))
 	for _, svc := range a.services {
-		svc.offset, svc.observations = 0, 0
+		svc.offset, svc.residuals = 0, ring{}
 	}
 	received := map[Key]Ratio{}
 	for _, f := range factors {
@@ -162,10 +159,10 @@
 			continue
 		}
 		r := cmp.Or(received[k], 1)
-		for range prior + minObservations {
-			s.logs = append(s.logs, float32(r.log()))
+		s.log = r.log()
+		for range minObservations {
+			s.logs.add(s.log, window)
 		}
-		s.update()
 		s.observedAt = now
 		a.publish(s, r)
 	}
@@ -179,59 +176,37 @@
 			continue
 		}
 		svc, v := s.service, o.Ratio.log()
-		svc.observe(v - s.log)
-		if svc.observations < minOffsetWindow {
-			continue
+		svc.residuals.add(v-s.log, min(maxOffsetWindow, max(minOffsetWindow, offsetWindowPerServer*len(svc.servers))))
+		if len(svc.residuals.values) == minOffsetWindow {
+			svc.update()
 		}
-		d := clipped(v - svc.offset - s.log)
-		if s.known() {
-			svc.variance += (d*d - svc.variance) / scatterWindow
+		if len(svc.residuals.values) < minOffsetWindow {
+			continue
 		}
-		s.add(v - svc.offset)
-		s.update()
+		s.logs.add(v-svc.offset, window)
+		s.log = s.logs.level()
 		s.observedAt = now
 	}
 }
 
-func (s *service) observe(v float64) {
-	n := max(minOffsetWindow, offsetWindowPerServer*len(s.servers))
-	s.observations = min(s.observations+1, n)
-	d := v - s.offset
-	if s.observations > minOffsetWindow/2 {
-		d = clipped(d)
-	}
-	s.offset += d / float64(s.observations)
-}
-
-func (s *server) add(v float64) {
-	if len(s.logs) == 0 {
-		s.logs = make([]float32, prior, window)
-	}
-	if len(s.logs) < window {
-		s.logs = append(s.logs, float32(v))
+// update computes what all observations have in common.
+func (s *service) update() {
+	if len(s.residuals.values) < minOffsetWindow {
 		return
 	}
-	s.logs[s.next] = float32(v)
-	s.next = (s.next + 1) % window
+	s.offset = s.residuals.level()
+	sum := 0.0
+	for _, v := range s.residuals.values {
+		d := clipped(float64(v) - s.offset)
+		sum += d * d
+	}
+	s.deviation = math.Sqrt(sum / float64(len(s.residuals.values)))
 }
 
 // known reports whether there are enough observations for an estimate.
-func (s *server) known() bool { return len(s.logs) >= prior+minObservations }
-
-func (s *server) forget() { s.logs, s.next, s.log = nil, 0, 0 }
+func (s *server) known() bool { return len(s.logs.values) >= minObservations }
 
-// update computes the mean of the observations.
-func (s *server) update() {
-	var buf [window]float32
-	sorted := buf[:copy(buf[:], s.logs)]
-	slices.Sort(sorted)
-	median := float64(sorted[len(sorted)/2]+sorted[(len(sorted)-1)/2]) / 2
-	sum := 0.0
-	for _, v := range sorted {
-		sum += clipped(float64(v) - median)
-	}
-	s.log = median + sum/float64(len(sorted))
-}
+func (s *server) forget() { s.logs, s.log = ring{}, 0 }
 
 func clipped(d float64) float64 { return min(clip, max(-clip, d)) }
 
@@ -242,12 +217,13 @@
 		switch {
 		case !s.removedAt.IsZero() && now.Sub(s.removedAt) > removedTTL:
 			a.DropServer(k)
-		case len(s.logs) > 0 && now.Sub(s.observedAt) > observationTTL:
+		case len(s.logs.values) > 0 && now.Sub(s.observedAt) > observationTTL:
 			s.forget()
 			changes = a.announce(changes, s, 1)
 		}
 	}
 	for _, svc := range a.services {
+		svc.update()
 		svc.centre()
 		for _, s := range svc.servers {
 			if r, ok := s.change(); ok {
@@ -278,14 +254,13 @@
 		mean += v / float64(len(logs))
 	}
 	for _, srv := range s.servers {
-		if len(srv.logs) > 0 {
+		if len(srv.logs.values) > 0 {
 			srv.log -= mean
 		}
-		for i := range srv.logs {
-			srv.logs[i] -= float32(mean)
-		}
+		srv.logs.shift(-mean)
 	}
 	s.offset += mean
+	s.residuals.shift(mean)
 }
 
 // change returns a factor to announce, if it differs enough from the announced one. The first is
@@ -294,7 +269,7 @@
 	if !s.known() {
 		return 0, false
 	}
-	deviation := math.Sqrt(s.service.variance / float64(len(s.logs)))
+	deviation := s.service.deviation / math.Sqrt(float64(len(s.logs.values)))
 	switch {
 	case s.published && s.factor != 1 && math.Abs(s.log) < minDifference/2:
 		return 1, true
@@ -314,7 +289,7 @@
 	if r == before {
 		return changes
 	}
-	return append(changes, Change{s.key, r, before, len(s.logs)})
+	return append(changes, Change{s.key, r, before, len(s.logs.values)})
 }
 
 func (a *Aggregator) publish(s *server, r Ratio) {
