--- a/pool/state.go
+++ b/pool/state.go
@@ -22,7 +22,9 @@
 	FailureRate float64 `json:"FailureShare"`
 	// Limit is the rate limit in requests per second over all instances; 0 for none.
 	Limit float64
-	Holds []galenastair.ModelName
+	// SpeedFactor is the time that the server takes, relative to the other servers of its service.
+	SpeedFactor float64
+	Holds       []galenastair.ModelName
 }
 
 // UnavailableReason is the reason why a backend server gets no requests.
@@ -46,6 +48,7 @@
 		s := State{
 			ID: srv.ID, Service: srv.Service, Address: srv.Address, AvailabilityZone: srv.AvailabilityZone,
 			Unavailable: p.unavailableReason(now, srv), InFlight: srv.inFlight, FailureRate: srv.health.failureRate, Limit: srv.limit.perSecond,
+			SpeedFactor: float64(srv.factor),
 		}
 		for name := range srv.holds {
 			s.Holds = append(s.Holds, name)
