--- a/node/metrics.go
+++ b/node/metrics.go
@@ -149,6 +149,7 @@
 		return float64(current.Version)
 	})
 	gauge("galenastair_backend_servers", "Backend servers that are known.", func() float64 { return float64(n.pool.Len()) })
+	gauge("galenastair_uneven_backend_servers", "Backend servers whose speed factor is not 1.", func() float64 { return float64(n.pool.UnevenServers()) })
 	gauge("galenastair_evacuated_zones", "Availability zones whose backend servers get no new requests.", func() float64 { return float64(len(n.catalogSource.evacuations.zones())) })
 	gauge("galenastair_partitioned_services", "Services from all of whose backend servers this instance is partitioned.", func() float64 { return float64(len(n.partition.From())) })
 	gauge("galenastair_streams_recorded", "Streams whose software version this instance keeps.", func() float64 { return float64(n.streams.table.Len()) })
--- a/planner/bed_test.go
+++ b/planner/bed_test.go
@@ -185,12 +185,12 @@
 	loop    *control.Loop
 }
 
-func newHarness(t *testing.T, seed uint64, engines int) *harness {
+func newHarness(t *testing.T, seed uint64, engines int, opts ...Option) *harness {
 	t.Helper()
 	c := &fakeClock{now: time.Unix(1000, 0)}
 	f := &fakeFleet{clock: c, rng: rand.New(rand.NewPCG(seed, 7)), fakes: map[string]*fakeEngine{}}
 	h := &harness{t: t, fleet: f, lease: &fakeLease{holds: true, fence: 1}, loop: control.NewLoop()}
-	h.planner = New("me", quota.Tolerance{Window: time.Second}, f, h.lease, h.loop, WithClock(c))
+	h.planner = New("me", quota.Tolerance{Window: time.Second}, f, h.lease, h.loop, append(opts, WithClock(c))...)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- h.loop.Run(ctx) }()
--- a/pool/speeds.go
+++ b/pool/speeds.go
@@ -68,3 +68,16 @@
 	}
 	return p.speeds.Factors()
 }
+
+// UnevenServers returns the number of backend servers whose speed factor is not 1.
+func (p *Pool) UnevenServers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, b := range p.backends {
+		if b.factor != 1 {
+			n++
+		}
+	}
+	return n
+}
--- a/speed/aggregator_test.go
+++ b/speed/aggregator_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -299,3 +300,16 @@
 		t.Error("1 does not stay 1, so equal servers would be treated as uneven")
 	}
 }
+
+// Guards against a key under which many servers, or the processes of one server, share a factor.
+func TestKeysOfProcessesDiffer(t *testing.T) {
+	keys := map[speed.Key]bool{}
+	for i := range 1900 {
+		for incarnation := range int64(2) {
+			keys[speed.KeyOf(galenastair.BackendServerID("engine-"+strconv.Itoa(i)), incarnation)] = true
+		}
+	}
+	if len(keys) < 3798 {
+		t.Errorf("%d keys of 3800 processes", len(keys))
+	}
+}
