--- a/speed/aggregator_test.go
+++ b/speed/aggregator_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -313,3 +314,54 @@
 		t.Errorf("%d keys of 3800 processes", len(keys))
 	}
 }
+
+// The work of a leader in a second: two observations of each of 1,900 servers, and five steps.
+func BenchmarkLeaderSecond(b *testing.B) {
+	f, a := newFleet(repeat(1900, 1)...), speed.NewAggregator(at(0))
+	for i := range f.ratios {
+		a.SetServer(speed.KeyOf(galenastair.BackendServerID(strconv.Itoa(i)), 1), service)
+	}
+	reports := make([][]speed.Observation, 100)
+	for i := range reports {
+		for j := range 38 {
+			o := f.observe(0)
+			o.Server = speed.KeyOf(galenastair.BackendServerID(strconv.Itoa((i*38+j)%1900)), 1)
+			reports[i] = append(reports[i], o)
+		}
+	}
+	now := time.Duration(0)
+	for b.Loop() {
+		for i, r := range reports {
+			a.Observe(at(now), r)
+			if i%20 == 0 {
+				now += 200 * time.Millisecond
+				a.Step(at(now))
+			}
+		}
+	}
+}
+
+// Guards against a leader's memory that grows with the time or the number of observations.
+func TestMemoryOfTheLeaderIsBounded(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	a := speed.NewAggregator(at(0))
+	for i := range 1900 {
+		a.SetServer(speed.KeyOf(galenastair.BackendServerID(strconv.Itoa(i)), 1), service)
+	}
+	for n := range 200 {
+		for i := range 1900 {
+			a.Observe(at(time.Duration(n)*time.Second), []speed.Observation{{speed.KeyOf(galenastair.BackendServerID(strconv.Itoa(i)), 1), 1}})
+		}
+		a.Step(at(time.Duration(n) * time.Second))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	perServer := float64(after.HeapAlloc-before.HeapAlloc) / 1900
+	t.Logf("%.0f bytes a server", perServer)
+	if perServer > 600 {
+		t.Errorf("%.0f bytes a server", perServer)
+	}
+	runtime.KeepAlive(a)
+}
--- a/speed/doc.go
+++ b/speed/doc.go
@@ -6,8 +6,9 @@
 //
 // It handles fleets of uneven servers, also if servers become slower for moments. The sizes at 370
 // instances in front of 1,900 servers: 5 to 6 bytes for each observation in a report, of which there
-// are at most MaxObservations; 5 to 6 bytes for each changed factor in an update, so at most 12 KB for an instance that
-// knows none; some 350 bytes of the leader's memory for each server and 50 of an instance's.
+// are at most MaxObservations; 5 to 6 bytes for each changed factor in an update, so some 10 KB for an
+// instance that knows none; some 450 bytes of the leader's memory for each server, and at an instance
+// 30 for each server that differs.
 //
 // The package opens no connections and starts no goroutines; the types are not safe for concurrent
 // use.
