--- a/planner/speeds_test.go
+++ b/planner/speeds_test.go
@@ -10,13 +10,13 @@
 	"galenastair/speed"
 )
 
-// reportSpeeds reports one observation of each engine, of which slow is 1.7 times as slow as the others.
-func (h *harness) reportSpeeds(slow galenastair.BackendServerID, seen speed.Sequence) speed.Update {
+// reportSpeeds reports one observation of each engine, of which e3 is 1.7 times as slow as the others.
+func (h *harness) reportSpeeds(seen speed.Sequence) speed.Update {
 	h.t.Helper()
 	r := Report{Instance: "i", LastSpeed: seen}
 	for id, f := range h.fleet.fakes {
 		o := speed.Observation{Server: speed.KeyOf(f.id, f.incarnation), Ratio: 1}
-		if id == string(slow) {
+		if id == "e3" {
 			o.Ratio = 1.7
 		}
 		r.SpeedObservations = append(r.SpeedObservations, o)
@@ -50,7 +50,7 @@
 	seen := speed.Sequence(0)
 	for range 20 {
 		h.step(500 * time.Millisecond)
-		u := h.reportSpeeds("e3", seen)
+		u := h.reportSpeeds(seen)
 		table.Apply(u)
 		seen = u.Newest
 	}
@@ -59,14 +59,14 @@
 	is.True(factors["e3"] > 1.5 && factors["e3"] < 1.9)
 	is.Equal(float64(table.Factor(speed.KeyOf("e3", 1))), factors["e3"])
 	is.Equal(table.Len(), 1)
-	is.Equal(len(h.reportSpeeds("e3", seen).Factors), 0) // the instance has them all
-	is.Equal(len(h.reportSpeeds("e3", 0).Factors), 8)    // an instance that has just started gets all
+	is.Equal(len(h.reportSpeeds(seen).Factors), 0) // the instance has them all
+	is.Equal(len(h.reportSpeeds(0).Factors), 8)    // an instance that has just started gets all
 
 	e := h.fleet.fakes["e3"]
 	e.incarnation, e.models = 2, map[galenastair.ModelName][]string{}
 	is.NoErr(h.planner.SetServer(t.Context(), e.registration()))
 	is.Equal(len(h.speedFactors()), 0)                // the factor must not apply to the next process
-	is.Equal(len(h.reportSpeeds("e3", 0).Factors), 7) // nor be sent to instances any more
+	is.Equal(len(h.reportSpeeds(0).Factors), 7) // nor be sent to instances any more
 }
 
 // Guards against a new leader that counts all engines as equal until it has observed them, and that
@@ -77,7 +77,7 @@
 	h := newHarness(t, 1, 8, WithServerSpeeds(func() []speed.Factor { return received.Factors() }))
 	for range 20 {
 		h.step(500 * time.Millisecond)
-		h.reportSpeeds("e3", 0)
+		h.reportSpeeds(0)
 	}
 	h.lease.holds = false
 	h.step(time.Second)
@@ -95,7 +95,7 @@
 	h := newHarness(t, 1, 8)
 	for range 20 {
 		h.step(500 * time.Millisecond)
-		is.Equal(h.reportSpeeds("e3", 0), speed.Update{})
+		is.Equal(h.reportSpeeds(0), speed.Update{})
 	}
 	is.Equal(len(h.speedFactors()), 0)
 }
