--- a/planner/speeds_test.go
+++ b/planner/speeds_test.go
@@ -65,7 +65,7 @@
 	e := h.fleet.fakes["e3"]
 	e.incarnation, e.models = 2, map[galenastair.ModelName][]string{}
 	is.NoErr(h.planner.SetServer(t.Context(), e.registration()))
-	is.Equal(len(h.speedFactors()), 0)                // the factor must not apply to the next process
+	is.Equal(len(h.speedFactors()), 0)          // the factor must not apply to the next process
 	is.Equal(len(h.reportSpeeds(0).Factors), 7) // nor be sent to instances any more
 }
 
