--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -71,8 +71,6 @@
 	ServerSpeeds bool
 	// YieldToUrgent has requests wait for more urgent ones, or refuses them.
 	YieldToUrgent Mode
-	// RelieveSaturated has the leader order copies of models of saturated engines.
-	RelieveSaturated bool
 	// HeldMemory is the fraction of the memory limit that may hold bytes for callers and backend
 	// servers; 0 is no limit.
 	HeldMemory float64
@@ -122,7 +120,6 @@
 		required(decimal("Bounds", "QuotaSlack", &b.QuotaSlack, 0, 1e12)),
 		boolean("Load", "ServerSpeeds", &g.Load.ServerSpeeds),
 		mode("Load", "YieldToUrgent", &g.Load.YieldToUrgent),
-		boolean("Load", "RelieveSaturated", &g.Load.RelieveSaturated),
 		decimal("Load", "HeldMemory", &g.Load.HeldMemory, 0, 0.9),
 	}
 }
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -41,7 +41,6 @@
 [Load]
 ServerSpeeds = true
 YieldToUrgent = log
-RelieveSaturated = true
 HeldMemory = 0.25
 `
 
@@ -53,7 +52,7 @@
 	is.Equal(g.Bounds.KeyLife, 5*time.Second)
 	is.True(g.Bounds.FencesChecked)
 	is.Equal(g.LinkMbps, 1000.0)
-	is.Equal(g.Load, LoadHandling{ServerSpeeds: true, YieldToUrgent: ModeLog, RelieveSaturated: true, HeldMemory: 0.25})
+	is.Equal(g.Load, LoadHandling{ServerSpeeds: true, YieldToUrgent: ModeLog, HeldMemory: 0.25})
 }
 
 // Guards against a required key that is missing or empty and goes unnoticed, as when the platform
