pool: streams leave their zone before the events of others are late

Cause: a request stays in its zone while that costs less than a fifth of its target latency. For a patient stream (target 10 s) that is two seconds of prompts, which delay the events of all streams that run at the server by as much.

Change: the fifth is of the longest time between two events that is on time, where that is shorter.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -223,13 +223,14 @@
 // poolQuery returns the request's properties by which the pool chooses a backend server.
 func (r *activeRequest) poolQuery() pool.Query {
 	return pool.Query{
-		Service:       r.service,
-		RequestHints:  r.req.Hints,
-		TargetLatency: r.admission.route.TargetLatency,
-		NoRetry:       !r.admission.route.Kind.Retryable(),
-		Regions:       r.admission.regions,
-		Version:       r.streamVersion,
-		Exclude:       r.tried,
+		Service:        r.service,
+		RequestHints:   r.req.Hints,
+		TargetLatency:  r.admission.route.TargetLatency,
+		TargetEventGap: r.admission.route.TargetEventGap,
+		NoRetry:        !r.admission.route.Kind.Retryable(),
+		Regions:        r.admission.regions,
+		Version:        r.streamVersion,
+		Exclude:        r.tried,
 	}
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,9 +10,9 @@
 )
 
 const (
-	// crossZonePenalty is the fraction of the target latency that a request may wait longer to
-	// stay in its own availability zone. Traffic between zones costs money, while latency within
-	// the target costs nothing.
+	// crossZonePenalty is the fraction of the target latency, or of the longest time between two events
+	// of a stream if that is shorter, that a request may wait longer to stay in its own availability
+	// zone. Traffic between zones costs money, while latency within the target costs nothing.
 	crossZonePenalty = 0.2
 	// failurePenalty is the cost of a certain failure, in multiples of the target latency. For a
 	// request that cannot be repeated, a failure is final and costs more.
@@ -206,7 +207,7 @@
 	}
 	t := p.predictLatency(now, b, q)
 	if b.AvailabilityZone != p.zone {
-		t += time.Duration(crossZonePenalty * float64(target))
+		t += time.Duration(crossZonePenalty * float64(min(target, cmp.Or(q.TargetEventGap, target))))
 	}
 	cost := failurePenalty
 	if q.NoRetry {
--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -109,6 +109,10 @@
 	galenastair.RequestHints
 	// TargetLatency is the time within which the first event should arrive.
 	TargetLatency time.Duration
+	// TargetEventGap is the longest time between two events of a stream that is on time; 0 for other
+	// answers. A server that reads prompts sends no events, so that a queue which is short against
+	// the target latency already delays the streams that are running there.
+	TargetEventGap time.Duration
 	// NoRetry is set if the request must not be sent twice.
 	NoRetry bool
 	// Regions are those whose servers may run the request; empty for all.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -81,6 +81,25 @@
 	is.True(got["s3"] <= 2)
 }
 
+// Guards against patient streams that stay in their zone until its servers' running streams are late.
+func TestPatientStreamLeavesItsZoneBeforeEventsAreLate(t *testing.T) {
+	is := is.New(t)
+	p := testPool()
+	now := time.Now()
+	q := testQuery()
+	for _, id := range []galenastair.BackendServerID{"s1", "s2"} {
+		waiting := q
+		waiting.PromptTokens = 6000
+		p.Begin(now, id, waiting)
+	}
+	q.TargetLatency = 10 * time.Second
+	c, _ := p.Choose(now, q)
+	is.Equal(c.AvailabilityZone, galenastair.AvailabilityZone("z1"))
+	q.TargetEventGap = 400 * time.Millisecond
+	c, _ = p.Choose(now, q)
+	is.Equal(c.AvailabilityZone, galenastair.AvailabilityZone("z2"))
+}
+
 // In a burst, the servers of the local zone fill up. The server in the other zone must take its
 // share, or callers would wait.
 func TestBurstSpillsToOtherZones(t *testing.T) {
