pool: a factor counts at once, also where the instance has observed nothing

The latency ratio of a server that was not observed was reduced as if it included the server's speed, which cancelled the factor until the instance's next request there.

--- a/pool/speeds.go
+++ b/pool/speeds.go
@@ -52,10 +52,18 @@
 	}
 }
 
-// setFactor sets the speed factor and reduces the latency ratio accordingly, which includes the
-// server's speed as far as the factor before did not.
+// setFactor sets the speed factor. The latency ratio includes the server's speed as far as the factor
+// before did not, so it changes the other way, but not beyond 1: a ratio that has decayed, or that was
+// not observed, does not include it.
 func (b *backend) setFactor(now time.Time, f speed.Ratio) {
-	b.ratio = latencyRatio{ratio: min(maxRatio, max(minRatio, b.ratio.value(now)*float64(b.factor/f))), at: now}
+	ratio := b.ratio.value(now)
+	moved := ratio * float64(b.factor/f)
+	if ratio > 1 && moved < ratio {
+		b.ratio = latencyRatio{ratio: max(1, moved), at: now}
+	}
+	if ratio < 1 && moved > ratio {
+		b.ratio = latencyRatio{ratio: min(1, moved), at: now}
+	}
 	b.factor = f
 }
 
