--- a/pool/flight.go
+++ b/pool/flight.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/speed"
 )
 
 // Attempt is a request that has been sent to a backend server.
@@ -21,6 +22,8 @@
 	unqueued bool
 	// showsSpeed reports that the request had to wait for nothing at the server.
 	showsSpeed bool
+	// observation is what the attempt has told of the server's speed.
+	observation speed.Observation
 	// plainRatio is the ratio of actual to expected time of a request without a model. It counts once
 	// the answer is known to be complete, as failures are fast.
 	plainRatio float64
@@ -136,6 +139,7 @@
 		b.health.failed(now)
 		b.downAt = now
 	case ServerError:
+		a.discardSpeed()
 		b.health.serverError(now)
 	case Full:
 		b.fullUntil[a.query.Model] = now.Add(fullBackoff)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -156,6 +156,7 @@
 	if b != nil && (b.Incarnation != s.Incarnation || b.Service != s.Service) {
 		// a server that restarted with the same ID holds none of its previous models
 		p.remove(b)
+		p.dropSpeed(b)
 		b = nil
 	}
 	if b == nil {
--- a/pool/speeds.go
+++ b/pool/speeds.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"galenastair/speed"
@@ -25,7 +26,24 @@
 	if p.speeds == nil || len(p.speedObservations) >= speed.MaxObservations {
 		return
 	}
-	p.speedObservations = append(p.speedObservations, speed.Observation{Server: a.backend.speedKey, Ratio: speed.Ratio(ratio)})
+	a.observation = speed.Observation{Server: a.backend.speedKey, Ratio: speed.Ratio(ratio)}
+	p.speedObservations = append(p.speedObservations, a.observation)
+}
+
+// discardSpeed removes the observation of an attempt that the server has failed: failures are fast, and
+// a server that fails all requests would get more of them.
+func (a *Attempt) discardSpeed() {
+	p := a.pool
+	if i := slices.Index(p.speedObservations, a.observation); i >= 0 {
+		p.speedObservations = slices.Delete(p.speedObservations, i, i+1)
+	}
+}
+
+// dropSpeed forgets the factor of a process that has ended.
+func (p *Pool) dropSpeed(b *backend) {
+	if p.speeds != nil {
+		p.speeds.Drop(b.speedKey)
+	}
 }
 
 // TakeSpeedObservations returns the observations since the last call.
--- a/pool/speeds_test.go
+++ b/pool/speeds_test.go
@@ -476,6 +476,7 @@
 	s.Incarnation = 2
 	p.Set(start, s)
 	is.Equal(p.States(start)[0].SpeedFactor, 1.0)
+	is.Equal(len(p.SpeedFactors()), 0)
 }
 
 // Guards against failures, which are fast, that make a server count as fast, and against observations of
@@ -501,7 +502,10 @@
 	is.Equal(len(p.TakeSpeedObservations()), 0)
 
 	answer("s1", testQuery(), Succeeded)
-	is.Equal(len(p.TakeSpeedObservations()), 1)
+	answer("s2", testQuery(), ServerError)
+	observed := p.TakeSpeedObservations()
+	is.Equal(len(observed), 1)
+	is.Equal(observed[0].Server, speed.KeyOf("s1", 1))
 	p.Begin(start, "s1", testQuery())
 	answer("s1", testQuery(), Succeeded)
 	is.Equal(len(p.TakeSpeedObservations()), 0)
--- a/speed/table.go
+++ b/speed/table.go
@@ -1,7 +1,7 @@
 package speed
 
-// maxTableSize bounds the factors that an instance keeps. Processes that have ended leave theirs
-// behind.
+// maxTableSize bounds the factors that an instance keeps. Processes leave theirs behind whose servers do
+// not start again.
 const maxTableSize = 8192
 
 // Table holds the factors that an instance has received.
@@ -25,6 +25,9 @@
 	}
 }
 
+// Drop forgets the factor of a process that has ended.
+func (t *Table) Drop(k Key) { delete(t.factors, k) }
+
 // Factor returns the factor of a process, 1 if none is known.
 func (t *Table) Factor(k Key) Ratio {
 	if r, ok := t.factors[k]; ok {
