--- a/standin/replica/order.go
+++ b/standin/replica/order.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"sort"
+	"time"
 )
 
 type orderRequest struct {
@@ -126,6 +127,9 @@
 		"service": r.settings.Service, "address": r.settings.Address, "zone": r.settings.Zone, "version": r.settings.Version,
 		"slots": r.settings.Slots, "state": state, "sequence": r.registrationSequence, "born": r.startedAtMillis,
 	}
+	if !r.endsAt.IsZero() {
+		body["leaves-ms"] = max(0, time.Until(r.endsAt).Milliseconds())
+	}
 	if r.settings.MaxModels > 0 {
 		body["models"] = r.loadedModels()
 	}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -107,6 +107,7 @@
 	sequence             int64
 	registrationSequence int64
 	draining             bool
+	endsAt               time.Time
 	fence                int64
 	crashReason          string
 	runs                 []*Run
@@ -139,6 +140,21 @@
 	r.draining = true
 }
 
+// EndAfter makes later registrations carry the state draining and the time that is left. When it has
+// elapsed, the replica breaks off all responses and executes no more requests.
+func (r *Replica) EndAfter(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining, r.endsAt = true, time.Now().Add(d)
+}
+
+// hasEnded reports whether the time of EndAfter has elapsed.
+func (r *Replica) hasEnded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.endsAt.IsZero() && !time.Now().Before(r.endsAt)
+}
+
 // Runs returns the requests that the replica has executed.
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
@@ -196,6 +212,9 @@
 }
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	if r.hasEnded() {
+		panic(http.ErrAbortHandler)
+	}
 	if id := req.Header.Get("Galenastair-Attempt-Id"); id != "" {
 		w.Header().Set("Galenastair-Attempt-Id", id)
 	}
@@ -307,5 +326,8 @@
 			return
 		case <-time.After(faults.EventInterval):
 		}
+		if r.hasEnded() {
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
