--- a/node/ending_test.go
+++ b/node/ending_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -18,6 +19,10 @@
 	const streams = 10
 	is := is.New(t)
 	c := newCluster(t, 2)
+	for _, n := range c.nodes {
+		// until then the retry budget of an instance is its part in a fleet of an assumed size
+		c.waitFor("the fleet size to be known", func() bool { return c.fleetSize(n) == len(c.nodes) })
+	}
 	for _, r := range c.replicas {
 		r.UpdateFaults(func(f *replica.Faults) { f.EventInterval = 450 * time.Millisecond })
 	}
@@ -41,6 +46,24 @@
 	}
 }
 
+// fleetSize returns the number of instances that a node knows.
+func (c *cluster) fleetSize(n *runningNode) int {
+	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, "http://"+n.settings.MetricsAddress+StatusPath, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var s Status
+	if json.NewDecoder(resp.Body).Decode(&s) != nil {
+		return 0
+	}
+	return s.FleetSize
+}
+
 func (c *cluster) streamsAt(id string) int {
 	n := 0
 	for _, run := range c.replicas[id].Runs() {
