--- a/pool/end.go
+++ b/pool/end.go
@@ -28,12 +28,12 @@
 	if !q.engine() {
 		return plainEndMargin * first
 	}
-	return first + p.expectedDecode(q)
+	return first + p.expectedDecode(b, q)
 }
 
 // expectedDecode returns the expected time from the first event of an answer to its end.
-func (p *Pool) expectedDecode(q *Query) time.Duration {
-	return time.Duration(float64(q.OutputTokens) * p.costOf(q).decode.value * float64(time.Second))
+func (p *Pool) expectedDecode(b *backend, q *Query) time.Duration {
+	return time.Duration(float64(q.OutputTokens) * p.costOf(q).decode.value * float64(b.factor) * float64(time.Second))
 }
 
 // EndsBeforeServer reports whether a request that is about to be sent is expected to end before its
@@ -54,7 +54,7 @@
 	if a.backend == nil || !a.started || a.backend.GoneAt.IsZero() {
 		return time.Time{}, time.Time{}, false
 	}
-	return a.backend.GoneAt, a.startedAt.Add(a.pool.expectedDecode(&a.query)), true
+	return a.backend.GoneAt, a.startedAt.Add(a.pool.expectedDecode(a.backend, &a.query)), true
 }
 
 // ServerEnded reports whether the time at which the server announced to end has passed.
--- a/pool/end_test.go
+++ b/pool/end_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"galenastair"
+	"galenastair/speed"
 )
 
 // announceEnd has a server announce that it leaves and ends at a time.
@@ -60,6 +61,18 @@
 	is.True(!p.EndsBeforeServer(start, "s1", q))
 }
 
+// Guards against an estimate by the fleet's time per token for a server that is known to be slower.
+func TestSpeedFactorDecidesWhetherARequestEndsInTime(t *testing.T) {
+	is := is.New(t)
+	p := testPool(WithLeaveGrace(2*time.Second), WithServerSpeeds())
+	q := testQuery()
+	q.OutputTokens = 400 // 0.8 s at the initial time per token
+	announceEnd(p, start, "s1", start.Add(1500*time.Millisecond))
+	is.True(p.EndsBeforeServer(start, "s1", q))
+	p.SetSpeeds(start, speed.Update{Factors: []speed.Factor{{Server: p.backends["s1"].speedKey, Ratio: 2}}})
+	is.True(!p.EndsBeforeServer(start, "s1", q))
+}
+
 // Guards against requests of a service without models that are sent to a server just before it ends.
 func TestPlainServerThatEndsGetsNoLateRequest(t *testing.T) {
 	is := is.New(t)
