speed: instances that don't lead forget ended processes

Found in review: only the leader's Step dropped them, so that a follower kept all (503 after 500 restarts). They are dropped at the next removal too; the new test fails without that.

--- a/speed/aggregator.go
+++ b/speed/aggregator.go
@@ -127,6 +127,17 @@
 	if s := a.servers[k]; s != nil {
 		s.removedAt = now
 	}
+	// an instance that does not lead calls no Step
+	a.expireRemoved(now)
+}
+
+// expireRemoved forgets the processes whose registrations ended more than removedTTL ago.
+func (a *Aggregator) expireRemoved(now time.Time) {
+	for k, s := range a.servers {
+		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > removedTTL {
+			a.DropServer(k)
+		}
+	}
 }
 
 // DropServer forgets a process that has ended.
@@ -213,11 +224,9 @@
 // Step expires estimates, and announces and returns the factors that have changed.
 func (a *Aggregator) Step(now time.Time) []Change {
 	var changes []Change
-	for k, s := range a.servers {
-		switch {
-		case !s.removedAt.IsZero() && now.Sub(s.removedAt) > removedTTL:
-			a.DropServer(k)
-		case len(s.logs.values) > 0 && now.Sub(s.observedAt) > observationTTL:
+	a.expireRemoved(now)
+	for _, s := range a.servers {
+		if len(s.logs.values) > 0 && now.Sub(s.observedAt) > observationTTL {
 			s.forget()
 			changes = a.announce(changes, s, 1)
 		}
