admission: less urgent requests yield while the queue of their best server is long

Engines read prompts in order of arrival, so a patient request that is sent at once delays urgent ones. With YieldToUrgent, an instance holds back requests of services with more urgent routes, releases them at random as the queue gets shorter, and refuses those that could only be late.

--- /dev/null
+++ b/admission/request.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"time"
+
+	"galenastair"
+	"galenastair/claim"
+)
+
+// Request holds the facts about a request that a decision needs.
+type Request struct {
+	Service galenastair.ServiceName
+	// Model is empty for a service without model engines.
+	Model    galenastair.ModelName
+	Arrived  time.Time
+	Deadline time.Time
+	// TargetLatency is the longest time from the arrival to the first event that is on time.
+	TargetLatency time.Duration
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// UrgentTarget is the shortest target latency of the more urgent requests of the service, 0 if
+	// there are none.
+	UrgentTarget time.Duration
+	// UrgentLevels is the number of more urgent priorities of the service.
+	UrgentLevels int
+	Organisation galenastair.Organisation
+	// Rate is the organisation's contract rate, 0 if it has none.
+	Rate   float64
+	Digest claim.Digest
+}
+
+func (r *Request) key() key { return key{r.Service, r.Model} }
+
+// key identifies the requests that compete for the same backend servers.
+type key struct {
+	service galenastair.ServiceName
+	model   galenastair.ModelName
+}
+
+// Forecast is what an instance expects of the best backend server for a request.
+type Forecast struct {
+	// PredictedLatency is the time to the first event if the request is sent now.
+	PredictedLatency time.Duration
+	// OwnTime is the part of PredictedLatency that the request takes itself.
+	OwnTime time.Duration
+	// Stale is set if the loads that the other instances report are out of date.
+	Stale bool
+}
+
+// queueTime is the part of the latency that the next request at the server would have to wait as well.
+func (f Forecast) queueTime() time.Duration { return max(0, f.PredictedLatency-f.OwnTime) }
+
+// Action is what to do with a request.
+type Action int
+
+// The actions.
+const (
+	Send Action = iota
+	Wait
+	Refuse
+)
+
+// String returns the action's name in log lines.
+func (a Action) String() string { return [...]string{"send", "wait", "refuse"}[a] }
+
+// Reason says why a request is to be sent or refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonMostUrgent Reason = "no more urgent requests"
+	ReasonShortQueue Reason = "the queue is short"
+	ReasonReleased   Reason = "released"
+	ReasonNoSlack    Reason = "no slack is left"
+	ReasonYields     Reason = "more urgent requests go first"
+	ReasonLate       Reason = "more urgent requests use the capacity"
+	ReasonOverShare  Reason = "the organisation is over its share"
+	ReasonFull       Reason = "too many requests wait"
+	ReasonStopping   Reason = "the instance is stopping"
+)
+
+// Decision is the result of one evaluation of a request.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// RetryAfter applies to Refuse. It is 0 if a retry would be too late as well.
+	RetryAfter time.Duration
+	// Recheck applies to Wait: the time until the next evaluation.
+	Recheck time.Duration
+}
+
+// lastMoment is when the first event of an on-time answer is due.
+func (r *Request) lastMoment() time.Time { return r.Arrived.Add(r.TargetLatency) }
--- /dev/null
+++ b/admission/trend.go
@@ -0,0 +1,46 @@
+package admission
+
+import "time"
+
+const (
+	// trendInterval is the time between two observations of a queue. Loads of other instances are
+	// renewed about as often.
+	trendInterval = 300 * time.Millisecond
+	// trendWindow is how long an observation of a queue counts.
+	trendWindow = 3 * time.Second
+	// trendWeight is the weight of a new observation in the rate of decrease.
+	trendWeight = 0.3
+	// maxTrends bounds the queues whose trend is kept.
+	maxTrends = 512
+)
+
+// trend is the observed rate at which a queue gets shorter, in seconds of queue per second.
+type trend struct {
+	queue time.Duration
+	at    time.Time
+	rate  float64
+}
+
+func (t *trend) observe(now time.Time, queue time.Duration) {
+	elapsed := now.Sub(t.at)
+	switch {
+	case t.at.IsZero() || elapsed > trendWindow:
+		*t = trend{queue: queue, at: now}
+	case elapsed >= trendInterval:
+		rate := (t.queue - queue).Seconds() / elapsed.Seconds()
+		t.rate += trendWeight * (rate - t.rate)
+		t.queue, t.at = queue, now
+	}
+}
+
+// minClearRate bounds the estimate where a queue does not get shorter.
+const minClearRate = 0.1
+
+// timeTo returns the time until the queue has decreased by d.
+func (t *trend) timeTo(d time.Duration) time.Duration {
+	rate := 1.0
+	if t != nil && t.rate != 0 {
+		rate = min(1, max(minClearRate, t.rate))
+	}
+	return time.Duration(float64(max(0, d)) / rate)
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -148,6 +148,7 @@
 	organisationsByKey map[galenastair.KeyHash]*Organisation
 	routesByHost       map[string][]*Route
 	requireKeys        bool
+	urgencies          map[galenastair.ServiceName]*urgency
 }
 
 // New returns a catalog.
@@ -160,6 +161,7 @@
 		organisationsByKey: map[galenastair.KeyHash]*Organisation{},
 		routesByHost:       map[string][]*Route{},
 		requireKeys:        len(organisations) > 0,
+		urgencies:          newUrgencies(routes, organisations),
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
--- /dev/null
+++ b/catalog/urgency.go
@@ -0,0 +1,81 @@
+package catalog
+
+import (
+	"time"
+
+	"galenastair"
+)
+
+// priorityLevels is the number of priorities that backend servers distinguish; greater ones count as
+// the last.
+const priorityLevels = 10
+
+// urgency describes the requests of a service by priority.
+type urgency [priorityLevels]struct {
+	// target is the shortest target latency of the requests, 0 if there are none with a target.
+	target  time.Duration
+	present bool
+}
+
+func (u *urgency) add(priority int, target time.Duration) {
+	level := &u[min(max(priority, 0), priorityLevels-1)]
+	level.present = true
+	if target > 0 && (level.target == 0 || target < level.target) {
+		level.target = target
+	}
+}
+
+// newUrgencies returns the urgency of each service that a route sends requests to. The requests of an
+// organisation with its own priority have that one on every route that needs a key.
+func newUrgencies(routes []*Route, organisations []*Organisation) map[galenastair.ServiceName]*urgency {
+	own := map[int]bool{}
+	routePriority := len(organisations) == 0
+	for _, o := range organisations {
+		if o.HasPriority {
+			own[o.Priority] = true
+		} else {
+			routePriority = true
+		}
+	}
+	out := map[galenastair.ServiceName]*urgency{}
+	for _, r := range routes {
+		for _, t := range r.Targets {
+			if t.Weight <= 0 {
+				continue
+			}
+			if out[t.Service] == nil {
+				out[t.Service] = &urgency{}
+			}
+			if r.Public || routePriority {
+				out[t.Service].add(r.Priority, r.TargetLatency)
+			}
+			for p := range own {
+				if !r.Public {
+					out[t.Service].add(p, r.TargetLatency)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// MoreUrgent returns the shortest target latency of the requests of a service that are more urgent than
+// the priority, and the number of their priorities; 0 if there are none with a target latency.
+func (c *Catalog) MoreUrgent(s galenastair.ServiceName, priority int) (time.Duration, int) {
+	u := c.urgencies[s]
+	if u == nil {
+		return 0, 0
+	}
+	var shortest time.Duration
+	levels := 0
+	for _, level := range u[:min(max(priority, 0), priorityLevels)] {
+		if !level.present || level.target == 0 {
+			continue
+		}
+		levels++
+		if shortest == 0 || level.target < shortest {
+			shortest = level.target
+		}
+	}
+	return shortest, levels
+}
--- /dev/null
+++ b/catalog/urgency_test.go
@@ -0,0 +1,44 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+)
+
+// Requests that yield without a more urgent route would wait for nothing. Fails if a service without
+// one, a route without a target, or the most urgent priority itself counts.
+func TestMoreUrgent(t *testing.T) {
+	is := is.New(t)
+	route := func(service string, priority int, target time.Duration) *Route {
+		return &Route{Host: "a", Priority: priority, TargetLatency: target, Targets: []Target{{Service: "unused"}, {Service: galenastair.ServiceName(service), Weight: 1}}}
+	}
+	routes := []*Route{
+		route("writer", 0, 500*time.Millisecond), route("writer", 1, 800*time.Millisecond), route("writer", 2, 10*time.Second),
+		route("app", 2, 150*time.Millisecond), route("app", 2, 150*time.Millisecond),
+		route("untimed", 0, 0), route("untimed", 1, time.Second),
+	}
+	c := New(1, Limits{}, routes, nil, nil)
+	check := func(service string, priority int, target time.Duration, levels int) {
+		t.Helper()
+		gotTarget, gotLevels := c.MoreUrgent(galenastair.ServiceName(service), priority)
+		is.Equal(gotTarget, target)
+		is.Equal(gotLevels, levels)
+	}
+	check("writer", 0, 0, 0)
+	check("writer", 1, 500*time.Millisecond, 1)
+	check("writer", 2, 500*time.Millisecond, 2)
+	check("writer", 12, 500*time.Millisecond, 3)
+	check("app", 2, 0, 0)
+	check("untimed", 1, 0, 0)
+	check("unused", 9, 0, 0)
+	check("unknown", 9, 0, 0)
+
+	c = New(1, Limits{}, routes, nil, []*Organisation{{Name: "first", HasPriority: true, Priority: 0}, {Name: "second"}})
+	check("app", 2, 150*time.Millisecond, 1)
+	c = New(1, Limits{}, routes, nil, []*Organisation{{Name: "first", HasPriority: true, Priority: 5}})
+	check("writer", 4, 0, 0)
+}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -22,8 +22,8 @@
 	maxPriority = 9
 )
 
-// admission is the configuration that a request was admitted under.
-type admission struct {
+// authorisation is the configuration that a request was admitted under.
+type authorisation struct {
 	route        *catalog.Route
 	organisation *catalog.Organisation
 	version      int64
@@ -32,7 +32,7 @@
 	regions []galenastair.Region
 }
 
-func (a admission) organisationName() galenastair.Organisation {
+func (a authorisation) organisationName() galenastair.Organisation {
 	if a.organisation == nil {
 		return ""
 	}
@@ -40,7 +40,7 @@
 }
 
 // priority returns the organisation's priority if it has one, or else the route's.
-func (a admission) priority() int {
+func (a authorisation) priority() int {
 	p := a.route.Priority
 	if a.organisation != nil && a.organisation.HasPriority {
 		p = a.organisation.Priority
@@ -52,12 +52,12 @@
 // instance that lost its connection to the store or was suspended may have an outdated
 // catalog that still holds a withdrawn key, or lacks a new one, so a catalog older than
 // MaxCatalogAge admits no key.
-func (g *Gateway) authorise(c *Request) (admission, error) {
+func (g *Gateway) authorise(c *Request) (authorisation, error) {
 	current, age := g.catalogSource.Current()
 	if current == nil {
-		return admission{}, galenastair.NewRefusal(galenastair.ErrNoConfiguration, catalogRetryAfter, "not loaded yet")
+		return authorisation{}, galenastair.NewRefusal(galenastair.ErrNoConfiguration, catalogRetryAfter, "not loaded yet")
 	}
-	a := admission{version: current.Version, age: age}
+	a := authorisation{version: current.Version, age: age}
 	a.route = current.Match(c.Host, c.Path)
 	if a.route == nil {
 		return a, g.deny(age, galenastair.ErrNotFound, "no route matches")
@@ -90,7 +90,7 @@
 }
 
 // restrictRegions sets the regions that both the route and the organisation allow.
-func (a *admission) restrictRegions() error {
+func (a *authorisation) restrictRegions() error {
 	route, organisation := a.route.Regions, a.organisation.Regions
 	switch {
 	case len(organisation) == 0:
@@ -107,7 +107,7 @@
 }
 
 // charge deducts a request's cost from its organisation's quota.
-func (g *Gateway) charge(ctx context.Context, a admission, h galenastair.RequestHints) error {
+func (g *Gateway) charge(ctx context.Context, a authorisation, h galenastair.RequestHints) error {
 	if a.organisation == nil || a.organisation.Rate <= 0 {
 		return nil
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -35,6 +35,9 @@
 	now := r.g.clock.Now()
 	choice, ok := r.g.pool.Choose(now, r.poolQuery())
 	if ok {
+		if proceed, err := r.yield(ctx, now, choice); err != nil || !proceed {
+			return pool.Choice{}, err
+		}
 		if err := r.checkQueueTime(now, choice); err != nil {
 			return choice, err
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"galenastair"
+	"galenastair/admission"
 	"galenastair/catalog"
 	"galenastair/claim"
 	"galenastair/dispatch"
@@ -64,6 +65,9 @@
 	RetrySlack float64
 	// FleetSize returns the number of instances.
 	FleetSize func() int
+	// LoadsCurrent reports whether the loads that the other instances report are up to date; nil if
+	// they always are.
+	LoadsCurrent func() bool
 	// Draining reports whether this instance shuts down within seconds.
 	Draining func() bool
 }
@@ -91,6 +95,11 @@
 	logger        log.Logger
 	recorder      Recorder
 
+	// admission is nil if requests do not yield to more urgent ones. If admissionDryRun is set, its
+	// decisions are logged and not followed.
+	admission       *admission.Controller
+	admissionDryRun bool
+
 	mu      sync.Mutex
 	budgets map[galenastair.ServiceName]*dispatch.RetryBudget
 }
@@ -123,6 +132,12 @@
 // WithRecorder sets the recorder of finished requests.
 func WithRecorder(r Recorder) Option { return func(g *Gateway) { g.recorder = r } }
 
+// WithAdmission sets the controller by which less urgent requests yield to more urgent ones. With
+// dryRun, its decisions are logged and not followed.
+func WithAdmission(c *admission.Controller, dryRun bool) Option {
+	return func(g *Gateway) { g.admission, g.admissionDryRun = c, dryRun }
+}
+
 // New returns a gateway with the given dependencies.
 func New(s Settings, d Dependencies, opts ...Option) *Gateway {
 	g := &Gateway{
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -328,7 +328,7 @@
 		{route: []galenastair.Region{"a", "b"}, organisation: []galenastair.Region{"b", "c"}, want: []galenastair.Region{"b"}},
 		{route: []galenastair.Region{"a"}, organisation: []galenastair.Region{"c"}, refused: true},
 	} {
-		a := admission{route: &catalog.Route{Regions: c.route}, organisation: &catalog.Organisation{Regions: c.organisation}}
+		a := authorisation{route: &catalog.Route{Regions: c.route}, organisation: &catalog.Organisation{Regions: c.organisation}}
 		err := a.restrictRegions()
 		is.Equal(err != nil, c.refused)
 		if !c.refused {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/admission"
 	"galenastair/catalog"
 )
 
@@ -31,9 +32,14 @@
 	RequestEnded(e RequestSummary)
 	// Retried counts a retry and its reason.
 	Retried(reason string)
+	// Yielded counts a less urgent request that has waited for more urgent ones, or was refused for
+	// them.
+	Yielded(d admission.Decision, waited time.Duration)
 }
 
 type noRecorder struct{}
 
 func (noRecorder) RequestEnded(RequestSummary) {}
 func (noRecorder) Retried(string)              {}
+
+func (noRecorder) Yielded(admission.Decision, time.Duration) {}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/admission"
 	"galenastair/catalog"
 	"galenastair/claim"
 	"galenastair/pool"
@@ -19,7 +20,12 @@
 	g         *Gateway
 	req       Request
 	w         ResponseWriter
-	admission admission
+	admission authorisation
+	// ticket is the request's place under the control of Gateway.admission; nil if it has none.
+	ticket *admission.Ticket
+	// admitted reports that the request need not yield any more.
+	admitted  bool
+	yieldedAt time.Time
 	service   galenastair.ServiceName
 	digest    claim.Digest
 	deadline  time.Time
@@ -129,6 +135,7 @@
 
 // serveWithRetries sends the request until it is answered or may not be retried.
 func (r *activeRequest) serveWithRetries(ctx context.Context) error {
+	defer r.leaveQueue()
 	for {
 		if targets := r.forwardTargets(); len(targets) > 0 {
 			return r.forward(ctx, targets)
@@ -141,6 +148,7 @@
 			continue
 		}
 		err = r.attempt(ctx, choice)
+		r.notifyWaiting()
 		if err == nil {
 			return nil
 		}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -67,6 +67,8 @@
 	crashes    []claim.Crash
 	partEvents []claim.PartEvent
 	leaderLost bool
+	// loadsAt is when the loads of the other instances were last received.
+	loadsAt atomic.Pointer[time.Time]
 
 	// used by run alone: the number of the last placement change received, and its sender
 	lastChange       int64
@@ -276,6 +278,7 @@
 	c.index.Store(int64(u.Index))
 	c.pool.SetPeerLimits(now, u.Limits)
 	c.pool.SetPeerLoads(now, u.Loads)
+	c.loadsAt.Store(&now)
 	for _, p := range u.Removed {
 		c.pool.RemoveModel(now, p.Server, p.Name)
 	}
@@ -292,6 +295,16 @@
 	}
 }
 
+// maxLoadsAge is the greatest age of loads by which requests are held back or refused. It is two
+// intervals of an idle instance, after which the pool counts them little as well.
+const maxLoadsAge = 2 * idleReportInterval
+
+// loadsCurrent reports whether the loads of the other instances were received recently.
+func (c *leaderClient) loadsCurrent() bool {
+	at := c.loadsAt.Load()
+	return at != nil && time.Since(*at) < maxLoadsAge
+}
+
 // applyOwners applies the table of organisation owners and this instance's grants. sent is the
 // time before the call that returned them. Only a leader whose lease is valid can confirm grants.
 func (c *leaderClient) applyOwners(u planner.Update, sent boottime.Time) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,10 +3,12 @@
 import (
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenastair"
+	"galenastair/admission"
 	"galenastair/gateway"
 	"galenastair/place"
 	"galenastair/platform"
@@ -23,6 +25,8 @@
 	retries               *prometheus.CounterVec
 	orders                *prometheus.CounterVec
 	limitDecisions        *prometheus.CounterVec
+	yields                *prometheus.CounterVec
+	yieldDuration         prometheus.Histogram
 	timeToFirstByte       *prometheus.HistogramVec
 	duration              *prometheus.HistogramVec
 	storeCalls            *prometheus.CounterVec
@@ -48,6 +52,12 @@
 		limitDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenastair_limit_turns_total", Help: "Requests for backend servers that have named a limit, by who answered and whether there was a turn.",
 		}, []string{"by", "outcome"}),
+		yields: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenastair_yields_total", Help: "Less urgent requests that waited for more urgent ones, or were refused for them, by action and reason.",
+		}, []string{"action", "reason"}),
+		yieldDuration: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "galenastair_yield_seconds", Help: "Time that less urgent requests waited for more urgent ones.", Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
+		}),
 		timeToFirstByte: histogram("galenastair_first_seconds", "Time from a request's arrival to its answer's head or first event."),
 		duration:        histogram("galenastair_total_seconds", "Time from a request's arrival to its end."),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -58,7 +68,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
 		}, []string{"call"}),
 	}
-	m.registry.MustRegister(m.requests, m.organisations, m.retries, m.orders, m.limitDecisions, m.timeToFirstByte, m.duration, m.storeCalls, m.storeDuration)
+	m.registry.MustRegister(m.requests, m.organisations, m.retries, m.orders, m.limitDecisions, m.yields, m.yieldDuration, m.timeToFirstByte, m.duration, m.storeCalls, m.storeDuration)
 	return m
 }
 
@@ -118,6 +128,14 @@
 // Retried counts one retry.
 func (m *metrics) Retried(cause string) { m.retries.WithLabelValues(cause).Inc() }
 
+// Yielded records the end of a less urgent request's wait for more urgent ones.
+func (m *metrics) Yielded(d admission.Decision, waited time.Duration) {
+	m.yields.WithLabelValues(d.Action.String(), string(d.Reason)).Inc()
+	if waited > 0 {
+		m.yieldDuration.Observe(waited.Seconds())
+	}
+}
+
 func (m *metrics) countOrder(kind galenastair.OrderKind, reason place.Reason, outcome string) {
 	m.orders.WithLabelValues(string(kind), string(reason), outcome).Inc()
 }
@@ -155,6 +173,7 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "galenastair_connections_closed_unread_total", Help: "New connections that were closed for lack of processor time.",
 	}, func() float64 { return float64(n.overload.Closed()) }))
+	gauge("galenastair_yielding", "Less urgent requests that wait for more urgent ones.", func() float64 { return float64(n.yielding()) })
 	gauge("galenastair_fleet", "Instances that the quotas are dealt to.", func() float64 { return float64(n.borrower.FleetSize()) })
 	gauge("galenastair_plans", "1 while this instance plans.", func() float64 {
 		if n.lease.Holds() {
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 
 	"galenastair"
 	"galenastair/account"
+	"galenastair/admission"
 	"galenastair/catalog"
 	"galenastair/claim"
 	"galenastair/control"
@@ -70,8 +71,10 @@
 	leaderClient *leaderClient
 	streams      *streamOrigins
 	gateway      *gateway.Gateway
-	metrics      *metrics
-	storeCalls   storeCalls
+	// admission is nil if the settings have no request yield.
+	admission  *admission.Controller
+	metrics    *metrics
+	storeCalls storeCalls
 	// overload closes new connections of callers that this instance can't serve in time.
 	overload overload.Guard
 	// stopping is set on the signal to stop, draining once no new connections are accepted.
@@ -155,12 +158,18 @@
 
 func (n *Node) newGateway(backend galenastair.Backend) *gateway.Gateway {
 	b := n.settings.Bounds
+	opts := []gateway.Option{gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics)}
+	if mode := n.settings.Load.YieldToUrgent; mode == settings.ModeOn || mode == settings.ModeLog {
+		n.admission = admission.New()
+		opts = append(opts, gateway.WithAdmission(n.admission, mode == settings.ModeLog))
+	}
 	return gateway.New(gateway.Settings{
 		MaxCatalogAge: b.KeyLife - authorisationMargin,
 		MaxDenialAge:  b.ApplyTimeout,
 		RetryRatio:    b.RetryRatio,
 		RetrySlack:    b.RetrySlack,
 		FleetSize:     n.borrower.FleetSize,
+		LoadsCurrent:  n.leaderClient.loadsCurrent,
 		Draining:      n.draining.Load,
 	}, gateway.Dependencies{
 		CatalogSource: n.catalogSource,
@@ -174,7 +183,15 @@
 		Streams:       n.streams,
 		Poison:        n.leaderClient.poisonTracker,
 		Parts:         n.leaderClient.partTracker,
-	}, gateway.WithLogger(n.logger), gateway.WithRecorder(n.metrics))
+	}, opts...)
+}
+
+// yielding returns the number of requests that wait for more urgent ones.
+func (n *Node) yielding() int {
+	if n.admission == nil {
+		return 0
+	}
+	return n.admission.Waiting()
 }
 
 // topics returns the topics that this instance follows. It must not be called before Run.
--- a/node/status.go
+++ b/node/status.go
@@ -34,6 +34,8 @@
 	BackendServers []pool.State
 	// EvacuatedZones are the availability zones whose backend servers get no new requests.
 	EvacuatedZones []galenastair.AvailabilityZone
+	// Yielding is the number of requests that wait for more urgent ones.
+	Yielding int
 }
 
 // Status returns the current state of the instance.
@@ -48,6 +50,7 @@
 		InFallback:       n.borrower.InFallback(),
 		BackendServers:   n.pool.States(time.Now()),
 		EvacuatedZones:   n.catalogSource.evacuations.zones(),
+		Yielding:         n.yielding(),
 	}
 	if err := n.ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
