--- a/admission/admission.go
+++ b/admission/admission.go
@@ -47,6 +47,8 @@
 	shed     bool
 	lines    map[key]*line
 	trends   map[key]*trend
+	shortAt  map[key]time.Time
+	servers  map[galenastair.BackendServerID]*serverState
 	refusals refusals
 	waiting  int
 }
@@ -62,7 +64,7 @@
 
 // New returns a controller without waiting requests.
 func New(opts ...Option) *Controller {
-	c := &Controller{shed: true, lines: map[key]*line{}, trends: map[key]*trend{}}
+	c := &Controller{shed: true, lines: map[key]*line{}, trends: map[key]*trend{}, shortAt: map[key]time.Time{}, servers: map[galenastair.BackendServerID]*serverState{}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -135,7 +137,7 @@
 	t.c.mu.Lock()
 	defer t.c.mu.Unlock()
 	t.forecast = f
-	t.c.observe(now, t.req.key(), f.queueTime())
+	t.c.observe(now, t.req.key(), f.QueueTime)
 	d := t.c.decide(now, t, f)
 	t.checkedAt = now
 	switch d.Action {
@@ -168,7 +170,7 @@
 		return Decision{Action: Wait, Reason: ReasonYields, Recheck: c.recheck(slack)}
 	case slack > sendMargin:
 		return c.refuse(now, t, f, ReasonFull)
-	case f.queueTime() <= time.Duration(urgentFraction*float64(t.req.UrgentTarget)), !c.shed:
+	case f.QueueTime <= time.Duration(urgentFraction*float64(t.req.UrgentTarget)) && !goDraw, !c.shed:
 		return Decision{Action: Send, Reason: ReasonNoSlack}
 	case f.Stale && c.rng.Float64() < staleProbability:
 		return Decision{Action: Send, Reason: ReasonNoSlack}
@@ -188,22 +190,57 @@
 	return time.Duration(math.Pow(yieldFraction, float64(max(1, r.UrgentLevels))) * float64(r.UrgentTarget))
 }
 
-// release draws whether the request may be sent with the present queue. A queue of less than half
-// of the limit takes every new request; from there to the limit their share decreases.
+// release draws whether the request may be sent with the present queue. Without a shortage, a queue of
+// less than half of the limit takes every new request; from there to the limit their share decreases.
 func (c *Controller) release(now time.Time, t *Ticket, f Forecast) bool {
-	limit := t.req.limit()
-	share := min(1, 2*(1-float64(f.queueTime())/float64(limit)))
-	if f.Stale {
-		share = max(share, 0.1)
+	s := c.server(now, f)
+	l := t.req.limit()
+	if f.QueueTime >= l {
+		s.shortAt = now
+		c.shortAt[t.req.key()] = now
+		return f.Stale && c.rng.Float64() < 0.1
 	}
-	if share <= 0 {
-		return false
+	if at, ok := c.shortAt[t.req.key()]; !ok || now.Sub(at) > shortageWindow {
+		return c.rng.Float64() < 2*(1-float64(f.QueueTime)/float64(l))
 	}
-	if !t.waiting {
-		return c.rng.Float64() < share
+	elapsed := min(now.Sub(s.drawnAt), maxDraw).Seconds()
+	s.drawnAt = now
+	return c.rng.Float64() < 1-math.Exp(-s.gain*f.share()*elapsed)
+}
+
+type serverState struct {
+	queue      time.Duration
+	observedAt time.Time
+	drawnAt    time.Time
+	shortAt    time.Time
+	gain       float64
+}
+
+var (
+	shortageWindow = 3 * time.Second
+	maxDraw        = 500 * time.Millisecond
+	gain0          = 0.5
+	gainA          = 0.4
+	gainB          = 0.2
+	gainD          = 0.8
+	gainMax        = 4.0
+	goDraw         = true
+)
+
+func (c *Controller) server(now time.Time, f Forecast) *serverState {
+	s := c.servers[f.Server]
+	if s == nil {
+		s = &serverState{gain: gain0, observedAt: now, drawnAt: now, queue: f.QueueTime}
+		c.servers[f.Server] = s
+	}
+	if elapsed := now.Sub(s.observedAt); elapsed >= trendInterval {
+		q0 := 0.1
+		e := min(2, elapsed.Seconds())
+		s.gain *= math.Exp(-gainA/gainD*(f.QueueTime-s.queue).Seconds() - gainB/gainD/gainD*(f.QueueTime.Seconds()-q0)*e)
+		s.gain = min(gainMax, max(0.05, s.gain))
+		s.queue, s.observedAt = f.QueueTime, now
 	}
-	elapsed := min(now.Sub(t.checkedAt), maxRecheck).Seconds()
-	return c.rng.Float64() < 1-math.Exp(-releaseRate*share*elapsed)
+	return s
 }
 
 // slack is how much longer the request can wait. A retry after a refusal is not refused again as
@@ -228,8 +265,8 @@
 func (c *Controller) refuse(now time.Time, t *Ticket, f Forecast, reason Reason) Decision {
 	left := t.req.Deadline.Sub(now)
 	d := Decision{Action: Refuse, Reason: reason}
-	clear := c.trends[t.req.key()].timeTo(f.queueTime() - t.req.limit())
-	if t.returning || clear+f.OwnTime > left {
+	clear := c.trends[t.req.key()].timeTo(f.QueueTime - t.req.limit())
+	if t.returning || clear+f.ownTime() > left {
 		return d
 	}
 	after := time.Duration(float64(max(clear, minRetryAfter)) * (0.75 + 0.75*c.rng.Float64()))
--- a/admission/request.go
+++ b/admission/request.go
@@ -41,14 +41,29 @@
 type Forecast struct {
 	// PredictedLatency is the time to the first event if the request is sent now.
 	PredictedLatency time.Duration
-	// OwnTime is the part of PredictedLatency that the request takes itself.
-	OwnTime time.Duration
+	// QueueTime is the part of PredictedLatency that is due to other requests. The next request at
+	// the server has to wait as long.
+	QueueTime time.Duration
+	Server    galenastair.BackendServerID
+	// Slots is the number of requests that the server answers at the same time; 1 for an engine,
+	// which reads one prompt after the other.
+	Slots int
+	// Instances is the number of instances that send to the server.
+	Instances int
 	// Stale is set if the loads that the other instances report are out of date.
 	Stale bool
 }
 
-// queueTime is the part of the latency that the next request at the server would have to wait as well.
-func (f Forecast) queueTime() time.Duration { return max(0, f.PredictedLatency-f.OwnTime) }
+// ownTime is the part of the latency that the request takes itself.
+func (f Forecast) ownTime() time.Duration {
+	return max(time.Millisecond, f.PredictedLatency-f.QueueTime)
+}
+
+// share is the number of such requests per second that one of the instances may send to the server if
+// all of them together use its whole capacity.
+func (f Forecast) share() float64 {
+	return float64(max(1, f.Slots)) / float64(max(1, f.Instances)) / f.ownTime().Seconds()
+}
 
 // Action is what to do with a request.
 type Action int
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -82,9 +82,9 @@
 }
 
 func (r *activeRequest) forecast(c pool.Choice) admission.Forecast {
-	f := admission.Forecast{PredictedLatency: c.PredictedLatency}
-	if r.req.Hints.Model != "" {
-		f.OwnTime = r.g.pool.EngineTime(r.poolQuery())
+	f := admission.Forecast{PredictedLatency: c.PredictedLatency, QueueTime: c.QueueTime, Server: c.ID, Slots: 1, Instances: r.g.settings.FleetSize()}
+	if r.req.Hints.Model == "" {
+		f.Slots = c.Slots
 	}
 	f.Stale = r.g.settings.LoadsCurrent != nil && !r.g.settings.LoadsCurrent()
 	return f
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -28,6 +28,8 @@
 	Server
 	// PredictedLatency is the expected time to the answer or its first event.
 	PredictedLatency time.Duration
+	// QueueTime is the part of it that is due to other requests.
+	QueueTime time.Duration
 	// CachedTokens is the number of prompt tokens that the server probably has cached.
 	CachedTokens galenastair.Tokens
 	// Candidates is the number of servers that were considered.
@@ -65,9 +67,11 @@
 	case best == nil:
 		return Choice{Reason: p.noneReason(now, &q)}, false
 	}
+	predicted := p.predictLatency(now, best, &q)
 	return Choice{
 		Server:           best.Server,
-		PredictedLatency: p.predictLatency(now, best, &q),
+		PredictedLatency: predicted,
+		QueueTime:        p.queueTime(now, best, &q, predicted),
 		CachedTokens:     best.cache.match(q.keys, q.PromptParts),
 		Candidates:       len(candidates),
 		Limit:            p.limitOf(now, best),
