--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,17 +12,9 @@
 	// MaxWaiting bounds the waiting requests of an instance. Each holds a goroutine and its body,
 	// about 20 KB together.
 	MaxWaiting = 256
-	// yieldFraction is the fraction of UrgentTarget up to which a queue is left to the requests of
-	// the next less urgent priority. Each further priority gets the same fraction of that. The rest
-	// is for the time that the urgent request itself takes, and for what other instances have sent
-	// since their last report.
-	yieldFraction = 0.5
 	// urgentFraction is the fraction of UrgentTarget from which a queue makes urgent requests late.
+	// The rest is the time that such a request takes itself.
 	urgentFraction = 0.8
-	// releaseRate is the rate per second at which a waiting request is released when the queue is
-	// short. Instances see each other's load up to 900 ms late, so a higher rate would fill the
-	// queue again before any of them sees it.
-	releaseRate = 4.0
 	// minRecheck and maxRecheck bound the time between two evaluations of a waiting request.
 	// Loads of other instances change every 300 ms, and each wake-up takes processor time.
 	minRecheck = 25 * time.Millisecond
@@ -33,9 +24,9 @@
 	// sendMargin is how long before its last moment a request is sent, for the time that a timer
 	// and the transfer to the backend server take.
 	sendMargin = 30 * time.Millisecond
-	// staleProbability bounds how often a decision to wait or to refuse is followed, and how often a
-	// request is sent at once, without current loads of the other instances.
-	staleProbability = 0.5
+	// staleSendProbability is the fraction of the late requests that are sent and not refused without
+	// current loads of the other instances.
+	staleSendProbability = 0.5
 	// minRetryAfter is the shortest Retry-After.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -47,8 +38,7 @@
 	shed     bool
 	lines    map[key]*line
 	trends   map[key]*trend
-	shortAt  map[key]time.Time
-	servers  map[galenastair.BackendServerID]*serverState
+	rates    map[galenastair.BackendServerID]*sendRate
 	refusals refusals
 	waiting  int
 }
@@ -64,12 +54,12 @@
 
 // New returns a controller without waiting requests.
 func New(opts ...Option) *Controller {
-	c := &Controller{shed: true, lines: map[key]*line{}, trends: map[key]*trend{}, shortAt: map[key]time.Time{}, servers: map[galenastair.BackendServerID]*serverState{}}
+	c := &Controller{shed: true, lines: map[key]*line{}, trends: map[key]*trend{}, rates: map[galenastair.BackendServerID]*sendRate{}}
 	for _, o := range opts {
 		o(c)
 	}
 	if c.rng == nil {
-		c.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load
+		c.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	return c
 }
@@ -81,16 +71,15 @@
 	// returning is set for a retry after a refusal.
 	returning bool
 	waiting   bool
-	granted   bool
-	// checkedAt is the time of the last evaluation.
-	checkedAt time.Time
-	forecast  Forecast
-	wake      chan struct{}
+	// granted is set if the request may be sent, evicted if it has to make room for another one.
+	granted bool
+	evicted bool
+	wake    chan struct{}
 }
 
 // Arrive registers a request. Leave must be called once it has been sent or has ended.
 func (c *Controller) Arrive(now time.Time, r Request) *Ticket {
-	t := &Ticket{c: c, req: r, checkedAt: now}
+	t := &Ticket{c: c, req: r}
 	if r.UrgentTarget > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -112,6 +101,17 @@
 	t.c.remove(t)
 }
 
+// Spread reports whether the request should be evaluated for any of its backend servers, as the best
+// one is the same for all instances.
+func (t *Ticket) Spread(now time.Time) bool {
+	if t.req.UrgentTarget == 0 {
+		return false
+	}
+	t.c.mu.Lock()
+	defer t.c.mu.Unlock()
+	return t.c.isShort(now, t.req.key())
+}
+
 // Ended wakes the first request that waits for the servers of a model, as a request that this
 // instance has sent there has ended.
 func (c *Controller) Ended(s galenastair.ServiceName, m galenastair.ModelName) {
@@ -129,17 +129,16 @@
 	return c.waiting
 }
 
-// Decide evaluates a request. After Send or Refuse the request no longer waits.
-func (t *Ticket) Decide(now time.Time, f Forecast) Decision {
+// Decide evaluates a request for a candidate, which is any of its backend servers if Spread is true,
+// and for the best one. After Send or Refuse the request no longer waits.
+func (t *Ticket) Decide(now time.Time, candidate, best Forecast) Decision {
 	if t.req.UrgentTarget == 0 {
-		return Decision{Action: Send, Reason: ReasonMostUrgent}
+		return Decision{Action: Send, Reason: ReasonMostUrgent, Best: true}
 	}
 	t.c.mu.Lock()
 	defer t.c.mu.Unlock()
-	t.forecast = f
-	t.c.observe(now, t.req.key(), f.QueueTime)
-	d := t.c.decide(now, t, f)
-	t.checkedAt = now
+	t.c.observe(now, t, candidate, best)
+	d := t.c.decide(now, t, candidate, best)
 	switch d.Action {
 	case Wait:
 		t.c.add(t)
@@ -152,30 +151,25 @@
 	return d
 }
 
-func (c *Controller) decide(now time.Time, t *Ticket, f Forecast) Decision {
-	if t.granted {
-		return Decision{Action: Send, Reason: ReasonReleased}
-	}
-	if c.release(now, t, f) {
-		first := c.firstOf(t)
-		if first == t {
-			return Decision{Action: Send, Reason: sendReason(t)}
-		}
-		first.granted = true
-		first.notify()
-	}
-	slack := t.slack(now, f)
+func (c *Controller) decide(now time.Time, t *Ticket, candidate, best Forecast) Decision {
+	slack := t.slack(now, best)
 	switch {
-	case slack > sendMargin && (t.waiting || c.waiting < MaxWaiting):
+	case t.granted:
+		return Decision{Action: Send, Reason: ReasonReleased}
+	case t.evicted:
+		return c.refuse(now, t, best, ReasonOverShare)
+	case c.release(now, t, candidate) && c.grantFirst(t):
+		return Decision{Action: Send, Reason: sendReason(t)}
+	case slack > sendMargin && (t.waiting || c.makeRoom(t)):
 		return Decision{Action: Wait, Reason: ReasonYields, Recheck: c.recheck(slack)}
 	case slack > sendMargin:
-		return c.refuse(now, t, f, ReasonFull)
-	case f.QueueTime <= time.Duration(urgentFraction*float64(t.req.UrgentTarget)) && !goDraw, !c.shed:
-		return Decision{Action: Send, Reason: ReasonNoSlack}
-	case f.Stale && c.rng.Float64() < staleProbability:
-		return Decision{Action: Send, Reason: ReasonNoSlack}
+		return c.refuse(now, t, best, ReasonFull)
+	case !c.shed, !c.isShort(now, t.req.key()) && best.QueueTime <= t.req.urgentLimit():
+		return Decision{Action: Send, Reason: ReasonNoSlack, Best: true}
+	case best.Stale && c.rng.Float64() < staleSendProbability:
+		return Decision{Action: Send, Reason: ReasonNoSlack, Best: true}
 	}
-	return c.refuse(now, t, f, ReasonLate)
+	return c.refuse(now, t, best, ReasonLate)
 }
 
 func sendReason(t *Ticket) Reason {
@@ -185,62 +179,14 @@
 	return ReasonShortQueue
 }
 
-// limit is the queue time up to which the request may be sent.
-func (r *Request) limit() time.Duration {
-	return time.Duration(math.Pow(yieldFraction, float64(max(1, r.UrgentLevels))) * float64(r.UrgentTarget))
-}
-
-// release draws whether the request may be sent with the present queue. Without a shortage, a queue of
-// less than half of the limit takes every new request; from there to the limit their share decreases.
-func (c *Controller) release(now time.Time, t *Ticket, f Forecast) bool {
-	s := c.server(now, f)
-	l := t.req.limit()
-	if f.QueueTime >= l {
-		s.shortAt = now
-		c.shortAt[t.req.key()] = now
-		return f.Stale && c.rng.Float64() < 0.1
-	}
-	if at, ok := c.shortAt[t.req.key()]; !ok || now.Sub(at) > shortageWindow {
-		return c.rng.Float64() < 2*(1-float64(f.QueueTime)/float64(l))
-	}
-	elapsed := min(now.Sub(s.drawnAt), maxDraw).Seconds()
-	s.drawnAt = now
-	return c.rng.Float64() < 1-math.Exp(-s.gain*f.share()*elapsed)
-}
-
-type serverState struct {
-	queue      time.Duration
-	observedAt time.Time
-	drawnAt    time.Time
-	shortAt    time.Time
-	gain       float64
-}
-
-var (
-	shortageWindow = 3 * time.Second
-	maxDraw        = 500 * time.Millisecond
-	gain0          = 0.5
-	gainA          = 0.4
-	gainB          = 0.2
-	gainD          = 0.8
-	gainMax        = 4.0
-	goDraw         = true
-)
-
-func (c *Controller) server(now time.Time, f Forecast) *serverState {
-	s := c.servers[f.Server]
-	if s == nil {
-		s = &serverState{gain: gain0, observedAt: now, drawnAt: now, queue: f.QueueTime}
-		c.servers[f.Server] = s
-	}
-	if elapsed := now.Sub(s.observedAt); elapsed >= trendInterval {
-		q0 := 0.1
-		e := min(2, elapsed.Seconds())
-		s.gain *= math.Exp(-gainA/gainD*(f.QueueTime-s.queue).Seconds() - gainB/gainD/gainD*(f.QueueTime.Seconds()-q0)*e)
-		s.gain = min(gainMax, max(0.05, s.gain))
-		s.queue, s.observedAt = f.QueueTime, now
+// grantFirst gives the permission to send to the request that goes first, and reports whether it is t.
+func (c *Controller) grantFirst(t *Ticket) bool {
+	first := c.firstOf(t)
+	if first != t {
+		first.granted = true
+		first.notify()
 	}
-	return s
+	return first == t
 }
 
 // slack is how much longer the request can wait. A retry after a refusal is not refused again as
@@ -265,37 +211,14 @@
 func (c *Controller) refuse(now time.Time, t *Ticket, f Forecast, reason Reason) Decision {
 	left := t.req.Deadline.Sub(now)
 	d := Decision{Action: Refuse, Reason: reason}
-	clear := c.trends[t.req.key()].timeTo(f.QueueTime - t.req.limit())
-	if t.returning || clear+f.ownTime() > left {
+	wait := c.trends[t.req.key()].timeTo(f.QueueTime - t.req.limit())
+	if t.returning || wait+f.ownTime() > left {
 		return d
 	}
-	after := time.Duration(float64(max(clear, minRetryAfter)) * (0.75 + 0.75*c.rng.Float64()))
-	if after > left/3 {
-		// spread over the upper half of what callers accept
-		after = time.Duration(float64(left) / 3 * (0.5 + 0.5*c.rng.Float64()))
+	d.RetryAfter = time.Duration(float64(max(wait, minRetryAfter)) * (0.75 + 0.75*c.rng.Float64()))
+	if d.RetryAfter > left/3 {
+		// callers respect no more than a third; the upper half of it is left to spread them
+		d.RetryAfter = time.Duration(float64(left) / 3 * (0.5 + 0.5*c.rng.Float64()))
 	}
-	d.RetryAfter = after
 	return d
 }
-
-func (c *Controller) observe(now time.Time, k key, queue time.Duration) {
-	if c.trends[k] == nil {
-		if len(c.trends) >= maxTrends {
-			c.dropTrends(now)
-		}
-		c.trends[k] = &trend{}
-	}
-	c.trends[k].observe(now, queue)
-}
-
-// dropTrends removes the trends that no longer count, or all if none are outdated.
-func (c *Controller) dropTrends(now time.Time) {
-	for k, t := range c.trends {
-		if now.Sub(t.at) > trendWindow {
-			delete(c.trends, k)
-		}
-	}
-	if len(c.trends) >= maxTrends {
-		clear(c.trends)
-	}
-}
--- a/admission/line.go
+++ b/admission/line.go
@@ -26,15 +26,19 @@
 }
 
 func (c *Controller) remove(t *Ticket) {
-	if !t.waiting {
-		return
+	if t.waiting && !t.evicted {
+		c.detach(t)
 	}
+	t.waiting = false
+}
+
+// detach removes a request from its line.
+func (c *Controller) detach(t *Ticket) {
 	l := c.lines[t.req.key()]
 	l.tickets = slices.DeleteFunc(l.tickets, func(o *Ticket) bool { return o == t })
 	if len(l.tickets) == 0 {
 		delete(c.lines, t.req.key())
 	}
-	t.waiting = false
 	c.waiting--
 }
 
@@ -112,3 +116,33 @@
 	default:
 	}
 }
+
+// makeRoom reports whether one more request may wait. If too many wait, the one that would go last is
+// refused, unless that is t.
+func (c *Controller) makeRoom(t *Ticket) bool {
+	if c.waiting < MaxWaiting {
+		return true
+	}
+	all := &line{}
+	for _, l := range c.lines {
+		for _, o := range l.tickets {
+			if !o.granted && !o.evicted {
+				all.tickets = append(all.tickets, o)
+			}
+		}
+	}
+	excess := all.excess(t)
+	last := t
+	for _, o := range all.tickets {
+		if last.before(o, excess) {
+			last = o
+		}
+	}
+	if last == t {
+		return false
+	}
+	last.evicted = true
+	c.detach(last)
+	last.notify()
+	return true
+}
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -245,7 +245,19 @@
 	}
 	if m.variant != deadlineOnly && c.Reason == pool.ReasonLowestLatency {
 		m.decisions++
-		d := r.ticket.Decide(m.now, Forecast{PredictedLatency: c.PredictedLatency, QueueTime: c.QueueTime, Server: c.ID, Slots: 1, Instances: modelInstances, Stale: m.now.Sub(in.loadsAt) > 1200*time.Millisecond})
+		forecast := func(c pool.Choice) Forecast {
+			return Forecast{PredictedLatency: c.PredictedLatency, QueueTime: c.QueueTime, Server: c.ID, Slots: 1, Instances: modelInstances, Stale: m.now.Sub(in.loadsAt) > 1200*time.Millisecond}
+		}
+		candidate := c
+		if r.ticket.Spread(m.now) {
+			q := r.query()
+			q.Spread = true
+			candidate, _ = in.pool.Choose(m.now, q)
+		}
+		d := r.ticket.Decide(m.now, forecast(candidate), forecast(c))
+		if !d.Best {
+			c = candidate
+		}
 		defer m.wake(in)
 		switch d.Action {
 		case Wait:
--- a/admission/request.go
+++ b/admission/request.go
@@ -100,6 +100,8 @@
 	Reason Reason
 	// RetryAfter applies to Refuse. It is 0 if a retry would be too late as well.
 	RetryAfter time.Duration
+	// Best applies to Send: whether the request goes to the best server instead of the candidate.
+	Best bool
 	// Recheck applies to Wait: the time until the next evaluation.
 	Recheck time.Duration
 }
--- a/admission/trend.go
+++ b/admission/trend.go
@@ -19,13 +19,17 @@
 	queue time.Duration
 	at    time.Time
 	rate  float64
+	// shortAt is when the best queue last exceeded the limit of a request.
+	shortAt time.Time
+	// stale is set while the loads of the other instances are out of date.
+	stale bool
 }
 
 func (t *trend) observe(now time.Time, queue time.Duration) {
 	elapsed := now.Sub(t.at)
 	switch {
 	case t.at.IsZero() || elapsed > trendWindow:
-		*t = trend{queue: queue, at: now}
+		t.queue, t.at, t.rate = queue, now, 0
 	case elapsed >= trendInterval:
 		rate := (t.queue - queue).Seconds() / elapsed.Seconds()
 		t.rate += trendWeight * (rate - t.rate)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -35,7 +35,8 @@
 	now := r.g.clock.Now()
 	choice, ok := r.g.pool.Choose(now, r.poolQuery())
 	if ok {
-		if proceed, err := r.yield(ctx, now, choice); err != nil || !proceed {
+		choice, err := r.yield(ctx, now, choice)
+		if err != nil || choice.ID == "" {
 			return pool.Choice{}, err
 		}
 		if err := r.checkQueueTime(now, choice); err != nil {
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -9,43 +9,61 @@
 	"galenastair/pool"
 )
 
-// yield reports whether the request may be sent now, as far as more urgent requests of its service are
-// concerned. Otherwise it has waited for a moment, and a server has to be chosen again: the loads have
+// yield returns the server to which the request may be sent now, as far as more urgent requests of its
+// service are concerned: the best one, or another one if all instances would choose that. If its ID is
+// empty, the request has waited for a moment and a server has to be chosen again, as the loads have
 // changed. A request that waits holds no connection to a backend server, and was not sent before.
-func (r *activeRequest) yield(ctx context.Context, now time.Time, c pool.Choice) (bool, error) {
-	if r.g.admission == nil || r.admitted || r.sends > 0 || c.Reason != pool.ReasonLowestLatency {
-		return true, nil
+func (r *activeRequest) yield(ctx context.Context, now time.Time, best pool.Choice) (pool.Choice, error) {
+	if r.g.admission == nil || r.admitted || r.sends > 0 || best.Reason != pool.ReasonLowestLatency {
+		return best, nil
 	}
 	if r.ticket == nil {
 		r.ticket = r.g.admission.Arrive(now, r.admissionRequest())
 	}
-	decision := r.ticket.Decide(now, r.forecast(c))
+	candidate := r.candidate(now, best)
+	decision := r.ticket.Decide(now, r.forecast(candidate), r.forecast(best))
 	if r.g.admissionDryRun {
 		r.admitted = true
 		r.ticket.Leave()
 		if decision.Action != admission.Send {
-			r.logYield(now, c, decision)
+			r.logYield(now, best, decision)
 		}
-		return true, nil
+		return best, nil
 	}
 	if r.g.settings.Draining() && decision.Action == admission.Wait {
-		decision = admission.Decision{Action: admission.Send, Reason: admission.ReasonStopping}
+		decision = admission.Decision{Action: admission.Send, Reason: admission.ReasonStopping, Best: true}
 	}
 	switch decision.Action {
 	case admission.Refuse:
-		r.endYield(now, c, decision)
-		return false, galenastair.NewRefusal(galenastair.ErrOverloaded, decision.RetryAfter, string(decision.Reason))
+		r.endYield(now, best, decision)
+		return pool.Choice{}, galenastair.NewRefusal(galenastair.ErrOverloaded, decision.RetryAfter, string(decision.Reason))
 	case admission.Wait:
 		if r.yieldedAt.IsZero() {
 			r.yieldedAt = now
 		}
-		return false, r.awaitTurn(ctx, decision.Recheck)
+		return pool.Choice{}, r.awaitTurn(ctx, decision.Recheck)
+	}
+	if decision.Best {
+		candidate = best
 	}
 	if !r.yieldedAt.IsZero() {
-		r.endYield(now, c, decision)
+		r.endYield(now, candidate, decision)
 	}
 	r.admitted = true
-	return true, nil
+	return candidate, nil
+}
+
+// candidate returns the server for which the request is evaluated.
+func (r *activeRequest) candidate(now time.Time, best pool.Choice) pool.Choice {
+	if !r.ticket.Spread(now) {
+		return best
+	}
+	q := r.poolQuery()
+	q.Spread = true
+	if c, ok := r.g.pool.Choose(now, q); ok && c.Reason == pool.ReasonLowestLatency {
+		return c
+	}
+	return best
 }
 
 // awaitTurn waits until the request should be evaluated again.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -67,11 +67,10 @@
 	case best == nil:
 		return Choice{Reason: p.noneReason(now, &q)}, false
 	}
-	predicted := p.predictLatency(now, best, &q)
 	return Choice{
 		Server:           best.Server,
-		PredictedLatency: predicted,
-		QueueTime:        p.queueTime(now, best, &q, predicted),
+		PredictedLatency: p.predictLatency(now, best, &q),
+		QueueTime:        p.queueTime(now, best, &q),
 		CachedTokens:     best.cache.match(q.keys, q.PromptParts),
 		Candidates:       len(candidates),
 		Limit:            p.limitOf(now, best),
@@ -135,7 +134,11 @@
 	var best, ejected, withdrawn *backend
 	var bestScore, ejectedScore time.Duration
 	var withdrawnEnd time.Time
-	candidates = p.sample(now, candidates)
+	if q.Spread {
+		candidates = p.spread(now, q, candidates)
+	} else {
+		candidates = p.sample(now, candidates)
+	}
 	for _, b := range candidates {
 		if end, ok := p.withdrawalEnd(b); ok {
 			if withdrawn == nil || end.After(withdrawnEnd) {
--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -116,6 +116,10 @@
 	// Version is the software version that may run the request; nil for any.
 	Version *galenastair.SoftwareVersion
 	Exclude []galenastair.BackendServerID
+	// Spread has any healthy server chosen instead of the one with the lowest latency. Instances that
+	// release waiting requests would otherwise all choose the server that was idle when they last
+	// learned of its load.
+	Spread bool
 
 	keys []uint64
 }
