--- a/admission/admission.go
+++ b/admission/admission.go
@@ -24,8 +24,16 @@
 	// sendMargin is how long before its last moment a request is sent, for the time that a timer
 	// and the transfer to the backend server take.
 	sendMargin = 30 * time.Millisecond
+	// latencyMargin is the multiple of the predicted latency that a waiting request leaves for its
+	// answer. Loads of other instances are known late, and without a margin waiting makes one in ten
+	// requests late at a load of 0.6.
+	latencyMargin = 1.75
+	// A share of minLastMoments of the requests that wait to their last moment is a fluctuation; with
+	// maxLastMoments the servers are asked for more than they can do, and none of them is sent.
+	minLastMoments = 0.2
+	maxLastMoments = 0.5
 	// staleSendProbability is the fraction of the late requests that are sent and not refused without
-	// current loads of the other instances.
+	// current loads of the other instances, unless there was a shortage when they were last known.
 	staleSendProbability = 0.5
 	// minRetryAfter is the shortest Retry-After.
 	minRetryAfter = 100 * time.Millisecond
@@ -153,20 +161,23 @@
 
 func (c *Controller) decide(now time.Time, t *Ticket, candidate, best Forecast) Decision {
 	slack := t.slack(now, best)
+	tr := c.trends[t.req.key()]
 	switch {
 	case t.granted:
+		tr.countLastMoment(false)
 		return Decision{Action: Send, Reason: ReasonReleased}
 	case t.evicted:
 		return c.refuse(now, t, best, ReasonOverShare)
 	case c.release(now, t, candidate) && c.grantFirst(t):
+		tr.countLastMoment(false)
 		return Decision{Action: Send, Reason: sendReason(t)}
 	case slack > sendMargin && (t.waiting || c.makeRoom(t)):
 		return Decision{Action: Wait, Reason: ReasonYields, Recheck: c.recheck(slack)}
 	case slack > sendMargin:
 		return c.refuse(now, t, best, ReasonFull)
-	case !c.shed, !c.isShort(now, t.req.key()) && best.QueueTime <= t.req.urgentLimit():
+	case !c.shed, c.sendsLate(tr, t, best):
 		return Decision{Action: Send, Reason: ReasonNoSlack, Best: true}
-	case best.Stale && c.rng.Float64() < staleSendProbability:
+	case best.Stale && !c.isShort(now, t.req.key()) && c.rng.Float64() < staleSendProbability:
 		return Decision{Action: Send, Reason: ReasonNoSlack, Best: true}
 	}
 	return c.refuse(now, t, best, ReasonLate)
@@ -189,6 +200,17 @@
 	return first == t
 }
 
+// sendsLate reports whether a request that can wait no longer is sent, although the queue has not become
+// short. It is not if more urgent requests would be late at its best server, and the less likely, the
+// more requests come to this: with more work than the servers can do they would keep the queue long.
+func (c *Controller) sendsLate(tr *trend, t *Ticket, best Forecast) bool {
+	tr.countLastMoment(true)
+	if best.QueueTime > t.req.urgentLimit() {
+		return false
+	}
+	return c.rng.Float64() >= (tr.lastMoments-minLastMoments)/(maxLastMoments-minLastMoments)
+}
+
 // slack is how much longer the request can wait. A retry after a refusal is not refused again as
 // long as it can be answered before its deadline.
 func (t *Ticket) slack(now time.Time, f Forecast) time.Duration {
@@ -196,7 +218,7 @@
 	if t.returning || end.After(t.req.Deadline) {
 		end = t.req.Deadline
 	}
-	return end.Sub(now) - f.PredictedLatency
+	return end.Sub(now) - time.Duration(latencyMargin*float64(f.PredictedLatency))
 }
 
 // recheck returns the time to the next evaluation, with jitter.
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -174,6 +174,9 @@
 	heap.Push(&m.events, event{m.now.Add(d), m.events.seq, do})
 }
 
+// start orders the events that were added before.
+func (m *model) start() { heap.Init(&m.events) }
+
 func (m *model) run(until time.Time) {
 	for len(m.events.list) > 0 && !m.events.list[0].at.After(until) {
 		e := heap.Pop(&m.events).(event) //nolint:forcetypeassert // heap of events
@@ -469,12 +472,14 @@
 	return []float64{m["urgent"], m["short"], m["patient"]}
 }
 
-func runModel(seed uint64, v variant) *model {
+// runModel simulates a load that is scale times twice the capacity.
+func runModel(seed uint64, v variant, scale float64) *model {
 	m := newModel(seed, v)
 	for _, k := range modelKinds() {
+		k.load *= scale
 		m.offer(&k, 0, modelDuration)
 	}
-	heap.Init(&m.events)
+	m.start()
 	m.run(modelStart.Add(modelDuration + 15*time.Second))
 	return m
 }
--- a/admission/sendrate.go
+++ b/admission/sendrate.go
@@ -12,9 +12,10 @@
 	// the next less urgent priority. Each further priority gets the same fraction of that. The rest
 	// is for the urgent request itself, and for what other instances have sent since their last report.
 	yieldFraction = 0.5
-	// shortageWindow is how long a shortage lasts after a queue exceeded the limit. It covers several
-	// reports of the other instances. maxStaleWindow applies without current loads.
-	shortageWindow = 3 * time.Second
+	// shortageWindow is how long a shortage lasts after the best queue was last long. It is several
+	// times as long as such a queue takes to clear, so that instances do not all send when it has.
+	// maxStaleWindow applies without current loads.
+	shortageWindow = 6 * time.Second
 	maxStaleWindow = 30 * time.Second
 	// maxDrawInterval bounds the time whose share of a server may be used at once. Other instances
 	// see a request 300 to 900 ms later.
@@ -31,6 +32,10 @@
 	integralGain     = 0.2
 	// queueTarget is the queue to which the gain is controlled, as a fraction of the limit.
 	queueTarget = 0.4
+	// minStaleRoom and maxStaleRoom bound the room in a queue that is assumed without current loads of
+	// the other instances: too little is known to stop sending, or to send all.
+	minStaleRoom = 0.25
+	maxStaleRoom = 0.5
 	// maxRates bounds the servers whose rate is kept. Their states take about 200 bytes each.
 	maxRates = 2048
 )
@@ -74,11 +79,13 @@
 func (c *Controller) observe(now time.Time, t *Ticket, candidate, best Forecast) {
 	tr := c.trend(now, t.req.key())
 	tr.observe(now, best.QueueTime)
-	if best.QueueTime >= t.req.limit() {
+	if best.QueueTime >= time.Duration(yieldFraction*float64(t.req.UrgentTarget)) {
 		tr.shortAt = now
 	}
 	tr.stale = best.Stale
-	c.rate(now, candidate).observe(now, candidate.QueueTime, t.req.limit())
+	if !candidate.Stale {
+		c.rate(now, candidate).observe(now, candidate.QueueTime, t.req.limit())
+	}
 }
 
 // isShort reports whether the servers of a model had queues above the limit within the last seconds.
@@ -100,8 +107,7 @@
 	s := c.rate(now, f)
 	room := 1 - float64(f.QueueTime)/float64(t.req.limit())
 	if f.Stale {
-		// the queue is not known well enough to stop sending
-		room = max(room, 0.25)
+		room = min(maxStaleRoom, max(minStaleRoom, room))
 	}
 	if room <= 0 {
 		return false
--- a/admission/trend.go
+++ b/admission/trend.go
@@ -21,6 +21,8 @@
 	rate  float64
 	// shortAt is when the best queue last exceeded the limit of a request.
 	shortAt time.Time
+	// lastMoments is the share of the requests that waited until their last moment.
+	lastMoments float64
 	// stale is set while the loads of the other instances are out of date.
 	stale bool
 }
@@ -29,7 +31,7 @@
 	elapsed := now.Sub(t.at)
 	switch {
 	case t.at.IsZero() || elapsed > trendWindow:
-		t.queue, t.at, t.rate = queue, now, 0
+		t.queue, t.at, t.rate, t.lastMoments = queue, now, 0, 0
 	case elapsed >= trendInterval:
 		rate := (t.queue - queue).Seconds() / elapsed.Seconds()
 		t.rate += trendWeight * (rate - t.rate)
@@ -48,3 +50,15 @@
 	}
 	return time.Duration(float64(max(0, d)) / rate)
 }
+
+// lastMomentWeight is the weight of a new request in the share of those that wait until their last
+// moment. An instance has few requests of a model.
+const lastMomentWeight = 0.1
+
+// countLastMoment counts a request that was released, or has waited until its last moment.
+func (t *trend) countLastMoment(reached bool) {
+	t.lastMoments -= lastMomentWeight * t.lastMoments
+	if reached {
+		t.lastMoments += lastMomentWeight
+	}
+}
