--- a/admission/model_run_test.go
+++ b/admission/model_run_test.go
@@ -15,10 +15,14 @@
 	return comparison{got.onTime["urgent"] / best.onTime["urgent"], got.worth / best.worth}, got
 }
 
+// modelOnset is the time from the first request after which the instances control the queues: they
+// learn of them up to 0.9 s late, and need as long again to clear what they have sent until then.
+const modelOnset = 4 * time.Second
+
 // Urgent requests must be on time under twice the load that the engines can do, although all instances
 // know each other's load only after 300 to 900 ms. The aims are 0.95 of an omniscient order for urgent
-// requests on time, and 0.9 for the sum of worth; the bounds here are what is reached. Fails if urgent
-// requests are served far worse than that, or if a less urgent kind is served more.
+// requests on time, and 0.9 for the sum of worth. They are not reached: the bounds here are a little
+// below what is. Fails if urgent requests are served worse than that, or a less urgent kind more.
 func TestModelOfShortage(t *testing.T) {
 	for seed := range uint64(3) {
 		standing, o := compareTo(runModel(seed, deadlineOnly, 1).requests)
@@ -27,10 +31,14 @@
 		t.Logf("yield: %s, %s", yields, o)
 		m := runModel(seed, yieldAndShed, 1)
 		got, o := compareTo(m.requests)
+		t.Logf("after the onset: %s", summarise(m.requests, modelOnset))
 		t.Logf("yield and shed: %s, %s, decisions per instance and second: %.0f", got, o, float64(m.decisions)/modelInstances/modelDuration.Seconds())
 		if got.urgent < 0.8 || got.urgent < 5*standing.urgent {
 			t.Errorf("urgent requests on time: %.3f", got.urgent)
 		}
+		if steady := summarise(m.requests, modelOnset); steady.onTime["urgent"] < 0.9 {
+			t.Errorf("urgent requests on time after the onset: %.3f", steady.onTime["urgent"])
+		}
 		if got.worth < 0.68 || got.worth < 2*standing.worth {
 			t.Errorf("worth: %.3f", got.worth)
 		}
--- a/admission/sendrate.go
+++ b/admission/sendrate.go
@@ -79,7 +79,7 @@
 func (c *Controller) observe(now time.Time, t *Ticket, candidate, best Forecast) {
 	tr := c.trend(now, t.req.key())
 	tr.observe(now, best.QueueTime)
-	if best.QueueTime >= time.Duration(yieldFraction*float64(t.req.UrgentTarget)) {
+	if !best.Stale && best.QueueTime >= time.Duration(yieldFraction*float64(t.req.UrgentTarget)) {
 		tr.shortAt = now
 	}
 	tr.stale = best.Stale
