--- a/node/metrics.go
+++ b/node/metrics.go
@@ -53,8 +53,8 @@
 			Name: "galenastair_limit_turns_total", Help: "Requests for backend servers that have named a limit, by who answered and whether there was a turn.",
 		}, []string{"by", "outcome"}),
 		yields: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "galenastair_yields_total", Help: "Less urgent requests that waited for more urgent ones, or were refused for them, by action and reason.",
-		}, []string{"action", "reason"}),
+			Name: "galenastair_yields_total", Help: "Less urgent requests that waited for more urgent ones, or were refused for them, by how the wait ended.",
+		}, []string{"outcome"}),
 		yieldDuration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "galenastair_yield_seconds", Help: "Time that less urgent requests waited for more urgent ones.", Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
 		}),
@@ -130,7 +130,11 @@
 
 // Yielded records the end of a less urgent request's wait for more urgent ones.
 func (m *metrics) Yielded(d admission.Decision, waited time.Duration) {
-	m.yields.WithLabelValues(d.Action.String(), string(d.Reason)).Inc()
+	outcome := "Sent"
+	if d.Action == admission.Refuse {
+		outcome = "Refused"
+	}
+	m.yields.WithLabelValues(outcome).Inc()
 	if waited > 0 {
 		m.yieldDuration.Observe(waited.Seconds())
 	}
