--- a/admission/admission.go
+++ b/admission/admission.go
@@ -24,14 +24,14 @@
 	// sendMargin is how long before its last moment a request is sent, for the time that a timer
 	// and the transfer to the backend server take.
 	sendMargin = 30 * time.Millisecond
-	// latencyMargin is the multiple of the predicted latency that a waiting request leaves for its
-	// answer. Loads of other instances are known late, and without a margin waiting makes one in ten
+	// latencyMargin is the multiple of the predicted latency that a waiting request has as slack in its
+	// last moment. Loads of other instances are known late, and without a margin waiting makes one in ten
 	// requests late at a load of 0.6.
-	latencyMargin = 1.75
+	latencyMargin = 0.75
 	// A share of minLastMoments of the requests that wait to their last moment is a fluctuation; with
 	// maxLastMoments the servers are asked for more than they can do, and none of them is sent.
-	minLastMoments = 0.2
-	maxLastMoments = 0.5
+	minLastMoments = 0.3
+	maxLastMoments = 0.6
 	// staleSendProbability is the fraction of the late requests that are sent and not refused without
 	// current loads of the other instances, unless there was a shortage when they were last known.
 	staleSendProbability = 0.5
@@ -82,7 +82,11 @@
 	// granted is set if the request may be sent, evicted if it has to make room for another one.
 	granted bool
 	evicted bool
-	wake    chan struct{}
+	// lastMoment is set once the request has waited to its last moment, or was released. draw is a
+	// random number in [0, 1) that is drawn then.
+	lastMoment bool
+	draw       float64
+	wake       chan struct{}
 }
 
 // Arrive registers a request. Leave must be called once it has been sent or has ended.
@@ -164,18 +168,22 @@
 	tr := c.trends[t.req.key()]
 	switch {
 	case t.granted:
-		tr.countLastMoment(false)
+		t.countLastMoment(tr, false)
 		return Decision{Action: Send, Reason: ReasonReleased}
 	case t.evicted:
 		return c.refuse(now, t, best, ReasonOverShare)
 	case c.release(now, t, candidate) && c.grantFirst(t):
-		tr.countLastMoment(false)
+		t.countLastMoment(tr, false)
 		return Decision{Action: Send, Reason: sendReason(t)}
+	case slack <= best.margin() && c.isDenied(tr, t):
+		return c.refuse(now, t, best, ReasonLate)
+	case slack <= best.margin() && best.QueueTime <= t.req.urgentLimit():
+		return Decision{Action: Send, Reason: ReasonNoSlack, Best: true}
 	case slack > sendMargin && (t.waiting || c.makeRoom(t)):
 		return Decision{Action: Wait, Reason: ReasonYields, Recheck: c.recheck(slack)}
 	case slack > sendMargin:
 		return c.refuse(now, t, best, ReasonFull)
-	case !c.shed, c.sendsLate(tr, t, best):
+	case !c.shed:
 		return Decision{Action: Send, Reason: ReasonNoSlack, Best: true}
 	case best.Stale && !c.isShort(now, t.req.key()) && c.rng.Float64() < staleSendProbability:
 		return Decision{Action: Send, Reason: ReasonNoSlack, Best: true}
@@ -200,15 +208,26 @@
 	return first == t
 }
 
-// sendsLate reports whether a request that can wait no longer is sent, although the queue has not become
-// short. It is not if more urgent requests would be late at its best server, and the less likely, the
-// more requests come to this: with more work than the servers can do they would keep the queue long.
-func (c *Controller) sendsLate(tr *trend, t *Ticket, best Forecast) bool {
-	tr.countLastMoment(true)
-	if best.QueueTime > t.req.urgentLimit() {
+// isDenied reports whether a request that has waited to its last moment is refused. That is the more
+// likely, the more requests come to this: with more work than the servers can do, those that are sent
+// then would keep the queue long.
+func (c *Controller) isDenied(tr *trend, t *Ticket) bool {
+	if !c.shed || t.returning {
 		return false
 	}
-	return c.rng.Float64() >= (tr.lastMoments-minLastMoments)/(maxLastMoments-minLastMoments)
+	if !t.lastMoment {
+		t.countLastMoment(tr, true)
+		t.draw = c.rng.Float64()
+	}
+	return t.draw < (tr.lastMomentsUpTo(t.req.Priority)-minLastMoments)/(maxLastMoments-minLastMoments)
+}
+
+// countLastMoment counts once whether the request was released before its last moment.
+func (t *Ticket) countLastMoment(tr *trend, reached bool) {
+	if !t.lastMoment {
+		t.lastMoment = true
+		tr.countLastMoment(t.req.Priority, reached)
+	}
 }
 
 // slack is how much longer the request can wait. A retry after a refusal is not refused again as
@@ -218,7 +237,7 @@
 	if t.returning || end.After(t.req.Deadline) {
 		end = t.req.Deadline
 	}
-	return end.Sub(now) - time.Duration(latencyMargin*float64(f.PredictedLatency))
+	return end.Sub(now) - f.PredictedLatency
 }
 
 // recheck returns the time to the next evaluation, with jitter.
--- a/admission/request.go
+++ b/admission/request.go
@@ -59,6 +59,11 @@
 	return max(time.Millisecond, f.PredictedLatency-f.QueueTime)
 }
 
+// margin is the slack of a request in its last moment.
+func (f Forecast) margin() time.Duration {
+	return sendMargin + time.Duration(latencyMargin*float64(f.PredictedLatency))
+}
+
 // share is the number of such requests per second that one of the instances may send to the server if
 // all of them together use its whole capacity.
 func (f Forecast) share() float64 {
--- a/admission/trend.go
+++ b/admission/trend.go
@@ -21,8 +21,8 @@
 	rate  float64
 	// shortAt is when the best queue last exceeded the limit of a request.
 	shortAt time.Time
-	// lastMoments is the share of the requests that waited until their last moment.
-	lastMoments float64
+	// lastMoments is the share of the requests of each priority that waited until their last moment.
+	lastMoments [priorityLevels]float64
 	// stale is set while the loads of the other instances are out of date.
 	stale bool
 }
@@ -31,7 +31,7 @@
 	elapsed := now.Sub(t.at)
 	switch {
 	case t.at.IsZero() || elapsed > trendWindow:
-		t.queue, t.at, t.rate, t.lastMoments = queue, now, 0, 0
+		t.queue, t.at, t.rate, t.lastMoments = queue, now, 0, [priorityLevels]float64{}
 	case elapsed >= trendInterval:
 		rate := (t.queue - queue).Seconds() / elapsed.Seconds()
 		t.rate += trendWeight * (rate - t.rate)
@@ -55,10 +55,25 @@
 // moment. An instance has few requests of a model.
 const lastMomentWeight = 0.1
 
+// priorityLevels is the number of priorities that are told apart; greater ones count as the last.
+const priorityLevels = 10
+
+func levelOf(priority int) int { return min(max(priority, 0), priorityLevels-1) }
+
 // countLastMoment counts a request that was released, or has waited until its last moment.
-func (t *trend) countLastMoment(reached bool) {
-	t.lastMoments -= lastMomentWeight * t.lastMoments
+func (t *trend) countLastMoment(priority int, reached bool) {
+	l := levelOf(priority)
+	t.lastMoments[l] -= lastMomentWeight * t.lastMoments[l]
 	if reached {
-		t.lastMoments += lastMomentWeight
+		t.lastMoments[l] += lastMomentWeight
+	}
+}
+
+// lastMomentsUpTo returns the greatest share of the priorities that are at least as urgent.
+func (t *trend) lastMomentsUpTo(priority int) float64 {
+	share := 0.0
+	for _, s := range t.lastMoments[:levelOf(priority)+1] {
+		share = max(share, s)
 	}
+	return share
 }
