--- a/admission/doc.go
+++ b/admission/doc.go
@@ -6,12 +6,16 @@
 //
 // It is designed for more prompts than the engines read in time, of several priorities, from many
 // instances that know each other's load only with a delay. Instances with the same view of a server
-// must not act at the same moment. Requests are therefore released at random, with a rate that rises
-// as the queue gets shorter.
+// must not act at the same moment. In a shortage, each therefore sends at a random time, to a random
+// server, and no more than its share of what the server can do, corrected by the queue that results.
 //
-// A request that would be on time itself, but only by making the more urgent requests behind it late,
-// is held back as well: an urgent request is never served less than one that is less urgent.
+// A request that reaches its last moment is sent, so that waiting makes none late. With more work than
+// the servers can do, this would make urgent requests late, so that the likelihood of a refusal rises
+// with the share of the requests that reach it.
 //
-// Size: a waiting request takes about 300 bytes and a remembered refusal about 150; MaxWaiting and
-// maxRefusals bound both to 250 KB together.
+// A retry after a refusal is recognised by the digest of the request, at the instance that refused it.
+// At others it counts as a new request.
+//
+// Size: a waiting request takes about 300 bytes, a remembered refusal 150, and the state of a model or
+// server 200. MaxWaiting, maxRefusals, maxTrends and maxRates bound them to 750 KB together.
 package admission
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -83,7 +83,7 @@
 	reports [2]map[galenastair.BackendServerID]pool.Load
 	// loadsAt is when the instance last received the loads of the others.
 	loadsAt time.Time
-	waiting map[*modelRequest]bool
+	waiting []*modelRequest
 }
 
 type modelRequest struct {
@@ -151,8 +151,7 @@
 	zone := func(i int) galenastair.AvailabilityZone { return galenastair.AvailabilityZone("z" + strconv.Itoa(i%3)) }
 	for i := range modelInstances {
 		in := &modelInstance{
-			pool:    pool.New(zone(i), pool.WithRand(m.rng), pool.WithFleetSize(func() int { return modelInstances })),
-			waiting: map[*modelRequest]bool{},
+			pool: pool.New(zone(i), pool.WithRand(m.rng), pool.WithFleetSize(func() int { return modelInstances })),
 		}
 		opts := []Option{WithRand(m.rng)}
 		if v == yieldOnly {
@@ -264,7 +263,7 @@
 		defer m.wake(in)
 		switch d.Action {
 		case Wait:
-			in.waiting[r] = true
+			in.wait(r)
 			id := r.stepID
 			m.after(d.Recheck, func() {
 				if r.stepID == id {
@@ -277,7 +276,7 @@
 			return
 		}
 	}
-	delete(in.waiting, r)
+	in.leave(r)
 	if c.PredictedLatency >= left {
 		m.refused(r, in, min(c.PredictedLatency-left/2, left/3))
 		return
@@ -286,7 +285,7 @@
 }
 
 func (m *model) wake(in *modelInstance) {
-	for r := range in.waiting {
+	for _, r := range in.waiting {
 		select {
 		case <-r.ticket.Wake():
 			r.stepID++
@@ -296,8 +295,18 @@
 	}
 }
 
+func (in *modelInstance) wait(r *modelRequest) {
+	if !slices.Contains(in.waiting, r) {
+		in.waiting = append(in.waiting, r)
+	}
+}
+
+func (in *modelInstance) leave(r *modelRequest) {
+	in.waiting = slices.DeleteFunc(in.waiting, func(o *modelRequest) bool { return o == r })
+}
+
 func (m *model) leave(r *modelRequest, in *modelInstance) {
-	delete(in.waiting, r)
+	in.leave(r)
 	r.ticket.Leave()
 }
 
