--- a/admission/model_run_test.go
+++ b/admission/model_run_test.go
@@ -24,11 +24,11 @@
 // requests on time, and 0.9 for the sum of worth. They are not reached: the bounds here are a little
 // below what is. Fails if urgent requests are served worse than that, or a less urgent kind more.
 func TestModelOfShortage(t *testing.T) {
+	standing, o := compareTo(runModel(0, deadlineOnly, 1).requests)
+	t.Logf("deadline only: %s, %s", standing, o)
+	yields, o := compareTo(runModel(0, yieldOnly, 1).requests)
+	t.Logf("yield: %s, %s", yields, o)
 	for seed := range uint64(3) {
-		standing, o := compareTo(runModel(seed, deadlineOnly, 1).requests)
-		t.Logf("deadline only: %s, %s", standing, o)
-		yields, o := compareTo(runModel(seed, yieldOnly, 1).requests)
-		t.Logf("yield: %s, %s", yields, o)
 		m := runModel(seed, yieldAndShed, 1)
 		got, o := compareTo(m.requests)
 		t.Logf("after the onset: %s", summarise(m.requests, modelOnset))
