--- a/admission/admission.go
+++ b/admission/admission.go
@@ -169,7 +169,7 @@
 	switch {
 	case t.granted:
 		t.countLastMoment(tr, false)
-		return Decision{Action: Send, Reason: ReasonReleased}
+		return Decision{Action: Send, Reason: ReasonReleased, Best: candidate.QueueTime >= t.req.limit()}
 	case t.evicted:
 		return c.refuse(now, t, best, ReasonOverShare)
 	case c.release(now, t, candidate) && c.grantFirst(t):
@@ -177,7 +177,7 @@
 		return Decision{Action: Send, Reason: sendReason(t)}
 	case slack <= best.margin() && c.isDenied(tr, t):
 		return c.refuse(now, t, best, ReasonLate)
-	case slack <= best.margin() && best.QueueTime <= t.req.urgentLimit():
+	case slack <= best.margin() && best.QueueTime <= t.req.urgentLimit(), t.returning && slack > 0 && slack <= best.margin():
 		return Decision{Action: Send, Reason: ReasonNoSlack, Best: true}
 	case slack > sendMargin && (t.waiting || c.makeRoom(t)):
 		return Decision{Action: Wait, Reason: ReasonYields, Recheck: c.recheck(slack)}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -139,6 +139,25 @@
 	is.Equal(c.Waiting(), 0)
 }
 
+// A repeated request must be served while that is possible. Fails if it is refused again as the queue
+// stays long until its deadline is near.
+func TestRepeatedRequestIsSentBeforeItsDeadline(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		c := newController(seed)
+		is.Equal(decide(c.Arrive(modelStart, shortRequest(modelStart)), modelStart, queueOf(time.Second)).Action, Refuse)
+		ticket := c.Arrive(modelStart, shortRequest(modelStart))
+		now, f := modelStart, queueOf(time.Second)
+		d := decide(ticket, now, f)
+		for d.Action == Wait {
+			now = now.Add(d.Recheck)
+			d = decide(ticket, now, f)
+		}
+		is.Equal(d.Action, Send)
+		is.True(now.Add(f.PredictedLatency).Before(modelStart.Add(5 * time.Second)))
+	}
+}
+
 // A request that was refused once and can't be served before its deadline must be refused at once and
 // without Retry-After, as a third attempt would be too late.
 func TestUnservableRepetitionIsRefused(t *testing.T) {
