membudget: bound the bytes held for callers and backend servers (HeldMemory)

Accounts connections, bodies, answers and events of each request; large bodies that do not fit are refused with 503, large answers are forwarded in pieces, socket buffers are bounded.

--- a/cmd/galenastair-standin/main.go
+++ b/cmd/galenastair-standin/main.go
@@ -27,6 +27,7 @@
 	{"service", "run a plain service", runService},
 	{"store", "run the metadata store of the users' platform", runStore},
 	{"replica", "run a backend server of the users' platform", runReplica},
+	{"slow", "run slow callers and a slow backend server around a gateway", runSlow},
 	{"bench", "benchmark an engine directly and through an entry", runBench},
 	{"prove", "inject faults into a running fleet and check its invariants", runProve},
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/membudget"
 	"galenastair/pool"
 )
 
@@ -194,21 +195,22 @@
 // forwardResponse forwards a response that is no stream. A body of up to maxBufferedBytes
 // is read completely first.
 func (r *activeRequest) forwardResponse(ctx context.Context, attempt *pool.Attempt, resp *galenastair.BackendResponse, stop func() bool) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	failure := resp.Status >= http.StatusInternalServerError
+	limit := r.bufferLimit(resp, failure)
+	data, err := r.readStart(resp.Body, limit)
 	stop()
 	now := r.g.clock.Now()
 	attempt.Started(now)
 	if err != nil {
 		return r.handleTruncation(ctx, attempt, err)
 	}
-	failure := resp.Status >= http.StatusInternalServerError
 	if failure && r.mayRetryFailure() {
 		attempt.End(now, pool.ServerError)
 		return eris.Wrapf(errBackendFailure, "status %d", resp.Status)
 	}
 	r.firstByteAt, r.status = now, resp.Status
 	length := int64(len(data))
-	if length > maxBufferedBytes {
+	if length > limit {
 		length = -1
 	}
 	if err := r.writeResponse(resp, data, length); err != nil {
@@ -227,9 +229,11 @@
 // known, the rest.
 func (r *activeRequest) writeResponse(resp *galenastair.BackendResponse, data []byte, length int64) error {
 	r.wroteHeader = true
-	if r.w.WriteHeader(resp.Status, resp.Header, length) != nil || r.w.Write(data) != nil {
+	r.releaseBody()
+	if r.w.WriteHeader(resp.Status, resp.Header, length) != nil || r.write(data) != nil {
 		return errCallerGone
 	}
+	r.req.Held.Set(membudget.Answers, 0)
 	if length >= 0 {
 		return nil
 	}
@@ -243,11 +247,11 @@
 }
 
 func (r *activeRequest) copyBody(body io.Reader) error {
-	buf := make([]byte, readBufferBytes)
+	buf := make([]byte, r.req.Held.ChunkBytes(readBufferBytes))
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if err := r.w.Write(buf[:n]); err != nil {
+			if err := r.write(buf[:n]); err != nil {
 				return errCallerGone
 			}
 		}
@@ -273,16 +277,19 @@
 // forwardStream forwards a stream event by event. The caller gets complete events only, so
 // that another backend server can continue the same response after the last one.
 func (r *activeRequest) forwardStream(ctx context.Context, attempt *pool.Attempt, resp *galenastair.BackendResponse, stop func() bool) error {
-	buf := make([]byte, readBufferBytes)
+	buf := make([]byte, r.req.Held.ChunkBytes(readBufferBytes))
 	started := false
 	for {
+		r.events.limit = r.req.Held.EventLimit(maxEventBytes)
 		n, err := resp.Body.Read(buf)
 		if n > 0 && !started {
 			started = true
 			stop()
 			attempt.Started(r.g.clock.Now())
 		}
-		if complete := r.events.split(buf[:n]); len(complete) > 0 {
+		complete := r.events.split(buf[:n])
+		r.req.Held.Set(membudget.Events, galenastair.Bytes(cap(r.events.partial)+len(complete)))
+		if len(complete) > 0 {
 			if err := r.writeEvents(resp, complete); err != nil {
 				attempt.End(r.g.clock.Now(), pool.Neutral)
 				return errCallerGone
@@ -337,5 +344,5 @@
 		r.longestPause = max(r.longestPause, now.Sub(r.lastWriteAt))
 	}
 	r.lastWriteAt = now
-	return r.w.Write(complete)
+	return r.write(complete)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/membudget"
 )
 
 // Request is one request as its caller sent it.
@@ -36,6 +37,8 @@
 	Attempts int
 	// Version is the software version that may send further events of a forwarded stream; nil for any.
 	Version *galenastair.SoftwareVersion
+	// Held accounts the memory that the request holds; nil without a bound.
+	Held *membudget.Exchange
 }
 
 // ResponseWriter sends a response to the caller.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -10,6 +10,8 @@
 	lastEventID string
 	// forwardedPart is set once an event has been forwarded in parts.
 	forwardedPart bool
+	// limit bounds the buffering of one event; 0 is maxEventBytes.
+	limit int
 }
 
 // maxEventBytes bounds the buffering of one event. A longer one is forwarded in parts.
@@ -27,7 +29,7 @@
 	switch {
 	case end > 0:
 		end += searchFrom
-	case len(e.partial) < maxEventBytes:
+	case len(e.partial) < e.maxBytes():
 		return nil
 	default:
 		end, e.forwardedPart = len(e.partial), true
@@ -38,6 +40,13 @@
 	return complete
 }
 
+func (e *eventSplitter) maxBytes() int {
+	if e.limit > 0 {
+		return e.limit
+	}
+	return maxEventBytes
+}
+
 // lastEventEnd returns the offset after the last blank line, 0 if there is none.
 func lastEventEnd(p []byte) int {
 	end := 0
--- /dev/null
+++ b/gateway/hold_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/membudget"
+)
+
+// respondLarge answers with a body of n bytes, with or without its length, and breaks off after sent.
+func respondLarge(n, sent int, withLength bool) script {
+	return func(context.Context, galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		h := http.Header{}
+		if withLength {
+			h.Set("Content-Length", strconv.Itoa(n))
+		}
+		body := io.NopCloser(bytes.NewReader(bytes.Repeat([]byte("x"), sent)))
+		if sent < n {
+			body = truncatedBody{body}
+		}
+		return &galenastair.BackendResponse{Status: 200, Header: h, Body: body}, nil
+	}
+}
+
+func (env *testEnv) serveHeld(t *testing.T, b *membudget.Budget, path string, w ResponseWriter) (bool, error) {
+	t.Helper()
+	x, ok := b.Begin(time.Now(), func() {})
+	if !ok {
+		t.Fatal("the budget is full")
+	}
+	defer x.Close()
+	r := testRequest(path)
+	r.Held = x
+	return env.gateway.Serve(t.Context(), r, w)
+}
+
+// measuringWriter records the greatest write and what the budget held during it.
+type measuringWriter struct {
+	recordedResponse
+	budget     *membudget.Budget
+	maxWrite   int
+	maxHeld    galenastair.Bytes
+	bodiesHeld galenastair.Bytes
+}
+
+func (w *measuringWriter) Write(p []byte) error {
+	s := w.budget.State()
+	w.maxWrite, w.maxHeld, w.bodiesHeld = max(w.maxWrite, len(p)), max(w.maxHeld, s.Held), s.BySide["Bodies"]
+	return w.recordedResponse.Write(p)
+}
+
+// Answers of all sizes must be whole with a bound, and none may be held beyond it. Guards against a large
+// answer that is buffered, and against a piece that is lost where buffering ends.
+func TestAnswersAreWholeWithinABound(t *testing.T) {
+	for _, limit := range []galenastair.Bytes{100 << 20, 1 << 20, 100 << 10} {
+		for _, n := range []int{0, 1, 1000, maxUnknownBytes, maxUnknownBytes + 1, 200 << 10, maxBufferedBytes, maxBufferedBytes + 1, 1 << 20} {
+			for _, withLength := range []bool{true, false} {
+				is := is.New(t)
+				b := membudget.New(limit)
+				env := newTestEnv(respondLarge(n, n, withLength))
+				w := &measuringWriter{budget: b}
+				_, err := env.serveHeld(t, b, "/read/1", w)
+				is.NoErr(err)
+				is.Equal(w.body.Len(), n)
+				is.True(w.maxHeld <= limit)
+				is.True(w.maxWrite <= membudget.SocketBuffer)
+				is.Equal(w.bodiesHeld, galenastair.Bytes(0))
+				is.Equal(b.State().Held, galenastair.Bytes(0))
+			}
+		}
+	}
+}
+
+// Guards against an answer that breaks off and looks complete, or of which the caller gets two.
+func TestAnswersThatBreakOffWithinABound(t *testing.T) {
+	for _, sent := range []int{10, 100 << 10, 600 << 10} {
+		is := is.New(t)
+		b := membudget.New(1 << 20)
+		env := newTestEnv(respondLarge(1<<20, sent, true), respondLarge(1000, 1000, true))
+		w := &measuringWriter{budget: b}
+		wroteHeader, err := env.serveHeld(t, b, "/read/1", w)
+		is.True(wroteHeader)
+		is.True(err != nil)
+		is.Equal(w.body.Len(), sent)
+		is.Equal(len(env.backend.calls), 1)
+	}
+}
+
+// A small answer breaks off before its caller gets any of it. Guards against a bound that keeps it from
+// being retried.
+func TestSmallAnswersAreRetriedWithinABound(t *testing.T) {
+	is := is.New(t)
+	b := membudget.New(10 << 20)
+	env := newTestEnv(respondLarge(1000, 500, true), respondLarge(1000, 1000, true))
+	w := &measuringWriter{budget: b}
+	_, err := env.serveHeld(t, b, "/read/1", w)
+	is.NoErr(err)
+	is.Equal(w.body.Len(), 1000)
+	is.Equal(string(env.backend.calls[1].Body), "body")
+}
+
+// Guards against an error status that is forwarded, with a bound, although the request may be retried.
+func TestFailuresAreRetriedWithinABound(t *testing.T) {
+	is := is.New(t)
+	b := membudget.New(10 << 20)
+	env := newTestEnv(respond(500, "failed"), respond(200, "good"))
+	w := &measuringWriter{budget: b}
+	_, err := env.serveHeld(t, b, "/read/1", w)
+	is.NoErr(err)
+	is.Equal(w.body.String(), "good")
+}
+
+// Guards against events that are lost or repeated while buffers are small.
+func TestStreamsAreWholeWithinABound(t *testing.T) {
+	is := is.New(t)
+	var text bytes.Buffer
+	for n := range 50 {
+		text.WriteString("id: " + strconv.Itoa(n) + "\ndata: " + string(bytes.Repeat([]byte("x"), 400*n)) + "\n\n")
+	}
+	b := membudget.New(100 << 10)
+	env := newTestEnv(respond(200, text.String()))
+	w := &measuringWriter{budget: b}
+	_, err := env.serveHeld(t, b, "/stream/1", w)
+	is.NoErr(err)
+	is.Equal(w.body.String(), text.String())
+	is.True(w.maxWrite <= membudget.SocketBuffer)
+}
--- a/httpconn/client.go
+++ b/httpconn/client.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/sockbuf"
 )
 
 const (
@@ -50,9 +51,21 @@
 // WithDialer replaces the function that opens connections.
 func WithDialer(dial DialFunc) Option { return func(p *Pool) { p.dialContext = dial } }
 
+// WithSocketBuffers sets the size of the send and receive buffers of the connections' sockets. Without it,
+// the kernel lets them grow to some megabytes.
+func WithSocketBuffers(n int) Option {
+	return func(p *Pool) {
+		d := newDialer()
+		d.Control = sockbuf.Control(n)
+		p.dialContext = d.DialContext
+	}
+}
+
+func newDialer() net.Dialer { return net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second} }
+
 // NewPool returns an empty pool.
 func NewPool(opts ...Option) *Pool {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
+	dialer := newDialer()
 	p := &Pool{
 		dialContext: dialer.DialContext,
 		idle:        map[string][]*Conn{},
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -80,8 +81,7 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	head.Write(r.Body)
-	n, err := c.Write(head.Bytes())
+	n, err := c.writeParts(head.Bytes(), r.Body)
 	if err == nil {
 		return nil
 	}
@@ -98,6 +98,20 @@
 	return eris.Wrapf(galenastair.ErrResponseTruncated, "write: %v", err)
 }
 
+// maxJoinedBytes is the size up to which a body is copied behind the headers, which makes one packet.
+const maxJoinedBytes = 4 << 10
+
+// writeParts writes the headers and the body, and returns the number of bytes written. A large body is
+// not copied.
+func (c *Conn) writeParts(head, body []byte) (int64, error) {
+	if len(body) <= maxJoinedBytes {
+		n, err := c.Write(append(head, body...))
+		return int64(n), err
+	}
+	parts := net.Buffers{head, body}
+	return parts.WriteTo(c.Conn)
+}
+
 // readResponse reads the next final response. It skips informational (1xx) responses
 // except 101 Switching Protocols.
 func (c *Conn) readResponse(method string) (*http.Response, error) {
--- a/node/listen.go
+++ b/node/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"galenastair"
 	"galenastair/httpserve"
+	"galenastair/membudget"
 	"galenastair/peer/planning"
 	"galenastair/platform"
 	"galenastair/timer"
@@ -38,13 +38,13 @@
 // callerPort is the name of the port whose connections are drained on shutdown.
 const callerPort = "callers'"
 
-func (n *Node) listen(g *run.Group) error {
+func (n *Node) listen(ctx context.Context, g *run.Group) error {
 	peers := http.NewServeMux()
 	peers.Handle(planning.PathPrefix, planning.NewServer(n.peerServer()))
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
 	metrics.HandleFunc(StatusPath, n.serveStatus)
-	callers := newServer(platform.NewHandler(n.gateway, n.catalogSource, n.stopping.Load))
+	callers := newServer(platform.NewHandler(n.gateway, n.catalogSource, n.stopping.Load, n.handlerOptions()...))
 	n.callerConns.Track(callers)
 	for _, p := range []struct {
 		name    string
@@ -56,7 +56,7 @@
 		{"peers'", n.settings.PeerAddress, newServer(n.peerHandler(peers))},
 		{"metrics", n.settings.MetricsAddress, newServer(metrics)},
 	} {
-		l, err := net.Listen("tcp", p.address)
+		l, err := httpserve.Listen(ctx, p.address, n.socketBufferBytes(p.name))
 		if err != nil {
 			return eris.Wrapf(err, "%s port: is %s in use, or not an address of this machine?", p.name, p.address)
 		}
@@ -72,6 +72,18 @@
 	return nil
 }
 
+func (n *Node) handlerOptions() []platform.HandlerOption {
+	return []platform.HandlerOption{platform.WithBudget(n.budget), platform.WithHandlerLogger(n.logger)}
+}
+
+// socketBufferBytes returns the size of the buffers of connections to a port, 0 for the kernel's.
+func (n *Node) socketBufferBytes(port string) int {
+	if n.budget == nil || port != callerPort {
+		return 0
+	}
+	return membudget.SocketBuffer
+}
+
 // peerFetchTime is the time in which a new configuration arrives through another instance of the
 // zone: three exchanges with the leader and one read of the store.
 const peerFetchTime = 2500 * time.Millisecond
@@ -86,7 +98,7 @@
 
 // peerHandler returns the handler of the peers' port: requests that other instances forward, and calls.
 func (n *Node) peerHandler(calls http.Handler) http.Handler {
-	forwarded := n.forwarded.wrap(platform.NewForwardedHandler(n.gateway, n.catalogSource, n.stopping.Load))
+	forwarded := n.forwarded.wrap(platform.NewForwardedHandler(n.gateway, n.catalogSource, n.stopping.Load, n.handlerOptions()...))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if platform.IsForwarded(r.Header) {
 			forwarded.ServeHTTP(w, r)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -131,6 +131,9 @@
 
 // registerGauges registers the gauges of the instance's state.
 func (m *metrics) registerGauges(n *Node) {
+	if n.budget != nil {
+		m.registry.MustRegister(heldCollector{n.budget})
+	}
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"galenastair/httpconn"
 	"galenastair/httpserve"
 	"galenastair/lease"
+	"galenastair/membudget"
 	"galenastair/overload"
 	"galenastair/planner"
 	"galenastair/platform"
@@ -74,6 +75,8 @@
 	storeCalls   storeCalls
 	// overload closes new connections of callers that this instance can't serve in time.
 	overload overload.Guard
+	// budget bounds the memory that requests hold; nil without a bound.
+	budget *membudget.Budget
 	// stopping is set on the signal to stop, draining once no new connections are accepted.
 	stopping       atomic.Bool
 	draining       atomic.Bool
@@ -101,9 +104,11 @@
 
 // New returns a node that is inactive until Run is called.
 func New(s settings.Gateway, opts ...Option) *Node {
+	budget := membudget.New(galenastair.Bytes(s.Load.HeldMemory * float64(s.MemoryLimit)))
 	n := &Node{
+		budget:   budget,
 		settings: s, logger: log.NewNopLogger(), loop: control.NewLoop(), metrics: newMetrics(), callerConns: httpserve.NewConnTracker(),
-		backendClient: httpconn.NewPool(), peerClient: httpconn.NewPool(), directory: &instanceDirectory{regions: s.Zones},
+		backendClient: newConnPool(budget), peerClient: newConnPool(budget), directory: &instanceDirectory{regions: s.Zones},
 	}
 	for _, o := range opts {
 		o(n)
@@ -139,6 +144,14 @@
 	return n
 }
 
+// newConnPool returns a pool of connections on which requests are sent.
+func newConnPool(b *membudget.Budget) *httpconn.Pool {
+	if b == nil {
+		return httpconn.NewPool()
+	}
+	return httpconn.NewPool(httpconn.WithSocketBuffers(membudget.SocketBuffer))
+}
+
 // otherLeader returns the leader's peer address, empty if it is unknown or this instance.
 func (n *Node) otherLeader() string {
 	if leader := n.elector.Leader(); leader != n.settings.PeerAddress {
@@ -205,7 +218,7 @@
 	add("partition", n.partition.run)
 	add("streams", n.streams.run)
 	add("store calls", n.logStoreCalls)
-	if err := n.listen(&g); err != nil {
+	if err := n.listen(ctx, &g); err != nil {
 		return err
 	}
 	// the only actor that observes the signal: it shuts down gracefully, and its return stops
@@ -290,9 +303,11 @@
 	tick := time.NewTicker(pruneInterval)
 	defer tick.Stop()
 	var logged int64
+	var heldLog heldLogger
 	for {
 		select {
 		case now := <-tick.C:
+			heldLog.log(n.logger, n.budget.State())
 			n.backendClient.CloseExpired(now)
 			n.peerClient.CloseExpired(now)
 			if closed := n.overload.Closed(); closed > logged {
--- a/node/status.go
+++ b/node/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/membudget"
 	"galenastair/pool"
 )
 
@@ -34,6 +35,8 @@
 	BackendServers []pool.State
 	// EvacuatedZones are the availability zones whose backend servers get no new requests.
 	EvacuatedZones []galenastair.AvailabilityZone
+	// HeldMemory is what is held for requests; nil without a bound.
+	HeldMemory *membudget.State `json:",omitempty"`
 }
 
 // Status returns the current state of the instance.
@@ -49,6 +52,10 @@
 		BackendServers:   n.pool.States(time.Now()),
 		EvacuatedZones:   n.catalogSource.evacuations.zones(),
 	}
+	if n.budget != nil {
+		held := n.budget.State()
+		s.HeldMemory = &held
+	}
 	if err := n.ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
 	}
