--- a/backend.go
+++ b/backend.go
@@ -36,6 +36,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Streamed replaces Body if the body is passed on as it arrives; nil otherwise.
+	Streamed StreamedBody
 	// ExpectedServer is the only backend server that may run the request. Another one that
 	// has taken over the address must decline it.
 	ExpectedServer BackendServerID
@@ -56,6 +58,17 @@
 	Forwarding *Forwarding
 }
 
+// StreamedBody is a request body that is read while it is sent. It can be sent only once.
+type StreamedBody interface {
+	io.Reader
+	// Length is the declared length. Read returns an error if the body is shorter.
+	Length() int64
+	// Started reports whether any of it has been read.
+	Started() bool
+	// SetDeadline sets the time after which Read fails.
+	SetDeadline(t time.Time)
+}
+
 // Forwarding is what an instance needs to know of a request that another instance forwards to it.
 type Forwarding struct {
 	// Key is the hash of the caller's API key, empty if it sent none.
--- a/engine.go
+++ b/engine.go
@@ -23,6 +23,8 @@
 	ErrStreamNotFound = eris.New("the stream can no longer be resumed")
 	// ErrProgressTimeout means that a connection made no progress within its timeout.
 	ErrProgressTimeout = eris.New("the connection went silent")
+	// ErrBodyTruncated means that the body of a request broke off while it was passed on.
+	ErrBodyTruncated = eris.New("the body of the request broke off")
 	// ErrInvalidResponse means that a response belongs to another request, skips events or has
 	// no usable body.
 	ErrInvalidResponse = eris.New("the answer does not belong to the request")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -113,6 +113,7 @@
 		Host:        r.req.Host,
 		Header:      r.req.Header,
 		Body:        r.req.Body,
+		Streamed:    r.req.Streamed,
 		Timeout:     max(0, r.deadline.Sub(now)),
 		Priority:    -1,
 		LastEventID: r.req.LastEventID,
@@ -145,7 +146,7 @@
 		minSilence = minStreamSilence
 	}
 	wait := max(minSilence, silenceFactor*choice.PredictedLatency)
-	mayCancel := route.Kind.Retryable() && r.runs+1 < r.maxAttempts() && choice.Candidates > 1 && wait <= r.deadline.Sub(r.g.clock.Now())/2
+	mayCancel := r.req.Streamed == nil && route.Kind.Retryable() && r.runs+1 < r.maxAttempts() && choice.Candidates > 1 && wait <= r.deadline.Sub(r.g.clock.Now())/2
 	t := time.AfterFunc(wait, func() {
 		if mayCancel {
 			cancel(galenastair.ErrProgressTimeout)
@@ -167,7 +168,7 @@
 	case errors.Is(err, galenastair.ErrNotSent):
 		attempt.End(now, pool.Failed)
 		return err
-	case errors.Is(err, galenastair.ErrStopping),
+	case errors.Is(err, galenastair.ErrStopping), errors.Is(err, galenastair.ErrBodyTruncated),
 		errors.Is(err, context.Canceled) && !errors.Is(err, galenastair.ErrProgressTimeout):
 		r.runs++
 		attempt.End(now, pool.Neutral)
@@ -243,7 +244,7 @@
 // mayRetryFailure reports whether an error status may be retried on another backend server.
 func (r *activeRequest) mayRetryFailure() bool {
 	route := r.admission.route
-	return route.Kind.Retryable() && !r.wroteHeader && r.runs < r.maxAttempts()
+	return route.Kind.Retryable() && !r.wroteHeader && !r.bodySent() && r.runs < r.maxAttempts()
 }
 
 func (r *activeRequest) copyBody(body io.Reader) error {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -18,6 +18,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Streamed replaces Body if the body is passed on as it arrives; nil otherwise. Such a request is
+	// not sent again once any of the body has been read.
+	Streamed galenastair.StreamedBody
 	// Key is the hash of the caller's API key, empty if it sent none.
 	Key   galenastair.KeyHash
 	Hints galenastair.RequestHints
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -86,3 +86,16 @@
 	}
 	return nil
 }
+
+// bodySent reports whether a body that is passed on as it arrives has been sent in part, so that the
+// request can't be sent again.
+func (r *activeRequest) bodySent() bool { return r.req.Streamed != nil && r.req.Streamed.Started() }
+
+// identity returns what tells the request apart from others to the same target: its body, or its ID if the
+// body has not been read.
+func (r *activeRequest) identity() []byte {
+	if r.req.Streamed != nil {
+		return []byte(r.req.ID)
+	}
+	return r.req.Body
+}
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -133,3 +134,64 @@
 	is.Equal(w.body.String(), text.String())
 	is.True(w.maxWrite <= membudget.SocketBuffer)
 }
+
+// fakeBody is a body that is passed on as it arrives.
+type fakeBody struct {
+	io.Reader
+	started  bool
+	deadline time.Time
+}
+
+func (b *fakeBody) Length() int64           { return 1000 }
+func (b *fakeBody) Started() bool           { return b.started }
+func (b *fakeBody) SetDeadline(t time.Time) { b.deadline = t }
+
+func (env *testEnv) servePassedOn(t *testing.T, path string, body *fakeBody) error {
+	t.Helper()
+	x, _ := membudget.New(10<<20).Begin(time.Now(), func() {})
+	defer x.Close()
+	r := testRequest(path)
+	r.Held, r.Body, r.Streamed = x, nil, body
+	_, err := env.gateway.Serve(t.Context(), r, &recordedResponse{})
+	return err
+}
+
+// A backend server fails, declines or breaks off, before and after it has got some of a body that is passed
+// on. Guards against a second server that gets the rest of the body, and against a refusal that states that
+// a request has not run although it may have.
+func TestPassedOnBodiesAreSentOnce(t *testing.T) {
+	for _, test := range []struct {
+		first   script
+		outcome galenastair.Outcome
+	}{
+		{respond(500, "failed"), ""},
+		{truncate("half"), galenastair.OutcomeUnknown},
+		{failWith(galenastair.ErrBodyTruncated), galenastair.OutcomeUnknown},
+		{failWith(galenastair.ErrProgressTimeout), galenastair.OutcomeUnknown},
+		{decline(), galenastair.OutcomeNotRun},
+	} {
+		is := is.New(t)
+		body := &fakeBody{}
+		env := newTestEnv(func(ctx context.Context, c galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+			body.started = true
+			return test.first(ctx, c)
+		}, respond(200, "good"))
+		err := env.servePassedOn(t, "/read/1", body)
+		is.Equal(len(env.backend.calls), 1)
+		is.True(!body.deadline.IsZero())
+		var refused *galenastair.Refusal
+		if errors.As(err, &refused) {
+			is.Equal(refused.Outcome, test.outcome)
+		} else {
+			is.Equal(test.outcome, galenastair.Outcome(""))
+		}
+	}
+}
+
+// Guards against a request that is refused although none of its body has been sent.
+func TestPassedOnBodyThatWasNotSentIsSentElsewhere(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(failWith(galenastair.ErrNotSent), respond(200, "good"))
+	is.NoErr(env.servePassedOn(t, "/bid/1", &fakeBody{}))
+	is.Equal(len(env.backend.calls), 2)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -77,13 +77,16 @@
 		return galenastair.NewRefusal(galenastair.ErrStopping, minRetryAfter, "")
 	}
 	r.service = a.route.PickService(randomFraction())
-	r.digest = claim.DigestOf(a.organisationName(), r.req.Method+" "+r.req.Target, r.req.Body)
+	r.digest = claim.DigestOf(a.organisationName(), r.req.Method+" "+r.req.Target, r.identity())
 	if err := r.checkPoison(); err != nil {
 		return err
 	}
 	r.deadline = r.startedAt.Add(r.timeout())
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
+	if r.req.Streamed != nil {
+		r.req.Streamed.SetDeadline(r.deadline)
+	}
 	if targets := r.forwardTargets(); len(targets) > 0 {
 		return r.forward(ctx, targets)
 	}
@@ -157,7 +160,7 @@
 // limited to a share of the traffic of their service, so that they do not multiply an
 // overload.
 func (r *activeRequest) checkRetry(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.bodySent() {
 		return err
 	}
 	kind := r.admission.route.Kind
@@ -238,7 +241,7 @@
 		return refused.WithOutcome(outcome)
 	case errors.Is(err, galenastair.ErrStopping):
 		return &galenastair.Refusal{Cause: galenastair.ErrStopping, Outcome: outcome, RetryAfter: minRetryAfter}
-	case errors.Is(err, context.Canceled), errors.Is(err, errCallerGone):
+	case errors.Is(err, context.Canceled), errors.Is(err, errCallerGone), errors.Is(err, galenastair.ErrBodyTruncated):
 		return &galenastair.Refusal{Cause: errCallerGone, Outcome: outcome}
 	case errors.Is(err, context.DeadlineExceeded):
 		if outcome == galenastair.OutcomeNotRun {
--- a/httpconn/client.go
+++ b/httpconn/client.go
@@ -85,7 +85,9 @@
 	head    *headReader
 	reader  *bufio.Reader
 	// Reused is set if the connection has carried a request before.
-	Reused      bool
+	Reused bool
+	// broken is set if a request could not be written completely.
+	broken      bool
 	expiresAt   time.Time
 	discardOnce sync.Once
 }
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -23,6 +23,14 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Stream replaces Body if it is not nil: a body that is read while it is sent.
+	Stream Stream
+}
+
+// Stream is a body of known length.
+type Stream interface {
+	io.Reader
+	Length() int64
 }
 
 // Response is the status and headers of a response. Its Body returns io.EOF only at the end
@@ -77,6 +85,10 @@
 	if err := r.Header.Write(&head); err != nil {
 		return eris.Wrapf(galenastair.ErrNotSent, "encode headers: %v", err)
 	}
+	if r.Stream != nil {
+		head.WriteString("Content-Length: " + strconv.FormatInt(r.Stream.Length(), 10) + "\r\n\r\n")
+		return c.writeStream(ctx, head.Bytes(), r.Stream)
+	}
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
@@ -112,6 +124,54 @@
 	return parts.WriteTo(c.Conn)
 }
 
+const (
+	// streamChunkBytes is the size of the pieces in which a body is passed on.
+	streamChunkBytes = 8 << 10
+	// earlyResponseTimeout bounds the wait for the response of a peer that takes no more of a body; it
+	// has been sent before the connection was reset.
+	earlyResponseTimeout = 50 * time.Millisecond
+)
+
+// writeStream writes the headers and then the body as it is read. If the body is shorter than its
+// length, the connection must be closed: the peer would take later bytes for the rest.
+func (c *Conn) writeStream(ctx context.Context, head []byte, body Stream) error {
+	if n, err := c.Write(head); err != nil && n == 0 {
+		return eris.Wrapf(galenastair.ErrNotSent, "write: %v", err)
+	} else if err != nil {
+		return eris.Wrapf(galenastair.ErrResponseTruncated, "write: %v", err)
+	}
+	buf := make([]byte, streamChunkBytes)
+	for left := body.Length(); left > 0; {
+		n, err := body.Read(buf[:min(int64(len(buf)), left)])
+		left -= int64(n)
+		if _, writeErr := c.Write(buf[:n]); writeErr != nil {
+			return c.earlyResponse(ctx, writeErr)
+		}
+		if err != nil && left > 0 {
+			if ctx.Err() != nil {
+				return context.Cause(ctx)
+			}
+			return eris.Wrapf(galenastair.ErrBodyTruncated, "%v", err)
+		}
+	}
+	return nil
+}
+
+// earlyResponse returns nil if the peer has responded before it stopped to take the body.
+func (c *Conn) earlyResponse(ctx context.Context, writeErr error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	c.broken = true
+	_ = c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
+	_, err := c.reader.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	if err == nil {
+		return nil
+	}
+	return eris.Wrapf(galenastair.ErrResponseTruncated, "write: %v", writeErr)
+}
+
 // readResponse reads the next final response. It skips informational (1xx) responses
 // except 101 Switching Protocols.
 func (c *Conn) readResponse(method string) (*http.Response, error) {
@@ -173,7 +233,7 @@
 // finish returns the connection to the pool unless the peer closes it or has sent more bytes.
 func (b *responseBody) finish() {
 	// bytes after a complete response belong to no request
-	if !b.stop() || b.resp.Close || b.conn.reader.Buffered() > 0 {
+	if !b.stop() || b.resp.Close || b.conn.broken || b.conn.reader.Buffered() > 0 {
 		b.conn.Discard()
 		return
 	}
