--- a/cmd/galenastair-standin/cmd_slow.go
+++ b/cmd/galenastair-standin/cmd_slow.go
@@ -152,6 +152,7 @@
 	s.mu.Unlock()
 	fmt.Printf("before: %s\n", s.readMemory())
 	s.slowUntil = time.Now().Add(s.duration)
+	cpu := s.processorTime()
 	var g sync.WaitGroup
 	spawn := func(n int, kind string, call func() string) {
 		for range n {
@@ -186,6 +187,7 @@
 		time.Sleep(time.Until(next))
 	}
 	<-watched
+	fmt.Printf("processor: %.2f cores\n", (s.processorTime()-cpu).Seconds()/s.duration.Seconds())
 	g.Wait()
 	return peak
 }
@@ -356,6 +358,26 @@
 	return m
 }
 
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// processorTime returns the processor time that the gateway has used.
+func (s *slowLoad) processorTime() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.pid))
+	if err != nil {
+		return 0
+	}
+	// the second field, the name, may hold spaces
+	_, rest, _ := strings.Cut(string(text), ") ")
+	p := strings.Fields(rest)
+	if len(p) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(p[11])
+	system, _ := strconv.Atoi(p[12])
+	return time.Duration(user+system) * clockTick
+}
+
 func hexPort(address string) string {
 	_, port, _ := net.SplitHostPort(address)
 	n, _ := strconv.Atoi(port)
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -39,6 +39,8 @@
 	versions map[string]string
 	version  int
 	nodes    []*runningNode
+	// load is how nodes that are started later handle shortage.
+	load settings.LoadHandling
 }
 
 type runningNode struct {
@@ -185,7 +187,7 @@
 	s := settings.Gateway{
 		ID: galenastair.InstanceID(fmt.Sprintf("n%d", len(c.nodes)+1)), Region: "r", AvailabilityZone: "z1",
 		CallerAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t), MetricsAddress: freeAddress(c.t),
-		StoreAddress: c.address, MemoryLimit: 1 << 30,
+		StoreAddress: c.address, MemoryLimit: 1 << 30, Load: c.load,
 		Bounds: settings.Bounds{KeyLife: 5 * time.Second, StopTimeout: 8 * time.Second, ApplyTimeout: 2 * time.Second, LeaveTimeout: 2 * time.Second, FencesChecked: true,
 			RetryRatio: 0.2, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaOver: 0.1, QuotaSlack: 17000},
 	}
