--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -202,6 +202,11 @@
 	stop()
 	now := r.g.clock.Now()
 	attempt.Started(now)
+	length := int64(len(data))
+	if r.req.Held != nil && err == nil && length > limit && ctx.Err() != nil {
+		// the attempt was cancelled before the caller got any of the response
+		err = context.Cause(ctx)
+	}
 	if err != nil {
 		return r.handleTruncation(ctx, attempt, err)
 	}
@@ -210,7 +215,6 @@
 		return eris.Wrapf(errBackendFailure, "status %d", resp.Status)
 	}
 	r.firstByteAt, r.status = now, resp.Status
-	length := int64(len(data))
 	if length > limit {
 		length = -1
 	}
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -195,3 +195,25 @@
 	is.NoErr(env.servePassedOn(t, "/bid/1", &fakeBody{}))
 	is.Equal(len(env.backend.calls), 2)
 }
+
+// A large answer begins just as its server counts as silent. Guards against one that then breaks off,
+// although nothing of it has been forwarded and another server could answer.
+func TestLargeAnswerThatIsCancelledAtItsStart(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(func(ctx context.Context, _ galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		late := readerFunc(func(p []byte) (int, error) {
+			<-ctx.Done()
+			return copy(p, "late"), nil
+		})
+		return &galenastair.BackendResponse{Status: 200, Header: http.Header{"Content-Length": {"1000000"}}, Body: io.NopCloser(late)}, nil
+	}, respondLarge(1000, 1000, true))
+	b := membudget.New(10 << 20)
+	w := &measuringWriter{budget: b}
+	_, err := env.serveHeld(t, b, "/read/1", w)
+	is.NoErr(err)
+	is.Equal(w.body.Len(), 1000)
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -76,7 +76,7 @@
 		// A stream takes seconds, and the shutdown of this instance would truncate it.
 		return galenastair.NewRefusal(galenastair.ErrStopping, minRetryAfter, "")
 	}
-	if a.route.Kind.Streamed() && !r.req.Held.AdmitLong() {
+	if a.route.Kind.Streamed() && !r.req.Held.AdmitStream() {
 		return galenastair.NewRefusal(galenastair.ErrOverloaded, memoryRetryAfter(), "no memory is free for a stream")
 	}
 	r.service = a.route.PickService(randomFraction())
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -46,12 +46,14 @@
 	// read late don't keep out other requests. A body or an answer of up to smallBytes only has to fit.
 	maxBodies  = 8
 	smallBytes = 8 << 10
-	// longShare is the fraction of the limit above which no further request is admitted that is known to
-	// hold its memory for long, so that the others don't find the budget full.
-	longShare = 0.75
+	// streamShare and passedOnShare are the fractions of the limit above which no further stream, or body
+	// that is passed on as it arrives, is admitted. They hold their memory for long, and other requests
+	// would find the budget full.
+	streamShare   = 0.75
+	passedOnShare = 0.5
 	// fullFraction is the fraction of the limit that is left free by ending stalled exchanges.
 	fullFraction = 8
-	// stallTimeout is the time without progress after which an exchange may be ended. A caller that
+	// stallTimeout is the default of WithStallTimeout. A caller that
 	// reads 2 KB/s takes the contents of a socket's buffer within it.
 	stallTimeout = 15 * time.Second
 	// reclaimInterval is the least time between two looks for stalled exchanges.
@@ -67,7 +69,8 @@
 
 // Budget bounds the bytes that are held for all requests of an instance.
 type Budget struct {
-	limit galenastair.Bytes
+	limit        galenastair.Bytes
+	stallTimeout time.Duration
 
 	mu          sync.Mutex
 	held        galenastair.Bytes
@@ -79,12 +82,22 @@
 	reclaimedAt time.Time
 }
 
+// Option configures a Budget.
+type Option func(*Budget)
+
+// WithStallTimeout sets the time without progress after which an exchange may be ended.
+func WithStallTimeout(d time.Duration) Option { return func(b *Budget) { b.stallTimeout = d } }
+
 // New returns a budget with a limit, nil for a limit of 0.
-func New(limit galenastair.Bytes) *Budget {
+func New(limit galenastair.Bytes, opts ...Option) *Budget {
 	if limit <= 0 {
 		return nil
 	}
-	return &Budget{limit: limit, exchanges: map[*Exchange]struct{}{}}
+	b := &Budget{limit: limit, stallTimeout: stallTimeout, exchanges: map[*Exchange]struct{}{}}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
 }
 
 // Exchange is the account of one request.
@@ -144,7 +157,7 @@
 	b.reclaimedAt = now
 	var out *Exchange
 	for x := range b.exchanges {
-		if x.ended || x.blockedSince.IsZero() || now.Sub(x.blockedSince) < stallTimeout {
+		if x.ended || x.blockedSince.IsZero() || now.Sub(x.blockedSince) < b.stallTimeout {
 			continue
 		}
 		if out == nil || x.total() > out.total() {
@@ -229,16 +242,21 @@
 	return fits
 }
 
-// AdmitLong reports whether the request may hold its memory for long: a stream, or a request whose body is
-// passed on as it arrives.
-func (x *Exchange) AdmitLong() bool {
+// AdmitStream reports whether the request may hold its memory for as long as a stream takes.
+func (x *Exchange) AdmitStream() bool { return x.admit(streamShare) }
+
+// AdmitPassedOn reports whether the request's body may be passed on as it arrives.
+func (x *Exchange) AdmitPassedOn() bool { return x.admit(passedOnShare) }
+
+// admit reports whether less than a fraction of the limit is held.
+func (x *Exchange) admit(share float64) bool {
 	if x == nil {
 		return true
 	}
 	b := x.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if float64(b.held) <= longShare*float64(b.limit) {
+	if float64(b.held) <= share*float64(b.limit) {
 		return true
 	}
 	b.refused[Connections]++
