--- a/node/held_test.go
+++ b/node/held_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/matryer/is"
 
+	"galenastair"
+	"galenastair/membudget"
 	"galenastair/settings"
 	"galenastair/standin/replica"
 )
@@ -192,3 +194,14 @@
 	}
 	return string(text)
 }
+
+// Guards against a fraction so small that no request fits, and against a bound where none is set.
+func TestLeastMemoryBudget(t *testing.T) {
+	is := is.New(t)
+	s := settings.Gateway{MemoryLimit: 32_000_000}
+	is.True(newBudget(s) == nil)
+	s.Load.HeldMemory = 0.0001
+	is.True(newBudget(s).State().Limit >= minHeldExchanges*membudget.ExchangeBytes)
+	s.Load.HeldMemory = 0.5
+	is.Equal(newBudget(s).State().Limit, galenastair.Bytes(16_000_000))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 
 // New returns a node that is inactive until Run is called.
 func New(s settings.Gateway, opts ...Option) *Node {
-	budget := membudget.New(galenastair.Bytes(s.Load.HeldMemory * float64(s.MemoryLimit)))
+	budget := newBudget(s)
 	n := &Node{
 		budget:   budget,
 		settings: s, logger: log.NewNopLogger(), loop: control.NewLoop(), metrics: newMetrics(), callerConns: httpserve.NewConnTracker(),
@@ -144,6 +144,19 @@
 	return n
 }
 
+// minHeldExchanges is the least number of requests that fit into the memory budget, however small a
+// fraction of the limit is set.
+const minHeldExchanges = 64
+
+// newBudget returns the memory budget of the settings, nil if they set none.
+func newBudget(s settings.Gateway) *membudget.Budget {
+	if s.Load.HeldMemory <= 0 {
+		return nil
+	}
+	limit := galenastair.Bytes(s.Load.HeldMemory * float64(s.MemoryLimit))
+	return membudget.New(max(limit, minHeldExchanges*membudget.ExchangeBytes))
+}
+
 // newConnPool returns a pool of connections on which requests are sent.
 func newConnPool(b *membudget.Budget) *httpconn.Pool {
 	if b == nil {
