--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -179,6 +179,10 @@
 	defer c.head.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.head.exhausted() {
+			// where the limit falls inside a line, ReadResponse takes the part before it for the line
+			return nil, errHeadTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/httpconn/limit.go
+++ b/httpconn/limit.go
@@ -28,9 +28,12 @@
 
 func (r *headReader) unlimit() { r.limited = false }
 
+// exhausted reports whether as many bytes have been read as the limit allows.
+func (r *headReader) exhausted() bool { return r.limited && r.left <= 0 }
+
 // Read implements io.Reader.
 func (r *headReader) Read(p []byte) (int, error) {
-	if r.limited && r.left <= 0 {
+	if r.exhausted() {
 		return 0, errHeadTooLarge
 	}
 	n, err := r.Reader.Read(p)
