--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -108,6 +108,9 @@
 	memoryRetrySpread   = 700 * time.Millisecond
 )
 
-func memoryRetryAfter() time.Duration {
-	return minMemoryRetryAfter + time.Duration(randomFraction()*float64(memoryRetrySpread))
+// memoryRetryAfter returns the Retry-After of such a stream. Callers respect one of up to a third of the
+// time that they have left.
+func (r *activeRequest) memoryRetryAfter() time.Duration {
+	wait := minMemoryRetryAfter + time.Duration(randomFraction()*float64(memoryRetrySpread))
+	return min(wait, r.timeout()/3)
 }
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -217,3 +217,24 @@
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// The budget is filled to more than the share of streams. Guards against a stream that is sent nevertheless,
+// a refusal that comes back later than its caller waits, and a plain request that is refused too.
+func TestStreamsAreRefusedWhileMemoryIsShort(t *testing.T) {
+	is := is.New(t)
+	b := membudget.New(20 * membudget.ExchangeBytes)
+	for range 16 {
+		_, ok := b.Begin(time.Now(), func() {})
+		is.True(ok)
+	}
+	env := newTestEnv(respond(200, "good"))
+	_, err := env.serveHeld(t, b, "/stream/1", &recordedResponse{})
+	var refused *galenastair.Refusal
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Status(), http.StatusServiceUnavailable)
+	is.Equal(refused.Outcome, galenastair.OutcomeNotRun)
+	is.True(refused.RetryAfter > 0 && refused.RetryAfter <= 2*time.Second/3)
+	is.Equal(len(env.backend.calls), 0)
+	_, err = env.serveHeld(t, b, "/read/1", &recordedResponse{})
+	is.NoErr(err)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -77,7 +77,7 @@
 		return galenastair.NewRefusal(galenastair.ErrStopping, minRetryAfter, "")
 	}
 	if a.route.Kind.Streamed() && !r.req.Held.AdmitStream() {
-		return galenastair.NewRefusal(galenastair.ErrOverloaded, memoryRetryAfter(), "no memory is free for a stream")
+		return galenastair.NewRefusal(galenastair.ErrOverloaded, r.memoryRetryAfter(), "no memory is free for a stream")
 	}
 	r.service = a.route.PickService(randomFraction())
 	r.digest = claim.DigestOf(a.organisationName(), r.req.Method+" "+r.req.Target, r.identity())
