--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/membudget"
 	"galenastair/pool"
 )
 
@@ -117,6 +118,7 @@
 		Host:        r.req.Host,
 		Header:      r.req.Header,
 		Body:        r.req.Body,
+		Streamed:    r.req.Streamed,
 		Timeout:     max(0, r.deadline.Sub(now)),
 		Priority:    -1,
 		LastEventID: r.req.LastEventID,
@@ -149,7 +151,7 @@
 		minSilence = minStreamSilence
 	}
 	wait := max(minSilence, silenceFactor*choice.PredictedLatency)
-	mayCancel := route.Kind.Retryable() && r.runs+1 < r.maxAttempts() && choice.Candidates > 1 && wait <= r.deadline.Sub(r.g.clock.Now())/2
+	mayCancel := r.req.Streamed == nil && route.Kind.Retryable() && r.runs+1 < r.maxAttempts() && choice.Candidates > 1 && wait <= r.deadline.Sub(r.g.clock.Now())/2
 	t := time.AfterFunc(wait, func() {
 		if mayCancel {
 			cancel(galenastair.ErrProgressTimeout)
@@ -171,7 +173,7 @@
 	case errors.Is(err, galenastair.ErrNotSent):
 		attempt.End(now, pool.Failed)
 		return err
-	case errors.Is(err, galenastair.ErrStopping),
+	case errors.Is(err, galenastair.ErrStopping), errors.Is(err, galenastair.ErrBodyTruncated),
 		errors.Is(err, context.Canceled) && !errors.Is(err, galenastair.ErrProgressTimeout):
 		r.runs++
 		attempt.End(now, pool.Neutral)
@@ -199,21 +201,26 @@
 // forwardResponse forwards a response that is no stream. A body of up to maxBufferedBytes
 // is read completely first.
 func (r *activeRequest) forwardResponse(ctx context.Context, attempt *pool.Attempt, resp *galenastair.BackendResponse, stop func() bool) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	failure := resp.Status >= http.StatusInternalServerError
+	limit := r.bufferLimit(resp, failure)
+	data, err := r.readStart(resp.Body, limit)
 	stop()
 	now := r.g.clock.Now()
 	attempt.Started(now)
+	length := int64(len(data))
+	if r.req.Held != nil && err == nil && length > limit && ctx.Err() != nil {
+		// the attempt was cancelled before the caller got any of the response
+		err = context.Cause(ctx)
+	}
 	if err != nil {
 		return r.handleTruncation(ctx, attempt, err)
 	}
-	failure := resp.Status >= http.StatusInternalServerError
 	if failure && r.mayRetryFailure() {
 		attempt.End(now, pool.ServerError)
 		return eris.Wrapf(errBackendFailure, "status %d", resp.Status)
 	}
 	r.firstByteAt, r.status = now, resp.Status
-	length := int64(len(data))
-	if length > maxBufferedBytes {
+	if length > limit {
 		length = -1
 	}
 	if err := r.writeResponse(resp, data, length); err != nil {
@@ -232,9 +239,11 @@
 // known, the rest.
 func (r *activeRequest) writeResponse(resp *galenastair.BackendResponse, data []byte, length int64) error {
 	r.wroteHeader = true
-	if r.w.WriteHeader(resp.Status, resp.Header, length) != nil || r.w.Write(data) != nil {
+	r.releaseBody()
+	if r.w.WriteHeader(resp.Status, resp.Header, length) != nil || r.write(data) != nil {
 		return errCallerGone
 	}
+	r.req.Held.Set(membudget.Answers, 0)
 	if length >= 0 {
 		return nil
 	}
@@ -244,15 +253,15 @@
 // mayRetryFailure reports whether an error status may be retried on another backend server.
 func (r *activeRequest) mayRetryFailure() bool {
 	route := r.admission.route
-	return route.Kind.Retryable() && !r.wroteHeader && r.runs < r.maxAttempts()
+	return route.Kind.Retryable() && !r.wroteHeader && !r.bodySent() && r.runs < r.maxAttempts()
 }
 
 func (r *activeRequest) copyBody(body io.Reader) error {
-	buf := make([]byte, readBufferBytes)
+	buf := make([]byte, r.req.Held.ChunkBytes(readBufferBytes))
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if err := r.w.Write(buf[:n]); err != nil {
+			if err := r.write(buf[:n]); err != nil {
 				return errCallerGone
 			}
 		}
@@ -278,16 +287,19 @@
 // forwardStream forwards a stream event by event. The caller gets complete events only, so
 // that another backend server can continue the same response after the last one.
 func (r *activeRequest) forwardStream(ctx context.Context, attempt *pool.Attempt, resp *galenastair.BackendResponse, stop func() bool) error {
-	buf := make([]byte, readBufferBytes)
+	buf := make([]byte, r.req.Held.ChunkBytes(readBufferBytes))
 	started := false
 	for {
+		r.events.limit = r.req.Held.EventLimit(maxEventBytes)
 		n, err := resp.Body.Read(buf)
 		if n > 0 && !started {
 			started = true
 			stop()
 			attempt.Started(r.g.clock.Now())
 		}
-		if complete := r.events.split(buf[:n]); len(complete) > 0 {
+		complete := r.events.split(buf[:n])
+		r.req.Held.Set(membudget.Events, galenastair.Bytes(cap(r.events.partial)+len(complete)))
+		if len(complete) > 0 {
 			if err := r.writeEvents(resp, complete); err != nil {
 				attempt.End(r.g.clock.Now(), pool.Neutral)
 				return errCallerGone
@@ -347,5 +359,5 @@
 		r.longestPause = max(r.longestPause, now.Sub(r.lastWriteAt))
 	}
 	r.lastWriteAt = now
-	return r.w.Write(complete)
+	return r.write(complete)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/membudget"
 )
 
 // Request is one request as its caller sent it.
@@ -17,6 +18,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Streamed replaces Body if the body is passed on as it arrives; nil otherwise. Such a request is
+	// not sent again once any of the body has been read.
+	Streamed galenastair.StreamedBody
 	// Key is the hash of the caller's API key, empty if it sent none.
 	Key   galenastair.KeyHash
 	Hints galenastair.RequestHints
@@ -36,6 +40,8 @@
 	Attempts int
 	// Version is the software version that may send further events of a forwarded stream; nil for any.
 	Version *galenastair.SoftwareVersion
+	// Held accounts the memory that the request holds; nil without a bound.
+	Held *membudget.Exchange
 }
 
 // ResponseWriter sends a response to the caller.
--- a/node/status.go
+++ b/node/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenastair"
+	"galenastair/membudget"
 	"galenastair/pool"
 )
 
@@ -36,6 +37,8 @@
 	EvacuatedZones []galenastair.AvailabilityZone
 	// Yielding is the number of requests that wait for more urgent ones.
 	Yielding int
+	// HeldMemory is what is held for requests; nil without a bound.
+	HeldMemory *membudget.State `json:",omitempty"`
 }
 
 // Status returns the current state of the instance.
@@ -52,6 +55,10 @@
 		EvacuatedZones:   n.catalogSource.evacuations.zones(),
 		Yielding:         n.yielding(),
 	}
+	if n.budget != nil {
+		held := n.budget.State()
+		s.HeldMemory = &held
+	}
 	if err := n.ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
 	}
