--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -161,7 +161,7 @@
 		organisationsByKey: map[galenastair.KeyHash]*Organisation{},
 		routesByHost:       map[string][]*Route{},
 		requireKeys:        len(organisations) > 0,
-		urgencies:          newUrgencies(routes, organisations),
+		urgencies:          newUrgencies(routes),
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
--- a/catalog/urgency.go
+++ b/catalog/urgency.go
@@ -25,9 +25,10 @@
 	}
 }
 
-// newUrgencies returns the urgency of each service that a route sends requests to. The requests of an
-// organisation with its own priority have that one on every route that needs a key.
-func newUrgencies(routes []*Route, organisations []*Organisation) map[galenastair.ServiceName]*urgency {
+// newUrgencies returns the urgency of each service that a route sends requests to. An organisation's own
+// priority does not count: one organisation of the highest would make the urgent requests of all others
+// yield.
+func newUrgencies(routes []*Route) map[galenastair.ServiceName]*urgency {
 	out := map[galenastair.ServiceName]*urgency{}
 	for _, r := range routes {
 		for _, t := range r.Targets {
@@ -43,8 +44,8 @@
 	return out
 }
 
-// MoreUrgent returns the shortest target latency of the requests of a service that are more urgent than
-// the priority, and the number of their priorities; 0 if there are none with a target latency.
+// MoreUrgent returns the shortest target latency of the routes of a service that are more urgent than a
+// route priority, and the number of their priorities; 0 if there are none with a target latency.
 func (c *Catalog) MoreUrgent(s galenastair.ServiceName, priority int) (time.Duration, int) {
 	u := c.urgencies[s]
 	if u == nil {
