--- a/sockbuf/sockbuf.go
+++ b/sockbuf/sockbuf.go
@@ -1,4 +1,3 @@
-// Package sockbuf sets the sizes of the kernel's buffers of sockets.
 package sockbuf
 
 import (
@@ -11,8 +10,9 @@
 const notSentLowAt = 0x19
 
 // Control returns a function for net.Dialer.Control and net.ListenConfig.Control that sets the send and
-// receive buffers of a socket to n bytes, and has writes wait while n/2 bytes have not been sent. It has to run before the connection is made: the receive window
-// that was once announced is not taken back. Accepted connections inherit the sizes of their listener.
+// receive buffers of a socket to n bytes, and has writes wait while n/2 bytes have not been sent. It has
+// to run before the connection is made: the receive window that was once announced is not taken back.
+// Accepted connections inherit the sizes of their listener.
 func Control(n int) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
 		var err error
