--- a/admission/sendrate.go
+++ b/admission/sendrate.go
@@ -25,9 +25,9 @@
 	initialGain = 0.7
 	minGain     = 0.05
 	maxGain     = 4
-	// loadDelay is the mean age of the loads of other instances. proportionalGain and integralGain
+	// loadDelaySeconds is the mean age of the loads of other instances. proportionalGain and integralGain
 	// are low enough for the control of a queue that is known only after this time to be stable.
-	loadDelay        = 0.8
+	loadDelaySeconds = 0.8
 	proportionalGain = 0.4
 	integralGain     = 0.2
 	// queueTarget is the queue to which the gain is controlled, as a fraction of the limit.
@@ -60,7 +60,7 @@
 	}
 	change := (queue - s.queue).Seconds()
 	excess := queue.Seconds() - queueTarget*limit.Seconds()
-	s.gain *= math.Exp(-proportionalGain/loadDelay*change - integralGain/loadDelay/loadDelay*excess*min(2, elapsed.Seconds()))
+	s.gain *= math.Exp(-proportionalGain/loadDelaySeconds*change - integralGain/loadDelaySeconds/loadDelaySeconds*excess*min(2, elapsed.Seconds()))
 	s.gain = min(maxGain, max(minGain, s.gain))
 	s.queue, s.observedAt = queue, now
 }
