catalog: levels of requests keep organisations of any priority apart

Found in the read-through: three levels for each priority of organisations leave organisations of priority 3 and above at the last level, where each had its own before. The tests of the levels stand in catalog; one in gateway checks that engines get them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -149,6 +149,7 @@
 	routesByHost       map[string][]*Route
 	requireKeys        bool
 	urgencies          map[galenastair.ServiceName]*urgency
+	routeLevels        int
 }
 
 // New returns a catalog.
@@ -162,6 +163,7 @@
 		routesByHost:       map[string][]*Route{},
 		requireKeys:        len(organisations) > 0,
 		urgencies:          newUrgencies(routes),
+		routeLevels:        newRouteLevels(routes, organisations),
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
--- a/catalog/urgency.go
+++ b/catalog/urgency.go
@@ -64,3 +64,35 @@
 	}
 	return shortest, levels
 }
+
+// maxRouteLevels is the number of priorities of routes that are told apart at most: more levels than
+// routes use would leave too few for organisations.
+const maxRouteLevels = 3
+
+// newRouteLevels returns how many priorities of routes fit between two priorities of organisations, if
+// backend servers distinguish priorityLevels in all.
+func newRouteLevels(routes []*Route, organisations []*Organisation) int {
+	highest := 0
+	for _, r := range routes {
+		highest = max(highest, r.Priority)
+	}
+	for _, o := range organisations {
+		if o.HasPriority {
+			highest = max(highest, o.Priority)
+		}
+	}
+	return min(maxRouteLevels, max(1, priorityLevels/(highest+1)))
+}
+
+// Level returns the level, from 0 for the first, at which backend servers order the requests of an
+// organisation on a route: by the organisation's priority and, among equal organisations, by the
+// route's. Otherwise the patient requests of an organisation with a priority of its own would go before
+// its urgent ones. An organisation without a priority, or none, has that of the route.
+func (c *Catalog) Level(o *Organisation, r *Route) int {
+	route := max(0, r.Priority)
+	organisation := route
+	if o != nil && o.HasPriority {
+		organisation = max(0, o.Priority)
+	}
+	return min(priorityLevels-1, organisation*c.routeLevels+min(route, c.routeLevels-1))
+}
--- a/catalog/urgency_test.go
+++ b/catalog/urgency_test.go
@@ -43,3 +43,27 @@
 	check("writer", 0, 0, 0)
 	check("writer", 1, 500*time.Millisecond, 1)
 }
+
+// Guards against urgent requests that wait behind the patient ones of organisations of equal priority, and
+// against organisations of different priorities that are taken for equal.
+func TestLevelIsByOrganisationThenRoute(t *testing.T) {
+	is := is.New(t)
+	org := func(priority int) *Organisation { return &Organisation{HasPriority: true, Priority: priority} }
+	route := func(priority int) *Route { return &Route{Priority: priority} }
+	routes := []*Route{route(0), route(1), route(2)}
+
+	c := New(1, Limits{}, routes, nil, []*Organisation{org(0), org(1), {}})
+	is.True(c.Level(org(1), route(0)) < c.Level(org(1), route(1)))
+	is.True(c.Level(org(1), route(1)) < c.Level(org(1), route(2)))
+	is.True(c.Level(org(0), route(2)) < c.Level(org(1), route(0)))
+	is.True(c.Level(nil, route(0)) < c.Level(&Organisation{}, route(1)))
+	is.True(c.Level(&Organisation{}, route(0)) < c.Level(org(1), route(0)))
+	is.True(c.Level(org(1), route(2)) < c.Level(&Organisation{}, route(2)))
+	is.Equal(c.Level(nil, route(0)), 0)
+
+	c = New(1, Limits{}, routes, nil, []*Organisation{org(0), org(9)})
+	for p := range 9 {
+		is.True(c.Level(org(p), route(2)) < c.Level(org(p+1), route(0)))
+	}
+	is.Equal(c.Level(org(12), route(2)), 9)
+}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -18,11 +18,6 @@
 	// conditions, and one that is asked to wait longer gives up.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// maxPriority is the least urgent level that backend servers accept.
-	maxPriority = 9
-	// routePriorities is the number of route priorities that are told apart within one priority of
-	// organisations, so that the ten levels hold three of these.
-	routePriorities = 3
 )
 
 // authorisation is the configuration that a request was admitted under.
@@ -31,6 +26,8 @@
 	organisation *catalog.Organisation
 	version      int64
 	age          time.Duration
+	// level is that at which backend servers order the request; 0 goes first.
+	level int
 	// regions are those whose backend servers may run the request; empty for all.
 	regions []galenastair.Region
 }
@@ -42,19 +39,6 @@
 	return a.organisation.Name
 }
 
-// priority returns the level at which backend servers order the request: by the priority of its
-// organisation first, and by that of its route among equal organisations. Otherwise the patient
-// requests of an organisation with a priority of its own would go before its urgent ones. An
-// organisation without a priority has that of the route.
-func (a authorisation) priority() int {
-	route := max(0, a.route.Priority)
-	organisation := route
-	if a.organisation != nil && a.organisation.HasPriority {
-		organisation = max(0, a.organisation.Priority)
-	}
-	return min(maxPriority, organisation*routePriorities+min(route, routePriorities-1))
-}
-
 // authorise looks up a request's route and organisation in the current catalog. An
 // instance that lost its connection to the store or was suspended may have an outdated
 // catalog that still holds a withdrawn key, or lacks a new one, so a catalog older than
@@ -69,6 +53,7 @@
 	if a.route == nil {
 		return a, g.deny(age, galenastair.ErrNotFound, "no route matches")
 	}
+	a.level = current.Level(nil, a.route)
 	if !current.RequiresKey(a.route) {
 		a.regions = a.route.Regions
 		return a, nil
@@ -83,6 +68,7 @@
 	if a.organisation == nil {
 		return a, g.deny(age, galenastair.ErrKeyUnknown, "")
 	}
+	a.level = current.Level(a.organisation, a.route)
 	return a, a.restrictRegions()
 }
 
--- a/gateway/admit_test.go
+++ b/gateway/admit_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 
 	"galenastair"
-	"galenastair/catalog"
 	"galenastair/planner"
 )
 
@@ -70,20 +69,17 @@
 	is.Equal(len(env.backend.calls), 0)
 }
 
-// Guards against urgent requests that wait behind the patient ones of organisations of equal priority.
-func TestPriorityIsTheOrganisationsThenTheRoutes(t *testing.T) {
+// Guards against urgent and patient requests that reach the engines at the same level.
+func TestEngineGetsTheLevelOfTheRequest(t *testing.T) {
 	is := is.New(t)
-	level := func(organisation, route int) int {
-		a := authorisation{route: &catalog.Route{Priority: route}, organisation: &catalog.Organisation{Priority: organisation, HasPriority: organisation >= 0}}
-		return a.priority()
+	env := newTestEnv(respond(200, "id: 1\ndata: a\n\n"), respond(200, "id: 1\ndata: a\n\n"))
+	current := env.catalogSource.catalog
+	current.Organisation("org").HasPriority, current.Organisation("org").Priority = true, 1
+	current.Match(testHost, "/once-stream/1").Priority = 2
+	for _, path := range []string{"/stream/1", "/once-stream/1"} {
+		_, _, err := env.serve(t, path)
+		is.NoErr(err)
 	}
-	const none = -1
-	is.True(level(1, 0) < level(1, 1))
-	is.True(level(1, 1) < level(1, 2))
-	is.True(level(0, 2) < level(1, 0))
-	is.True(level(none, 0) < level(none, 1))
-	is.True(level(none, 0) < level(1, 0))
-	is.True(level(1, 2) < level(none, 2))
-	is.Equal(level(9, 9), maxPriority)
-	is.Equal(authorisation{route: &catalog.Route{}}.priority(), 0)
+	is.Equal(env.backend.calls[0].Priority, 3)
+	is.Equal(env.backend.calls[1].Priority, 5)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -103,7 +103,7 @@
 		return r.g.pool.Usable(now, choice.ID) && r.g.pool.EndsBeforeServer(now, choice.ID, query)
 	}
 	if r.req.Hints.Model != "" {
-		c.Priority = r.admission.priority()
+		c.Priority = r.admission.level
 	}
 	return c
 }
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -87,7 +87,7 @@
 		Arrived:       r.startedAt,
 		Deadline:      r.deadline,
 		TargetLatency: r.admission.route.TargetLatency,
-		Priority:      r.admission.priority(),
+		Priority:      r.admission.level,
 		Digest:        r.digest,
 	}
 	if current, _ := r.g.catalogSource.Current(); current != nil && req.TargetLatency > 0 && req.Model != "" {
@@ -118,7 +118,7 @@
 }
 
 func (r *activeRequest) logYield(now time.Time, c pool.Choice, d admission.Decision) {
-	r.g.logger.Log("event", "yield", "request", r.req.ID, "organisation", r.admission.organisationName(), "server", c.ID, "action", d.Action, "reason", d.Reason, "priority", r.admission.priority(),
+	r.g.logger.Log("event", "yield", "request", r.req.ID, "organisation", r.admission.organisationName(), "server", c.ID, "action", d.Action, "reason", d.Reason, "priority", r.admission.level,
 		"foretold", c.PredictedLatency, "waited", now.Sub(r.startedAt), "left", r.deadline.Sub(now), "retry_after", d.RetryAfter, "returning", r.ticket.Returning(), "log_only", r.g.admissionDryRun)
 }
 
