galenastair-standin: the slow load speaks the platform's protocol through package platform

Cause: cmd_slow.go spelled the platform's headers, whose names belong to platform/ and standin/, and held two things, the load and how a process's memory is read.

The product's code is as before.

--- a/cmd/galenastair-standin/cmd_slow.go
+++ b/cmd/galenastair-standin/cmd_slow.go
@@ -13,7 +13,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,7 +20,10 @@
 	"sync/atomic"
 	"time"
 
+	"galenastair"
+	"galenastair/platform"
 	"galenastair/sockbuf"
+	"galenastair/standin/answer"
 	"galenastair/standin/replica"
 	"galenastair/timer"
 )
@@ -113,12 +115,11 @@
 }
 
 func (s *slowLoad) serveBackend(w http.ResponseWriter, req *http.Request) {
-	id := req.Header.Get("Galenastair-Attempt-Id")
+	id := platform.DecodeCallerRequest(req.Header).ID
 	if _, again := s.backendRuns.LoadOrStore(id, true); again {
 		s.repeatedRuns.Add(1)
 	}
-	w.Header().Set("Galenastair-Attempt-Id", id)
-	w.Header().Set("Galenastair-Server-Signature", "sig.slow")
+	answer.SetHeader(w.Header(), id, "sig.slow")
 	switch {
 	case strings.HasPrefix(req.URL.Path, "/bids/"):
 		time.Sleep(lateReadDelay)
@@ -213,10 +214,16 @@
 		return nil, err
 	}
 	_ = c.SetDeadline(time.Now().Add(deadline + s.duration))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nGalenastair-Attempt-Id: slow-%d\r\nGalenastair-Deadline-Ms: %d\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
-		method, path, s.host, s.key, s.id.Add(1), deadline.Milliseconds(), len(body))
+	header := http.Header{"Content-Length": {strconv.Itoa(len(body))}, "Connection": {"close"}}
+	platform.EncodeCallerRequest(header, platform.CallerRequest{
+		ID: galenastair.RequestID(fmt.Sprintf("slow-%d", s.id.Add(1))), Key: s.key, Timeout: deadline,
+	})
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, s.host)
+	_ = header.Write(&head)
+	head.WriteString("\r\n")
 	// a response may come before the whole body has been sent
-	if _, err := c.Write(append([]byte(head), body...)); err != nil && len(body) == 0 {
+	if _, err := c.Write(append(head.Bytes(), body...)); err != nil && len(body) == 0 {
 		c.Close()
 		return nil, err
 	}
@@ -328,66 +335,6 @@
 	return "whole"
 }
 
-// memory is what the gateway holds, in bytes: its resident set, and unread and unsent bytes in its sockets.
-type memory struct{ resident, unread, unsent int64 }
-
-func (m memory) total() int64 { return m.resident + m.unread + m.unsent }
-
-func (m memory) String() string {
-	return fmt.Sprintf("resident=%.1fMB unread=%.1fMB unsent=%.1fMB total=%.1fMB", float64(m.resident)/1e6, float64(m.unread)/1e6, float64(m.unsent)/1e6, float64(m.total())/1e6)
-}
-
-func (s *slowLoad) readMemory() memory {
-	var m memory
-	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", s.pid)); err == nil {
-		if parts := strings.Fields(string(text)); len(parts) > 1 {
-			pages, _ := strconv.ParseInt(parts[1], 10, 64)
-			m.resident = pages * int64(os.Getpagesize())
-		}
-	}
-	entry, backend := hexPort(s.entry), hexPort(s.backendAddress)
-	for _, name := range []string{"tcp", "tcp6"} {
-		text, _ := os.ReadFile(fmt.Sprintf("/proc/net/%s", name))
-		for line := range strings.Lines(string(text)) {
-			p := strings.Fields(line)
-			if len(p) < 5 || p[3] == "0A" || !strings.HasSuffix(p[1], entry) && !strings.HasSuffix(p[2], backend) {
-				continue
-			}
-			unsent, unread, _ := strings.Cut(p[4], ":")
-			out, _ := strconv.ParseInt(unsent, 16, 64)
-			in, _ := strconv.ParseInt(unread, 16, 64)
-			m.unsent, m.unread = m.unsent+out, m.unread+in
-		}
-	}
-	return m
-}
-
-// clockTick is the unit of processor time in /proc.
-const clockTick = 10 * time.Millisecond
-
-// processorTime returns the processor time that the gateway has used.
-func (s *slowLoad) processorTime() time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.pid))
-	if err != nil {
-		return 0
-	}
-	// the second field, the name, may hold spaces
-	_, rest, _ := strings.Cut(string(text), ") ")
-	p := strings.Fields(rest)
-	if len(p) < 13 {
-		return 0
-	}
-	user, _ := strconv.Atoi(p[11])
-	system, _ := strconv.Atoi(p[12])
-	return time.Duration(user+system) * clockTick
-}
-
-func hexPort(address string) string {
-	_, port, _ := net.SplitHostPort(address)
-	n, _ := strconv.Atoi(port)
-	return fmt.Sprintf(":%04X", n)
-}
-
 var errSlowLoad = errors.New("the gateway did not keep its bounds under slow load")
 
 func (s *slowLoad) report(peak memory, maxMB float64, maxP99 time.Duration) error {
