--- a/claim/poison.go
+++ b/claim/poison.go
@@ -108,12 +108,14 @@
 
 // RecordSuccess records that a backend server has completed the request. A crash within the counting
 // window after that is not its fault: a request that is repeated all the time runs on every server
-// that fails for another reason.
-func (p *PoisonTracker) RecordSuccess(now time.Time, d Digest) {
+// that fails for another reason. It reports whether crashes were known.
+func (p *PoisonTracker) RecordSuccess(now time.Time, d Digest) (cleared bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	_, cleared = p.crashes[d]
 	delete(p.crashes, d)
 	p.completed.add(now, d)
+	return cleared
 }
 
 // RecordRemoteCrash counts a crash that another instance announced.
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -16,7 +16,7 @@
 // crashed too many backend servers.
 func (r *activeRequest) checkPoison() error {
 	if err := r.g.poison.Allow(r.g.clock.Now(), r.digest); err != nil {
-		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, "identical requests crashed the backend servers")
+		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, fmt.Sprintf("identical requests crashed the backend servers, digest %s", r.digest))
 	}
 	if err := r.g.parts.Allow(r.g.clock.Now(), r.promptParts()); err != nil {
 		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, "requests with a part of the prompt crashed the backend servers")
@@ -50,7 +50,9 @@
 	if r.forwarded {
 		return
 	}
-	r.g.poison.RecordSuccess(now, r.digest)
+	if r.g.poison.RecordSuccess(now, r.digest) {
+		r.g.logger.Log("event", "crashes cleared", "request", r.req.ID, "digest", r.digest, "status", r.status)
+	}
 	if r.status < http.StatusMultipleChoices {
 		r.g.parts.RecordSuccess(now, r.promptParts())
 	}
