--- a/claim/poison_test.go
+++ b/claim/poison_test.go
@@ -59,6 +59,27 @@
 	is.True(p.Allow(later, "hot") != nil)
 }
 
+// Guards against a request that an instance sends on, as it was completed once before it began to crash servers.
+func TestCrashesAfterACompletionCount(t *testing.T) {
+	for name, record := range map[string]func(*PoisonTracker, time.Time, Crash){
+		"own":       func(p *PoisonTracker, now time.Time, c Crash) { p.RecordCrash(now, c) },
+		"announced": func(p *PoisonTracker, now time.Time, c Crash) { p.RecordRemoteCrash(now, c) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			p := NewPoisonTracker(nil, WithCrashLimit(3), WithCountingWindow(20*time.Second))
+			p.RecordSuccess(now, "d")
+			for _, server := range []ServerProcess{"s1@1", "s2@1", "s3@1"} {
+				now = now.Add(time.Second)
+				is.NoErr(p.Allow(now, "d"))
+				record(p, now, Crash{"d", server})
+			}
+			is.True(p.Allow(now, "d") != nil)
+		})
+	}
+}
+
 // Guards against a record of completed requests that grows without bound.
 func TestCompletionsAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// Guards against a server's error status that clears the crashes of a request, which is then sent on.
+func TestErrorStatusDoesNotClearCrashes(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(truncate(""), truncate(""), respond(500, "error"), truncate(""), truncate(""), truncate(""), truncate(""))
+	for range 7 {
+		_, _, err := env.serve(t, "/once-stream/1")
+		is.True(err != nil || len(env.backend.calls) == 3)
+	}
+	is.Equal(len(env.backend.calls), 4)
+}
+
 // Guards against a retry of a request that has just crashed its last permitted server.
 func TestLastCrashIsNotRetried(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/node/crash_test.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair/claim"
+	"galenastair/settings"
+)
+
+// Guards against crashes that are forgotten when the leader is lost before it has announced them.
+func TestNewLeaderLearnsOfCrashesReportedToTheLastOne(t *testing.T) {
+	is := is.New(t)
+	c := New(settings.Gateway{ID: "a", PeerAddress: "127.0.0.1:1", MemoryLimit: 1 << 30}).leaderClient
+	c.topics = func() []topicState { return nil }
+	crash := claim.Crash{Digest: "d", Server: "s1@1"}
+	c.poisonTracker.RecordCrash(time.Now(), crash)
+	c.lastChangeLeader = "last"
+	r := c.buildReport()
+	c.addKnown(&r, "last")
+	is.True(slices.Contains(r.Crashes, crash))
+	r = c.buildReport()
+	c.addKnown(&r, "last")
+	is.True(!slices.Contains(r.Crashes, crash))
+	c.addKnown(&r, "next")
+	is.True(slices.Contains(r.Crashes, crash))
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -152,13 +152,7 @@
 	busy := len(r.Loads)+len(r.Demands)+len(r.LoanRequests)+len(r.Crashes)+len(r.PartEvents) > 0
 	leader, _ := c.leader()
 	newCrashes, newPartEvents := r.Crashes, r.PartEvents
-	if leader == c.lastChangeLeader {
-		r.LastChange, r.LastSpeed = c.lastChange, c.lastSpeed
-	} else {
-		// a leader that has just started may not know which requests are refused
-		r.Crashes = append(c.poisonTracker.Refused(time.Now()), newCrashes...)
-		r.PartEvents = append(c.partTracker.Suspected(time.Now()), newPartEvents...)
-	}
+	c.addKnown(&r, leader)
 	update, err := c.sendReport(ctx, r)
 	if err != nil {
 		c.handleFailure(err)
@@ -182,6 +176,17 @@
 	return busy
 }
 
+// addKnown adds to a report what its receiver has told this instance or, if that was another leader, what
+// this one may not know.
+func (c *leaderClient) addKnown(r *planner.Report, leader string) {
+	if leader == c.lastChangeLeader {
+		r.LastChange, r.LastSpeed = c.lastChange, c.lastSpeed
+		return
+	}
+	r.Crashes = append(c.poisonTracker.Refused(time.Now()), r.Crashes...)
+	r.PartEvents = append(c.partTracker.Suspected(time.Now()), r.PartEvents...)
+}
+
 func (c *leaderClient) buildReport() planner.Report {
 	c.mu.Lock()
 	r := planner.Report{Instance: c.self, Demands: c.demands, Crashes: c.crashes, PartEvents: c.partEvents}
