--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -44,10 +44,11 @@
 	return claim.PartsOf(r.service, r.req.Hints.PromptParts)
 }
 
-// recordCompletion records that a backend server has completed the request. Of a request that is
-// forwarded, only the other instance knows whether the response is a server's.
+// recordCompletion records that a backend server has completed the request; one that answers with an
+// error status may not have run it. Of a request that is forwarded, only the other instance knows
+// whether the response is a server's.
 func (r *activeRequest) recordCompletion(now time.Time) {
-	if r.forwarded {
+	if r.forwarded || r.status >= http.StatusInternalServerError {
 		return
 	}
 	if r.g.poison.RecordSuccess(now, r.digest) {
