--- a/claim/poison.go
+++ b/claim/poison.go
@@ -56,9 +56,23 @@
 	return func(p *PoisonTracker) { p.countingWindow = d }
 }
 
+// crashRecord holds the crashes of a request since it was last completed.
 type crashRecord struct {
-	servers   []ServerProcess
-	expiresAt time.Time
+	servers []ServerProcess
+	// completedLately reports that the request was completed within the counting window before.
+	completedLately bool
+	// firstAt and lastAt are the times of the first and the last crash.
+	firstAt, lastAt time.Time
+	expiresAt       time.Time
+}
+
+// refused reports whether the request is refused. One that is repeated all the time is running on every
+// server of an outage, so that several crashes at the same moment do not make it bad.
+func (r crashRecord) refused(now time.Time, maxCrashes int) bool {
+	if !now.Before(r.expiresAt) || len(r.servers) < maxCrashes {
+		return false
+	}
+	return !r.completedLately || r.lastAt.Sub(r.firstAt) >= minCrashSpan
 }
 
 // NewPoisonTracker returns an empty PoisonTracker. It calls announce, if not nil, with each crash
@@ -79,8 +93,8 @@
 func (p *PoisonTracker) Allow(now time.Time, d Digest) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.crashes[d]
-	if !ok || !now.Before(s.expiresAt) || len(s.servers) < p.maxCrashes {
+	s := p.crashes[d]
+	if !s.refused(now, p.maxCrashes) {
 		return nil
 	}
 	return galenastair.NewRefusal(galenastair.ErrPoisonRequest, s.expiresAt.Sub(now), "")
@@ -93,22 +107,17 @@
 // another instance, which would otherwise start counting from zero.
 func (p *PoisonTracker) RecordCrash(now time.Time, c Crash) (retry bool) {
 	p.mu.Lock()
-	if p.completed.contains(now, c.Digest) {
-		p.mu.Unlock()
-		return true
-	}
 	isNew := p.add(now, c)
-	count := len(p.crashes[c.Digest].servers)
+	refused := p.crashes[c.Digest].refused(now, p.maxCrashes)
 	p.mu.Unlock()
 	if isNew {
 		p.announce(c)
 	}
-	return count < p.maxCrashes
+	return !refused
 }
 
-// RecordSuccess records that a backend server has completed the request. A crash within the counting
-// window after that is not its fault: a request that is repeated all the time runs on every server
-// that fails for another reason. It reports whether crashes were known.
+// RecordSuccess records that a backend server has completed the request, and reports whether crashes were
+// known, which no longer count.
 func (p *PoisonTracker) RecordSuccess(now time.Time, d Digest) (cleared bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -122,9 +131,7 @@
 func (p *PoisonTracker) RecordRemoteCrash(now time.Time, c Crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.completed.contains(now, c.Digest) {
-		p.add(now, c)
-	}
+	p.add(now, c)
 }
 
 // RestoreRefused refuses requests again that another instance refused at the given time.
@@ -143,7 +150,7 @@
 	defer p.mu.Unlock()
 	var out []Crash
 	for d, s := range p.crashes {
-		if !now.Before(s.expiresAt) || len(s.servers) < p.maxCrashes {
+		if !s.refused(now, p.maxCrashes) {
 			continue
 		}
 		for _, server := range s.servers {
@@ -158,8 +165,9 @@
 // server that breaks off many responses says nothing about the requests.
 func (p *PoisonTracker) add(now time.Time, c Crash) bool {
 	s := p.crashes[c.Digest]
-	if !now.Before(s.expiresAt) {
-		s = crashRecord{}
+	completedLately := p.completed.contains(now, c.Digest)
+	if !now.Before(s.expiresAt) || s.completedLately && !completedLately && !s.refused(now, p.maxCrashes) {
+		s = crashRecord{firstAt: now, completedLately: completedLately}
 	}
 	if c.Server != "" && slices.Contains(s.servers, c.Server) {
 		return false
@@ -170,6 +178,7 @@
 	if len(s.servers) < p.maxCrashes {
 		s.servers = append(s.servers, c.Server)
 	}
+	s.lastAt = now
 	s.expiresAt = now.Add(p.countingWindow)
 	if len(s.servers) >= p.maxCrashes {
 		s.expiresAt = now.Add(refusalDuration)
