--- a/claim/poison.go
+++ b/claim/poison.go
@@ -18,7 +18,7 @@
 	// refusalDuration is how long a request is refused. It is long enough for a caller's
 	// retries to end and short enough for the request to be served soon after the model is fixed.
 	refusalDuration = 10 * time.Minute
-	// maxPoisonEntries bounds the tracker's memory to less than 2.5 MB when an organisation
+	// maxPoisonEntries bounds the tracker's memory to less than 3 MB when an organisation
 	// keeps sending different requests, also ones that crash backend servers.
 	maxPoisonEntries = 4096
 )
@@ -146,14 +146,24 @@
 
 // Refused returns the crashes of all requests that are refused, in a fixed order.
 func (p *PoisonTracker) Refused(now time.Time) []Crash {
+	return p.list(func(r crashRecord) bool { return r.refused(now, p.maxCrashes) })
+}
+
+// KnownSince returns the crashes of all requests that are refused, and of those that have crashed a server
+// since the given time, in a fixed order.
+func (p *PoisonTracker) KnownSince(now, at time.Time) []Crash {
+	return p.list(func(r crashRecord) bool { return r.refused(now, p.maxCrashes) || !r.lastAt.Before(at) })
+}
+
+func (p *PoisonTracker) list(include func(crashRecord) bool) []Crash {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Crash
-	for d, s := range p.crashes {
-		if !s.refused(now, p.maxCrashes) {
+	for d, r := range p.crashes {
+		if !include(r) {
 			continue
 		}
-		for _, server := range s.servers {
+		for _, server := range r.servers {
 			out = append(out, Crash{d, server})
 		}
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -33,6 +33,9 @@
 	// idleReportInterval is the interval for an instance without requests. The lender treats an
 	// instance as lost after twice this time without a report.
 	idleReportInterval = 600 * time.Millisecond
+	// leaderChangeTime is longer than the time from the loss of a leader to the first exchange with the
+	// next one. What happened since then may have been reported to the lost leader alone.
+	leaderChangeTime = 5 * time.Second
 	// electorStartTimeout is longer than the elector's first calls to a healthy store take.
 	electorStartTimeout = 700 * time.Millisecond
 )
@@ -183,8 +186,9 @@
 		r.LastChange, r.LastSpeed = c.lastChange, c.lastSpeed
 		return
 	}
-	r.Crashes = append(c.poisonTracker.Refused(time.Now()), r.Crashes...)
-	r.PartEvents = append(c.partTracker.Suspected(time.Now()), r.PartEvents...)
+	now := time.Now()
+	r.Crashes = append(c.poisonTracker.KnownSince(now, now.Add(-leaderChangeTime)), r.Crashes...)
+	r.PartEvents = append(c.partTracker.KnownSince(now, now.Add(-leaderChangeTime)), r.PartEvents...)
 }
 
 func (c *leaderClient) buildReport() planner.Report {
