--- a/follow/follower.go
+++ b/follow/follower.go
@@ -215,7 +215,7 @@
 		return 0, err
 	}
 	snapshot := !f.listed
-	if batch.End < f.next && f.countStaleRead() {
+	if batch.End < f.next && f.countStaleRead(batch.End) {
 		return 0, galenastair.ErrStoreUnavailable
 	}
 	f.staleReads = 0
@@ -248,8 +248,9 @@
 // countStaleRead counts an answer whose end is below the current offset and reports whether to
 // discard it. After the store has compacted a topic, an answer may show a state of seconds ago,
 // with keys that have been deleted since. A topic whose end stays lower was recreated.
-func (f *Follower) countStaleRead() bool {
+func (f *Follower) countStaleRead(end galenastair.Offset) bool {
 	f.staleReads++
+	f.logger.Log("event", "stale read", "topic", f.topic, "offset", f.next, "end", end, "count", f.staleReads)
 	return f.staleReads < maxStaleReads
 }
 
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -360,6 +360,7 @@
 // return an older one. The lock must be held.
 func (e *Elector) setRecord(r Record, expires boottime.Time) {
 	if r.Offset < e.record.Offset {
+		e.logger.Log("event", "stale read", "offset", int64(e.record.Offset), "read", int64(r.Offset))
 		return
 	}
 	if r.Leader != e.record.Leader {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -61,6 +61,7 @@
 	topics        func() []topicState
 
 	limitFallback *ratelimit.FallbackLimiter
+	failedCharges failedCharges
 	// quotaKnown is finished once a leader has told how the quotas are shared.
 	quotaKnown *startupWait
 	// index is the position of this instance among all instances, from 0.
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"galenastair"
@@ -95,7 +96,9 @@
 	}
 	result, err := q.leaderClient.charge(ctx, owner, o, cost)
 	if err != nil || !result.Owned {
-		q.leaderClient.logger.Log("event", "charge", "organisation", o, "owner", owner, "owned", result.Owned, "err", err)
+		if q.leaderClient.failedCharges.shouldLog(boottime.Now(), o) {
+			q.leaderClient.logger.Log("event", "charge", "organisation", o, "owner", owner, "owned", result.Owned, "err", err)
+		}
 		return account.ChargeResult{}
 	}
 	return result
@@ -109,6 +112,30 @@
 	return max(q.accounts.RetryAfter(boottime.Now(), o), q.Borrower.RetryAfter(o, cost))
 }
 
+// failedChargeInterval is the shortest time between two log lines for charges of an organisation that failed.
+// Without a leader, all of them fail.
+const failedChargeInterval = time.Second
+
+// failedCharges limits the log lines for charges that failed.
+type failedCharges struct {
+	mu       sync.Mutex
+	loggedAt map[galenastair.Organisation]boottime.Time
+}
+
+// shouldLog reports whether a charge that failed now is to be logged.
+func (f *failedCharges) shouldLog(now boottime.Time, o galenastair.Organisation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at, logged := f.loggedAt[o]; logged && now.Sub(at) < failedChargeInterval {
+		return false
+	}
+	if f.loggedAt == nil {
+		f.loggedAt = map[galenastair.Organisation]boottime.Time{}
+	}
+	f.loggedAt[o] = now
+	return true
+}
+
 func (c *leaderClient) charge(ctx context.Context, owner string, o galenastair.Organisation, cost float64) (account.ChargeResult, error) {
 	if owner == c.address {
 		return c.accounts.Charge(boottime.Now(), o, cost), nil
