--- a/cmd/galenastair-standin/cmd_store.go
+++ b/cmd/galenastair-standin/cmd_store.go
@@ -5,13 +5,15 @@
 	"flag"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"galenastair/standin/metastore"
 )
 
 // runStore runs the metadata store of the users' platform. Besides the protocol of the
 // store it handles POST /put?topic=T&key=K, with which operators and replicas store the
-// value in the body, and POST /switch?name=N&on=true, which switches a fault on or off.
+// value in the body, and POST /switch?name=N&on=true, which switches a fault on or off. The
+// switch "drill" keeps a copy of the state when it is set, and returns to it when it is reset.
 func runStore(ctx context.Context, args []string) error {
 	f := flag.NewFlagSet("store", flag.ContinueOnError)
 	address := f.String("listen", "127.0.0.1:0", "address to listen on")
@@ -19,6 +21,7 @@
 		return err
 	}
 	s := metastore.New()
+	var kept atomic.Pointer[metastore.Copy]
 	mux := http.NewServeMux()
 	mux.Handle("/", s.Handler())
 	mux.HandleFunc("POST /put", func(w http.ResponseWriter, r *http.Request) {
@@ -36,8 +39,14 @@
 			s.UpdateFaults(func(sw *metastore.Faults) { sw.Refuse = on })
 		case "silent":
 			s.UpdateFaults(func(sw *metastore.Faults) { sw.Hang = on })
+		case "drill":
+			if on {
+				kept.Store(s.Copy())
+			} else if c := kept.Swap(nil); c != nil {
+				s.Restore(c)
+			}
 		default:
-			http.Error(w, "name is refuse or silent", http.StatusBadRequest)
+			http.Error(w, "name is refuse, silent or drill", http.StatusBadRequest)
 		}
 	})
 	l, err := listen(*address)
--- /dev/null
+++ b/lease/restore_test.go
@@ -0,0 +1,122 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/lease"
+)
+
+// maxElection is how long a fleet may be without a leader after the store has been restored.
+const maxElection = 3 * time.Second
+
+// highestFence returns the highest fencing token of the instances that lead.
+func highestFence(fleet map[string]*instance) galenastair.Fence {
+	highest := galenastair.Fence(0)
+	for _, x := range fleet {
+		if fence, ok := x.lease.Fence(); ok {
+			highest = max(highest, fence)
+		}
+	}
+	return highest
+}
+
+// Guards against a fleet that has no leader once the store has lost the newest records of the lease.
+func TestFleetHasALeaderAfterTheStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	for _, instances := range []int{1, 3, 12} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			store, address := startStore(t)
+			fleet := map[string]*instance{}
+			for i := range instances {
+				startInstance(t, address, fmt.Sprint("i", i), fleet, lease.WithLinkMbps(200))
+			}
+			waitForLeader(t, fleet)
+			runExchanges(fleet, 20)
+			for range 2 {
+				older := store.Copy()
+				runExchanges(fleet, 60)
+				before := highestFence(fleet)
+				store.Restore(older)
+				appends := store.CallCount("/v1/log-append")
+				restored := time.Now()
+				// until its lease ends, the leader before may take itself for one
+				waitFor(t, "a leader of the new era", func() bool {
+					exchange(fleet)
+					return highestFence(fleet) > before
+				})
+				is.True(time.Since(restored) < maxElection)
+				runExchanges(fleet, 40)
+				is.True(highestFence(fleet) > before)
+				// without a pause between conflicts there are hundreds
+				is.True(store.CallCount("/v1/log-append")-appends < 40)
+			}
+		})
+	}
+}
+
+// Guards against a leader that does not notice that the copy names another one, which was stopped since.
+func TestCopyThatNamesAnEarlierLeader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store, address := startStore(t)
+	fleet := map[string]*instance{}
+	for i := range 4 {
+		startInstance(t, address, fmt.Sprint("i", i), fleet, lease.WithLinkMbps(200))
+	}
+	first := waitForLeader(t, fleet)
+	runExchanges(fleet, 20)
+	older := store.Copy()
+	fleet[first].partition()
+	fleet[first].cancel()
+	delete(fleet, first)
+	waitForLeader(t, fleet)
+	runExchanges(fleet, 20)
+	before := highestFence(fleet)
+	store.Restore(older)
+	restored := time.Now()
+	waitFor(t, "a leader of the new era", func() bool {
+		exchange(fleet)
+		return highestFence(fleet) > before
+	})
+	is.True(time.Since(restored) < maxElection+time.Second)
+}
+
+// Guards against fencing tokens that are given out again: each term has one that no earlier term had.
+func TestFencingTokensGrowOverRestoredStores(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store, address := startStore(t)
+	holders := map[galenastair.Fence]string{}
+	highest := galenastair.Fence(0)
+	fleet := map[string]*instance{}
+	startInstance(t, address, "one", fleet)
+	waitForLeader(t, fleet)
+	older := store.Copy()
+	for n := range 4 {
+		// the leader is replaced in each era
+		member := fmt.Sprint("next", n)
+		startInstance(t, address, member, fleet)
+		for other, x := range fleet {
+			if other != member {
+				x.partition()
+				x.cancel()
+				delete(fleet, other)
+			}
+		}
+		waitForLeader(t, fleet)
+		fence, ok := fleet[member].lease.Fence()
+		is.True(ok)
+		is.Equal(holders[fence], "")
+		is.True(fence > highest)
+		holders[fence], highest = member, fence
+		runExchanges(fleet, 10)
+		store.Restore(older)
+	}
+}
--- a/standin/metastore/log.go
+++ b/standin/metastore/log.go
@@ -101,13 +101,15 @@
 		s.mu.Lock()
 		t := s.topic(r.URL.Query().Get("topic"))
 		first, end, changed := t.first, t.first+int64(len(t.records)), s.changed
+		// the store may have been restored while the call waited
+		setEra(w, s.era)
 		var data []byte
 		if from >= first && from < end {
 			data = encodeRecords(t.records[from-first:])
 		}
 		s.mu.Unlock()
 		switch {
-		case from < first:
+		case from < first, from > end:
 			w.WriteHeader(http.StatusGone)
 			writeJSON(w, map[string]int64{"first": first})
 			return
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -1,6 +1,7 @@
 package metastore
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -49,6 +50,7 @@
 	topics map[string]*topic
 	// producers holds the state of idempotent producers, by "topic/name".
 	producers  map[string]producer
+	era        int64
 	changed    chan struct{}
 	callCounts map[string]int
 }
@@ -151,6 +153,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		faults := s.faults
+		setEra(w, s.era)
 		s.callCounts[path]++
 		s.callCounts[path+"?"+r.URL.Query().Get("topic")]++
 		s.mu.Unlock()
@@ -161,6 +164,8 @@
 		case faults.Refuse && faults.appliesTo(path):
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case faults.Hang:
+			// net/http notices a closed connection only once the body has been read
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 		case faults.DropResponses && faults.appliesTo(path):
 			next(&discardWriter{header: http.Header{}}, r)
