--- a/follow/follower.go
+++ b/follow/follower.go
@@ -219,6 +219,11 @@
 		return 0, galenastair.ErrStoreUnavailable
 	}
 	f.staleReads = 0
+	if snapshot && f.position.Load() != 0 && batch.Next.Timeline() > f.next.Timeline() {
+		// keys may be missing only because the copy is older, as after an outage
+		f.lastFailure.Store(int64(sent))
+		f.logger.Log("event", "store restored", "topic", f.topic, "timeline", int64(batch.Next.Timeline()), "offset", f.next.Position(), "end", batch.Next.Position())
+	}
 	f.apply(batch, snapshot)
 	f.advance(batch.Next)
 	if f.next >= batch.End {
--- a/follow/hint.go
+++ b/follow/hint.go
@@ -53,6 +53,11 @@
 	if !f.listed || f.clock().Sub(h.ConfirmedAt) > f.maxHintAge {
 		return false
 	}
+	if h.End.Timeline() > f.next.Timeline() {
+		// only a listing tells which keys the store has lost
+		f.listed = false
+		return false
+	}
 	switch {
 	case h.ApplyChanges != nil && h.Next <= f.next && f.next < h.End:
 		h.ApplyChanges()
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"galenastair"
+	"galenastair/boottime"
+	"galenastair/follow"
 )
 
 // Guards against records of a restored store that are discarded as stale or never read, as their offsets are
@@ -60,3 +64,23 @@
 	}
 	waitFor(t, "the value of the last era", func() bool { return r.get("a") == "5" })
 }
+
+// Guards against a follower that waits for another instance's records of a timeline that it has not listed.
+func TestHintOfALaterTimelineCausesAListing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s, f, r := startFollower(t, follow.WithMaxHintAge(time.Minute))
+	s.Put(string(topic), "a", []byte("1"))
+	waitFor(t, "the first value", func() bool { return r.get("a") == "1" })
+	older := s.Copy()
+	at, _ := f.Position()
+	f.Notify(follow.Hint{KeyedBatch: galenastair.KeyedBatch{Next: at, End: at}, ConfirmedAt: boottime.Now()})
+	waitFor(t, "the hint to be applied", func() bool { age, _ := f.Age(); return age < 50*time.Millisecond })
+	time.Sleep(200 * time.Millisecond)
+	s.Restore(older)
+	s.Put(string(topic), "a", []byte("2"))
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(r.get("a"), "1")
+	f.Notify(follow.Hint{KeyedBatch: galenastair.KeyedBatch{Next: at, End: galenastair.Timeline(1).Offset(2)}, ConfirmedAt: boottime.Now(), Wait: true})
+	waitFor(t, "the second value", func() bool { return r.get("a") == "2" })
+}
--- a/store.go
+++ b/store.go
@@ -52,8 +52,8 @@
 	Sequence int64
 }
 
-// Store is the platform's metadata store. A read that starts before the oldest retained record
-// returns ErrExpired.
+// Store is the platform's metadata store. A read that starts before the oldest retained record, or in a
+// timeline that has ended, returns ErrExpired.
 type Store interface {
 	// Newest returns the newest record of each key, and the offset for the next read.
 	Newest(ctx context.Context, t Topic) (KeyedBatch, error)
@@ -64,6 +64,7 @@
 	// only once.
 	Put(ctx context.Context, t Topic, key string, value []byte, p Producer) error
 	// CompareAndPut sets the value of a key in a keyed topic if the topic ends at the offset
-	// at, and returns the offset of the new record. Otherwise, it returns ErrConflict.
+	// at, and returns the offset of the new record. Otherwise, it returns ErrConflict. After a change
+	// of timeline, a write that returned ErrConflict may have taken effect.
 	CompareAndPut(ctx context.Context, t Topic, key string, value []byte, at Offset) (Offset, error)
 }
