--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -170,23 +170,46 @@
 // campaign tries to take the lease.
 func (e *Elector) campaign(ctx context.Context) {
 	e.mu.Lock()
-	r := Record{Offset: e.record.Offset + 1, Leader: e.self, FleetSize: e.record.FleetSize}
+	known := e.record
+	predecessor := e.predecessor()
+	wroteLast := e.restored() && e.writer.stored != nil && e.writer.producer.Epoch == e.highestFence
 	e.mu.Unlock()
-	predecessor := PredecessorLapsed
-	if r.Offset == 0 {
-		predecessor = NoPredecessor
-	}
+	r := Record{Offset: known.Offset + 1, Leader: e.self, FleetSize: known.FleetSize}
 	r.Fence = galenastair.Fence(r.Offset) + 1
 	sent := e.clock()
 	r, err := e.write(ctx, r)
 	switch {
 	case err == nil:
 		e.held = true
+		e.inherited = nil
+		if wroteLast {
+			e.inherited = e.writer.stored
+		}
 		e.renewalAccepted(ctx, sent, r, predecessor)
 	case errors.Is(err, galenastair.ErrConflict):
-		e.loadRecord(ctx)
+		if !e.loadRecord(ctx) || e.LatestRecord().Offset <= known.Offset {
+			e.pause(ctx)
+		}
 	default:
 		e.logger.Log("event", "lease", "call", "take", "err", err)
 		e.pause(ctx)
 	}
 }
+
+// predecessor returns what is known of the leader before. In a restored store the record may be older
+// than the last leader, which may not know yet that its lease is lost. The lock must be held.
+func (e *Elector) predecessor() Predecessor {
+	switch {
+	case e.highestFence == 0 && (e.record.Offset+1).Position() == 0:
+		return NoPredecessor
+	case e.restored():
+		return PredecessorUnknown
+	}
+	return PredecessorLapsed
+}
+
+// restored reports whether no instance has taken the lease since the store was restored. The lock must
+// be held.
+func (e *Elector) restored() bool {
+	return e.record.Offset >= 0 && e.record.Fence.Timeline() < (e.record.Offset+1).Timeline()
+}
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -76,6 +76,8 @@
 	loadedAt boottime.Time
 	// renewedAt is when this instance's own last renewal was acknowledged.
 	renewedAt boottime.Time
+	// highestFence is the highest fencing token of a leader that this instance has read.
+	highestFence galenastair.Fence
 	// answeredAt is when the leader last answered a call. leaderSteppedDown means that it has
 	// answered that it is no longer the leader.
 	answeredAt        boottime.Time
@@ -89,6 +91,9 @@
 	held    bool
 	backoff time.Duration
 	writer  checkpointWriter
+	// inherited is the checkpoint with which the term begins, if it is newer than the store's: what
+	// this instance stored before the store was restored. It is nil otherwise.
+	inherited []byte
 }
 
 // Option configures an Elector.
@@ -234,14 +239,19 @@
 
 // renew writes the next renewal, and once more at once if there is no answer. A conflict can come
 // from an earlier renewal of this instance whose answer was lost. In that case it renews again at
-// once, because its lease counts from the renewal before.
+// once, because its lease counts from the renewal before. In a restored store the term ends: the
+// record there may be one that another instance relies on.
 func (e *Elector) renew(ctx context.Context) {
 	err := e.renewOnce(ctx)
 	if errors.Is(err, galenastair.ErrStoreUnavailable) {
 		err = e.renewOnce(ctx)
 	}
 	if errors.Is(err, galenastair.ErrConflict) && e.loadRecord(ctx) {
-		if e.Leader() != e.self {
+		switch {
+		case e.termOfEarlierTimeline():
+			e.loseLease("the store was restored")
+			return
+		case e.Leader() != e.self:
 			e.loseLease("taken by another instance")
 			return
 		}
@@ -257,6 +267,12 @@
 	e.storeCheckpoint(ctx)
 }
 
+// termOfEarlierTimeline reports whether this instance's term began before the store was restored.
+func (e *Elector) termOfEarlierTimeline() bool {
+	fence, ok := e.lease.Fence()
+	return ok && fence.Timeline() < e.LatestRecord().Offset.Timeline()
+}
+
 func (e *Elector) renewOnce(ctx context.Context) error {
 	e.mu.Lock()
 	next := e.record
@@ -371,4 +387,5 @@
 		e.expires = expires
 	}
 	e.record = r
+	e.highestFence = max(e.highestFence, r.Fence)
 }
--- a/lease/note.go
+++ b/lease/note.go
@@ -57,6 +57,10 @@
 	if e.checkpointer.Topic == "" {
 		return true
 	}
+	if e.inherited != nil && !starts {
+		e.checkpointer.Restore(e.inherited, false)
+		return true
+	}
 	b, err := e.store.Newest(ctx, e.checkpointer.Topic)
 	if err != nil {
 		e.logger.Log("event", "note", "err", err)
@@ -73,17 +77,25 @@
 		}
 	}
 	if checkpoint.Key != "" {
-		e.checkpointer.Restore(checkpoint.Value, starts && e.markUsed(ctx, checkpoint.Offset, used))
+		e.checkpointer.Restore(checkpoint.Value, starts && !e.storeRestored() && e.markUsed(ctx, checkpoint.Offset, used))
 	}
 	return true
 }
 
+// storeRestored reports whether the checkpoint may be older than the last one, as no instance has led since
+// the store was restored.
+func (e *Elector) storeRestored() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.restored()
+}
+
 // markUsed marks a checkpoint as used by this instance, and reports whether it was unused before.
 //
 // Failure guarded against: a process that restarts repeatedly would each time do what the
 // checkpoint allows only once.
 func (e *Elector) markUsed(ctx context.Context, checkpoint galenastair.Offset, used string) bool {
-	at := strconv.FormatInt(int64(checkpoint), 10)
+	at := strconv.FormatInt(checkpoint.Position(), 10)
 	if used == at {
 		return false
 	}
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -120,3 +121,40 @@
 		store.Restore(older)
 	}
 }
+
+// Guards against a leader that goes on with an older checkpoint than its own, and does not store its own again.
+func TestLeaderStoresItsCheckpointAgainAfterARestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store, address := startStore(t)
+	n := &fakeCheckpointer{next: "older"}
+	stop := startElector(t, address, "one", n)
+	t.Cleanup(stop)
+	waitFor(t, "the older checkpoint", func() bool { written, _, _ := n.calls(); return slices.Contains(written, "older") })
+	older := store.Copy()
+	n.set("newer")
+	waitFor(t, "the newer checkpoint", func() bool { written, _, _ := n.calls(); return slices.Contains(written, "newer") })
+	store.Restore(older)
+	waitFor(t, "the newer checkpoint in the new era", func() bool { written, _, _ := n.calls(); return len(written) > 2 })
+	written, read, _ := n.calls()
+	is.Equal(written[2], "newer")
+	is.Equal(read[len(read)-1], "newer")
+}
+
+// Guards against an instance that starts in a restored store and uses once more what a checkpoint allows once.
+func TestCheckpointOfARestoredStoreIsNotUsedAsANewOne(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store, address := startStore(t)
+	leader := &fakeCheckpointer{next: "c"}
+	stop := startElector(t, address, "one", leader)
+	waitFor(t, "the checkpoint", func() bool { written, _, _ := leader.calls(); return len(written) > 0 })
+	older := store.Copy()
+	stop()
+	store.Restore(older)
+	n := &fakeCheckpointer{}
+	t.Cleanup(startElector(t, address, "two", n))
+	_, read, first := n.calls()
+	is.Equal(read, []string{"c"})
+	is.Equal(first, []bool{false})
+}
