registry, node: a server that leaves is not used again because of an older copy (DRAIN)

Callers: streams at a backend server that ends, which the store's copy shows as ready. Cause: a registration replaces the one before. After a restore the listing has registrations that are older than those that the instances know, until the servers have written theirs again. Change: a record that was in the topic when it was first listed in a timeline does not take back that a process leaves. Weighed: comparing counts of heartbeats, which instances that the leader tells do not know. TestServerThatLeftBeforeTheCopyIsNotUsedAgain failed before.

--- a/node/servers.go
+++ b/node/servers.go
@@ -157,6 +157,9 @@
 }
 
 func (s *serverWatcher) applyBatch(now time.Time, b serverBatch) {
+	if b.snapshot {
+		s.table.BeginSnapshot(b.Next)
+	}
 	seen := map[galenastair.BackendServerID]bool{}
 	for _, r := range b.Records {
 		id := galenastair.BackendServerID(r.Key)
--- a/registry/table.go
+++ b/registry/table.go
@@ -20,6 +20,8 @@
 	// not known.
 	next          galenastair.Offset
 	compactOffset galenastair.Offset
+	// copyEnd is the end of the topic when it was first listed after a restore of the store.
+	copyEnd galenastair.Offset
 }
 
 // entry is the registration of one backend server. Its offsets are those of the records that
@@ -62,12 +64,15 @@
 // upsert creates the entry of a server or updates its attributes, and returns it. If the server
 // has restarted, its entry is replaced by one without models. The caller holds t.mu.
 //
-// While a process is leaving, the time at which it ends is kept if a registration has none: an
-// instance of an earlier release does not pass it on.
+// A registration of a restored store does not say that a process leaves if the copy was older. The time at
+// which it ends is kept if a registration has none: an instance of an earlier release does not pass it on.
 func (t *Table) upsert(at galenastair.Offset, s pool.Server) *entry {
 	e := t.entries[s.ID]
-	if e != nil && e.server.Incarnation == s.Incarnation && s.Leaving && s.GoneAt.IsZero() {
-		s.GoneAt = e.server.GoneAt
+	if e != nil && e.server.Incarnation == s.Incarnation {
+		s.Leaving = s.Leaving || e.server.Leaving && at < t.copyEnd
+		if s.Leaving && s.GoneAt.IsZero() {
+			s.GoneAt = e.server.GoneAt
+		}
 	}
 	switch {
 	case e == nil || e.server.Incarnation != s.Incarnation:
@@ -98,6 +103,15 @@
 	}
 }
 
+// BeginSnapshot prepares for the records of a listing that ends at next.
+func (t *Table) BeginSnapshot(next galenastair.Offset) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if next.Timeline() > t.next.Timeline() {
+		t.copyEnd = next
+	}
+}
+
 // Remove deletes the registration of a server. The offset is that of the record that removes
 // it, or the end of the topic if that record is not known.
 func (t *Table) Remove(at galenastair.Offset, id galenastair.BackendServerID) {
