--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -39,6 +39,8 @@
 	versions map[string]string
 	version  int
 	nodes    []*runningNode
+	// unchanged has the replicas write their registrations only when they change.
+	unchanged atomic.Bool
 	// load is how nodes that are started later handle shortage.
 	load settings.LoadHandling
 }
@@ -122,6 +124,9 @@
 	for {
 		select {
 		case <-tick.C:
+			if c.unchanged.Load() {
+				continue
+			}
 			for id, r := range c.replicas {
 				c.store.Put("keyed.servers", id, r.Registration())
 			}
--- a/node/soak_restore_test.go
+++ b/node/soak_restore_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -35,6 +37,7 @@
 func newRestoreSoak(t *testing.T, seed uint64) *restoreSoak {
 	s := &restoreSoak{soak: newSoakOf(newCluster(t, 4, "e3", "e4", "e5", "e6"), rand.New(rand.NewPCG(seed, 3))), leaves: map[string]time.Time{}}
 	s.publish(key, withdrawnKey)
+	s.unchanged.Store(true)
 	return s
 }
 
@@ -62,6 +65,11 @@
 	switch s.rng.IntN(5) {
 	case 0, 1:
 		s.restore()
+		if s.rng.IntN(2) == 0 {
+			time.Sleep(time.Duration(s.rng.IntN(2000)) * time.Millisecond)
+			s.leave([]string{"e2", "e3", "e4"}[s.rng.IntN(3)])
+			time.Sleep(inTouchAfter + s.nodes[0].settings.Bounds.LeaveTimeout)
+		}
 	case 2:
 		s.leave([]string{"e2", "e3", "e4"}[s.rng.IntN(3)])
 	case 3:
@@ -110,7 +118,7 @@
 }
 
 // check reports requests that reached leaving servers, or ran with the withdrawn key, after the bounds, and
-// nodes that do not serve after the last fault.
+// nodes that do not serve, or lack a leader, after the last fault.
 func (s *restoreSoak) check() {
 	bounds := s.nodes[0].settings.Bounds
 	for server, r := range s.replicas {
@@ -130,10 +138,22 @@
 	}
 	for _, n := range s.running {
 		s.waitFor("an accepted stream", func() bool { return s.call(n.runningNode, "/stream/1", "m1", key).status == 200 })
+		s.waitFor("a leader that answers", func() bool { return strings.Contains(s.metrics(n.runningNode), "galenastair_alone 0\n") })
 	}
 	s.t.Logf("%d requests, %d restores, %d leaves, %d outages, %d restarts", len(s.sent), s.restores, len(s.leaves), len(s.outages), len(s.started))
 }
 
+// metrics returns the metrics page of a node, empty if it does not answer.
+func (s *restoreSoak) metrics(n *runningNode) string {
+	resp, err := http.Get("http://" + n.settings.MetricsAddress + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	page, _ := io.ReadAll(resp.Body)
+	return string(page)
+}
+
 // Guards against leaving servers that get requests, withdrawn keys that are accepted and nodes that refuse
 // all requests, while the store returns from older copies and nodes fail.
 func TestStoreIsRestoredWhileNodesAndStoreFail(t *testing.T) {
