--- a/claim/poison.go
+++ b/claim/poison.go
@@ -66,8 +66,8 @@
 	expiresAt       time.Time
 }
 
-// refused reports whether the request is refused. One that is repeated all the time is running on every
-// server of an outage, so that several crashes at the same moment do not make it bad.
+// refused reports whether the request is refused. The crashes of one that was completed lately must span
+// some time: a request that is repeated all the time is running on every server that is lost in an outage.
 func (r crashRecord) refused(now time.Time, maxCrashes int) bool {
 	if !now.Before(r.expiresAt) || len(r.servers) < maxCrashes {
 		return false
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -37,7 +37,7 @@
 			for i := range rewritten {
 				put(fmt.Sprint("k", i), "2")
 			}
-			waitFor(t, "the record of the new era", func() bool { return r.get("server") == "leaving" })
+			waitFor(t, "the record of the new timeline", func() bool { return r.get("server") == "leaving" })
 			is.True(time.Since(restored) < time.Second)
 			waitFor(t, "the end of what was lost", func() bool { return r.get("lost4") == "" })
 			put("last", "1")
@@ -49,8 +49,8 @@
 	}
 }
 
-// Guards against a follower that missed several eras, of which the last ends where the first did.
-func TestFollowerThatMissedErasReadsTheLast(t *testing.T) {
+// Guards against a follower that missed several timelines, of which the last ends where the first did.
+func TestFollowerThatMissedTimelinesReadsTheLast(t *testing.T) {
 	t.Parallel()
 	s, _, r := startFollower(t)
 	s.Put(string(topic), "a", []byte("1"))
@@ -62,7 +62,7 @@
 		s.Restore(older)
 		s.Put(string(topic), "a", []byte(value))
 	}
-	waitFor(t, "the value of the last era", func() bool { return r.get("a") == "5" })
+	waitFor(t, "the value of the last timeline", func() bool { return r.get("a") == "5" })
 }
 
 // Guards against a follower that waits for another instance's records of a timeline that it has not listed.
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -48,7 +48,7 @@
 				appends := store.CallCount("/v1/log-append")
 				restored := time.Now()
 				// until its lease ends, the leader before may take itself for one
-				waitFor(t, "a leader of the new era", func() bool {
+				waitFor(t, "a leader of the new timeline", func() bool {
 					exchange(fleet)
 					return highestFence(fleet) > before
 				})
@@ -82,7 +82,7 @@
 	before := highestFence(fleet)
 	store.Restore(older)
 	restored := time.Now()
-	waitFor(t, "a leader of the new era", func() bool {
+	waitFor(t, "a leader of the new timeline", func() bool {
 		exchange(fleet)
 		return highestFence(fleet) > before
 	})
@@ -101,7 +101,7 @@
 	waitForLeader(t, fleet)
 	older := store.Copy()
 	for n := range 4 {
-		// the leader is replaced in each era
+		// the leader is replaced in each timeline
 		member := fmt.Sprint("next", n)
 		startInstance(t, address, member, fleet)
 		for other, x := range fleet {
@@ -135,7 +135,7 @@
 	n.set("newer")
 	waitFor(t, "the newer checkpoint", func() bool { written, _, _ := n.calls(); return slices.Contains(written, "newer") })
 	store.Restore(older)
-	waitFor(t, "the newer checkpoint in the new era", func() bool { written, _, _ := n.calls(); return len(written) > 2 })
+	waitFor(t, "the newer checkpoint in the new timeline", func() bool { written, _, _ := n.calls(); return len(written) > 2 })
 	written, read, _ := n.calls()
 	is.Equal(written[2], "newer")
 	is.Equal(read[len(read)-1], "newer")
