--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -26,6 +26,18 @@
 	return highest
 }
 
+// startFleet starts instances that exchange with a leader.
+func startFleet(t *testing.T, address string, instances int) map[string]*instance {
+	t.Helper()
+	fleet := map[string]*instance{}
+	for i := range instances {
+		startInstance(t, address, fmt.Sprint("i", i), fleet, lease.WithLinkMbps(200))
+	}
+	waitForLeader(t, fleet)
+	runExchanges(fleet, 20)
+	return fleet
+}
+
 // Guards against a fleet that has no leader once the store has lost the newest records of the lease.
 func TestFleetHasALeaderAfterTheStoreIsRestored(t *testing.T) {
 	t.Parallel()
@@ -34,12 +46,7 @@
 			t.Parallel()
 			is := is.New(t)
 			store, address := startStore(t)
-			fleet := map[string]*instance{}
-			for i := range instances {
-				startInstance(t, address, fmt.Sprint("i", i), fleet, lease.WithLinkMbps(200))
-			}
-			waitForLeader(t, fleet)
-			runExchanges(fleet, 20)
+			fleet := startFleet(t, address, instances)
 			for range 2 {
 				older := store.Copy()
 				runExchanges(fleet, 60)
@@ -67,12 +74,8 @@
 	t.Parallel()
 	is := is.New(t)
 	store, address := startStore(t)
-	fleet := map[string]*instance{}
-	for i := range 4 {
-		startInstance(t, address, fmt.Sprint("i", i), fleet, lease.WithLinkMbps(200))
-	}
+	fleet := startFleet(t, address, 4)
 	first := waitForLeader(t, fleet)
-	runExchanges(fleet, 20)
 	older := store.Copy()
 	fleet[first].partition()
 	fleet[first].cancel()
