node: a new leader is told of an instance's own recent crashes alone

Change: an instance repeats only what it has reported itself in the last 5 s. TestNewLeaderIsNotToldOfCrashesOfOthers failed before.

--- a/claim/parts.go
+++ b/claim/parts.go
@@ -139,22 +139,12 @@
 
 // Suspected returns the crashes under all parts that are suspected, in a fixed order.
 func (p *PartTracker) Suspected(now time.Time) []PartEvent {
-	return p.list(func(part Part) bool { return p.suspected(now, part) })
-}
-
-// KnownSince returns the crashes under all parts that are suspected, and under those that have crashed a
-// server since the given time, in a fixed order.
-func (p *PartTracker) KnownSince(now, at time.Time) []PartEvent {
-	return p.list(func(part Part) bool { return p.suspected(now, part) || !p.records[part].lastAt.Before(at) })
-}
-
-func (p *PartTracker) list(include func(Part) bool) []PartEvent {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []PartEvent
-	for part, r := range p.records {
-		if include(part) {
-			out = append(out, r.events(part)...)
+	for part := range p.records {
+		if p.suspected(now, part) {
+			out = append(out, p.records[part].events(part)...)
 		}
 	}
 	slices.SortFunc(out, func(a, b PartEvent) int {
--- a/claim/poison.go
+++ b/claim/poison.go
@@ -146,21 +146,11 @@
 
 // Refused returns the crashes of all requests that are refused, in a fixed order.
 func (p *PoisonTracker) Refused(now time.Time) []Crash {
-	return p.list(func(r crashRecord) bool { return r.refused(now, p.maxCrashes) })
-}
-
-// KnownSince returns the crashes of all requests that are refused, and of those that have crashed a server
-// since the given time, in a fixed order.
-func (p *PoisonTracker) KnownSince(now, at time.Time) []Crash {
-	return p.list(func(r crashRecord) bool { return r.refused(now, p.maxCrashes) || !r.lastAt.Before(at) })
-}
-
-func (p *PoisonTracker) list(include func(crashRecord) bool) []Crash {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Crash
 	for d, r := range p.crashes {
-		if !include(r) {
+		if !r.refused(now, p.maxCrashes) {
 			continue
 		}
 		for _, server := range r.servers {
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -22,9 +22,21 @@
 	r := c.buildReport()
 	c.addKnown(&r, "last")
 	is.True(slices.Contains(r.Crashes, crash))
+	c.delivered.add(time.Now(), r.Crashes, r.PartEvents)
 	r = c.buildReport()
 	c.addKnown(&r, "last")
 	is.True(!slices.Contains(r.Crashes, crash))
 	c.addKnown(&r, "next")
 	is.True(slices.Contains(r.Crashes, crash))
 }
+
+// Guards against a new leader that all instances of a large fleet tell of the crashes of the whole fleet.
+func TestNewLeaderIsNotToldOfCrashesOfOthers(t *testing.T) {
+	is := is.New(t)
+	c := New(settings.Gateway{ID: "a", PeerAddress: "127.0.0.1:1", MemoryLimit: 1 << 30}).leaderClient
+	c.topics = func() []topicState { return nil }
+	c.poisonTracker.RecordRemoteCrash(time.Now(), claim.Crash{Digest: "d", Server: "s1@1"})
+	r := c.buildReport()
+	c.addKnown(&r, "next")
+	is.Equal(len(r.Crashes), 0)
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +34,6 @@
 	// idleReportInterval is the interval for an instance without requests. The lender treats an
 	// instance as lost after twice this time without a report.
 	idleReportInterval = 600 * time.Millisecond
-	// leaderChangeTime is longer than the time from the loss of a leader to the first exchange with the
-	// next one. What happened since then may have been reported to the lost leader alone.
-	leaderChangeTime = 5 * time.Second
 	// electorStartTimeout is longer than the elector's first calls to a healthy store take.
 	electorStartTimeout = 700 * time.Millisecond
 )
@@ -75,11 +73,12 @@
 	// loadsAt is when the loads of the other instances were last received.
 	loadsAt atomic.Pointer[time.Time]
 
-	// used by run alone: the numbers of the last placement change and speed factor received, and
-	// their sender
+	// used by run alone: the numbers of the last placement change and speed factor received, their
+	// sender, and what it was told
 	lastChange       int64
 	lastChangeLeader string
 	lastSpeed        speed.Sequence
+	delivered        deliveredCrashes
 }
 
 func (n *Node) newLeaderClient() *leaderClient {
@@ -164,6 +163,7 @@
 		c.askPeer(ctx)
 		return true
 	}
+	c.delivered.add(time.Now(), newCrashes, newPartEvents)
 	c.lastChange, c.lastSpeed, c.lastChangeLeader = update.LastChange, update.Speeds.Newest, leader
 	c.partition.setTargets(update.ForwardTo)
 	if len(update.StreamRecorders) > 0 {
@@ -188,8 +188,9 @@
 		return
 	}
 	now := time.Now()
-	r.Crashes = append(c.poisonTracker.KnownSince(now, now.Add(-leaderChangeTime)), r.Crashes...)
-	r.PartEvents = append(c.partTracker.KnownSince(now, now.Add(-leaderChangeTime)), r.PartEvents...)
+	crashes, events := c.delivered.recent(now)
+	r.Crashes = slices.Concat(c.poisonTracker.Refused(now), crashes, r.Crashes)
+	r.PartEvents = slices.Concat(c.partTracker.Suspected(now), events, r.PartEvents)
 }
 
 func (c *leaderClient) buildReport() planner.Report {
