--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -92,6 +92,24 @@
 	is.True(time.Since(restored) < maxElection+time.Second)
 }
 
+// Guards against a fleet without a leader after two restores of which no instance saw the first.
+func TestFleetThatMissedATimelineHasALeader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store, address := startStore(t)
+	fleet := startFleet(t, address, 3)
+	older := store.Copy()
+	runExchanges(fleet, 60)
+	store.Restore(older)
+	store.Restore(older)
+	restored := time.Now()
+	waitFor(t, "a leader of the last timeline", func() bool {
+		exchange(fleet)
+		return highestFence(fleet).Timeline() == 2
+	})
+	is.True(time.Since(restored) < maxElection)
+}
+
 // Guards against fencing tokens that are given out again: each term has one that no earlier term had.
 func TestFencingTokensGrowOverRestoredStores(t *testing.T) {
 	t.Parallel()
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -224,6 +224,17 @@
 	return resp.StatusCode
 }
 
+// hasLeader reports whether a leader answers a node.
+func (c *cluster) hasLeader(n *runningNode) bool {
+	resp, err := http.Get("http://" + n.settings.MetricsAddress + "/metrics")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	return err == nil && strings.Contains(string(page), "galenastair_alone 0\n")
+}
+
 func (c *cluster) waitFor(condition string, ok func() bool) {
 	c.t.Helper()
 	c.waitAtMost(6*time.Second, condition, ok)
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -19,7 +19,7 @@
 	c.publish(key)
 }
 
-// Guards against instances that refuse nearly all requests, for lack of a leader, once the store was restored.
+// Guards against instances that lack a leader, and refuse requests, once the store was restored.
 func TestRequestsAreServedAfterTheStoreIsRestored(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -40,6 +40,9 @@
 		}
 		t.Log("served", served, "of", sent)
 		is.True(served >= sent*95/100)
+		for _, n := range c.nodes {
+			c.waitFor("a leader that answers", func() bool { return c.hasLeader(n) })
+		}
 	}
 }
 
--- a/node/soak_restore_test.go
+++ b/node/soak_restore_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -138,22 +136,11 @@
 	}
 	for _, n := range s.running {
 		s.waitFor("an accepted stream", func() bool { return s.call(n.runningNode, "/stream/1", "m1", key).status == 200 })
-		s.waitFor("a leader that answers", func() bool { return strings.Contains(s.metrics(n.runningNode), "galenastair_alone 0\n") })
+		s.waitFor("a leader that answers", func() bool { return s.hasLeader(n.runningNode) })
 	}
 	s.t.Logf("%d requests, %d restores, %d leaves, %d outages, %d restarts", len(s.sent), s.restores, len(s.leaves), len(s.outages), len(s.started))
 }
 
-// metrics returns the metrics page of a node, empty if it does not answer.
-func (s *restoreSoak) metrics(n *runningNode) string {
-	resp, err := http.Get("http://" + n.settings.MetricsAddress + "/metrics")
-	if err != nil {
-		return ""
-	}
-	defer resp.Body.Close()
-	page, _ := io.ReadAll(resp.Body)
-	return string(page)
-}
-
 // Guards against leaving servers that get requests, withdrawn keys that are accepted and nodes that refuse
 // all requests, while the store returns from older copies and nodes fail.
 func TestStoreIsRestoredWhileNodesAndStoreFail(t *testing.T) {
