--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -49,6 +49,8 @@
 	storeAddress string
 	gateways     []*gateway
 	rec          *recorder
+	// startedAt is when the processes were last started.
+	startedAt time.Time
 }
 
 func freeAddress() (string, error) {
@@ -183,9 +185,25 @@
 			return err
 		}
 	}
+	f.startedAt = time.Now()
 	return nil
 }
 
+// killAll kills all gateways at once and starts them again.
+func (f *fleet) killAll() error {
+	for _, g := range f.gateways {
+		f.signal(g, syscall.SIGKILL)
+	}
+	for _, g := range f.gateways {
+		<-g.exited
+	}
+	time.Sleep(restartDelay)
+	return f.startAll()
+}
+
+// inTouch reports whether the gateways are in touch: nothing has been done to them for stableTime.
+func (f *fleet) inTouch() bool { return time.Since(f.startedAt) > stableTime }
+
 // stop ends all processes and removes the temporary folder.
 func (f *fleet) stop() {
 	for _, g := range f.gateways {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,6 +20,7 @@
 	"versions": {3, playVersions},
 	"poison":   {3, playPoison},
 	"part":     {3, playPart},
+	"resume":   {3, playResume},
 }
 
 func main() {
