--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -38,7 +38,7 @@
 	bootstrap                  bool
 	command                    *exec.Cmd
 	exited                     chan struct{}
-	// unexpected reports whether the process may not end now.
+	// expectedEnd is set before the process is made to end.
 	expectedEnd bool
 }
 
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 	"poison":   {3, playPoison},
 	"part":     {3, playPart},
 	"resume":   {3, playResume},
+	"silent":   {3, playSilent},
 }
 
 func main() {
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -39,6 +39,7 @@
 	orders   int64
 	// registered is cleared once the entry has been removed for good.
 	registered bool
+	state      string
 	up         bool
 	server     *http.Server
 	stopBeats  chan struct{}
@@ -56,7 +57,7 @@
 	p.mu.Lock()
 	p.address = l.Addr().String()
 	p.id, p.born, p.sequence, p.orders = id, time.Now().UnixMilli(), 0, 0
-	p.registered, p.up = true, true
+	p.registered, p.up, p.state = true, true, "ready"
 	p.server = &http.Server{Handler: http.HandlerFunc(p.serve)}
 	p.stopBeats = make(chan struct{})
 	server, stop := p.server, p.stopBeats
@@ -86,7 +87,7 @@
 	}
 	p.sequence++
 	entry := map[string]any{"service": p.service, "address": p.address, "zone": p.zone, "version": p.version, "slots": 8,
-		"state": "ready", "cold-left-ms": 0, "sequence": p.sequence, "born": p.born}
+		"state": p.state, "cold-left-ms": 0, "sequence": p.sequence, "born": p.born}
 	if p.model != "" {
 		entry["stage"] = "both"
 		entry["models"] = p.models()
@@ -109,6 +110,21 @@
 	p.store.put("keyed.servers", id, nil)
 }
 
+// drain registers the replica as draining; it goes on serving.
+func (p *replica) drain() {
+	p.mu.Lock()
+	p.state = "draining"
+	p.mu.Unlock()
+	p.rec.logf("server %s is draining", p.id)
+	p.register()
+}
+
+func (p *replica) setWork(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.work = d
+}
+
 // end ends the replica: its connections close at once.
 func (p *replica) end() {
 	p.mu.Lock()
@@ -144,7 +160,7 @@
 
 func (p *replica) serve(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	id, up := p.id, p.up
+	id, up, work := p.id, p.up, p.work
 	p.mu.Unlock()
 	if !up {
 		panic(http.ErrAbortHandler)
@@ -171,7 +187,7 @@
 			"running": 0, "kv-used": 0, "kv-total": 100000, "handles": 0})
 		return
 	}
-	p.runRequest(w, r, id, body)
+	p.runRequest(w, r, id, work, body)
 }
 
 // serveOrder accepts the load of the model that is held already, and refuses all else as busy.
@@ -200,7 +216,7 @@
 	return false
 }
 
-func (p *replica) runRequest(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+func (p *replica) runRequest(w http.ResponseWriter, r *http.Request, id string, work time.Duration, body []byte) {
 	attempt := r.Header.Get("Galenastair-Attempt-Id")
 	p.rec.logf("server %s (%s) runs %s %s, last event id %q", id, p.version, attempt, r.RequestURI, r.Header.Get("Last-Event-Id"))
 	if p.crashBody != "" && string(body) == p.crashBody || hasPart(r.Header.Get("Galenastair-Prompt-Prefix"), p.crashPart) {
@@ -215,7 +231,7 @@
 		return
 	}
 	select {
-	case <-time.After(p.work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
