--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -49,17 +51,34 @@
 	storeAddress string
 	gateways     []*gateway
 	rec          *recorder
+	allotted     map[string]bool
 	// startedAt is when the processes were last started.
 	startedAt time.Time
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports of gateways are taken from below the range that the kernel uses for outgoing connections: a process
+// that starts again needs the port that it had.
+const (
+	minPort = 20000
+	maxPort = 32000
+)
+
+// freeAddress returns an address on which nobody listens and that was not returned before.
+func (f *fleet) freeAddress() (string, error) {
+	for range maxPort - minPort {
+		address := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		if f.allotted[address] {
+			_ = l.Close()
+			continue
+		}
+		f.allotted[address] = true
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 func newFleet(root string, rec *recorder, size int) (*fleet, error) {
@@ -67,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{root: root, dir: dir, store: newStore(), rec: rec}
+	f := &fleet{root: root, dir: dir, store: newStore(), rec: rec, allotted: map[string]bool{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return f, err
@@ -77,7 +96,7 @@
 	for i := range size {
 		g := &gateway{name: fmt.Sprintf("gateway-%d", i+1), bootstrap: true}
 		for _, address := range []*string{&g.caller, &g.ready, &g.peer, &g.meter} {
-			if *address, err = freeAddress(); err != nil {
+			if *address, err = f.freeAddress(); err != nil {
 				return f, err
 			}
 		}
