--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -81,7 +81,10 @@
 	mux.HandleFunc("POST /v1/log-append", s.handleAppend)
 	mux.HandleFunc("GET /v1/log-read", s.handleRead)
 	mux.HandleFunc("GET /v1/log-newest", s.handleNewest)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", "1")
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
