stream: keep the software versions of the services in the store

Cause: a stream that nobody knows was taken for one of the only version that the service has had, by histories that start with the process. The registrations may be complete while the history is not. The same held for an attempt that its caller does not name, for one instance that has just restarted, and for instances whose registrations are seconds apart.

Ruled out: a recorder that answers wrongly. The 'stream origin' lines show that none knew the streams.

Change: the leader lists the software versions in each exchange and stores them (keyed.versions). A version is listed for 1.5 s before it is stored, and a resumable stream begins at it only once it is stored. An instance infers only from a list that a leader with a valid lease has confirmed within 1.5 s, or from a read of the store that began after the caller came; so it knows all versions at which a stream can have begun. A caller whose stream may yet become known waits for up to a second, and comes back after 0.6 s. Under an older program's leader all versions may begin streams, as before.

--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -170,8 +170,22 @@
 // fakeStreams knows the streams that were recorded.
 type fakeStreams struct {
 	origins map[galenastair.RequestID]stream.Origin
+	// newVersion is one at which no stream may begin until changed is closed.
+	newVersion galenastair.SoftwareVersion
+	changed    chan struct{}
 }
 
+func (s *fakeStreams) MayBegin(_ galenastair.ServiceName, v galenastair.SoftwareVersion) bool {
+	select {
+	case <-s.changed:
+		return true
+	default:
+		return s.newVersion == "" || v != s.newVersion
+	}
+}
+
+func (s *fakeStreams) VersionsChanged() <-chan struct{} { return s.changed }
+
 func (s *fakeStreams) Record(id galenastair.RequestID, o stream.Origin, _ time.Duration) {
 	s.origins[id] = o
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -33,6 +33,7 @@
 		return pool.Choice{}, context.Cause(ctx)
 	}
 	now := r.g.clock.Now()
+	versionsChanged := r.g.streams.VersionsChanged()
 	choice, ok := r.g.pool.Choose(now, r.poolQuery())
 	if ok {
 		choice, err := r.yield(ctx, now, choice)
@@ -49,6 +50,8 @@
 		return pool.Choice{}, r.handleThrottled(ctx, choice)
 	case pool.ReasonNoServer:
 		return choice, galenastair.NewRefusal(galenastair.ErrNoBackendServer, noServerRetryAfter, string(r.service))
+	case pool.ReasonNewVersion:
+		return pool.Choice{}, r.awaitVersion(ctx, versionsChanged)
 	case pool.ReasonNoModel:
 		return pool.Choice{}, r.requestPlacement(ctx)
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -6,7 +6,9 @@
 
 	"galenastair"
 	"galenastair/catalog"
+	"galenastair/pool"
 	"galenastair/stream"
+	"galenastair/timer"
 )
 
 // Streams knows where streams began.
@@ -16,11 +18,44 @@
 	// Origin returns where a stream began that a caller resumes. The ID is empty if the caller has not
 	// named the attempt.
 	Origin(ctx context.Context, id galenastair.RequestID, s galenastair.ServiceName) (stream.Origin, error)
+	// MayBegin reports whether a resumable stream may begin at a software version.
+	MayBegin(s galenastair.ServiceName, v galenastair.SoftwareVersion) bool
+	// VersionsChanged returns a channel that is closed when MayBegin may have changed.
+	VersionsChanged() <-chan struct{}
 }
 
+// unknownStreamRetryAfter is the Retry-After of a stream of which it is not known where it began. In this
+// time a leader is elected, and instances that have just started learn what the others know.
+const unknownStreamRetryAfter = 600 * time.Millisecond
+
 // resumeMargin is how much longer than its caller waits a stream is known.
 const resumeMargin = 5 * time.Second
 
+// maxVersionWait bounds how long a stream waits until streams may begin at a new software version. It is
+// the time that the leader takes to list and to store the version.
+const maxVersionWait = 3 * time.Second
+
+// mayBegin returns the software versions at which the request may run, nil for all. Where a resumable
+// stream began must be known to instances that start later.
+func (r *activeRequest) mayBegin() func(galenastair.SoftwareVersion) bool {
+	if r.admission.route.Kind != catalog.ResumableStream {
+		return nil
+	}
+	return func(v galenastair.SoftwareVersion) bool { return r.g.streams.MayBegin(r.service, v) }
+}
+
+// awaitVersion waits until the list of software versions has changed.
+func (r *activeRequest) awaitVersion(ctx context.Context, changed <-chan struct{}) error {
+	now := r.g.clock.Now()
+	if r.versionWaitEnd.IsZero() {
+		r.versionWaitEnd = now.Add(min(maxVersionWait, r.deadline.Sub(now)/2))
+	}
+	if !timer.WaitFor(ctx, changed, r.versionWaitEnd.Sub(now)) {
+		return galenastair.NewRefusal(galenastair.ErrNoBackendServer, noServerRetryAfter, pool.ReasonNewVersion)
+	}
+	return nil
+}
+
 // resolveOrigin restricts a stream that the caller resumes to the service and software version that began
 // it. The rest of another version would not fit what the caller has received.
 func (r *activeRequest) resolveOrigin(ctx context.Context) error {
@@ -29,7 +64,7 @@
 	}
 	origin, err := r.g.streams.Origin(ctx, r.req.Resumes, r.service)
 	if err != nil {
-		return galenastair.NewRefusal(galenastair.ErrStreamUnknown, minRetryAfter, "")
+		return galenastair.NewRefusal(galenastair.ErrStreamUnknown, unknownStreamRetryAfter, err.Error())
 	}
 	if !r.admission.route.Allows(origin.Service) {
 		return galenastair.NewRefusal(galenastair.ErrStreamUnknown, maxRetryAfter, "the route no longer has the service that began it")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -52,8 +52,10 @@
 	events       eventSplitter
 	// serverVersion is the software version of the last attempt's server, and streamVersion the one
 	// that sent the first event and must send all others; nil before.
-	serverVersion     galenastair.SoftwareVersion
-	streamVersion     *galenastair.SoftwareVersion
+	serverVersion galenastair.SoftwareVersion
+	streamVersion *galenastair.SoftwareVersion
+	// versionWaitEnd is when the request no longer waits for a new software version.
+	versionWaitEnd    time.Time
 	placementRequests int
 	status            int
 	lastAttempt       *pool.Attempt
@@ -244,6 +246,7 @@
 		NoRetry:        !r.admission.route.Kind.Retryable(),
 		Regions:        r.admission.regions,
 		Version:        r.streamVersion,
+		MayBegin:       r.mayBegin(),
 		Exclude:        r.tried,
 	}
 }
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -155,3 +155,39 @@
 	is.True(int64(after.HeapAlloc)-int64(before.HeapAlloc) < memory)
 	runtime.KeepAlive(splitters)
 }
+
+// Guards against a stream that begins at a software version at which no instance could resume it.
+func TestStreamAwaitsANewSoftwareVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers map[galenastair.BackendServerID]galenastair.SoftwareVersion
+		path    string
+		listed  bool
+		server  galenastair.BackendServerID
+	}{
+		"another version serves":       {map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s1": "v1", "s2": "v2"}, "/stream/1", false, "s1"},
+		"only the new one, soon known": {map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s2": "v2"}, "/stream/1", true, "s2"},
+		"only the new one":             {map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s2": "v2"}, "/stream/1", false, ""},
+		"no stream that is resumed":    {map[galenastair.BackendServerID]galenastair.SoftwareVersion{"s2": "v2"}, "/once-stream/1", false, "s2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			env := newTestEnv(respond(200, "id: 1\ndata: a\n\n"))
+			env.setVersions(c.servers)
+			env.streams.newVersion, env.streams.changed = "v2", make(chan struct{})
+			if c.listed {
+				time.AfterFunc(50*time.Millisecond, func() { close(env.streams.changed) })
+			}
+			req := testRequest(c.path)
+			req.Timeout = time.Second
+			_, err := env.gateway.Serve(t.Context(), req, &recordedResponse{})
+			is.Equal(err == nil, c.server != "")
+			if c.server == "" {
+				is.True(errors.Is(err, galenastair.ErrNoBackendServer))
+				is.Equal(len(env.backend.calls), 0)
+				return
+			}
+			is.Equal(env.backend.calls[0].ExpectedServer, c.server)
+		})
+	}
+}
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -172,7 +172,7 @@
 	e.mu.Lock()
 	known := e.record
 	predecessor := e.predecessor()
-	wroteLast := e.restored() && e.writer.stored != nil && e.writer.producer.Epoch == e.highestFence
+	restored, lastFence := e.restored(), e.highestFence
 	e.mu.Unlock()
 	r := Record{Offset: known.Offset + 1, Leader: e.self, FleetSize: known.FleetSize}
 	r.Fence = galenastair.Fence(r.Offset) + 1
@@ -181,9 +181,8 @@
 	switch {
 	case err == nil:
 		e.held = true
-		e.inherited = nil
-		if wroteLast {
-			e.inherited = e.writer.stored
+		for _, c := range e.checkpoints {
+			c.inherit(restored, lastFence)
 		}
 		e.renewalAccepted(ctx, sent, r, predecessor)
 	case errors.Is(err, galenastair.ErrConflict):
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -48,16 +48,16 @@
 
 // Elector takes and renews the lease, and tracks the leader.
 type Elector struct {
-	store        galenastair.Store
-	topic        galenastair.Topic
-	lease        *Lease
-	self         string
-	clock        boottime.Clock
-	logger       log.Logger
-	checkpointer Checkpointer
-	fleet        func() int
+	store       galenastair.Store
+	topic       galenastair.Topic
+	lease       *Lease
+	self        string
+	clock       boottime.Clock
+	logger      log.Logger
+	checkpoints []*checkpoint
+	fleet       func() int
 	// onElected is called at the start of each term of this instance.
-	onElected func()
+	onElected func(Predecessor)
 	// linkMbps is the bandwidth of this instance's link; 0 means unknown.
 	linkMbps float64
 	// firstStart reports that the whole fleet starts for the first time.
@@ -90,10 +90,6 @@
 	// owned by Run
 	held    bool
 	backoff time.Duration
-	writer  checkpointWriter
-	// inherited is the checkpoint with which the term begins, if it is newer than the store's: what
-	// this instance stored before the store was restored. It is nil otherwise.
-	inherited []byte
 }
 
 // Option configures an Elector.
@@ -109,24 +105,23 @@
 func WithFleetSize(fleet func() int) Option { return func(e *Elector) { e.fleet = fleet } }
 
 // WithOnElected sets a callback for the start of each term of this instance.
-func WithOnElected(f func()) Option { return func(e *Elector) { e.onElected = f } }
+func WithOnElected(f func(Predecessor)) Option { return func(e *Elector) { e.onElected = f } }
 
 // NewElector returns the elector of an instance. self is the instance's peer address, so that any
 // reader of the leader's name can call it. The topic is used for the lease alone.
 func NewElector(s galenastair.Store, topic galenastair.Topic, l *Lease, self string, opts ...Option) *Elector {
 	e := &Elector{
-		store:        s,
-		topic:        topic,
-		lease:        l,
-		self:         self,
-		clock:        boottime.Now,
-		logger:       log.NewNopLogger(),
-		checkpointer: Checkpointer{Checkpoint: func() []byte { return nil }, Stored: func([]byte) {}, Restore: func([]byte, bool) {}},
-		fleet:        func() int { return 1 },
-		onElected:    func() {},
-		started:      make(chan struct{}),
-		record:       Record{Offset: -1},
-		wake:         make(chan struct{}, 1),
+		store:     s,
+		topic:     topic,
+		lease:     l,
+		self:      self,
+		clock:     boottime.Now,
+		logger:    log.NewNopLogger(),
+		fleet:     func() int { return 1 },
+		onElected: func(Predecessor) {},
+		started:   make(chan struct{}),
+		record:    Record{Offset: -1},
+		wake:      make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(e)
@@ -138,9 +133,7 @@
 func (e *Elector) Run(ctx context.Context) error {
 	timer.Wait(ctx, e.startDelay())
 	e.loadRecord(ctx)
-	if known := e.LatestRecord(); known.FleetSize > 0 && known.FleetSize <= MaxRestoreFleet {
-		e.restoreCheckpoint(ctx, true)
-	}
+	e.restoreAtStart(ctx)
 	close(e.started)
 	for ctx.Err() == nil {
 		if e.held {
@@ -264,7 +257,7 @@
 		e.loseLease("expired")
 		return
 	}
-	e.storeCheckpoint(ctx)
+	e.storeCheckpoints(ctx)
 }
 
 // termOfEarlierTimeline reports whether this instance's term began before the store was restored.
@@ -303,8 +296,8 @@
 // beginTerm assigns the term a fencing token that no earlier term had.
 func (e *Elector) beginTerm(ctx context.Context, r Record, predecessor Predecessor) {
 	term := e.lease.Term()
-	e.onElected()
-	if !e.restoreCheckpoint(ctx, false) {
+	e.onElected(predecessor)
+	if !e.restoreTerm(ctx) {
 		// the next renewal tries again
 		return
 	}
--- a/lease/note.go
+++ b/lease/note.go
@@ -27,6 +27,9 @@
 type Checkpointer struct {
 	// Topic is the keyed topic that holds the checkpoint.
 	Topic galenastair.Topic
+	// EveryStart has all processes restore the checkpoint when they start, however large the fleet. It
+	// is never the first use then.
+	EveryStart bool
 	// Checkpoint returns the state to store; nil if there is nothing to store yet.
 	Checkpoint func() []byte
 	// Stored is called once the state is certainly stored.
@@ -37,8 +40,19 @@
 	Restore func(checkpoint []byte, first bool)
 }
 
-// WithCheckpointer sets what is stored on the platform and who reads it.
-func WithCheckpointer(c Checkpointer) Option { return func(e *Elector) { e.checkpointer = c } }
+// WithCheckpointer adds a state that is stored on the platform.
+func WithCheckpointer(c Checkpointer) Option {
+	return func(e *Elector) { e.checkpoints = append(e.checkpoints, &checkpoint{Checkpointer: c}) }
+}
+
+// checkpoint is one stored state and its writes.
+type checkpoint struct {
+	Checkpointer
+	writer checkpointWriter
+	// inherited is the state with which the term begins, if it is newer than the store's: what this
+	// instance stored before the store was restored. It is nil otherwise.
+	inherited []byte
+}
 
 // checkpointWriter is the state of one term's writes.
 //
@@ -52,36 +66,75 @@
 	stored, pending []byte
 }
 
-// restoreCheckpoint reads the checkpoint; false if the store did not answer.
-func (e *Elector) restoreCheckpoint(ctx context.Context, starts bool) bool {
-	if e.checkpointer.Topic == "" {
-		return true
+// inherit keeps the state that this instance stored before the store was restored, if no other instance
+// has led since.
+func (c *checkpoint) inherit(restored bool, lastFence galenastair.Fence) {
+	c.inherited = nil
+	if restored && c.writer.stored != nil && c.writer.producer.Epoch == lastFence {
+		c.inherited = c.writer.stored
+	}
+}
+
+// restoreAtStart restores the checkpoints that a starting process needs.
+func (e *Elector) restoreAtStart(ctx context.Context) {
+	fleet := e.LatestRecord().FleetSize
+	for _, c := range e.checkpoints {
+		if c.EveryStart || fleet > 0 && fleet <= MaxRestoreFleet {
+			e.restoreCheckpoint(ctx, c, true)
+		}
 	}
-	if e.inherited != nil && !starts {
-		e.checkpointer.Restore(e.inherited, false)
-		return true
+}
+
+// restoreTerm restores all checkpoints at the start of a term; false if the store did not answer.
+func (e *Elector) restoreTerm(ctx context.Context) bool {
+	for _, c := range e.checkpoints {
+		if c.inherited != nil {
+			c.Restore(c.inherited, false)
+		} else if !e.restoreCheckpoint(ctx, c, false) {
+			return false
+		}
 	}
-	b, err := e.store.Newest(ctx, e.checkpointer.Topic)
+	return true
+}
+
+// restoreCheckpoint reads a checkpoint; false if the store did not answer.
+func (e *Elector) restoreCheckpoint(ctx context.Context, c *checkpoint, starts bool) bool {
+	b, err := e.store.Newest(ctx, c.Topic)
 	if err != nil {
-		e.logger.Log("event", "note", "err", err)
+		e.logger.Log("event", "note", "topic", string(c.Topic), "err", err)
 		return false
 	}
-	var checkpoint galenastair.KeyedRecord
+	var found galenastair.KeyedRecord
 	used := ""
 	for _, r := range b.Records {
 		switch r.Key {
 		case checkpointKey:
-			checkpoint = r
+			found = r
 		case usedKeyPrefix + e.self:
 			used = string(r.Value)
 		}
 	}
-	if checkpoint.Key != "" {
-		e.checkpointer.Restore(checkpoint.Value, starts && !e.storeRestored() && e.markUsed(ctx, checkpoint.Offset, used))
+	if found.Key != "" {
+		first := starts && !c.EveryStart && !e.storeRestored() && e.markUsed(ctx, c, found.Offset, used)
+		c.Restore(found.Value, first)
 	}
 	return true
 }
 
+// ReadCheckpoint reads a checkpoint that a leader has stored. It is empty if there is none.
+func ReadCheckpoint(ctx context.Context, s galenastair.Store, t galenastair.Topic) ([]byte, error) {
+	b, err := s.Newest(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range b.Records {
+		if r.Key == checkpointKey {
+			return r.Value, nil
+		}
+	}
+	return nil, nil
+}
+
 // storeRestored reports whether the checkpoint may be older than the last one, as no instance has led since
 // the store was restored.
 func (e *Elector) storeRestored() bool {
@@ -94,30 +147,36 @@
 //
 // Failure guarded against: a process that restarts repeatedly would each time do what the
 // checkpoint allows only once.
-func (e *Elector) markUsed(ctx context.Context, checkpoint galenastair.Offset, used string) bool {
-	at := strconv.FormatInt(checkpoint.Position(), 10)
+func (e *Elector) markUsed(ctx context.Context, c *checkpoint, offset galenastair.Offset, used string) bool {
+	at := strconv.FormatInt(offset.Position(), 10)
 	if used == at {
 		return false
 	}
-	err := e.store.Put(ctx, e.checkpointer.Topic, usedKeyPrefix+e.self, []byte(at), galenastair.Producer{})
+	err := e.store.Put(ctx, c.Topic, usedKeyPrefix+e.self, []byte(at), galenastair.Producer{})
 	if err != nil {
 		e.logger.Log("event", "note", "used", at, "err", err)
 	}
 	return err == nil
 }
 
-// storeCheckpoint writes the checkpoint if it has changed.
-func (e *Elector) storeCheckpoint(ctx context.Context) {
+// storeCheckpoints writes the checkpoints that have changed.
+func (e *Elector) storeCheckpoints(ctx context.Context) {
+	for _, c := range e.checkpoints {
+		e.storeCheckpoint(ctx, c)
+	}
+}
+
+func (e *Elector) storeCheckpoint(ctx context.Context, c *checkpoint) {
 	fence, ok := e.lease.Fence()
 	if !ok {
 		return
 	}
-	if w := &e.writer; w.producer.Epoch != fence {
+	w := &c.writer
+	if w.producer.Epoch != fence {
 		*w = checkpointWriter{producer: galenastair.Producer{Name: checkpointProducer, Epoch: fence}}
 	}
-	w := &e.writer
 	if w.pending == nil {
-		next := e.checkpointer.Checkpoint()
+		next := c.Checkpoint()
 		if next == nil || bytes.Equal(next, w.stored) {
 			return
 		}
@@ -125,12 +184,12 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := e.store.Put(call, e.checkpointer.Topic, checkpointKey, w.pending, w.producer)
-	e.logger.Log("event", "note", "fence", int64(fence), "sequence", w.producer.Sequence, "note", string(w.pending), "err", err)
+	err := e.store.Put(call, c.Topic, checkpointKey, w.pending, w.producer)
+	e.logger.Log("event", "note", "topic", string(c.Topic), "fence", int64(fence), "sequence", w.producer.Sequence, "note", string(w.pending), "err", err)
 	if err != nil {
 		return
 	}
 	w.producer.Sequence++
 	w.stored, w.pending = w.pending, nil
-	e.checkpointer.Stored(w.stored)
+	c.Stored(w.stored)
 }
--- a/lease/note_test.go
+++ b/lease/note_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"galenastair"
 	"galenastair/lease"
 	"galenastair/platform"
 	"galenastair/standin/metastore"
@@ -38,9 +39,14 @@
 	return n.written, n.read, n.first
 }
 
-func (n *fakeCheckpointer) option() lease.Option {
+func (n *fakeCheckpointer) option() lease.Option { return n.optionFor(platform.CheckpointTopic, false) }
+
+func (n *fakeCheckpointer) everyStart() lease.Option { return n.optionFor(platform.VersionTopic, true) }
+
+func (n *fakeCheckpointer) optionFor(topic galenastair.Topic, everyStart bool) lease.Option {
 	return lease.WithCheckpointer(lease.Checkpointer{
-		Topic: platform.CheckpointTopic,
+		Topic:      topic,
+		EveryStart: everyStart,
 		Checkpoint: func() []byte {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -63,9 +69,9 @@
 }
 
 // startElector runs an elector until the returned function is called.
-func startElector(t *testing.T, address, member string, n *fakeCheckpointer) func() {
+func startElector(t *testing.T, address, member string, n *fakeCheckpointer, opts ...lease.Option) func() {
 	t.Helper()
-	k := lease.NewElector(platform.NewStore(address), platform.LeaseTopic, lease.New(lease.DefaultTiming(minOrderInterval, true)), member, n.option())
+	k := lease.NewElector(platform.NewStore(address), platform.LeaseTopic, lease.New(lease.DefaultTiming(minOrderInterval, true)), member, append(opts, n.option())...)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- k.Run(ctx) }()
@@ -153,3 +159,26 @@
 	w, _, _ := n.calls()
 	is.Equal(w, []string{"first", "second", "third", "fourth"})
 }
+
+// Guards against a second state that a starting process of a large fleet does not read, or that counts as
+// used once.
+func TestEveryStartRestoresACheckpointOfAnyFleet(t *testing.T) {
+	is := is.New(t)
+	_, address := startStore(t)
+	large := lease.WithFleetSize(func() int { return lease.MaxRestoreFleet + 1 })
+	leader, second := &fakeCheckpointer{}, &fakeCheckpointer{}
+	leader.set("quotas")
+	second.set("versions")
+	stop := startElector(t, address, "one", leader, large, second.everyStart())
+	waitFor(t, "the checkpoints", func() bool {
+		a, _, _ := leader.calls()
+		b, _, _ := second.calls()
+		return len(a) == 1 && len(b) == 1
+	})
+	stop()
+	n, every := &fakeCheckpointer{}, &fakeCheckpointer{}
+	defer startElector(t, address, "two", n, large, every.everyStart())()
+	_, read, first := every.calls()
+	is.Equal(read[0], "versions")
+	is.True(!first[0])
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -39,6 +39,11 @@
 	versions map[string]string
 	version  int
 	nodes    []*runningNode
+	// registered has the replicas that renew their registrations.
+	mu         sync.Mutex
+	registered map[string]*replica.Replica
+	// started is the number of nodes that were started.
+	started int
 	// unchanged has the replicas write their registrations only when they change.
 	unchanged atomic.Bool
 	// load is how nodes that are started later handle shortage.
@@ -57,7 +62,7 @@
 // newCluster starts nodes, a store and replicas. engines are the names of further engines that hold m1.
 func newCluster(t *testing.T, nodes int, engines ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: metastore.New(), replicas: map[string]*replica.Replica{}, versions: map[string]string{}}
+	c := &cluster{t: t, store: metastore.New(), replicas: map[string]*replica.Replica{}, registered: map[string]*replica.Replica{}, versions: map[string]string{}}
 	h := httptest.NewServer(c.store.Handler())
 	t.Cleanup(func() {
 		h.CloseClientConnections()
@@ -114,6 +119,9 @@
 		h.Close()
 	})
 	c.replicas[id], c.versions[id] = r, version
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registered[id] = r
 	c.store.Put("keyed.servers", id, r.Registration())
 }
 
@@ -127,9 +135,11 @@
 			if c.unchanged.Load() {
 				continue
 			}
-			for id, r := range c.replicas {
+			c.mu.Lock()
+			for id, r := range c.registered {
 				c.store.Put("keyed.servers", id, r.Registration())
 			}
+			c.mu.Unlock()
 		case <-ctx.Done():
 			return
 		}
@@ -188,14 +198,20 @@
 	return ""
 }
 
-func (c *cluster) startNode() *runningNode {
-	s := settings.Gateway{
-		ID: galenastair.InstanceID(fmt.Sprintf("n%d", len(c.nodes)+1)), Region: "r", AvailabilityZone: "z1",
+// newSettings returns the settings of one more node.
+func (c *cluster) newSettings() settings.Gateway {
+	c.started++
+	return settings.Gateway{
+		ID: galenastair.InstanceID(fmt.Sprintf("n%d", c.started)), Region: "r", AvailabilityZone: "z1",
 		CallerAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t), MetricsAddress: freeAddress(c.t),
 		StoreAddress: c.address, MemoryLimit: 1 << 30, Load: c.load,
 		Bounds: settings.Bounds{KeyLife: 5 * time.Second, StopTimeout: 8 * time.Second, ApplyTimeout: 2 * time.Second, LeaveTimeout: 2 * time.Second, FencesChecked: true,
 			RetryRatio: 0.2, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaOver: 0.1, QuotaSlack: 17000},
 	}
+}
+
+func (c *cluster) startNode() *runningNode {
+	s := c.newSettings()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.t.Context()))
 	r := &runningNode{settings: s, links: newServerLinks(len(c.nodes)), stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- New(s, WithBackendDialer(r.links.dial)).Run(ctx) }()
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -46,6 +46,7 @@
 	localPlanner  *planner.Planner
 	partition     *partitionWatcher
 	streams       *streamOrigins
+	versions      *softwareVersions
 	directory     *instanceDirectory
 	pool          *pool.Pool
 	borrower      *quota.Borrower
@@ -88,6 +89,7 @@
 		client:        planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
 		localPlanner:  n.planner,
 		partition:     n.partition,
+		versions:      n.versions,
 		directory:     n.directory,
 		pool:          n.pool,
 		borrower:      n.borrower,
@@ -173,6 +175,7 @@
 	c.applyOwners(update, sent)
 	if !update.LeaseExpired {
 		c.quotaKnown.finish()
+		c.versions.view.Apply(sent, update.VersionDigest, update.Versions)
 	}
 	forwardTails(c.topics(), update.Tails, sent, func(peer string, t galenastair.Topic, from galenastair.Offset) (galenastair.KeyedBatch, error) {
 		return c.client.Fetch(ctx, peer, t, from)
@@ -203,6 +206,7 @@
 	r.PartitionedFrom = c.partition.From()
 	r.Zone, r.Limits = c.zone, c.pool.Limits(time.Now())
 	r.Address, r.TableVersion, r.Stopping = c.address, c.accounts.Table().Version, c.stopping()
+	r.VersionDigest = c.versions.view.Digest()
 	now := time.Now()
 	r.SpeedObservations = c.pool.TakeSpeedObservations()
 	r.LoanRequests, r.QuotaContribution = c.borrower.LoanRequests(now), c.borrower.TakeContribution(now)
@@ -237,6 +241,7 @@
 	case isSelf:
 		update, err := c.localPlanner.Exchange(ctx, r)
 		c.directory.exchange(r, &update)
+		c.versions.exchange(r, &update)
 		return update, err
 	case leader == "":
 		return planner.Update{}, errNoLeader
--- /dev/null
+++ b/node/kill_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"galenastair/standin/replica"
+)
+
+// removeReplica removes the registration of a replica, which goes on with the streams that it serves.
+func (c *cluster) removeReplica(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.registered, id)
+	c.store.Put("keyed.servers", id, nil)
+}
+
+// Guards against streams that go on at another software version after all instances were killed, as
+// nobody knows that the service has had another one.
+func TestStreamsOfAnEarlierVersionDoNotGoOnAfterAllInstancesAreKilled(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 0)
+	nodes := c.startProcesses(3)
+	c.waitForStreams(nodes[0].runningNode)
+	ids := c.beginStreams(nodes[0].runningNode)
+	c.addReplica("e3@v2", "writer", "m1")
+	c.addReplica("e4@v2", "writer", "m1")
+	c.waitFor("streams of the new version", func() bool {
+		c.beginStream(nodes[0].runningNode)
+		return len(c.replicas["e3"].Runs())+len(c.replicas["e4"].Runs()) > 0
+	})
+	c.removeReplica("e1")
+	c.removeReplica("e2")
+	restartAll(nodes)
+	c.waitForStreams(nodes[1].runningNode)
+	for i, first := range ids {
+		if len(c.versionsOf(func(r replica.Run) bool { return r.ID == first })) == 0 {
+			continue
+		}
+		status, second := c.resumeStream(nodes[i%len(nodes)].runningNode, first)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.Equal(len(c.versionsOf(func(r replica.Run) bool { return r.ID == first || r.ID == second })), 1)
+	}
+}
+
+// waitForStreams waits until a node begins streams.
+func (c *cluster) waitForStreams(n *runningNode) {
+	c.waitFor("a stream", func() bool {
+		id := c.beginStream(n)
+		return len(c.versionsOf(func(r replica.Run) bool { return r.ID == id })) > 0
+	})
+}
+
+// Guards against streams that are refused after all instances were killed, although their service has had
+// one version, or that callers have to resume again and again until there is a leader.
+func TestStreamsOfTheOnlyVersionGoOnAfterAllInstancesAreKilled(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 0)
+	nodes := c.startProcesses(3)
+	c.waitForStreams(nodes[0].runningNode)
+	ids := c.beginStreams(nodes[0].runningNode)
+	restartAll(nodes)
+	status, _ := c.resumeStream(nodes[0].runningNode, "")
+	// there may be no quota without a leader
+	is.True(status == http.StatusOK || status == http.StatusTooManyRequests)
+	c.waitForStreams(nodes[1].runningNode)
+	c.waitFor("recorders", func() bool {
+		status, _ := c.resumeStream(nodes[1].runningNode, ids[0])
+		return status == http.StatusOK
+	})
+	c.checkResumes(ids, nodes[0].runningNode, nodes[1].runningNode, nodes[2].runningNode)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -71,6 +71,7 @@
 	planner      *planner.Planner
 	leaderClient *leaderClient
 	streams      *streamOrigins
+	versions     *softwareVersions
 	gateway      *gateway.Gateway
 	// admission is nil if the settings have no request yield.
 	admission  *admission.Controller
@@ -135,8 +136,9 @@
 	backend := platform.NewBackendClient(n.backendClient)
 	l := lease.New(lease.DefaultTiming(s.Bounds.BetweenHolders, s.Bounds.FencesChecked))
 	n.lease = leaseAdapter{l}
+	n.versions = n.newSoftwareVersions()
 	n.elector = lease.NewElector(n.store, platform.LeaseTopic, l, s.PeerAddress, lease.WithLogger(n.logger),
-		lease.WithCheckpointer(n.checkpointer(context.Background())), lease.WithFleetSize(n.borrower.ReportedFleetSize), lease.WithLinkMbps(s.LinkMbps), lease.WithFirstStart(s.FirstStart), lease.WithOnElected(n.onElected))
+		lease.WithCheckpointer(n.checkpointer(context.Background())), lease.WithCheckpointer(n.versions.checkpointer()), lease.WithFleetSize(n.borrower.ReportedFleetSize), lease.WithLinkMbps(s.LinkMbps), lease.WithFirstStart(s.FirstStart), lease.WithOnElected(n.onElected))
 	plannerOptions := []planner.Option{
 		planner.WithLogger(n.logger), planner.WithOrderObserver(n.metrics.countOrder),
 		planner.WithRefusedRequests(func(now time.Time) []claim.Crash { return n.leaderClient.poisonTracker.Refused(now) }),
@@ -313,7 +315,8 @@
 
 // onElected rereads the topics from the store: changes received from other instances lack the
 // fields that only the planner needs.
-func (n *Node) onElected() {
+func (n *Node) onElected(p lease.Predecessor) {
+	n.versions.resetTerm(p == lease.NoPredecessor)
 	n.catalogSource.follower.Resync()
 	n.serverWatcher.follower.Resync()
 }
--- a/node/streams.go
+++ b/node/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -9,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"galenastair"
+	"galenastair/boottime"
 	"galenastair/peer/planning"
-	"galenastair/pool"
 	"galenastair/stream"
 	"galenastair/timer"
 )
@@ -35,14 +36,13 @@
 	table       *stream.Table
 	outbox      *stream.Outbox
 	// added is signalled when the outbox gets a record.
-	added  chan struct{}
-	client *planning.Client
-	pool   *pool.Pool
-	// viewAge returns how long ago the registrations were known to be complete, false if they never were.
-	viewAge    func() (time.Duration, bool)
-	maxViewAge time.Duration
-	fleetSize  func() int
-	logger     log.Logger
+	added    chan struct{}
+	client   *planning.Client
+	versions *stream.VersionView
+	// stored returns the software versions that the store has.
+	stored    func(context.Context) (stream.VersionList, error)
+	fleetSize func() int
+	logger    log.Logger
 }
 
 func (n *Node) newStreamOrigins() *streamOrigins {
@@ -53,9 +53,8 @@
 		outbox:      stream.NewOutbox(),
 		added:       make(chan struct{}, 1),
 		client:      n.leaderClient.client,
-		pool:        n.pool,
-		viewAge:     func() (time.Duration, bool) { return n.serverWatcher.follower.Age() },
-		maxViewAge:  n.settings.Bounds.LeaveTimeout,
+		versions:    n.versions.view,
+		stored:      n.versions.stored,
 		fleetSize:   n.borrower.ReportedFleetSize,
 		logger:      n.logger,
 	}
@@ -81,31 +80,75 @@
 
 // StreamOrigin returns what this instance knows of a stream.
 func (s *streamOrigins) StreamOrigin(k stream.Key, service galenastair.ServiceName) stream.Answer {
-	now := time.Now()
-	a := stream.Answer{Versions: s.pool.Versions(now, service)}
-	a.Origin, a.Known = s.table.Find(now, k)
-	age, ok := s.viewAge()
-	a.Fresh = ok && age < s.maxViewAge
+	a := stream.Answer{Versions: s.versions.List().Versions(service), Fresh: s.versions.Fresh(boottime.Now())}
+	a.Origin, a.Known = s.table.Find(time.Now(), k)
 	return a
 }
 
-// Origin returns where a stream began. If this instance does not know it, it asks the recorders.
+// MayBegin implements gateway.Streams.
+func (s *streamOrigins) MayBegin(service galenastair.ServiceName, v galenastair.SoftwareVersion) bool {
+	return s.versions.MayBegin(service, v)
+}
+
+// VersionsChanged implements gateway.Streams.
+func (s *streamOrigins) VersionsChanged() <-chan struct{} { return s.versions.Changed() }
+
+const (
+	// maxOriginWait bounds how long a caller waits until it is known where its stream began. In this time
+	// an instance that has just started learns of its leader and recorders.
+	maxOriginWait = time.Second
+	// originRetryInterval is the time between two tries.
+	originRetryInterval = 100 * time.Millisecond
+)
+
+// Origin returns where a stream began. It waits for a limited time while the instances that know it may
+// not have been asked.
 func (s *streamOrigins) Origin(ctx context.Context, id galenastair.RequestID, service galenastair.ServiceName) (stream.Origin, error) {
 	own := s.StreamOrigin(stream.KeyOf(id), service)
-	if id == "" {
-		// nobody can know the stream
-		own.Fresh = true
-		return stream.Resolve(service, []stream.Answer{own}, true)
-	}
 	if own.Known {
 		return own.Origin, nil
 	}
-	answers, complete := s.askRecorders(ctx, stream.KeyOf(id), service)
-	origin, err := stream.Resolve(service, append(answers, own), complete)
-	s.logger.Log("event", "stream origin", "resumes", id, "service", origin.Service, "server_version", origin.Version, "answers", len(answers), "complete", complete, "err", err)
+	wait := maxOriginWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)/4)
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		origin, err := s.resolve(ctx, id, service)
+		if !errors.Is(err, stream.ErrPending) || !timer.Wait(waitCtx, originRetryInterval) {
+			s.logger.Log("event", "stream origin", "resumes", id, "service", origin.Service, "server_version", origin.Version, "err", err)
+			return origin, err
+		}
+	}
+}
+
+// resolve asks the recorders, and the store if the leader's list of versions is too old.
+func (s *streamOrigins) resolve(ctx context.Context, id galenastair.RequestID, service galenastair.ServiceName) (stream.Origin, error) {
+	answers, complete := []stream.Answer{s.StreamOrigin(stream.KeyOf(id), service)}, true
+	if id != "" {
+		var others []stream.Answer
+		others, complete = s.askRecorders(ctx, stream.KeyOf(id), service)
+		answers = append(answers, others...)
+	}
+	origin, err := stream.Resolve(service, answers, complete)
+	if err != nil && complete && !stream.Fresh(answers) {
+		answers = append(answers, s.storedVersions(ctx, service))
+		origin, err = stream.Resolve(service, answers, complete)
+	}
 	return origin, err
 }
 
+// storedVersions returns what the store tells of a stream: the versions that its service has had.
+func (s *streamOrigins) storedVersions(ctx context.Context, service galenastair.ServiceName) stream.Answer {
+	list, err := s.stored(ctx)
+	if err != nil {
+		s.logger.Log("event", "stream origin", "service", service, "err", err)
+		return stream.Answer{}
+	}
+	return stream.Answer{Versions: list.Versions(service), Fresh: true}
+}
+
 // askRecorders returns the answers of the recorders, and whether all of them have answered. It returns as
 // soon as one of them knows the stream.
 func (s *streamOrigins) askRecorders(ctx context.Context, k stream.Key, service galenastair.ServiceName) ([]stream.Answer, bool) {
--- a/node/tails.go
+++ b/node/tails.go
@@ -30,6 +30,7 @@
 	*planner.Planner
 	topics    func() []topicState
 	directory *instanceDirectory
+	versions  *softwareVersions
 	elector   *lease.Elector
 	accounts  *account.Accounts
 	*streamOrigins
@@ -51,6 +52,7 @@
 		return update, err
 	}
 	s.directory.exchange(r, &update)
+	s.versions.exchange(r, &update)
 	update.Renewal = s.elector.Renewal()
 	for _, f := range s.topics() {
 		from, reported := r.Positions[f.topic]
--- a/node/tails_test.go
+++ b/node/tails_test.go
@@ -16,6 +16,7 @@
 	"galenastair/platform"
 	"galenastair/quota"
 	"galenastair/standin/metastore"
+	"galenastair/stream"
 )
 
 // fakeLease is a lease that this instance has just acquired.
@@ -26,6 +27,10 @@
 func (fakeLease) ServesPeers() bool                     { return true }
 func (fakeLease) FenceRejected(galenastair.Fence)       {}
 
+func noVersions() (map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int, bool) {
+	return nil, false
+}
+
 // A new leader must send tails before it knows the fleet size, which takes it some seconds.
 // Without the tails every instance of a large fleet reads the store itself.
 func TestTailsAreSentBeforeFleetIsCounted(t *testing.T) {
@@ -50,7 +55,7 @@
 	// the term begins with the planner's first round
 	time.Sleep(300 * time.Millisecond)
 	peers := peerServer{
-		Planner: p, directory: &instanceDirectory{},
+		Planner: p, directory: &instanceDirectory{}, versions: &softwareVersions{log: stream.NewVersionLog(), registered: noVersions},
 		topics: func() []topicState {
 			return []topicState{{topic: platform.ConfigurationTopic, follower: f, tail: &tail}}
 		},
--- /dev/null
+++ b/node/versions.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+
+	"galenastair"
+	"galenastair/boottime"
+	"galenastair/lease"
+	"galenastair/planner"
+	"galenastair/platform"
+	"galenastair/stream"
+)
+
+// observeInterval is the interval at which the leader looks at the software versions of the servers.
+const observeInterval = 100 * time.Millisecond
+
+// softwareVersions knows at which software versions streams may have begun. The leader keeps them in log
+// and in the store, and all instances have view.
+type softwareVersions struct {
+	log  *stream.VersionLog
+	view *stream.VersionView
+	// registered returns the versions of the registered servers, false before they are known.
+	registered func() (map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int, bool)
+	logger     log.Logger
+
+	mu         sync.Mutex
+	observedAt boottime.Time
+
+	store galenastair.Store
+	// readMu is held during a read of the store. readAt is when the last successful one began, and read
+	// is its result.
+	readMu sync.Mutex
+	readAt boottime.Time
+	read   stream.VersionList
+}
+
+// readTimeout bounds a read for which callers wait.
+const readTimeout = 400 * time.Millisecond
+
+// stored returns the versions that the store has, from a read that began after this call. Callers that
+// wait at the same time share one.
+func (v *softwareVersions) stored(ctx context.Context) (stream.VersionList, error) {
+	called := boottime.Now()
+	v.readMu.Lock()
+	defer v.readMu.Unlock()
+	if v.readAt > called {
+		return v.read, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	began := boottime.Now()
+	data, err := lease.ReadCheckpoint(ctx, v.store, platform.VersionTopic)
+	if err != nil {
+		return nil, err
+	}
+	c, ok := v.decode(data)
+	if !ok {
+		return nil, errUnreadable
+	}
+	v.readAt, v.read = began, c.List()
+	return v.read, nil
+}
+
+// errUnreadable reports a checkpoint that this program can't read.
+var errUnreadable = eris.New("the stored software versions can't be read")
+
+func (n *Node) newSoftwareVersions() *softwareVersions {
+	return &softwareVersions{
+		log:  stream.NewVersionLog(),
+		view: stream.NewVersionView(),
+		registered: func() (map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int, bool) {
+			_, known := n.serverWatcher.follower.Age()
+			return n.pool.SoftwareVersions(), known
+		},
+		logger: n.logger,
+		store:  n.store,
+	}
+}
+
+// resetTerm begins a term of this instance. The checkpoint of the leader before is restored after it.
+func (v *softwareVersions) resetTerm(firstTerm bool) {
+	v.log.Reset(boottime.Now(), v.view.List(), firstTerm)
+}
+
+// observe has the leader record the versions of the registered servers.
+func (v *softwareVersions) observe() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := boottime.Now()
+	if now.Sub(v.observedAt) < observeInterval {
+		return
+	}
+	if registered, known := v.registered(); known {
+		v.observedAt = now
+		v.log.Observe(now, time.Now(), registered)
+	}
+}
+
+// exchange adds the leader's list to an update.
+func (v *softwareVersions) exchange(r planner.Report, u *planner.Update) {
+	v.observe()
+	list := v.log.List()
+	u.VersionDigest = list.Digest()
+	if u.VersionDigest != r.VersionDigest {
+		u.Versions = list
+	}
+}
+
+// checkpointer returns the callbacks with which the elector stores the versions and restores them.
+func (v *softwareVersions) checkpointer() lease.Checkpointer {
+	return lease.Checkpointer{
+		Topic:      platform.VersionTopic,
+		EveryStart: true,
+		Checkpoint: func() []byte {
+			v.observe()
+			c, changed := v.log.Checkpoint()
+			if !changed {
+				return nil
+			}
+			data, err := json.Marshal(c)
+			if err != nil {
+				v.logger.Log("event", "note", "err", err)
+			}
+			return data
+		},
+		Stored: func(data []byte) {
+			if c, ok := v.decode(data); ok {
+				v.log.CheckpointStored(c)
+			}
+		},
+		Restore: func(data []byte, _ bool) {
+			if c, ok := v.decode(data); ok {
+				v.log.Restore(c)
+				v.view.Restore(c.List())
+			}
+		},
+	}
+}
+
+func (v *softwareVersions) decode(data []byte) (stream.VersionCheckpoint, bool) {
+	var c stream.VersionCheckpoint
+	if len(data) == 0 {
+		return c, true
+	}
+	err := json.Unmarshal(data, &c)
+	if err != nil {
+		v.logger.Log("event", "note", "note", string(data), "err", err)
+	}
+	return c, err == nil
+}
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -11,6 +11,7 @@
 	"galenastair/planner"
 	"galenastair/pool"
 	"galenastair/quota"
+	"galenastair/stream"
 )
 
 // PathPrefix is the path prefix of the service on the peers' port.
@@ -94,6 +95,7 @@
 		Seen:         r.LastChange,
 		Loads:        encodeLoads(r.Loads),
 		Limits:       encodeLimits(r.Limits),
+		VersionsSeen: uint64(r.VersionDigest),
 	}
 	for _, s := range r.PartitionedFrom {
 		out.PartitionedFrom = append(out.PartitionedFrom, string(s))
@@ -159,6 +161,7 @@
 	out := planner.Update{LeaseExpired: r.Lapsed, QuotaAllocation: decodeAllocation(r), Loads: decodeKeyedLoads(r), LastChange: r.Newest}
 	out.Limits, out.Index, out.ForwardTo = decodeLimits(r.Limits), int(r.Index), decodeForwardTargets(r.ForwardTo)
 	out.StreamRecorders, out.Speeds = r.StreamRecorders, decodeSpeeds(r)
+	out.VersionDigest, out.Versions = stream.VersionDigest(r.VersionsDigest), decodeVersions(r.Versions)
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.LoanRequest{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
 	}
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -52,6 +52,7 @@
 		Limits:            decodeLimits(req.Limits),
 		Loads:             decodeLoads(req.Loads),
 		Positions:         make(map[galenastair.Topic]galenastair.Offset, len(req.Positions)),
+		VersionDigest:     stream.VersionDigest(req.VersionsSeen),
 		Demands:           make(map[galenastair.ModelName]time.Duration, len(req.Demands)),
 	}
 	for _, d := range req.Demands {
@@ -88,6 +89,7 @@
 	out.Limits, out.Index, out.ForwardTo = encodeLimits(n.Limits), uint32(n.Index), encodeForwardTargets(n.ForwardTo)
 	out.StreamRecorders = n.StreamRecorders
 	encodeSpeeds(out, n.Speeds)
+	out.VersionsDigest, out.Versions = uint64(n.VersionDigest), encodeVersions(n.Versions)
 	out.Renewal, out.RenewalAgeMs = int64(n.Renewal.Offset), uint32(n.Renewal.Age.Milliseconds())
 	encodeAllocation(out, n.QuotaAllocation)
 	encodeOwners(out, n)
--- a/planner/message.go
+++ b/planner/message.go
@@ -12,6 +12,7 @@
 	"galenastair/ratelimit"
 	"galenastair/registry"
 	"galenastair/speed"
+	"galenastair/stream"
 )
 
 // Report is what an instance sends to the planner in each exchange.
@@ -50,6 +51,8 @@
 	// factor received from this planner.
 	SpeedObservations []speed.Observation
 	LastSpeed         speed.Sequence
+	// VersionDigest is the digest of the list of software versions that the instance knows.
+	VersionDigest stream.VersionDigest
 }
 
 // Update is the planner's reply to a Report.
@@ -95,6 +98,10 @@
 	StreamRecorders []string
 	// Speeds are the speed factors of backend servers that have changed.
 	Speeds speed.Update
+	// VersionDigest is the digest of the list of software versions, and Versions is the list if the
+	// instance knows another.
+	VersionDigest stream.VersionDigest
+	Versions      stream.VersionList
 }
 
 // Tail holds the latest records of one topic.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -52,6 +52,7 @@
 	ReasonNoModel       = "no server holds the model"
 	ReasonExcluded      = "all were tried"
 	ReasonNoVersion     = "no server of the stream's software version"
+	ReasonNewVersion    = "only servers of a software version at which no stream may begin yet"
 	ReasonThrottled     = "all are at their limits or want no requests"
 )
 
@@ -80,12 +81,8 @@
 }
 
 func (p *Pool) candidates(now time.Time, q *Query) []*backend {
-	list := p.byService[q.Service]
-	if q.engine() {
-		list = p.byModel[q.Model]
-	}
 	var out []*backend
-	for _, b := range list {
+	for _, b := range p.holders(q) {
 		if b.Service != q.Service || slices.Contains(q.Exclude, b.ID) {
 			continue
 		}
@@ -100,6 +97,14 @@
 	return out
 }
 
+// holders returns the servers that hold what a request needs.
+func (p *Pool) holders(q *Query) []*backend {
+	if q.engine() {
+		return p.byModel[q.Model]
+	}
+	return p.byService[q.Service]
+}
+
 // splitRefusing returns the candidates that accept requests, and the time until the first of the others
 // does that is not withdrawn, 0 if there is none.
 func (p *Pool) splitRefusing(now time.Time, candidates []*backend) ([]*backend, time.Duration) {
@@ -120,11 +125,16 @@
 func (p *Pool) noneReason(now time.Time, q *Query) string {
 	inService := func(b *backend) bool { return !p.isWithdrawn(b) && p.inRegions(b, q.Regions) }
 	available := func(b *backend) bool { return b.Service == q.Service && !b.isDown(now) && inService(b) }
+	isNew := func(b *backend) bool {
+		return available(b) && q.Version == nil && !q.allowsVersion(b.Version) && !slices.Contains(q.Exclude, b.ID)
+	}
 	switch {
 	case !slices.ContainsFunc(p.byService[q.Service], inService):
 		return ReasonNoServer
 	case q.Version != nil && len(p.candidates(now, q)) == 0:
 		return ReasonNoVersion
+	case slices.ContainsFunc(p.holders(q), isNew):
+		return ReasonNewVersion
 	case q.engine() && !slices.ContainsFunc(p.byModel[q.Model], available):
 		return ReasonNoModel
 	default:
--- a/pool/forecast.go
+++ b/pool/forecast.go
@@ -117,9 +117,11 @@
 	NoRetry bool
 	// Regions are those whose servers may run the request; empty for all.
 	Regions []galenastair.Region
-	// Version is the software version that may run the request; nil for any.
+	// Version is the software version that may run the request; nil for any that MayBegin allows.
 	Version *galenastair.SoftwareVersion
-	Exclude []galenastair.BackendServerID
+	// MayBegin reports whether a stream may begin at a software version; nil for all.
+	MayBegin func(galenastair.SoftwareVersion) bool
+	Exclude  []galenastair.BackendServerID
 	// Spread has any healthy server chosen instead of the one with the lowest latency. Instances that
 	// release waiting requests would otherwise all choose the server that was idle when they last
 	// learned of its load.
@@ -129,7 +131,10 @@
 }
 
 func (q *Query) allowsVersion(v galenastair.SoftwareVersion) bool {
-	return q.Version == nil || *q.Version == v
+	if q.Version != nil {
+		return *q.Version == v
+	}
+	return q.MayBegin == nil || q.MayBegin(v)
 }
 
 func (q *Query) engine() bool { return q.Model != "" }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -32,7 +32,6 @@
 	// evacuated holds the earliest time at which each evacuation may have begun.
 	evacuated  map[galenastair.AvailabilityZone]time.Time
 	coldStarts map[galenastair.ServiceName]ColdStart
-	versions   map[galenastair.ServiceName]versionHistory
 	// speeds is nil if all servers count as equally fast.
 	speeds            *speed.Table
 	speedObservations []speed.Observation
@@ -139,7 +138,6 @@
 		modelRatios: map[galenastair.ModelName]*latencyRatio{},
 		costs:       map[galenastair.ModelName]*cost{},
 		overall:     initialCost(),
-		versions:    map[galenastair.ServiceName]versionHistory{},
 		fleetSize:   func() int { return 1 },
 	}
 	for _, o := range opts {
@@ -173,7 +171,6 @@
 		return
 	}
 	b.Server = s
-	p.recordVersion(now, s)
 	b.extendCold(s.ColdUntil)
 	p.setModels(now, b, modelNames(s.Models))
 }
--- a/pool/versions.go
+++ b/pool/versions.go
@@ -1,39 +1,19 @@
 package pool
 
-import (
-	"time"
+import "galenastair"
 
-	"galenastair"
-)
-
-// versionMemory is how long a software version counts after the last registration of it. Streams that
-// began at it may still be resumed then.
-const versionMemory = 10 * time.Minute
-
-// versionHistory holds the time of the last registration of each software version of a service.
-type versionHistory map[galenastair.SoftwareVersion]time.Time
-
-func (p *Pool) recordVersion(now time.Time, s Server) {
-	if p.versions[s.Service] == nil {
-		p.versions[s.Service] = versionHistory{}
-	}
-	p.versions[s.Service][s.Version] = now
-}
-
-// Versions returns the software versions that servers of a service have, or have had until recently.
-func (p *Pool) Versions(now time.Time, s galenastair.ServiceName) []galenastair.SoftwareVersion {
+// SoftwareVersions returns the number of registered servers of each software version of each service.
+func (p *Pool) SoftwareVersions() map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, b := range p.byService[s] {
-		p.recordVersion(now, b.Server)
-	}
-	var out []galenastair.SoftwareVersion
-	for v, at := range p.versions[s] {
-		if now.Sub(at) > versionMemory {
-			delete(p.versions[s], v)
-			continue
+	out := make(map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int, len(p.byService))
+	for s, backends := range p.byService {
+		for _, b := range backends {
+			if out[s] == nil {
+				out[s] = map[galenastair.SoftwareVersion]int{}
+			}
+			out[s][b.Version]++
 		}
-		out = append(out, v)
 	}
 	return out
 }
--- a/timer/wait.go
+++ b/timer/wait.go
@@ -16,3 +16,17 @@
 		return false
 	}
 }
+
+// WaitFor waits until the channel is closed and returns true, or returns false after d or as soon as the
+// context ends.
+func WaitFor(ctx context.Context, c <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
