stream: keep in the store where streams of services with several versions began

Cause: where a stream began was kept in the memory of its instance and of up to four recorders, all of which end. With two versions a stream that nobody knows is refused for good.

Ruled out: recorders that are not complete yet ('stream origin' lines have complete=true).

Change: while a service has more than one version, the first recorder of a region appends the records in batches to a keyed topic of the store, and a recorder reads the topic before it answers that a stream is unknown. The writer writes all that it holds when it takes over, when a service gets its second version and when the store comes back from a copy, so that records that only memory has are not lost with the next kill. Nothing is written while services have one version.

--- a/node/kill_test.go
+++ b/node/kill_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"galenastair/standin/replica"
 )
 
+// maxResumeDelay is how long after a kill of all instances their streams may be refused.
+const maxResumeDelay = 4 * time.Second
+
 // removeReplica removes the registration of a replica, which goes on with the streams that it serves.
 func (c *cluster) removeReplica(id string) {
 	c.mu.Lock()
@@ -74,3 +79,25 @@
 	})
 	c.checkResumes(ids, nodes[0].runningNode, nodes[1].runningNode, nodes[2].runningNode)
 }
+
+// Guards against streams that can't be resumed after all instances were killed beside two software versions.
+func TestStreamsOfSeveralVersionsGoOnAfterAllInstancesAreKilled(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 0, "e3@v2", "e4@v2")
+	nodes := c.startProcesses(3)
+	c.waitForStreams(nodes[0].runningNode)
+	ids := slices.Concat(c.beginStreams(nodes[0].runningNode), c.beginStreams(nodes[1].runningNode))
+	// two flushes, to the recorders and to the store
+	time.Sleep(4 * minFlushInterval)
+	killed := time.Now()
+	restartAll(nodes)
+	c.waitForStreams(nodes[1].runningNode)
+	c.waitFor("a stream that goes on", func() bool {
+		status, _ := c.resumeStream(nodes[2].runningNode, ids[0])
+		return status == http.StatusOK
+	})
+	t.Logf("streams go on %s after the kill", time.Since(killed))
+	is.True(time.Since(killed) < maxResumeDelay)
+	c.checkResumes(ids, nodes[0].runningNode, nodes[1].runningNode, nodes[2].runningNode)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -259,6 +259,7 @@
 	add("connections", n.pruneConnections)
 	add("partition", n.partition.run)
 	add("streams", n.streams.run)
+	add("stream journal", n.streams.journal.run)
 	add("store calls", n.logStoreCalls)
 	if err := n.listen(ctx, &g); err != nil {
 		return err
--- a/node/streams.go
+++ b/node/streams.go
@@ -35,6 +35,7 @@
 	incarnation stream.Incarnation
 	table       *stream.Table
 	outbox      *stream.Outbox
+	journal     *streamJournal
 	// added is signalled when the outbox gets a record.
 	added    chan struct{}
 	client   *planning.Client
@@ -46,7 +47,7 @@
 }
 
 func (n *Node) newStreamOrigins() *streamOrigins {
-	return &streamOrigins{
+	s := &streamOrigins{
 		self:        n.settings.PeerAddress,
 		incarnation: newStreamIncarnation(),
 		table:       stream.NewTable(),
@@ -58,13 +59,15 @@
 		fleetSize:   n.borrower.ReportedFleetSize,
 		logger:      n.logger,
 	}
+	s.journal = n.newStreamJournal(s)
+	return s
 }
 
 // Record keeps where a stream began, also at the recorders.
 func (s *streamOrigins) Record(id galenastair.RequestID, o stream.Origin, timeLeft time.Duration) {
 	now := time.Now()
 	r := stream.Record{Key: stream.KeyOf(id), Origin: o, TimeLeft: timeLeft}
-	s.table.Add(now, r)
+	s.add(now, r)
 	s.outbox.Add(now, r)
 	select {
 	case s.added <- struct{}{}:
@@ -74,13 +77,19 @@
 
 // RecordStreams keeps where other instances' streams began.
 func (s *streamOrigins) RecordStreams(records []stream.Record) stream.Incarnation {
-	s.table.Add(time.Now(), records...)
+	s.add(time.Now(), records...)
 	return s.incarnation
 }
 
+func (s *streamOrigins) add(now time.Time, records ...stream.Record) {
+	s.table.Add(now, records...)
+	s.journal.Add(now, records...)
+}
+
 // StreamOrigin returns what this instance knows of a stream.
 func (s *streamOrigins) StreamOrigin(k stream.Key, service galenastair.ServiceName) stream.Answer {
 	a := stream.Answer{Versions: s.versions.List().Versions(service), Fresh: s.versions.Fresh(boottime.Now())}
+	a.Loaded = s.journal.loaded.Load()
 	a.Origin, a.Known = s.table.Find(time.Now(), k)
 	return a
 }
--- a/peer/planning/streams.go
+++ b/peer/planning/streams.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
 	"galenastair"
 	"galenastair/peer/planningpb"
 	"galenastair/stream"
@@ -28,7 +31,7 @@
 	if err != nil {
 		return stream.Answer{}, err
 	}
-	a := stream.Answer{Known: reply.Known, Fresh: reply.Fresh}
+	a := stream.Answer{Known: reply.Known, Fresh: reply.Fresh, Loaded: reply.Loaded}
 	a.Origin = stream.Origin{Service: galenastair.ServiceName(reply.Service), Version: galenastair.SoftwareVersion(reply.Version)}
 	for _, v := range reply.Versions {
 		a.Versions = append(a.Versions, galenastair.SoftwareVersion(v))
@@ -36,6 +39,20 @@
 	return a, nil
 }
 
+// MarshalStreams encodes records for the store.
+func MarshalStreams(records []stream.Record) ([]byte, error) {
+	return proto.Marshal(encodeStreams(records))
+}
+
+// UnmarshalStreams decodes records from the store.
+func UnmarshalStreams(data []byte) ([]stream.Record, error) {
+	var records planningpb.StreamRecords
+	if err := proto.Unmarshal(data, &records); err != nil {
+		return nil, eris.Wrap(err, "decode records of streams")
+	}
+	return decodeStreams(&records), nil
+}
+
 func encodeStreams(records []stream.Record) *planningpb.StreamRecords {
 	out := &planningpb.StreamRecords{}
 	groups := map[stream.Origin]*planningpb.StreamGroup{}
@@ -70,7 +87,7 @@
 // StreamOrigin implements planningpb.Planning.
 func (s *server) StreamOrigin(_ context.Context, req *planningpb.StreamQuery) (*planningpb.StreamAnswer, error) {
 	a := s.planner.StreamOrigin(stream.Key(req.Key), galenastair.ServiceName(req.Service))
-	out := &planningpb.StreamAnswer{Known: a.Known, Service: string(a.Origin.Service), Version: string(a.Origin.Version), Fresh: a.Fresh}
+	out := &planningpb.StreamAnswer{Known: a.Known, Service: string(a.Origin.Service), Version: string(a.Origin.Version), Fresh: a.Fresh, Loaded: a.Loaded}
 	for _, v := range a.Versions {
 		out.Versions = append(out.Versions, string(v))
 	}
--- a/peer/planning/streams_test.go
+++ b/peer/planning/streams_test.go
@@ -48,3 +48,24 @@
 	later := decodePartEvents(now.Add(time.Second), m)
 	is.Equal(later[0].At, now.Add(-500*time.Millisecond))
 }
+
+// Guards against records that come back from the store changed, or that outgrow 10 bytes.
+func TestStreamsAreReadAsStored(t *testing.T) {
+	const records = 4096
+	is := is.New(t)
+	var sent []stream.Record
+	for i := range records {
+		sent = append(sent, stream.Record{Key: stream.Key(i) * 0x9e3779b97f4a7c1, Origin: stream.Origin{Service: "writer", Version: "v1"}, TimeLeft: 20 * time.Second})
+	}
+	data, err := MarshalStreams(sent)
+	is.NoErr(err)
+	t.Logf("%.1f bytes a record", float64(len(data))/records)
+	is.True(len(data) < 10*records)
+	got, err := UnmarshalStreams(data)
+	is.NoErr(err)
+	is.Equal(len(got), records)
+	is.Equal(got[1].Key, sent[1].Key)
+	is.Equal(got[1].Origin, sent[1].Origin)
+	_, err = UnmarshalStreams([]byte{255})
+	is.True(err != nil)
+}
--- a/store.go
+++ b/store.go
@@ -63,6 +63,9 @@
 	// Put sets the value of a key in a keyed topic. A producer's repeated write takes effect
 	// only once.
 	Put(ctx context.Context, t Topic, key string, value []byte, p Producer) error
+	// PutAll sets the values of several keys in a keyed topic, all or none, and returns the offset of the
+	// first record.
+	PutAll(ctx context.Context, t Topic, records []KeyedRecord) (Offset, error)
 	// CompareAndPut sets the value of a key in a keyed topic if the topic ends at the offset
 	// at, and returns the offset of the new record. Otherwise, it returns ErrConflict. After a change
 	// of timeline, a write that returned ErrConflict may have taken effect.
--- a/stream/bench_test.go
+++ b/stream/bench_test.go
@@ -35,3 +35,18 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkJournal reports the bytes of a record in the store, and the time of a takeover with as many records.
+func BenchmarkJournal(b *testing.B) {
+	const records = 50_000
+	table := NewTable()
+	for i := range records {
+		table.Add(start, Record{Key(i * 0x9e3779b97f4a7c1), Origin{"writer", "v1"}, time.Minute})
+	}
+	for b.Loop() {
+		j, store := NewJournal("a", table), fakeJournalStore{}
+		j.Begin(start, 0, nil)
+		j.SetServices(start, writerService)
+		b.ReportMetric(float64(store.write(j, start, true)), "writes")
+	}
+}
--- a/stream/outbox.go
+++ b/stream/outbox.go
@@ -26,8 +26,10 @@
 	pending   []pendingRecord
 	sequence  int64
 	recorders map[string]*recorder
-	// named is set once the leader has named the recorders, which may be none.
-	named bool
+	// current are the recorders that the leader has named last, and named is set once it has; they may
+	// be none.
+	current []string
+	named   bool
 }
 
 type pendingRecord struct {
@@ -69,7 +71,7 @@
 func (o *Outbox) SetRecorders(now time.Time, addresses []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.named = true
+	o.current, o.named = addresses, true
 	for address, r := range o.recorders {
 		r.named = slices.Contains(addresses, address)
 		if !r.named && now.Sub(r.namedAt) > recorderMemory {
@@ -86,6 +88,13 @@
 	}
 }
 
+// Named returns the recorders that get records, in the order in which the leader names them.
+func (o *Outbox) Named() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.current
+}
+
 // Recorders returns the addresses of all recorders that may know a stream. It returns false as long as
 // the leader has named none.
 func (o *Outbox) Recorders() ([]string, bool) {
--- a/stream/resolve.go
+++ b/stream/resolve.go
@@ -23,6 +23,8 @@
 	// at another one yet.
 	Versions []galenastair.SoftwareVersion
 	Fresh    bool
+	// Loaded is set if the instance has read the records that the store has.
+	Loaded bool
 }
 
 // Fresh reports whether one of the answers is fresh.
@@ -46,8 +48,10 @@
 	switch {
 	case !complete, !Fresh(answers):
 		return Origin{}, ErrPending
-	case len(versions) != 1:
-		return Origin{}, ErrUnknown
+	case len(versions) == 1:
+		return Origin{s, versions[0]}, nil
+	case !slices.ContainsFunc(answers, func(a Answer) bool { return a.Loaded }):
+		return Origin{}, ErrPending
 	}
-	return Origin{s, versions[0]}, nil
+	return Origin{}, ErrUnknown
 }
--- a/stream/table.go
+++ b/stream/table.go
@@ -73,3 +73,16 @@
 		}
 	}
 }
+
+// Records returns all records that have not expired.
+func (t *Table) Records(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Record, 0, len(t.records))
+	for k, e := range t.records {
+		if left := e.expiresAt.Sub(now); left > 0 {
+			out = append(out, Record{k, e.origin, left})
+		}
+	}
+	return out
+}
--- a/stream/versions.go
+++ b/stream/versions.go
@@ -50,8 +50,17 @@
 	return slices.Sorted(maps.Keys(l[s]))
 }
 
-// Several reports whether streams of a service may have begun at more than one version.
-func (l VersionList) Several(s galenastair.ServiceName) bool { return len(l[s]) > 1 }
+// Several returns the services that have more than one version, in order.
+func (l VersionList) Several() []galenastair.ServiceName {
+	var out []galenastair.ServiceName
+	for s, versions := range l {
+		if len(versions) > 1 {
+			out = append(out, s)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
 
 // VersionView is the leader's VersionList as this instance last received it. It is safe for concurrent
 // use.
--- a/stream/versions_test.go
+++ b/stream/versions_test.go
@@ -88,7 +88,7 @@
 	l.Observe(0, wall, registered{"writer": {"v1": 1}})
 	l.Observe(1, wall, registered{"writer": {"v2": 1}})
 	l.Observe(2, wall.Add(versionMemory), registered{"writer": {"v2": 1}})
-	is.True(l.List().Several("writer"))
+	is.Equal(l.List().Several(), []galenastair.ServiceName{"writer"})
 	l.Observe(3, wall.Add(versionMemory+time.Second), registered{"writer": {"v2": 1}})
 	is.Equal(l.List().Versions("writer"), []galenastair.SoftwareVersion{"v2"})
 }
