--- a/lease/elector.go
+++ b/lease/elector.go
@@ -132,8 +132,9 @@
 // Run follows, takes and renews the lease until the context ends, and then releases it.
 func (e *Elector) Run(ctx context.Context) error {
 	timer.Wait(ctx, e.startDelay())
-	e.loadRecord(ctx)
-	e.restoreAtStart(ctx)
+	if e.loadRecord(ctx) {
+		e.restoreAtStart(ctx)
+	}
 	close(e.started)
 	for ctx.Err() == nil {
 		if e.held {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -175,7 +175,7 @@
 	c.applyOwners(update, sent)
 	if !update.LeaseExpired {
 		c.quotaKnown.finish()
-		c.versions.view.Apply(sent, update.VersionDigest, update.Versions)
+		c.versions.apply(sent, update)
 	}
 	forwardTails(c.topics(), update.Tails, sent, func(peer string, t galenastair.Topic, from galenastair.Offset) (galenastair.KeyedBatch, error) {
 		return c.client.Fetch(ctx, peer, t, from)
--- a/node/soak_test.go
+++ b/node/soak_test.go
@@ -179,6 +179,8 @@
 	s.store.UpdateFaults(func(f *metastore.Faults) { f.Refuse = true })
 	time.Sleep(d)
 	s.store.UpdateFaults(func(f *metastore.Faults) { f.Refuse = false })
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.outages = append(s.outages, [2]time.Time{began, time.Now()})
 }
 
--- a/node/streams.go
+++ b/node/streams.go
@@ -107,7 +107,7 @@
 	// an instance that has just started learns of its leader and recorders.
 	maxOriginWait = time.Second
 	// originRetryInterval is the time between two tries.
-	originRetryInterval = 100 * time.Millisecond
+	originRetryInterval = 200 * time.Millisecond
 )
 
 // Origin returns where a stream began. It waits for a limited time while the instances that know it may
--- a/node/versions.go
+++ b/node/versions.go
@@ -33,11 +33,12 @@
 	observedAt boottime.Time
 
 	store galenastair.Store
-	// readMu is held during a read of the store. readAt is when the last successful one began, and read
-	// is its result.
-	readMu sync.Mutex
-	readAt boottime.Time
-	read   stream.VersionList
+	// readMu is held during a read of the store. readAt is when the last one began, and read and readErr
+	// are its result.
+	readMu  sync.Mutex
+	readAt  boottime.Time
+	read    stream.VersionList
+	readErr error
 }
 
 // readTimeout bounds a read for which callers wait.
@@ -49,15 +50,16 @@
 	called := boottime.Now()
 	v.readMu.Lock()
 	defer v.readMu.Unlock()
-	if v.readAt > called {
-		return v.read, nil
+	if v.readAt <= called {
+		v.readAt = boottime.Now()
+		v.read, v.readErr = v.readStored(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	return v.read, v.readErr
+}
+
+func (v *softwareVersions) readStored(ctx context.Context) (stream.VersionList, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 	defer cancel()
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-	began := boottime.Now()
 	data, err := lease.ReadCheckpoint(ctx, v.store, platform.VersionTopic)
 	if err != nil {
 		return nil, err
@@ -66,8 +68,7 @@
 	if !ok {
 		return nil, errUnreadable
 	}
-	v.readAt, v.read = began, c.List()
-	return v.read, nil
+	return c.List(), nil
 }
 
 // errUnreadable reports a checkpoint that this program can't read.
@@ -115,6 +116,16 @@
 	}
 }
 
+// apply applies the leader's reply to an exchange that was sent at a time.
+func (v *softwareVersions) apply(sent boottime.Time, u planner.Update) {
+	v.view.Apply(sent, u.VersionDigest, u.Versions)
+	for s := range u.Versions {
+		for _, version := range u.Versions.Versions(s) {
+			v.logger.Log("event", "software version", "service", s, "server_version", version, "may_begin", u.Versions[s][version])
+		}
+	}
+}
+
 // checkpointer returns the callbacks with which the elector stores the versions and restores them.
 func (v *softwareVersions) checkpointer() lease.Checkpointer {
 	return lease.Checkpointer{
