--- a/stream/doc.go
+++ b/stream/doc.go
@@ -4,6 +4,10 @@
 //
 // An instance records a stream when its caller gets the first event, and copies the record to a few
 // recorders, which the leader names and which outlive the instance. An instance that does not know a
-// stream asks the recorders. It refuses to resume a stream that none of them knows, unless the service
-// has only had one version.
+// stream asks the recorders. While a service has several versions, one of the recorders also writes the
+// records to a Journal in the store, from which recorders take them after all instances have ended.
+//
+// A stream that nobody knows goes on only if its service has had one version. The leader's VersionLog and
+// the VersionViews of all instances keep which versions those are, so that no stream begins at a version
+// that an instance which relies on its view does not know.
 package stream
