stream: do not rely on versions read from a store that came back from a copy

Cause, found by reading: an instance whose list is too old reads the stored versions. After the store has come back from a copy it may lack the newest version, at which streams have begun, until a leader of the new timeline has stored the list once more; an instance that had restarted would infer the other one.

Change: the checkpoint names the timeline in which it was written, and is written once more in a new one. On the way: versions of registered servers are lists, as nobody used their counts, and the two places that looked for a checkpoint among the records share one.

--- a/lease/note.go
+++ b/lease/note.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strconv"
 
 	"galenastair"
@@ -104,35 +105,28 @@
 		e.logger.Log("event", "note", "topic", string(c.Topic), "err", err)
 		return false
 	}
-	var found galenastair.KeyedRecord
-	used := ""
-	for _, r := range b.Records {
-		switch r.Key {
-		case checkpointKey:
-			found = r
-		case usedKeyPrefix + e.self:
-			used = string(r.Value)
-		}
-	}
-	if found.Key != "" {
-		first := starts && !c.EveryStart && !e.storeRestored() && e.markUsed(ctx, c, found.Offset, used)
-		c.Restore(found.Value, first)
+	if r, ok := recordOf(b, checkpointKey); ok {
+		used, _ := recordOf(b, usedKeyPrefix+e.self)
+		first := starts && !c.EveryStart && !e.storeRestored() && e.markUsed(ctx, c, r.Offset, string(used.Value))
+		c.Restore(r.Value, first)
 	}
 	return true
 }
 
-// ReadCheckpoint reads a checkpoint that a leader has stored. It is empty if there is none.
-func ReadCheckpoint(ctx context.Context, s galenastair.Store, t galenastair.Topic) ([]byte, error) {
-	b, err := s.Newest(ctx, t)
-	if err != nil {
-		return nil, err
+func recordOf(b galenastair.KeyedBatch, key string) (galenastair.KeyedRecord, bool) {
+	i := slices.IndexFunc(b.Records, func(r galenastair.KeyedRecord) bool { return r.Key == key })
+	if i < 0 {
+		return galenastair.KeyedRecord{}, false
 	}
-	for _, r := range b.Records {
-		if r.Key == checkpointKey {
-			return r.Value, nil
-		}
-	}
-	return nil, nil
+	return b.Records[i], true
+}
+
+// ReadCheckpoint reads a checkpoint that a leader has stored, and the timeline of the store. The checkpoint
+// is empty if there is none.
+func ReadCheckpoint(ctx context.Context, s galenastair.Store, t galenastair.Topic) ([]byte, galenastair.Timeline, error) {
+	b, err := s.Newest(ctx, t)
+	r, _ := recordOf(b, checkpointKey)
+	return r.Value, b.End.Timeline(), err
 }
 
 // storeRestored reports whether the checkpoint may be older than the last one, as no instance has led since
--- a/node/journal.go
+++ b/node/journal.go
@@ -44,7 +44,7 @@
 		versions:  o.versions,
 		store:     n.store,
 		topic:     platform.StreamTopic(n.settings.Region),
-		timeline:  func() galenastair.Timeline { return n.elector.LatestRecord().Offset.Timeline() },
+		timeline:  n.storeTimeline,
 		fleetSize: o.fleetSize,
 		logger:    n.logger,
 	}
--- a/node/tails_test.go
+++ b/node/tails_test.go
@@ -27,7 +27,7 @@
 func (fakeLease) ServesPeers() bool                     { return true }
 func (fakeLease) FenceRejected(galenastair.Fence)       {}
 
-func noVersions() (map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int, bool) {
+func noVersions() (map[galenastair.ServiceName][]galenastair.SoftwareVersion, bool) {
 	return nil, false
 }
 
--- a/node/versions.go
+++ b/node/versions.go
@@ -26,8 +26,10 @@
 	log  *stream.VersionLog
 	view *stream.VersionView
 	// registered returns the versions of the registered servers, false before they are known.
-	registered func() (map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int, bool)
-	logger     log.Logger
+	registered func() (map[galenastair.ServiceName][]galenastair.SoftwareVersion, bool)
+	// timeline returns the newest timeline of the store that this instance knows of.
+	timeline func() galenastair.Timeline
+	logger   log.Logger
 
 	mu         sync.Mutex
 	observedAt boottime.Time
@@ -60,33 +62,46 @@
 func (v *softwareVersions) readStored(ctx context.Context) (stream.VersionList, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 	defer cancel()
-	data, err := lease.ReadCheckpoint(ctx, v.store, platform.VersionTopic)
+	data, timeline, err := lease.ReadCheckpoint(ctx, v.store, platform.VersionTopic)
 	if err != nil {
 		return nil, err
 	}
 	c, ok := v.decode(data)
-	if !ok {
+	switch {
+	case !ok:
 		return nil, errUnreadable
+	case c.Timeline != timeline:
+		return nil, errRestored
 	}
 	return c.List(), nil
 }
 
-// errUnreadable reports a checkpoint that this program can't read.
-var errUnreadable = eris.New("the stored software versions can't be read")
+var (
+	// errUnreadable reports a checkpoint that this program can't read.
+	errUnreadable = eris.New("the stored software versions can't be read")
+	// errRestored reports a checkpoint from before the store came back from a copy.
+	errRestored = eris.New("no leader has stored the software versions since the store was restored")
+)
 
 func (n *Node) newSoftwareVersions() *softwareVersions {
 	return &softwareVersions{
 		log:  stream.NewVersionLog(),
 		view: stream.NewVersionView(),
-		registered: func() (map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int, bool) {
+		registered: func() (map[galenastair.ServiceName][]galenastair.SoftwareVersion, bool) {
 			_, known := n.serverWatcher.follower.Age()
 			return n.pool.SoftwareVersions(), known
 		},
-		logger: n.logger,
-		store:  n.store,
+		timeline: n.storeTimeline,
+		logger:   n.logger,
+		store:    n.store,
 	}
 }
 
+// storeTimeline returns the newest timeline of the store that this instance knows of.
+func (n *Node) storeTimeline() galenastair.Timeline {
+	return n.elector.LatestRecord().Offset.Timeline()
+}
+
 // resetTerm begins a term of this instance. The checkpoint of the leader before is restored after it.
 func (v *softwareVersions) resetTerm(firstTerm bool) {
 	v.log.Reset(boottime.Now(), v.view.List(), firstTerm)
@@ -133,7 +148,7 @@
 		EveryStart: true,
 		Checkpoint: func() []byte {
 			v.observe()
-			c, changed := v.log.Checkpoint()
+			c, changed := v.log.Checkpoint(v.timeline())
 			if !changed {
 				return nil
 			}
--- a/pool/versions.go
+++ b/pool/versions.go
@@ -1,18 +1,21 @@
 package pool
 
-import "galenastair"
+import (
+	"slices"
 
-// SoftwareVersions returns the number of registered servers of each software version of each service.
-func (p *Pool) SoftwareVersions() map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int {
+	"galenastair"
+)
+
+// SoftwareVersions returns the software versions of the registered servers of each service.
+func (p *Pool) SoftwareVersions() map[galenastair.ServiceName][]galenastair.SoftwareVersion {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make(map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int, len(p.byService))
+	out := make(map[galenastair.ServiceName][]galenastair.SoftwareVersion, len(p.byService))
 	for s, backends := range p.byService {
 		for _, b := range backends {
-			if out[s] == nil {
-				out[s] = map[galenastair.SoftwareVersion]int{}
+			if !slices.Contains(out[s], b.Version) {
+				out[s] = append(out[s], b.Version)
 			}
-			out[s][b.Version]++
 		}
 	}
 	return out
--- a/stream/versions.go
+++ b/stream/versions.go
@@ -155,6 +155,9 @@
 // VersionCheckpoint holds the versions at which streams may have begun, for later leaders and for
 // instances that start.
 type VersionCheckpoint struct {
+	// Timeline is the one in which the checkpoint was written. A store that came back from a copy may lack
+	// versions as long as it has a checkpoint of an earlier timeline.
+	Timeline galenastair.Timeline
 	// Services has the Unix time in seconds at which the last server of a version left; 0 while it has
 	// servers.
 	Services map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int64
@@ -247,13 +250,13 @@
 }
 
 // Observe records the versions of the registered servers. wall is the time of day.
-func (l *VersionLog) Observe(now boottime.Time, wall time.Time, registered map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int) {
+func (l *VersionLog) Observe(now boottime.Time, wall time.Time, registered map[galenastair.ServiceName][]galenastair.SoftwareVersion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for s, versions := range registered {
 		// nobody infers a version of a service of which no list has any
 		isNew := len(l.entries[s]) == 0 && now >= l.soleFrom
-		for version := range versions {
+		for _, version := range versions {
 			e := l.entry(now, s, version)
 			e.goneAt, e.settled = time.Time{}, e.settled || isNew
 		}
@@ -262,7 +265,7 @@
 		for version, e := range versions {
 			e.settled = e.settled || now.Sub(e.listedAt) >= listMaxAge
 			switch {
-			case registered[s][version] > 0:
+			case slices.Contains(registered[s], version):
 			case e.goneAt.IsZero(), e.goneAt.After(wall):
 				e.goneAt = wall
 			case wall.Sub(e.goneAt) > versionMemory:
@@ -285,11 +288,11 @@
 	return out
 }
 
-// Checkpoint returns the versions to store, and false if they are stored already.
-func (l *VersionLog) Checkpoint() (VersionCheckpoint, bool) {
+// Checkpoint returns the versions to store in a timeline, and false if they are stored already.
+func (l *VersionLog) Checkpoint(t galenastair.Timeline) (VersionCheckpoint, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := VersionCheckpoint{map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int64{}}
+	c := VersionCheckpoint{t, map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int64{}}
 	for s, versions := range l.entries {
 		for version, e := range versions {
 			if !e.settled {
@@ -304,7 +307,7 @@
 			}
 		}
 	}
-	return c, !maps.EqualFunc(c.Services, l.stored.Services, maps.Equal)
+	return c, t != l.stored.Timeline || !maps.EqualFunc(c.Services, l.stored.Services, maps.Equal)
 }
 
 // CheckpointStored records that the platform has stored a checkpoint of this term.
--- a/stream/versions_test.go
+++ b/stream/versions_test.go
@@ -13,7 +13,7 @@
 	"galenastair/boottime"
 )
 
-type registered = map[galenastair.ServiceName]map[galenastair.SoftwareVersion]int
+type registered = map[galenastair.ServiceName][]galenastair.SoftwareVersion
 
 var wall = time.Unix(1_000_000, 0)
 
@@ -31,9 +31,9 @@
 func TestStreamsBeginAtAVersionThatIsStored(t *testing.T) {
 	is := is.New(t)
 	l, v := NewVersionLog(), NewVersionView()
-	l.Observe(0, wall, registered{"writer": {"v1": 2}})
-	l.Observe(boottime.Time(listMaxAge), wall, registered{"writer": {"v1": 2}})
-	first, changed := l.Checkpoint()
+	l.Observe(0, wall, registered{"writer": {"v1"}})
+	l.Observe(boottime.Time(listMaxAge), wall, registered{"writer": {"v1"}})
+	first, changed := l.Checkpoint(0)
 	is.True(changed)
 	exchange(v, l, 0)
 	is.True(!v.MayBegin("writer", "v1"))
@@ -42,14 +42,14 @@
 	is.True(v.MayBegin("writer", "v1"))
 	is.True(v.Fresh(1))
 
-	l.Observe(boottime.Time(listMaxAge)+2, wall, registered{"writer": {"v1": 1, "v2": 1}})
-	_, changed = l.Checkpoint()
+	l.Observe(boottime.Time(listMaxAge)+2, wall, registered{"writer": {"v1", "v2"}})
+	_, changed = l.Checkpoint(0)
 	is.True(!changed)
 	exchange(v, l, 2)
 	is.Equal(v.List().Versions("writer"), []galenastair.SoftwareVersion{"v1", "v2"})
 	is.True(!v.MayBegin("writer", "v2"))
-	l.Observe(2+boottime.Time(2*listMaxAge), wall, registered{"writer": {"v2": 1}})
-	second, changed := l.Checkpoint()
+	l.Observe(2+boottime.Time(2*listMaxAge), wall, registered{"writer": {"v2"}})
+	second, changed := l.Checkpoint(0)
 	is.True(changed)
 	l.CheckpointStored(second)
 	exchange(v, l, 3)
@@ -63,21 +63,21 @@
 	is := is.New(t)
 	l := NewVersionLog()
 	for i := range 2 {
-		l.Observe(boottime.Time(i)*boottime.Time(listMaxAge), wall, registered{"writer": {"v1": 2}, "app": {"v7": 1}})
+		l.Observe(boottime.Time(i)*boottime.Time(listMaxAge), wall, registered{"writer": {"v1"}, "app": {"v7"}})
 	}
-	c, changed := l.Checkpoint()
+	c, changed := l.Checkpoint(0)
 	is.True(changed)
 	l.CheckpointStored(c)
 	for i := range 100 {
-		l.Observe(boottime.Time(i)*boottime.Time(time.Minute), wall.Add(time.Duration(i)*time.Minute), registered{"writer": {"v1": 1 + i%2}, "app": {"v7": 1}})
-		_, changed := l.Checkpoint()
+		l.Observe(boottime.Time(i)*boottime.Time(time.Minute), wall.Add(time.Duration(i)*time.Minute), registered{"writer": {"v1"}, "app": {"v7"}})
+		_, changed := l.Checkpoint(0)
 		is.True(!changed)
 	}
 	next := NewVersionLog()
 	next.Reset(0, nil, false)
 	next.Restore(c)
-	next.Observe(0, wall, registered{"writer": {"v1": 2}, "app": {"v7": 1}})
-	_, changed = next.Checkpoint()
+	next.Observe(0, wall, registered{"writer": {"v1"}, "app": {"v7"}})
+	_, changed = next.Checkpoint(0)
 	is.True(!changed)
 }
 
@@ -85,11 +85,11 @@
 func TestVersionWithoutServersIsForgottenLater(t *testing.T) {
 	is := is.New(t)
 	l := NewVersionLog()
-	l.Observe(0, wall, registered{"writer": {"v1": 1}})
-	l.Observe(1, wall, registered{"writer": {"v2": 1}})
-	l.Observe(2, wall.Add(versionMemory), registered{"writer": {"v2": 1}})
+	l.Observe(0, wall, registered{"writer": {"v1"}})
+	l.Observe(1, wall, registered{"writer": {"v2"}})
+	l.Observe(2, wall.Add(versionMemory), registered{"writer": {"v2"}})
 	is.Equal(l.List().Several(), []galenastair.ServiceName{"writer"})
-	l.Observe(3, wall.Add(versionMemory+time.Second), registered{"writer": {"v2": 1}})
+	l.Observe(3, wall.Add(versionMemory+time.Second), registered{"writer": {"v2"}})
 	is.Equal(l.List().Versions("writer"), []galenastair.SoftwareVersion{"v2"})
 }
 
@@ -111,7 +111,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const instances = 3
 		now, stored := boottime.Time(0), VersionCheckpoint{}
-		servers := registered{"writer": {"v1": 1}}
+		servers := registered{"writer": {"v1"}}
 		leader := NewVersionLog()
 		leader.Reset(now, nil, true)
 		var pending *VersionCheckpoint
@@ -127,16 +127,13 @@
 				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
 			case 1:
 				versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]galenastair.SoftwareVersion{"v1", "v2", "v3"}), 1, 2, rapid.ID).Draw(t, "versions")
-				servers = registered{"writer": {}}
-				for _, v := range versions {
-					servers["writer"][v] = 1
-				}
+				servers = registered{"writer": versions}
 			case 2:
 				leader.Observe(now, wall, servers)
 				exchange(views[i], leader, now)
 			case 3:
 				leader.Observe(now, wall, servers)
-				if c, changed := leader.Checkpoint(); changed && pending == nil {
+				if c, changed := leader.Checkpoint(0); changed && pending == nil {
 					pending = &c
 				}
 			case 4:
@@ -162,7 +159,7 @@
 				views[i] = NewVersionView()
 				views[i].Restore(stored.List())
 			case 7:
-				for v := range servers["writer"] {
+				for _, v := range servers["writer"] {
 					if views[i].MayBegin("writer", v) {
 						begun[v] = true
 					}
