--- a/backend.go
+++ b/backend.go
@@ -104,7 +104,9 @@
 	// RateLimit is the number of requests per second that the backend server accepts from
 	// all instances together; 0 if it sent no limit.
 	RateLimit float64
-	Body      io.ReadCloser
+	// CloseDelimited reports whether Body has neither a length nor chunks, and ends with its connection.
+	CloseDelimited bool
+	Body           io.ReadCloser
 }
 
 // Backend sends requests to backend servers. It never retries a request.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -64,6 +64,7 @@
 
 // receive forwards a response. stop ends the watch for silence.
 func (r *activeRequest) receive(ctx context.Context, attempt *pool.Attempt, resp *galenastair.BackendResponse, stop func() bool) error {
+	r.closeDelimited = resp.CloseDelimited
 	if r.wroteHeader && resp.Status/100 != 2 {
 		// If the error body were forwarded, the caller would take its response for complete.
 		attempt.End(r.g.clock.Now(), pool.ServerError)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,6 +50,8 @@
 	lastWriteAt  time.Time
 	longestPause time.Duration
 	events       eventSplitter
+	// closeDelimited reports whether the last response ended with its connection.
+	closeDelimited bool
 	// serverVersion is the software version of the last attempt's server, and streamVersion the one
 	// that sent the first event and must send all others; nil before.
 	serverVersion galenastair.SoftwareVersion
@@ -316,7 +318,7 @@
 		}
 	}
 	r.g.logger.Log("event", event, "request", e.ID, "organisation", e.Organisation, "route", e.Route, "status", e.Status,
-		"code", e.Code, "outcome", e.Outcome, "sends", e.Sends, "runs", r.runs, "first", e.TimeToFirstByte, "total", e.Duration, "pause", r.longestPause,
+		"code", e.Code, "outcome", e.Outcome, "sends", e.Sends, "runs", r.runs, "first", e.TimeToFirstByte, "total", e.Duration, "pause", r.longestPause, "last_event", r.events.lastEventID, "close_delimited", r.closeDelimited,
 		"version", r.admission.version, "age", r.admission.age, "model", r.req.Hints.Model, "tokens", int64(r.req.Hints.PromptTokens+r.req.Hints.OutputTokens), "cause", err)
 }
 
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -39,6 +39,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// CloseDelimited is set if the response has neither a length nor chunks: its body ends where the
+	// connection does.
+	CloseDelimited bool
 }
 
 // maxForeignResponses is the number of responses to other requests after which a
@@ -64,7 +67,8 @@
 		}
 		b := &responseBody{conn: c, resp: resp, stop: stop, ctx: ctx}
 		if accept(resp.Header) {
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
+			delimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, CloseDelimited: delimited}, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes))
 		if err != nil || n == maxForeignBodyBytes || resp.Close {
