--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -160,7 +160,7 @@
 	data, err := json.Marshal(map[string]any{
 		"version": c.version,
 		"routes": []any{
-			route("stream", "/stream/", "stream", "writer", true), route("read", "/read/", "safe", "app", false),
+			route("stream", "/stream/", "stream", "writer", true), route("once-stream", "/once-stream/", "stream", "writer", false), route("read", "/read/", "safe", "app", false),
 			route("bid", "/bid/", "unsafe", "app", false),
 		},
 		"services": []any{
--- a/node/process_test.go
+++ b/node/process_test.go
@@ -20,6 +20,9 @@
 	if data := os.Getenv(processSettings); data != "" {
 		os.Exit(runProcess(data))
 	}
+	if data := os.Getenv(replicaSettings); data != "" {
+		os.Exit(runReplica(data))
+	}
 	os.Exit(m.Run())
 }
 
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -30,6 +30,8 @@
 	DropOrderResponses bool
 	// EventInterval is the delay after each event.
 	EventInterval time.Duration
+	// CloseDelimited sends responses with neither a length nor chunks; they end with their connection.
+	CloseDelimited bool
 	// CrashBody breaks off the response to each request with this body after the header; empty
 	// disables it.
 	CrashBody string
@@ -272,6 +274,10 @@
 	}
 	r.mu.Unlock()
 	w.Header().Set("Galenastair-Server-Signature", "sig."+r.settings.ID)
+	if faults.CloseDelimited {
+		// net/http then omits the chunks
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	switch {
 	case crashes:
 		w.WriteHeader(http.StatusOK)
