--- a/backend.go
+++ b/backend.go
@@ -41,7 +41,9 @@
 	// ExpectedServer is the only backend server that may run the request. Another one that
 	// has taken over the address must decline it.
 	ExpectedServer BackendServerID
-	Organisation   Organisation
+	// Incarnation is the one of ExpectedServer when it was chosen.
+	Incarnation  int64
+	Organisation Organisation
 	// Timeout is the remaining time until the caller's deadline.
 	Timeout time.Duration
 	// Priority orders queued requests; 0 is the highest priority and a negative value means
@@ -83,8 +85,9 @@
 
 // BackendResponse is the header of a backend server's response and a reader of its body.
 // Body returns io.EOF only at the end of the message according to the HTTP framing, and
-// ErrResponseTruncated if the connection ends before. Closing Body early closes the
-// connection, which makes the backend server cancel the request.
+// ErrResponseTruncated if the connection ends before, or if the message ends with it and the
+// backend server no longer runs then. Closing Body early closes the connection, which makes
+// the backend server cancel the request.
 type BackendResponse struct {
 	Status int
 	Header http.Header
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -97,7 +97,7 @@
 
 func (r *activeRequest) backendRequest(choice pool.Choice, query pool.Query, now time.Time) galenastair.BackendRequest {
 	c := r.outgoingRequest(now)
-	c.ExpectedServer = choice.ID
+	c.ExpectedServer, c.Incarnation = choice.ID, choice.Incarnation
 	c.Organisation = r.admission.organisationName()
 	c.ShouldSend = func() bool {
 		now := r.g.clock.Now()
