--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -323,7 +323,7 @@
 
 func (r *activeRequest) finishStream(attempt *pool.Attempt, resp *galenastair.BackendResponse) error {
 	now := r.g.clock.Now()
-	if r.events.hasPartial() {
+	if r.events.insideEvent() {
 		r.events.discardPartial()
 		attempt.End(now, pool.Failed)
 		return eris.Wrap(galenastair.ErrResponseTruncated, "the stream ended inside an event")
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,8 +8,9 @@
 	partial []byte
 	// lastEventID is the id of the last complete event, after which a stream is resumed.
 	lastEventID string
-	// forwardedPart is set once an event has been forwarded in parts.
-	forwardedPart bool
+	// forwardedPart is set once an event has been forwarded in parts, and openEvent until the end of such
+	// an event.
+	forwardedPart, openEvent bool
 	// limit bounds the buffering of one event; 0 is maxEventBytes.
 	limit int
 }
@@ -29,10 +30,13 @@
 	switch {
 	case end > 0:
 		end += searchFrom
+		e.openEvent = false
 	case len(e.partial) < e.maxBytes():
 		return nil
 	default:
-		end, e.forwardedPart = len(e.partial), true
+		// line ends stay, as they may be the start of a blank line
+		end = max(len(bytes.TrimRight(e.partial, "\r\n")), len(e.partial)-maxBlankLine)
+		e.forwardedPart, e.openEvent = true, true
 	}
 	complete := bytes.Clone(e.partial[:end])
 	e.partial = append(e.partial[:0], e.partial[end:]...)
@@ -74,5 +78,7 @@
 // discardPartial discards an incomplete event; a resumed stream repeats it from its start.
 func (e *eventSplitter) discardPartial() { e.partial = e.partial[:0] }
 
-// hasPartial reports whether the buffer holds the start of an event.
-func (e *eventSplitter) hasPartial() bool { return len(bytes.TrimSpace(e.partial)) > 0 }
+// insideEvent reports whether an event has begun and not ended.
+func (e *eventSplitter) insideEvent() bool {
+	return e.openEvent || len(bytes.TrimSpace(e.partial)) > 0
+}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -58,3 +58,28 @@
 	is.Equal(to.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	is.Equal(env.backend.calls[1].LastEventID, "1")
 }
+
+// Guards against a stream that ends inside an event of which a part has been forwarded, and is taken for complete.
+func TestStreamThatEndsInsideALargeEventIsBrokenOff(t *testing.T) {
+	const start = "id: 1\ndata: "
+	large := start + strings.Repeat("a", 2*maxEventBytes-len(start))
+	for name, c := range map[string]struct {
+		body     string
+		complete bool
+	}{
+		"inside the event": {large, false},
+		"after its line":   {large + "\n", false},
+		"after the event":  {large + "\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(respond(200, c.body))
+			to, wroteHeader, err := env.serve(t, "/stream/1")
+			is.True(wroteHeader)
+			is.Equal(err == nil, c.complete)
+			if c.complete {
+				is.Equal(to.body.String(), c.body)
+			}
+		})
+	}
+}
