--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -298,19 +298,23 @@
 			stop()
 			attempt.Started(r.g.clock.Now())
 		}
-		complete := r.events.split(buf[:n])
+		complete, inOrder := r.completeEvents(buf[:n])
 		r.req.Held.Set(membudget.Events, galenastair.Bytes(cap(r.events.partial)+len(complete)))
 		if len(complete) > 0 {
 			if err := r.writeEvents(resp, complete); err != nil {
 				attempt.End(r.g.clock.Now(), pool.Neutral)
 				return errCallerGone
 			}
-			if err == nil && r.shouldMove(r.g.clock.Now(), attempt) {
+			if err == nil && inOrder && r.shouldMove(r.g.clock.Now(), attempt) {
 				r.events.discardPartial()
 				attempt.End(r.g.clock.Now(), pool.Neutral)
 				return errServerEnds
 			}
 		}
+		if !inOrder {
+			attempt.End(r.g.clock.Now(), pool.Failed)
+			return eris.Wrapf(galenastair.ErrInvalidResponse, "the id of the event after %q does not follow it", r.order.lastID)
+		}
 		if errors.Is(err, io.EOF) {
 			return r.finishStream(attempt, resp)
 		}
@@ -321,6 +325,20 @@
 	}
 }
 
+// completeEvents adds bytes of a stream, and returns the events that are complete then. It reports whether all
+// of them follow the ones before; those that do not are dropped.
+func (r *activeRequest) completeEvents(p []byte) (events []byte, inOrder bool) {
+	events = r.events.split(p)
+	if r.events.forwardedPart {
+		return events, true
+	}
+	n := r.order.inOrder(events)
+	if n < len(events) {
+		r.events.rewind(r.order.lastID)
+	}
+	return events[:n], n == len(events)
+}
+
 func (r *activeRequest) finishStream(attempt *pool.Attempt, resp *galenastair.BackendResponse) error {
 	now := r.g.clock.Now()
 	if r.events.insideEvent() {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -75,6 +75,12 @@
 // would send an event again that has no id, or that was forwarded in part.
 func (e *eventSplitter) resumable() bool { return e.lastEventID != "" && !e.forwardedPart }
 
+// rewind drops what follows the event with an id.
+func (e *eventSplitter) rewind(id string) {
+	e.lastEventID = id
+	e.discardPartial()
+}
+
 // discardPartial discards an incomplete event; a resumed stream repeats it from its start.
 func (e *eventSplitter) discardPartial() { e.partial = e.partial[:0] }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,6 +50,7 @@
 	lastWriteAt  time.Time
 	longestPause time.Duration
 	events       eventSplitter
+	order        eventOrder
 	// closeDelimited reports whether the last response ended with its connection.
 	closeDelimited bool
 	// serverVersion is the software version of the last attempt's server, and streamVersion the one
@@ -71,6 +72,7 @@
 // response has begun: it must be aborted instead, so that the caller sees it as truncated.
 func (g *Gateway) Serve(ctx context.Context, req Request, w ResponseWriter) (wroteHeader bool, err error) {
 	r := &activeRequest{g: g, req: req, w: w, startedAt: req.Received, streamVersion: req.Version}
+	r.order.startAfter(req.LastEventID)
 	err = r.serve(ctx)
 	if err != nil {
 		err = r.toRefusal(err)
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -191,3 +191,34 @@
 		})
 	}
 }
+
+// Guards against events that a caller gets twice, as a server that resumes its stream begins too early.
+func TestEventsAreNotRepeatedWhereAStreamIsResumed(t *testing.T) {
+	const first, again, rest = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n"
+	for name, c := range map[string]struct {
+		resumesAfter string
+		scripts      []script
+		want         string
+		complete     bool
+	}{
+		"within one response":           {"", []script{truncate(first), respond(200, again)}, first, false},
+		"by the caller":                 {"2", []script{respond(200, again), respond(200, rest)}, rest, true},
+		"by the caller, from the start": {"2", []script{respond(200, first+rest), respond(200, rest)}, rest, true},
+		"an id that goes back":          {"", []script{respond(200, first+first), respond(200, rest)}, first + rest, true},
+		"ids that are no numbers":       {"", []script{truncate("id: x9\ndata: a\n\n"), respond(200, "id: x10\ndata: b\n\n")}, "id: x9\ndata: a\n\nid: x10\ndata: b\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(c.scripts...)
+			req := testRequest("/stream/1")
+			req.LastEventID = c.resumesAfter
+			to := &recordedResponse{}
+			_, err := env.gateway.Serve(t.Context(), req, to)
+			is.Equal(to.body.String(), c.want)
+			is.Equal(err == nil, c.complete)
+			for _, call := range env.backend.calls[1:] {
+				is.True(call.LastEventID != "3")
+			}
+		})
+	}
+}
