--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -152,7 +152,7 @@
 		minSilence = minStreamSilence
 	}
 	wait := max(minSilence, silenceFactor*choice.PredictedLatency)
-	mayCancel := r.req.Streamed == nil && route.Kind.Retryable() && r.runs+1 < r.maxAttempts() && choice.Candidates > 1 && wait <= r.deadline.Sub(r.g.clock.Now())/2
+	mayCancel := r.req.Streamed == nil && route.Kind.Retryable() && r.runs+1 < r.maxAttempts() && choice.Alternatives > 0 && wait <= r.deadline.Sub(r.g.clock.Now())/2
 	t := time.AfterFunc(wait, func() {
 		if mayCancel {
 			cancel(galenastair.ErrProgressTimeout)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -243,6 +243,27 @@
 	is.Equal(len(env.backend.calls), 1)
 }
 
+// Guards against a read that is given up at the only server that is left, beside servers that leave.
+func TestReadAtTheOnlyServerLeftIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	answer := respond(200, "page")
+	env := newTestEnv(func(ctx context.Context, c galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		select {
+		case <-time.After(2 * minPlainSilence):
+			return answer(ctx, c)
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	})
+	for _, id := range []galenastair.BackendServerID{"ps2", "ps3"} {
+		env.pool.Set(time.Now(), pool.Server{ID: id, Service: "app", Address: string(id), AvailabilityZone: "z1", Slots: 8, Heartbeat: 1, Leaving: true, LeavingSince: time.Now().Add(-time.Minute)})
+	}
+	to, _, err := env.serve(t, "/read/1")
+	is.NoErr(err)
+	is.Equal(to.body.String(), "page")
+	is.Equal(len(env.backend.calls), 1)
+}
+
 // An instance is stopped while a bid waits at a backend server for longer than the shutdown
 // may take. The bid may have run: it is not retried, and the caller gets the outcome Unknown.
 // The attempt does not count as a failure of the server.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -33,8 +33,9 @@
 	QueueTime time.Duration
 	// CachedTokens is the number of prompt tokens that the server probably has cached.
 	CachedTokens galenastair.Tokens
-	// Candidates is the number of servers that were considered.
-	Candidates int
+	// Candidates is the number of servers that were considered, and Alternatives the number of those that
+	// are not withdrawn and were not chosen.
+	Candidates, Alternatives int
 	// Limit is the rate limit that the server has advertised; its PerSecond is 0 if there is none.
 	Limit ratelimit.Limit
 	// RetryAfter is the time until a server accepts requests again, if all refuse them for a while.
@@ -62,6 +63,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates, wait := p.splitRefusing(now, p.candidates(now, &q))
+	staying := p.countStaying(candidates)
 	best, reason := p.best(now, &q, candidates)
 	switch {
 	case best == nil && wait > 0:
@@ -75,6 +77,7 @@
 		QueueTime:        p.queueTime(now, best, &q),
 		CachedTokens:     best.cache.match(q.keys, q.PromptParts),
 		Candidates:       len(candidates),
+		Alternatives:     staying - p.countStaying([]*backend{best}),
 		Limit:            p.limitOf(now, best),
 		Reason:           reason,
 	}, true
@@ -122,6 +125,17 @@
 	return accepting, wait
 }
 
+// countStaying returns how many servers are not withdrawn.
+func (p *Pool) countStaying(servers []*backend) int {
+	n := 0
+	for _, b := range servers {
+		if !p.isWithdrawn(b) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Pool) noneReason(now time.Time, q *Query) string {
 	inService := func(b *backend) bool { return !p.isWithdrawn(b) && p.inRegions(b, q.Regions) }
 	available := func(b *backend) bool { return b.Service == q.Service && !b.isDown(now) && inService(b) }
