--- a/httpserve/serve.go
+++ b/httpserve/serve.go
@@ -27,6 +27,7 @@
 // channel is closed once the server accepts no more connections and has registered every
 // connection that it has accepted.
 func Add(g *run.Group, s *http.Server, l net.Listener) <-chan struct{} {
+	resetTruncated(s)
 	ended, served := make(chan struct{}), make(chan struct{})
 	g.Add(func() error {
 		err := s.Serve(l)
--- a/overload/listener.go
+++ b/overload/listener.go
@@ -42,6 +42,9 @@
 	read       bool
 }
 
+// NetConn returns the accepted connection.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. A connection that is not served looks as if its client had closed it.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.read {
