--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -216,26 +216,28 @@
 	stop func() bool
 	ctx  context.Context
 	done bool
+	// err is the first error of a read; net/http returns io.EOF after it.
+	err error
 }
 
 // Read returns galenastair.ErrResponseTruncated if the body ends before its end by the framing.
 func (b *responseBody) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
+	if b.err != nil {
+		return 0, b.err
 	}
 	n, err := b.resp.Body.Read(p)
 	switch {
 	case err == nil:
-		return n, nil
 	case errors.Is(err, io.EOF):
 		b.done = true
 		b.finish()
-		return n, io.EOF
+		b.err = io.EOF
 	case b.ctx.Err() != nil:
-		return n, context.Cause(b.ctx)
+		b.err = context.Cause(b.ctx)
 	default:
-		return n, eris.Wrapf(galenastair.ErrResponseTruncated, "%v", err)
+		b.err = eris.Wrapf(galenastair.ErrResponseTruncated, "%v", err)
 	}
+	return n, b.err
 }
 
 // finish returns the connection to the pool unless the peer closes it or has sent more bytes.
@@ -253,6 +255,9 @@
 func (b *responseBody) Close() error {
 	if !b.done {
 		b.done = true
+		if b.err == nil {
+			b.err = net.ErrClosed
+		}
 		b.stop()
 		b.conn.Discard()
 	}
