--- a/gateway/order.go
+++ b/gateway/order.go
@@ -22,11 +22,12 @@
 // inOrder returns the length of the events before the first one whose id does not follow the one before.
 func (o *eventOrder) inOrder(events []byte) int {
 	start, offset := 0, 0
+	next := *o
 	for line := range bytes.Lines(events) {
 		offset += len(line)
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			start = offset
+			start, *o = offset, next
 			continue
 		}
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
@@ -38,7 +39,8 @@
 		if err == nil && o.known && n <= o.last {
 			return start
 		}
-		o.last, o.lastID, o.known = n, id, err == nil
+		next = eventOrder{last: n, lastID: id, known: err == nil}
 	}
+	*o = next
 	return len(events)
 }
