--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -328,13 +328,16 @@
 // completeEvents adds bytes of a stream, and returns the events that are complete then. It reports whether all
 // of them follow the ones before; those that do not are dropped.
 func (r *activeRequest) completeEvents(p []byte) (events []byte, inOrder bool) {
+	forwardedPart, insideEvent := r.events.forwardedPart, r.events.openEvent
 	events = r.events.split(p)
-	if r.events.forwardedPart {
+	if insideEvent {
+		// a line may begin in the middle of one
 		return events, true
 	}
 	n := r.order.inOrder(events)
 	if n < len(events) {
 		r.events.rewind(r.order.lastID)
+		r.events.forwardedPart, r.events.openEvent = forwardedPart, false
 	}
 	return events[:n], n == len(events)
 }
