--- a/backend.go
+++ b/backend.go
@@ -41,7 +41,8 @@
 	// ExpectedServer is the only backend server that may run the request. Another one that
 	// has taken over the address must decline it.
 	ExpectedServer BackendServerID
-	// Incarnation is the one of ExpectedServer when it was chosen.
+	// Incarnation is the start of ExpectedServer's process as last registered, as a Unix time in
+	// milliseconds; 0 if it is not known.
 	Incarnation  int64
 	Organisation Organisation
 	// Timeout is the remaining time until the caller's deadline.
@@ -85,9 +86,10 @@
 
 // BackendResponse is the header of a backend server's response and a reader of its body.
 // Body returns io.EOF only at the end of the message according to the HTTP framing, and
-// ErrResponseTruncated if the connection ends before, or if the message ends with it and the
-// backend server no longer runs then. Closing Body early closes the connection, which makes
-// the backend server cancel the request.
+// ErrResponseTruncated if the connection ends before. Where the message ends with its
+// connection, it returns io.EOF only if the backend server is seen to run after that, and
+// ErrEndUnconfirmed beside ErrResponseTruncated otherwise. Closing Body early closes the
+// connection, which makes the backend server cancel the request.
 type BackendResponse struct {
 	Status int
 	Header http.Header
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -278,7 +278,7 @@
 // handleTruncation reports a response that broke off to the pool.
 func (r *activeRequest) handleTruncation(ctx context.Context, attempt *pool.Attempt, err error) error {
 	result := pool.Failed
-	if errors.Is(err, errCallerGone) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), galenastair.ErrProgressTimeout) {
+	if errors.Is(err, errCallerGone) || errors.Is(err, galenastair.ErrEndUnconfirmed) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), galenastair.ErrProgressTimeout) {
 		result = pool.Neutral
 	}
 	attempt.End(r.g.clock.Now(), result)
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -171,3 +174,34 @@
 	env.backend.scripts = append(env.backend.scripts[:len(env.backend.calls)], respond(200, "id: 1\ndata: a\n\n"))
 	is.NoErr(env.serveParts(t, "a", "sound"))
 }
+
+// Guards against sound requests that count as crashes, as their servers ended after the responses, which had
+// neither a length nor chunks.
+func TestUnconfirmedEndIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	unconfirmed := func(context.Context, galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		body := io.MultiReader(strings.NewReader("page"), iotest.ErrReader(fmt.Errorf("%w: %w", galenastair.ErrResponseTruncated, galenastair.ErrEndUnconfirmed)))
+		return &galenastair.BackendResponse{Status: 200, Header: http.Header{}, Body: io.NopCloser(body), CloseDelimited: true}, nil
+	}
+	const requests = 12
+	env := newTestEnv(slices.Repeat([]script{unconfirmed}, 2*requests)...)
+	for range requests {
+		_, _, err := env.serve(t, "/read/1")
+		is.True(errors.Is(err, galenastair.ErrResponseTruncated))
+	}
+	env.backend.scripts = append(env.backend.scripts[:len(env.backend.calls)], respond(200, "page"))
+	_, _, err := env.serve(t, "/read/1")
+	is.NoErr(err)
+}
+
+// Guards against a stream that can't be resumed and is broken off for a Last-Event-Id that means nothing to it.
+func TestLastEventIDOfAStreamThatCannotBeResumedIsIgnored(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(respond(200, "id: 1\ndata: a\n\n"))
+	req := testRequest("/once-stream/1")
+	req.LastEventID = "12"
+	to := &recordedResponse{}
+	_, err := env.gateway.Serve(t.Context(), req, to)
+	is.NoErr(err)
+	is.Equal(to.body.String(), "id: 1\ndata: a\n\n")
+}
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -25,9 +25,13 @@
 }
 
 // recordCrash counts a response that broke off, with or without its header, as a crash under
-// the request. A server that ends when it has announced to has not crashed.
+// the request. A server that ends when it has announced to has not crashed, nor may one have whose response
+// ended with its connection.
 func (r *activeRequest) recordCrash(ctx context.Context, choice pool.Choice, err error) {
-	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) || r.lastAttempt.ServerEnded(r.g.clock.Now()) {
+	if !errors.Is(err, galenastair.ErrResponseTruncated) || errors.Is(err, galenastair.ErrEndUnconfirmed) {
+		return
+	}
+	if ctx.Err() != nil || r.lastAttempt.ServerEnded(r.g.clock.Now()) {
 		return
 	}
 	server := claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -72,7 +72,6 @@
 // response has begun: it must be aborted instead, so that the caller sees it as truncated.
 func (g *Gateway) Serve(ctx context.Context, req Request, w ResponseWriter) (wroteHeader bool, err error) {
 	r := &activeRequest{g: g, req: req, w: w, startedAt: req.Received, streamVersion: req.Version}
-	r.order.startAfter(req.LastEventID)
 	err = r.serve(ctx)
 	if err != nil {
 		err = r.toRefusal(err)
@@ -95,6 +94,9 @@
 	if a.route.Kind.Streamed() && !r.req.Held.AdmitStream() {
 		return galenastair.NewRefusal(galenastair.ErrOverloaded, r.memoryRetryAfter(), "no memory is free for a stream")
 	}
+	if a.route.Kind == catalog.ResumableStream {
+		r.order.startAfter(r.req.LastEventID)
+	}
 	r.service = a.route.PickService(randomFraction())
 	r.digest = claim.DigestOf(a.organisationName(), r.req.Method+" "+r.req.Target, r.identity())
 	if err := r.checkPoison(); err != nil {
--- a/refusal.go
+++ b/refusal.go
@@ -33,8 +33,11 @@
 	ErrPoisonRequest       = eris.New("this request stopped the backend servers that ran it")
 	ErrBackendFailed       = eris.New("the backend server failed")
 	ErrResponseTruncated   = eris.New("the answer was cut before its end")
-	ErrTimeout             = eris.New("the request ran out of time")
-	ErrNoConfiguration     = eris.New("no configuration is in force yet")
+	// ErrEndUnconfirmed comes with ErrResponseTruncated if the answer may be whole: it ended with its
+	// connection, and the backend server was not seen to run after that.
+	ErrEndUnconfirmed  = eris.New("the end of the answer is not confirmed")
+	ErrTimeout         = eris.New("the request ran out of time")
+	ErrNoConfiguration = eris.New("no configuration is in force yet")
 )
 
 // Code identifies a cause in responses to callers and is stable across versions.
