--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -328,6 +328,12 @@
 		attempt.End(now, pool.Failed)
 		return eris.Wrap(galenastair.ErrResponseTruncated, "the stream ended inside an event")
 	}
+	// only a stream that is taken up after its last event has none
+	if resp.CloseDelimited && !r.wroteHeader && r.req.LastEventID == "" {
+		r.events.discardPartial()
+		attempt.End(now, pool.Failed)
+		return eris.Wrap(galenastair.ErrResponseTruncated, "the connection ended before the first event")
+	}
 	attempt.End(now, pool.Succeeded)
 	r.recordCompletion(now)
 	rest := r.events.partial
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -58,3 +58,38 @@
 	is.Equal(to.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	is.Equal(env.backend.calls[1].LastEventID, "1")
 }
+
+// Guards against a 200 without an event that is framed as complete, as its server ended the connection after
+// the head.
+func TestStreamThatEndsWithItsConnectionBeforeTheFirstEventIsTruncated(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	empty := func(delimited bool, body string) script {
+		return func(context.Context, galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+			return &galenastair.BackendResponse{Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), CloseDelimited: delimited}, nil
+		}
+	}
+	for name, c := range map[string]struct {
+		path, lastEventID, sent string
+		delimited, complete     bool
+		body                    string
+	}{
+		"resumable":                  {"/stream/1", "", "", true, true, event},
+		"resumable, blank lines":     {"/stream/1", "", "\n\r\n", true, true, event},
+		"not resumable":              {"/once-stream/1", "", "", true, false, ""},
+		"after the last event":       {"/stream/1", "6", "", true, true, ""},
+		"with a length or chunks":    {"/stream/1", "", "", false, true, ""},
+		"no stream":                  {"/read/1", "", "", true, true, ""},
+		"not resumable, with events": {"/once-stream/1", "", event, true, true, event},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(empty(c.delimited, c.sent), respond(200, event))
+			req, to := testRequest(c.path), &recordedResponse{}
+			req.LastEventID = c.lastEventID
+			wroteHeader, err := env.gateway.Serve(t.Context(), req, to)
+			is.Equal(err == nil, c.complete)
+			is.Equal(wroteHeader, c.complete)
+			is.Equal(to.body.String(), c.body)
+		})
+	}
+}
