--- a/node/truncated_head_test.go
+++ b/node/truncated_head_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"galenastair/standin/replica"
 )
@@ -55,6 +56,12 @@
 	}
 }
 
+func (r *truncatingReplica) setResponse(response string, reset bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.response, r.reset, r.sent = response, reset, map[string]bool{}
+}
+
 func (r *truncatingReplica) hasSent(path string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -62,14 +69,14 @@
 }
 
 // addTruncatingReplica adds a replica that serves instead of all others of its service.
-func (c *cluster) addTruncatingReplica(service, response string, reset bool, models ...string) *truncatingReplica {
+func (c *cluster) addTruncatingReplica(service string, models ...string) *truncatingReplica {
 	for id, other := range c.replicas {
 		if strings.HasPrefix(id, "e") == (service == "writer") {
 			c.removeReplica(id)
 			other.UpdateFaults(func(f *replica.Faults) { f.Decline = true })
 		}
 	}
-	r := &truncatingReplica{response: response, reset: reset, sent: map[string]bool{}}
+	r := &truncatingReplica{}
 	// an instance takes one server that it does not reach for one that has ended, two for a partition
 	for n := range 2 {
 		c.startTruncatingServer(r, replica.Settings{ID: fmt.Sprintf("t%d-%s", n, service), Service: service, Models: models})
@@ -99,45 +106,47 @@
 // Guards against a response that looks complete to the caller, as its server stopped at any byte before its
 // end, also if another instance forwards the request.
 func TestResponseThatEndsAtAnyByteDoesNotLookComplete(t *testing.T) {
-	for name, response := range truncatedResponses {
-		for _, reset := range []bool{false, true} {
-			for _, forwarded := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%s, reset %v, forwarded %v", name, reset, forwarded), func(t *testing.T) {
-					t.Parallel()
-					c := newCluster(t, 2)
-					n := c.nodes[1]
-					replicas := map[string]*truncatingReplica{
-						"/bid/":         c.addTruncatingReplica("app", response, reset),
-						"/once-stream/": c.addTruncatingReplica("writer", response, reset, "m1"),
-					}
-					complete := func() bool {
-						return c.call(n, "/bid/999", "", key).body == truncatedBody && c.call(n, "/once-stream/999", "m1", key).body == truncatedBody
-					}
-					c.waitFor("complete responses", complete)
-					if forwarded {
-						n.links.partition(resetAll)
-						c.waitFor("complete responses", complete)
-					}
-					for prefix, r := range replicas {
-						model := ""
-						if prefix == "/once-stream/" {
-							model = "m1"
-						}
+	t.Parallel()
+	c := newCluster(t, 2)
+	n := c.nodes[1]
+	replicas := map[string]*truncatingReplica{
+		"/bid/":         c.addTruncatingReplica("app"),
+		"/once-stream/": c.addTruncatingReplica("writer", "m1"),
+	}
+	models := map[string]string{"/once-stream/": "m1"}
+	for _, forwarded := range []bool{false, true} {
+		if forwarded {
+			n.links.partition(resetAll)
+		}
+		for prefix, r := range replicas {
+			for name, response := range truncatedResponses {
+				for _, reset := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s%s, reset %v, forwarded %v", prefix, name, reset, forwarded), func(t *testing.T) {
+						r.setResponse(response, reset)
+						c.waitFor("a complete response", func() bool { return c.call(n, prefix+"999", models[prefix], key).body == truncatedBody })
 						for cut := range len(r.responseTo("r10000")) + 1 {
-							target := prefix + strconv.Itoa(cut)
-							c.waitFor("a truncated response", func() bool {
-								id := newAttemptID()
-								got := c.attempt(id, n, target, model, key)
-								whole := r.responseTo(id)
-								if got.status == http.StatusOK && got.err == nil && (got.body != truncatedBody || cut < len(whole)) {
-									t.Errorf("response that ends after %q looks complete: %q", whole[:cut], got.body)
-								}
-								return r.hasSent(target)
-							})
+							c.testTruncatedResponse(t, n, r, prefix+strconv.Itoa(cut), models[prefix], cut)
 						}
-					}
-				})
+					})
+				}
 			}
 		}
 	}
 }
+
+// testTruncatedResponse calls a node until the replica has sent a response, of which cut bytes are left.
+func (c *cluster) testTruncatedResponse(t *testing.T, n *runningNode, r *truncatingReplica, target, model string, cut int) {
+	t.Helper()
+	var got response
+	for began := time.Now(); !r.hasSent(target); time.Sleep(time.Millisecond) {
+		if time.Since(began) > 6*time.Second {
+			t.Fatalf("no request reached the server; the last one got %d %q, %v", got.status, got.body, got.err)
+		}
+		id := newAttemptID()
+		got = c.attempt(id, n, target, model, key)
+		whole := r.responseTo(id)
+		if got.status == http.StatusOK && got.err == nil && (got.body != truncatedBody || cut < len(whole)) {
+			t.Errorf("response that ends after %q looks complete: %q", whole[:cut], got.body)
+		}
+	}
+}
