--- a/service/client.go
+++ b/service/client.go
@@ -50,14 +50,27 @@
 		return galenastair.ServiceResponse{}, eris.Wrapf(galenastair.ErrDeclined, "status %d: %s", resp.StatusCode, detail)
 	}
 	httpclient.RemoveNonForwardedHeaders(resp.Header)
+	body := resp.Body
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && body != http.NoBody {
+		body = httpclient.CloseDelimitedBody(body, func() error { return c.checkRuns(ctx, server) })
+	}
 	return galenastair.ServiceResponse{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
-		Body:          resp.Body,
+		Body:          body,
 		ContentLength: resp.ContentLength,
 	}, nil
 }
 
+// checkRuns returns nil if something listens on the address of a server.
+func (c *Client) checkRuns(ctx context.Context, server string) error {
+	conn, err := c.pool.Transport(server).DialContext(ctx, "tcp", server)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 func newRequest(server string, call galenastair.ServiceRequest) (*http.Request, error) {
 	url := "http://" + server + call.Path
 	if call.Query != "" {
