--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -205,3 +205,24 @@
 	is.NoErr(err)
 	is.Equal(to.body.String(), "id: 1\ndata: a\n\n")
 }
+
+// Guards against a request that crashes each server as it begins, and is never refused, as the responses have
+// neither a length nor chunks.
+func TestUnconfirmedEndBeforeTheFirstEventIsACrash(t *testing.T) {
+	is := is.New(t)
+	crash := func(context.Context, galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		body := iotest.ErrReader(fmt.Errorf("%w: %w", galenastair.ErrResponseTruncated, galenastair.ErrEndUnconfirmed))
+		return &galenastair.BackendResponse{Status: 200, Header: http.Header{}, Body: io.NopCloser(body), CloseDelimited: true}, nil
+	}
+	const requests = 12
+	env := newTestEnv(slices.Repeat([]script{crash}, 2*requests)...)
+	for range requests {
+		_, _, err := env.serve(t, "/stream/1")
+		is.True(err != nil)
+	}
+	is.True(len(env.backend.calls) < 2*requests)
+	sent := len(env.backend.calls)
+	_, _, err := env.serve(t, "/stream/1")
+	is.True(err != nil)
+	is.Equal(len(env.backend.calls), sent)
+}
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -25,13 +25,14 @@
 }
 
 // recordCrash counts a response that broke off, with or without its header, as a crash under
-// the request. A server that ends when it has announced to has not crashed, nor may one have whose response
-// ended with its connection.
+// the request. A server that ends when it has announced to has not crashed, nor may one have that sent
+// something before its connection ended.
 func (r *activeRequest) recordCrash(ctx context.Context, choice pool.Choice, err error) {
-	if !errors.Is(err, galenastair.ErrResponseTruncated) || errors.Is(err, galenastair.ErrEndUnconfirmed) {
+	sentSome := !r.admission.route.Kind.Streamed() || r.attemptWrites > 0
+	if errors.Is(err, galenastair.ErrEndUnconfirmed) && sentSome {
 		return
 	}
-	if ctx.Err() != nil || r.lastAttempt.ServerEnded(r.g.clock.Now()) {
+	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) || r.lastAttempt.ServerEnded(r.g.clock.Now()) {
 		return
 	}
 	server := claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
