--- a/claim/poison.go
+++ b/claim/poison.go
@@ -26,12 +26,22 @@
 // ServerProcess identifies one process of a backend server, from its start to its end.
 type ServerProcess string
 
-// Crash is a backend server's failure to complete a response. Server is empty if unknown.
+// completedServer stands for the server in the announcement of a completion. The name of a process has an "@".
+const completedServer ServerProcess = "completed"
+
+// Crash is a backend server's failure to complete a response, or the completion of the request, which
+// clears its crashes. Server is empty if unknown.
 type Crash struct {
 	Digest Digest
 	Server ServerProcess
 }
 
+// Clearance returns the announcement that a request was completed.
+func Clearance(d Digest) Crash { return Crash{d, completedServer} }
+
+// IsClear reports whether the request was completed.
+func (c Crash) IsClear() bool { return c.Server == completedServer }
+
 // PoisonTracker counts the backend servers that crashed while they ran a request, by the
 // digest of the request, and refuses a request that has crashed too many.
 type PoisonTracker struct {
@@ -76,7 +86,8 @@
 }
 
 // NewPoisonTracker returns an empty PoisonTracker. It calls announce, if not nil, with each crash
-// that this instance is the first to record, to be passed on to all instances.
+// that this instance is the first to record, and each completion that clears crashes, to be passed
+// on to all instances.
 func NewPoisonTracker(announce func(Crash), opts ...PoisonOption) *PoisonTracker {
 	if announce == nil {
 		announce = func(Crash) {}
@@ -117,20 +128,32 @@
 }
 
 // RecordSuccess records that a backend server has completed the request, and reports whether crashes were
-// known, which no longer count.
+// known, which no longer count on any instance.
 func (p *PoisonTracker) RecordSuccess(now time.Time, d Digest) (cleared bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, cleared = p.crashes[d]
+	cleared = p.clear(now, d)
+	p.mu.Unlock()
+	if cleared {
+		p.announce(Clearance(d))
+	}
+	return cleared
+}
+
+func (p *PoisonTracker) clear(now time.Time, d Digest) bool {
+	_, known := p.crashes[d]
 	delete(p.crashes, d)
 	p.completed.add(now, d)
-	return cleared
+	return known
 }
 
-// RecordRemoteCrash counts a crash that another instance announced.
+// RecordRemoteCrash counts a crash, or applies a clearance, that another instance announced.
 func (p *PoisonTracker) RecordRemoteCrash(now time.Time, c Crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.IsClear() {
+		p.clear(now, c.Digest)
+		return
+	}
 	p.add(now, c)
 }
 
--- a/claim/poison_test.go
+++ b/claim/poison_test.go
@@ -38,6 +38,22 @@
 	is.NoErr(p.Allow(now.Add(window/2+refusalDuration), "d"))
 }
 
+// Guards against a sound request that is refused as unrelated crashes add up at instances that did not complete it.
+func TestCompletionClearsCrashesOnAllInstances(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	there := NewPoisonTracker(nil, WithCrashLimit(3))
+	here := NewPoisonTracker(func(c Crash) { there.RecordRemoteCrash(now, c) }, WithCrashLimit(3))
+	for n := range 10 {
+		now = now.Add(time.Minute)
+		here.RecordCrash(now, Crash{"d", processNumber(2 * n)})
+		here.RecordCrash(now, Crash{"d", processNumber(2*n + 1)})
+		is.NoErr(there.Allow(now, "d"))
+		is.True(here.RecordSuccess(now, "d"))
+		is.True(!here.RecordSuccess(now, "d"))
+	}
+}
+
 // Guards against the refusal of a request that is repeated all the time and was running on each server
 // that failed in an outage.
 func TestRequestThatServersCompleteIsNotBlamedForAnOutage(t *testing.T) {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -308,7 +308,7 @@
 	}
 	for _, crash := range u.Crashes {
 		c.poisonTracker.RecordRemoteCrash(now, crash)
-		c.logger.Log("event", "remote crash", "digest", crash.Digest, "server", crash.Server)
+		c.logger.Log("event", "remote crash", "digest", crash.Digest, "server", crash.Server, "cleared", crash.IsClear())
 	}
 	for _, e := range u.PartEvents {
 		c.partTracker.Apply(now, e)
--- a/planner/crashes.go
+++ b/planner/crashes.go
@@ -23,8 +23,14 @@
 // addCrashes adds the crashes of a report that are not being announced yet.
 func (p *Planner) addCrashes(now time.Time, r Report) {
 	for _, c := range r.Crashes {
-		known := func(o crashReport) bool { return o.Crash == c && c.Server != "" }
-		if len(p.crashes) >= maxCrashReports || slices.ContainsFunc(p.crashes, known) {
+		if p.knowsCrash(c) {
+			continue
+		}
+		if c.IsClear() {
+			// the crashes before are void
+			p.crashes = slices.DeleteFunc(p.crashes, func(o crashReport) bool { return o.Digest == c.Digest })
+		}
+		if len(p.crashes) >= maxCrashReports {
 			continue
 		}
 		p.lastChange++
@@ -32,6 +38,16 @@
 	}
 }
 
+// knowsCrash reports whether a crash is being announced, or a request was cleared after its last crash.
+func (p *Planner) knowsCrash(c claim.Crash) bool {
+	for i := len(p.crashes) - 1; i >= 0; i-- {
+		if o := p.crashes[i]; o.Digest == c.Digest && (c.IsClear() || o.Server == c.Server) {
+			return o.Server == c.Server && c.Server != ""
+		}
+	}
+	return false
+}
+
 // crashesSince returns the crashes that an instance has not received yet.
 func (p *Planner) crashesSince(now time.Time, r Report) []claim.Crash {
 	var out []claim.Crash
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -434,3 +434,24 @@
 	is.Equal(late.Crashes, []claim.Crash{crash})
 	is.Equal(len(exchange(Report{Instance: "b", LastChange: late.LastChange}).Crashes), 0)
 }
+
+// Guards against crashes that count for an instance after the request has been completed, and against one
+// announcement for each instance that completes it.
+func TestCompletionsThatClearCrashesAreAnnouncedOnce(t *testing.T) {
+	is := is.New(t)
+	p := &Planner{refused: func(time.Time) []claim.Crash { return nil }}
+	now := time.Unix(1000, 0)
+	report := func(from galenastair.InstanceID, crashes ...claim.Crash) {
+		p.addCrashes(now, Report{Instance: from, Crashes: crashes})
+	}
+	crash := func(s claim.ServerProcess) claim.Crash { return claim.Crash{Digest: "d", Server: s} }
+	other, clearance := claim.Crash{Digest: "e", Server: "s1@1"}, claim.Clearance("d")
+	report("a", crash("s1@1"), other, crash("s2@1"))
+	report("b", crash("s1@1"), clearance)
+	report("c", clearance)
+	report("c", crash("s3@1"))
+	is.Equal(p.crashesSince(now, Report{Instance: "d"}), []claim.Crash{other, clearance, crash("s3@1")})
+	report("a", clearance)
+	is.Equal(p.crashesSince(now, Report{Instance: "d"}), []claim.Crash{other, clearance})
+	is.Equal(p.crashesSince(now, Report{Instance: "a"}), []claim.Crash(nil))
+}
