--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -38,6 +38,46 @@
 	b.ReportMetric(float64(proto.Size(m)), "bytes/message")
 }
 
+// BenchmarkCrashMemory reports the memory of a request and of a prompt part that have crashed servers, the
+// difference between full and half-full trackers.
+func BenchmarkCrashMemory(b *testing.B) {
+	now := time.Unix(1000, 0)
+	server := func(i int) ServerProcess { return ServerProcess(fmt.Sprintf("i-%010x@%d", i, 1)) }
+	poison := func(requests, crashes int) float64 {
+		before := heap()
+		p := NewPoisonTracker(nil, WithCrashLimit(3))
+		for i := range requests {
+			d := DigestOf("Furnir", "/bids", fmt.Append(nil, i))
+			for n := range crashes {
+				p.RecordRemoteCrash(now, Crash{d, server(8*i + n)})
+			}
+		}
+		after := heap()
+		runtime.KeepAlive(p)
+		return float64(after) - float64(before)
+	}
+	parts := func(parts, crashes int) float64 {
+		before := heap()
+		p := NewPartTracker(nil)
+		for i := range parts {
+			for n := range crashes {
+				p.Apply(now, PartEvent{Part(i), server(64*i + n), now})
+			}
+		}
+		after := heap()
+		runtime.KeepAlive(p)
+		return float64(after) - float64(before)
+	}
+	for b.Loop() {
+		for _, n := range []int{1, 3} {
+			b.ReportMetric((poison(4096, n)-poison(2048, n))/2048, fmt.Sprintf("bytes/request-of-%d", n))
+		}
+		for _, n := range []int{1, 4, 64} {
+			b.ReportMetric((parts(4096, n)-parts(2048, n))/2048, fmt.Sprintf("bytes/part-of-%d", n))
+		}
+	}
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/claim/part.go
+++ b/claim/part.go
@@ -50,12 +50,7 @@
 }
 
 // expired reports whether the record has ended.
-func (r *partRecord) expired(now time.Time, threshold int, window time.Duration) bool {
-	if r.suspect(threshold) {
-		window = refusalDuration
-	}
-	return now.Sub(r.lastAt) >= window
-}
+func (r *partRecord) expired(now time.Time) bool { return now.Sub(r.lastAt) >= refusalDuration }
 
 // unexplainedBy returns the number of servers that have not crashed under another part.
 func (r *partRecord) unexplainedBy(o *partRecord) int {
--- a/claim/parts.go
+++ b/claim/parts.go
@@ -24,20 +24,19 @@
 // of them are alike. A part is suspected once several servers have crashed under it, on any instance,
 // while no request with it was completed.
 type PartTracker struct {
-	mu             sync.Mutex
-	records        map[Part]*partRecord
-	announce       func(PartEvent)
-	threshold      int
-	countingWindow time.Duration
+	mu        sync.Mutex
+	records   map[Part]*partRecord
+	announce  func(PartEvent)
+	threshold int
 }
 
 // NewPartTracker returns an empty PartTracker. It calls announce with each event that all instances have to
-// know. Crashes count together that follow each other within the window.
-func NewPartTracker(announce func(PartEvent), window time.Duration) *PartTracker {
+// know.
+func NewPartTracker(announce func(PartEvent)) *PartTracker {
 	if announce == nil {
 		announce = func(PartEvent) {}
 	}
-	return &PartTracker{records: map[Part]*partRecord{}, announce: announce, threshold: defaultMaxPartCrashes, countingWindow: window}
+	return &PartTracker{records: map[Part]*partRecord{}, announce: announce, threshold: defaultMaxPartCrashes}
 }
 
 // Allow returns a refusal if one of the parts crashes servers.
@@ -54,7 +53,7 @@
 
 func (p *PartTracker) suspected(now time.Time, part Part) bool {
 	r := p.records[part]
-	return r != nil && r.suspect(p.threshold) && !r.expired(now, p.threshold, p.countingWindow)
+	return r != nil && r.suspect(p.threshold) && !r.expired(now)
 }
 
 // explained reports whether a suspected part that a request lacks may be the cause of the crashes under
@@ -98,7 +97,7 @@
 		delete(p.records, e.Part)
 		return r != nil
 	}
-	if r == nil || r.expired(now, p.threshold, p.countingWindow) {
+	if r == nil || r.expired(now) {
 		p.makeRoom(now)
 		r = &partRecord{}
 		p.records[e.Part] = r
@@ -113,7 +112,7 @@
 	}
 	var oldest Part
 	for part, r := range p.records {
-		if r.expired(now, p.threshold, p.countingWindow) {
+		if r.expired(now) {
 			delete(p.records, part)
 			continue
 		}
--- a/claim/parts_test.go
+++ b/claim/parts_test.go
@@ -31,7 +31,7 @@
 // Guards against the refusal of requests that shared a part, or a server, with the ones that crash it.
 func TestOnlyThePartThatCrashesServersIsRefused(t *testing.T) {
 	is := is.New(t)
-	p := NewPartTracker(nil, time.Minute)
+	p := NewPartTracker(nil)
 	now := crashRepeatedly(p, time.Unix(1000, 0), 0, 7, shared, deadly)
 	crashRepeatedly(p, time.Unix(1000, 0), 0, 4, shared, rare)
 	is.True(p.Allow(now, []Part{shared, deadly}) != nil)
@@ -46,7 +46,7 @@
 // Guards against a part that is never refused, as another one crashes servers too.
 func TestTwoPartsThatCrashServersAreRefused(t *testing.T) {
 	is := is.New(t)
-	p := NewPartTracker(nil, time.Minute)
+	p := NewPartTracker(nil)
 	now := crashRepeatedly(p, time.Unix(1000, 0), 0, 5, shared, deadly)
 	crashRepeatedly(p, time.Unix(1000, 0), 10, 5, shared, rare)
 	p.RecordSuccess(now, []Part{shared})
@@ -58,7 +58,7 @@
 // Guards against the refusal of a part that many requests share, because many servers were lost at once.
 func TestPartIsNotBlamedForALossOfManyServers(t *testing.T) {
 	is := is.New(t)
-	p := NewPartTracker(nil, time.Minute)
+	p := NewPartTracker(nil)
 	now := time.Unix(1000, 0)
 	for n := range 10 {
 		p.RecordCrash(now.Add(time.Duration(n)*10*time.Millisecond), []Part{shared}, processNumber(n))
@@ -72,7 +72,7 @@
 // Guards against one server that fails on and on, and makes a sound part look as if it crashed many.
 func TestCrashesOfOneServerCountOncePerPart(t *testing.T) {
 	is := is.New(t)
-	p := NewPartTracker(nil, time.Minute)
+	p := NewPartTracker(nil)
 	now := time.Unix(1000, 0)
 	for n := range 10 {
 		p.RecordCrash(now.Add(time.Duration(n)*time.Second), []Part{shared}, processNumber(1))
@@ -84,9 +84,9 @@
 func TestSuspicionIsHandedOver(t *testing.T) {
 	is := is.New(t)
 	var announced []PartEvent
-	p := NewPartTracker(func(e PartEvent) { announced = append(announced, e) }, 20*time.Second)
+	p := NewPartTracker(func(e PartEvent) { announced = append(announced, e) })
 	now := crashRepeatedly(p, time.Unix(1000, 0), 0, 5, deadly)
-	told, restored := NewPartTracker(nil, 20*time.Second), NewPartTracker(nil, 20*time.Second)
+	told, restored := NewPartTracker(nil), NewPartTracker(nil)
 	for _, e := range announced {
 		told.Apply(now, e)
 	}
@@ -101,10 +101,25 @@
 	is.NoErr(told.Allow(now, []Part{deadly}))
 }
 
+// Guards against a count that starts anew, so that a part that comes seldom crashes one server after the other.
+func TestCrashesFarApartCountTogetherForAPart(t *testing.T) {
+	is := is.New(t)
+	p := NewPartTracker(nil)
+	now := time.Unix(1000, 0)
+	for n := range defaultMaxPartCrashes {
+		is.NoErr(p.Allow(now, []Part{deadly}))
+		p.RecordCrash(now, []Part{shared, deadly}, processNumber(n))
+		p.RecordSuccess(now, []Part{shared})
+		now = now.Add(refusalDuration - 1)
+	}
+	is.True(p.Allow(now, []Part{deadly}) != nil)
+	is.NoErr(p.Allow(now, []Part{shared}))
+}
+
 // Guards against a memory that grows with the parts of the requests that were lost.
 func TestPartsAreBounded(t *testing.T) {
 	is := is.New(t)
-	p := NewPartTracker(nil, time.Minute)
+	p := NewPartTracker(nil)
 	now := time.Unix(1000, 0)
 	for n := range 2 * maxPoisonEntries {
 		p.RecordCrash(now, []Part{Part(n + 10)}, processNumber(n))
--- a/claim/poison.go
+++ b/claim/poison.go
@@ -17,6 +17,7 @@
 	defaultMaxCrashes = 2
 	// refusalDuration is how long a request is refused. It is long enough for a caller's
 	// retries to end and short enough for the request to be served soon after the model is fixed.
+	// Crashes count for as long, as a request that crashes servers may come seldom.
 	refusalDuration = 10 * time.Minute
 	// maxPoisonEntries bounds the tracker's memory to less than 3 MB when an organisation
 	// keeps sending different requests, also ones that crash backend servers.
@@ -45,12 +46,11 @@
 // PoisonTracker counts the backend servers that crashed while they ran a request, by the
 // digest of the request, and refuses a request that has crashed too many.
 type PoisonTracker struct {
-	mu             sync.Mutex
-	crashes        map[Digest]crashRecord
-	announce       func(Crash)
-	maxCrashes     int
-	countingWindow time.Duration
-	completed      completions
+	mu         sync.Mutex
+	crashes    map[Digest]crashRecord
+	announce   func(Crash)
+	maxCrashes int
+	completed  completions
 }
 
 // PoisonOption configures a PoisonTracker.
@@ -60,16 +60,16 @@
 // break without a crash, a higher limit prevents the refusal of valid requests.
 func WithCrashLimit(n int) PoisonOption { return func(p *PoisonTracker) { p.maxCrashes = n } }
 
-// WithCountingWindow sets the time after a crash within which the next one of the same request
-// must occur to count together with it. The default is the duration of a refusal.
-func WithCountingWindow(d time.Duration) PoisonOption {
-	return func(p *PoisonTracker) { p.countingWindow = d }
+// WithCompletionWindow sets the time after a completion within which crashes of the same request
+// must span some time to count. The default is the duration of a refusal.
+func WithCompletionWindow(d time.Duration) PoisonOption {
+	return func(p *PoisonTracker) { p.completed.window = d }
 }
 
 // crashRecord holds the crashes of a request since it was last completed.
 type crashRecord struct {
 	servers []ServerProcess
-	// completedLately reports that the request was completed within the counting window before.
+	// completedLately reports that the request was completed within the completion window before.
 	completedLately bool
 	// firstAt and lastAt are the times of the first and the last crash.
 	firstAt, lastAt time.Time
@@ -92,11 +92,10 @@
 	if announce == nil {
 		announce = func(Crash) {}
 	}
-	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, countingWindow: refusalDuration}
+	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, completed: completions{window: refusalDuration}}
 	for _, o := range opts {
 		o(p)
 	}
-	p.completed.window = p.countingWindow
 	return p
 }
 
@@ -189,7 +188,8 @@
 func (p *PoisonTracker) add(now time.Time, c Crash) bool {
 	s := p.crashes[c.Digest]
 	completedLately := p.completed.contains(now, c.Digest)
-	if !now.Before(s.expiresAt) || s.completedLately && !completedLately && !s.refused(now, p.maxCrashes) {
+	outage := len(s.servers) >= p.maxCrashes && !s.refused(now, p.maxCrashes)
+	if !now.Before(s.expiresAt) || outage && !completedLately {
 		s = crashRecord{firstAt: now, completedLately: completedLately}
 	}
 	if c.Server != "" && slices.Contains(s.servers, c.Server) {
@@ -202,10 +202,7 @@
 		s.servers = append(s.servers, c.Server)
 	}
 	s.lastAt = now
-	s.expiresAt = now.Add(p.countingWindow)
-	if len(s.servers) >= p.maxCrashes {
-		s.expiresAt = now.Add(refusalDuration)
-	}
+	s.expiresAt = now.Add(refusalDuration)
 	p.crashes[c.Digest] = s
 	return true
 }
--- a/claim/poison_test.go
+++ b/claim/poison_test.go
@@ -24,18 +24,24 @@
 	is.True(p.Allow(now, "d") != nil)
 }
 
-// Guards against a request that crashes further servers each time its refusal has ended.
-func TestRefusalOutlastsTheCountingWindow(t *testing.T) {
-	is := is.New(t)
-	const window = 20 * time.Second
-	now := time.Unix(1000, 0)
-	p := NewPoisonTracker(nil, WithCrashLimit(2), WithCountingWindow(window))
-	is.True(p.RecordCrash(now, Crash{"d", "s1@1"}))
-	now = now.Add(window)
-	is.True(p.RecordCrash(now, Crash{"d", "s2@1"}))
-	is.True(!p.RecordCrash(now.Add(window/2), Crash{"d", "s3@1"}))
-	is.True(p.Allow(now.Add(2*window), "d") != nil)
-	is.NoErr(p.Allow(now.Add(window/2+refusalDuration), "d"))
+// Guards against a count that starts anew, so that a request that comes seldom crashes one server after the other.
+func TestCrashesFarApartCountTogether(t *testing.T) {
+	for name, completedBefore := range map[string]bool{"never completed": false, "completed before": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			p := NewPoisonTracker(nil, WithCrashLimit(3), WithCompletionWindow(20*time.Second))
+			if completedBefore {
+				p.RecordSuccess(now, "d")
+			}
+			is.True(p.RecordCrash(now.Add(time.Second), Crash{"d", "s1@1"}))
+			is.True(p.RecordCrash(now.Add(2*time.Second), Crash{"d", "s2@1"}))
+			last := now.Add(refusalDuration)
+			is.True(!p.RecordCrash(last, Crash{"d", "s3@1"}))
+			is.True(p.Allow(last.Add(refusalDuration-1), "d") != nil)
+			is.NoErr(p.Allow(last.Add(refusalDuration), "d"))
+		})
+	}
 }
 
 // Guards against a sound request that is refused as unrelated crashes add up at instances that did not complete it.
@@ -60,7 +66,7 @@
 	is := is.New(t)
 	const window = 20 * time.Second
 	now := time.Unix(1000, 0)
-	p := NewPoisonTracker(nil, WithCrashLimit(3), WithCountingWindow(window))
+	p := NewPoisonTracker(nil, WithCrashLimit(3), WithCompletionWindow(window))
 	p.RecordSuccess(now, "hot")
 	outage := now.Add(window - 1)
 	for _, server := range []ServerProcess{"s1@1", "s2@1", "s3@1"} {
@@ -84,7 +90,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1000, 0)
-			p := NewPoisonTracker(nil, WithCrashLimit(3), WithCountingWindow(20*time.Second))
+			p := NewPoisonTracker(nil, WithCrashLimit(3), WithCompletionWindow(20*time.Second))
 			p.RecordSuccess(now, "d")
 			for _, server := range []ServerProcess{"s1@1", "s2@1", "s3@1"} {
 				now = now.Add(time.Second)
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -241,7 +241,7 @@
 	}, Dependencies{
 		CatalogSource: env.catalogSource, Pool: env.pool, Backend: env.backend, Peers: env.peers, PeerBackend: env.peerBackend, Quota: env.quota, Placement: env.placement, Limiter: env.limiter, Streams: env.streams,
 		Poison: claim.NewPoisonTracker(nil, claim.WithCrashLimit(3)),
-		Parts:  claim.NewPartTracker(nil, 20*time.Second),
+		Parts:  claim.NewPartTracker(nil),
 	})
 	return env
 }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -103,8 +103,8 @@
 		demands:       map[galenastair.ModelName]time.Duration{},
 		topics:        n.topics,
 	}
-	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCountingWindow(poisonWindow))
-	c.partTracker = claim.NewPartTracker(c.announcePart, poisonWindow)
+	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCompletionWindow(completionWindow))
+	c.partTracker = claim.NewPartTracker(c.announcePart)
 	return c
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -40,10 +40,10 @@
 	// requestTransitTime is the maximum time from the choice of a leaving server to the arrival
 	// of the request there.
 	requestTransitTime = 600 * time.Millisecond
-	// A request that has crashed poisonThreshold backend servers, each within poisonWindow after
-	// the one before, is refused.
-	poisonThreshold = 3
-	poisonWindow    = 20 * time.Second
+	// A request that has crashed poisonThreshold backend servers is refused. The crashes of one that was
+	// completed within completionWindow before must span some time.
+	poisonThreshold  = 3
+	completionWindow = 20 * time.Second
 )
 
 // Node is one instance on a platform that brings its own store.
