--- a/claim/parts.go
+++ b/claim/parts.go
@@ -105,7 +105,8 @@
 	return r.add(e)
 }
 
-// makeRoom removes expired records or, if there are none, the one with the oldest crash.
+// makeRoom removes expired records or, if there are none, the one with the oldest crash of those with the
+// fewest.
 func (p *PartTracker) makeRoom(now time.Time) {
 	if len(p.records) < maxPoisonEntries {
 		return
@@ -116,7 +117,7 @@
 			delete(p.records, part)
 			continue
 		}
-		if o := p.records[oldest]; o == nil || r.lastAt.Before(o.lastAt) {
+		if o := p.records[oldest]; o == nil || cmp.Or(cmp.Compare(len(r.servers), len(o.servers)), r.lastAt.Compare(o.lastAt)) < 0 {
 			oldest = part
 		}
 	}
--- a/claim/poison.go
+++ b/claim/poison.go
@@ -207,7 +207,8 @@
 	return true
 }
 
-// evict removes expired entries, or if there are none, the entry that expires first.
+// evict removes expired entries, or if there are none, the one that expires first of those with the fewest
+// crashes.
 func (p *PoisonTracker) evict(now time.Time) {
 	var first Digest
 	for d, s := range p.crashes {
@@ -215,7 +216,8 @@
 			delete(p.crashes, d)
 			continue
 		}
-		if first == "" || s.expiresAt.Before(p.crashes[first].expiresAt) {
+		f := p.crashes[first]
+		if first == "" || cmp.Or(cmp.Compare(len(s.servers), len(f.servers)), s.expiresAt.Compare(f.expiresAt)) < 0 {
 			first = d
 		}
 	}
--- a/claim/poison_test.go
+++ b/claim/poison_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// Guards against a flood of requests that were lost with a server, which makes a request be forgotten that has crashed several.
+func TestRequestsWithFewestCrashesAreEvictedFirst(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := NewPoisonTracker(nil, WithCrashLimit(3))
+	p.RecordCrash(now, Crash{"d", "s1@1"})
+	p.RecordCrash(now, Crash{"d", "s2@1"})
+	for n := range 2 * maxPoisonEntries {
+		p.RecordCrash(now.Add(time.Second), Crash{Digest(fmt.Sprint(n)), "s3@1"})
+	}
+	is.True(len(p.crashes) <= maxPoisonEntries)
+	is.True(!p.RecordCrash(now.Add(2*time.Second), Crash{"d", "s4@1"}))
+}
+
 // Guards against the refusal of a request that is repeated all the time and was running on each server
 // that failed in an outage.
 func TestRequestThatServersCompleteIsNotBlamedForAnOutage(t *testing.T) {
