--- a/claim/poison.go
+++ b/claim/poison.go
@@ -17,6 +17,7 @@
 	defaultMaxCrashes = 2
 	// refusalDuration is how long a request is refused. It is long enough for a caller's
 	// retries to end and short enough for the request to be served soon after the model is fixed.
+	// Crashes count for as long, as a request that crashes servers may come seldom.
 	refusalDuration = 10 * time.Minute
 	// maxPoisonEntries bounds the tracker's memory to less than 3 MB when an organisation
 	// keeps sending different requests, also ones that crash backend servers.
@@ -26,21 +27,30 @@
 // ServerProcess identifies one process of a backend server, from its start to its end.
 type ServerProcess string
 
-// Crash is a backend server's failure to complete a response. Server is empty if unknown.
+// completedServer stands for the server in the announcement of a completion. The name of a process has an "@".
+const completedServer ServerProcess = "completed"
+
+// Crash is a backend server's failure to complete a response, or the completion of the request, which
+// clears its crashes. Server is empty if unknown.
 type Crash struct {
 	Digest Digest
 	Server ServerProcess
 }
 
+// Clearance returns the announcement that a request was completed.
+func Clearance(d Digest) Crash { return Crash{d, completedServer} }
+
+// IsClear reports whether the request was completed.
+func (c Crash) IsClear() bool { return c.Server == completedServer }
+
 // PoisonTracker counts the backend servers that crashed while they ran a request, by the
 // digest of the request, and refuses a request that has crashed too many.
 type PoisonTracker struct {
-	mu             sync.Mutex
-	crashes        map[Digest]crashRecord
-	announce       func(Crash)
-	maxCrashes     int
-	countingWindow time.Duration
-	completed      completions
+	mu         sync.Mutex
+	crashes    map[Digest]crashRecord
+	announce   func(Crash)
+	maxCrashes int
+	completed  completions
 }
 
 // PoisonOption configures a PoisonTracker.
@@ -50,16 +60,16 @@
 // break without a crash, a higher limit prevents the refusal of valid requests.
 func WithCrashLimit(n int) PoisonOption { return func(p *PoisonTracker) { p.maxCrashes = n } }
 
-// WithCountingWindow sets the time after a crash within which the next one of the same request
-// must occur to count together with it. The default is the duration of a refusal.
-func WithCountingWindow(d time.Duration) PoisonOption {
-	return func(p *PoisonTracker) { p.countingWindow = d }
+// WithCompletionWindow sets the time after a completion within which crashes of the same request
+// must span some time to count. The default is the duration of a refusal.
+func WithCompletionWindow(d time.Duration) PoisonOption {
+	return func(p *PoisonTracker) { p.completed.window = d }
 }
 
 // crashRecord holds the crashes of a request since it was last completed.
 type crashRecord struct {
 	servers []ServerProcess
-	// completedLately reports that the request was completed within the counting window before.
+	// completedLately reports that the request was completed within the completion window before.
 	completedLately bool
 	// firstAt and lastAt are the times of the first and the last crash.
 	firstAt, lastAt time.Time
@@ -76,16 +86,16 @@
 }
 
 // NewPoisonTracker returns an empty PoisonTracker. It calls announce, if not nil, with each crash
-// that this instance is the first to record, to be passed on to all instances.
+// that this instance is the first to record, and each completion that clears crashes, to be passed
+// on to all instances.
 func NewPoisonTracker(announce func(Crash), opts ...PoisonOption) *PoisonTracker {
 	if announce == nil {
 		announce = func(Crash) {}
 	}
-	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, countingWindow: refusalDuration}
+	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, completed: completions{window: refusalDuration}}
 	for _, o := range opts {
 		o(p)
 	}
-	p.completed.window = p.countingWindow
 	return p
 }
 
@@ -117,20 +127,32 @@
 }
 
 // RecordSuccess records that a backend server has completed the request, and reports whether crashes were
-// known, which no longer count.
+// known, which no longer count on any instance.
 func (p *PoisonTracker) RecordSuccess(now time.Time, d Digest) (cleared bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, cleared = p.crashes[d]
+	cleared = p.clear(now, d)
+	p.mu.Unlock()
+	if cleared {
+		p.announce(Clearance(d))
+	}
+	return cleared
+}
+
+func (p *PoisonTracker) clear(now time.Time, d Digest) bool {
+	_, known := p.crashes[d]
 	delete(p.crashes, d)
 	p.completed.add(now, d)
-	return cleared
+	return known
 }
 
-// RecordRemoteCrash counts a crash that another instance announced.
+// RecordRemoteCrash counts a crash, or applies a clearance, that another instance announced.
 func (p *PoisonTracker) RecordRemoteCrash(now time.Time, c Crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.IsClear() {
+		p.clear(now, c.Digest)
+		return
+	}
 	p.add(now, c)
 }
 
@@ -166,7 +188,8 @@
 func (p *PoisonTracker) add(now time.Time, c Crash) bool {
 	s := p.crashes[c.Digest]
 	completedLately := p.completed.contains(now, c.Digest)
-	if !now.Before(s.expiresAt) || s.completedLately && !completedLately && !s.refused(now, p.maxCrashes) {
+	outage := len(s.servers) >= p.maxCrashes && !s.refused(now, p.maxCrashes)
+	if !now.Before(s.expiresAt) || outage && !completedLately {
 		s = crashRecord{firstAt: now, completedLately: completedLately}
 	}
 	if c.Server != "" && slices.Contains(s.servers, c.Server) {
@@ -179,15 +202,13 @@
 		s.servers = append(s.servers, c.Server)
 	}
 	s.lastAt = now
-	s.expiresAt = now.Add(p.countingWindow)
-	if len(s.servers) >= p.maxCrashes {
-		s.expiresAt = now.Add(refusalDuration)
-	}
+	s.expiresAt = now.Add(refusalDuration)
 	p.crashes[c.Digest] = s
 	return true
 }
 
-// evict removes expired entries, or if there are none, the entry that expires first.
+// evict removes expired entries, or if there are none, the one that expires first of those with the fewest
+// crashes.
 func (p *PoisonTracker) evict(now time.Time) {
 	var first Digest
 	for d, s := range p.crashes {
@@ -195,7 +216,8 @@
 			delete(p.crashes, d)
 			continue
 		}
-		if first == "" || s.expiresAt.Before(p.crashes[first].expiresAt) {
+		f := p.crashes[first]
+		if first == "" || cmp.Or(cmp.Compare(len(s.servers), len(f.servers)), s.expiresAt.Compare(f.expiresAt)) < 0 {
 			first = d
 		}
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -103,8 +103,8 @@
 		demands:       map[galenastair.ModelName]time.Duration{},
 		topics:        n.topics,
 	}
-	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCountingWindow(poisonWindow))
-	c.partTracker = claim.NewPartTracker(c.announcePart, poisonWindow)
+	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCompletionWindow(completionWindow))
+	c.partTracker = claim.NewPartTracker(c.announcePart)
 	return c
 }
 
@@ -308,7 +308,7 @@
 	}
 	for _, crash := range u.Crashes {
 		c.poisonTracker.RecordRemoteCrash(now, crash)
-		c.logger.Log("event", "remote crash", "digest", crash.Digest, "server", crash.Server)
+		c.logger.Log("event", "remote crash", "digest", crash.Digest, "server", crash.Server, "cleared", crash.IsClear())
 	}
 	for _, e := range u.PartEvents {
 		c.partTracker.Apply(now, e)
