--- a/node/process_replica_test.go
+++ b/node/process_replica_test.go
@@ -1,11 +1,17 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
+	"sync"
+	"syscall"
 	"time"
 
 	"galenastair/standin/replica"
@@ -19,19 +25,59 @@
 	replica.Settings
 	EventInterval  time.Duration
 	CloseDelimited bool
+	SendLength     bool
+	// CloseEach closes each connection after one response.
+	CloseEach bool
 }
 
-// runReplica serves until the process is killed.
+// runReplica serves until the process is killed or, at SIGTERM, until the current responses have ended.
+// SIGUSR1 has it reset all connections.
 func runReplica(data string) int {
 	var s processReplicaSettings
 	if err := json.Unmarshal([]byte(data), &s); err != nil {
 		return 2
 	}
+	if s.Label != "" {
+		s.Label = fmt.Sprintf("%s@%s/%d", s.ID, s.Version, os.Getpid())
+	}
 	r := replica.New(s.Settings)
-	r.UpdateFaults(func(f *replica.Faults) { f.EventInterval, f.CloseDelimited = s.EventInterval, s.CloseDelimited })
-	if err := http.ListenAndServe(s.Address, r.Handler()); err != nil {
+	r.UpdateFaults(func(f *replica.Faults) {
+		f.EventInterval, f.CloseDelimited, f.SendLength = s.EventInterval, s.CloseDelimited, s.SendLength
+	})
+	var conns sync.Map
+	server := &http.Server{Addr: s.Address, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if s.CloseEach {
+			w.Header().Set("Connection", "close")
+		}
+		r.Handler().ServeHTTP(w, req)
+	}), ConnState: func(c net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			conns.Store(c, true)
+		case http.StateClosed:
+			conns.Delete(c)
+		}
+	}}
+	stopped := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1)
+	go func() {
+		defer close(stopped)
+		for sig := range signals {
+			if sig == syscall.SIGTERM {
+				_ = server.Shutdown(context.Background())
+				return
+			}
+			for c := range conns.Range {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.(*net.TCPConn).Close()
+			}
+		}
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 		return 1
 	}
+	<-stopped
 	return 0
 }
 
@@ -42,11 +88,14 @@
 	command  *exec.Cmd
 }
 
-// startReplica starts a replica of the service writer that holds m1, and registers it.
+// startReplica starts a replica and registers it. It is one of the service writer that holds m1, unless the
+// settings name another service.
 func (c *cluster) startReplica(s processReplicaSettings) *replicaProcess {
 	c.t.Helper()
-	s.Service, s.Address, s.Zone, s.Slots = "writer", freeAddress(c.t), "z1", 64
-	s.MaxModels, s.MaxAdapters, s.Models = 3, 2, []string{"m1"}
+	s.Address, s.Zone, s.Slots = freeAddress(c.t), "z1", 64
+	if s.Service == "" {
+		s.Service, s.MaxModels, s.MaxAdapters, s.Models = "writer", 3, 2, []string{"m1"}
+	}
 	p := &replicaProcess{c: c, settings: s}
 	p.start()
 	c.t.Cleanup(p.kill)
@@ -79,10 +128,13 @@
 }
 
 // kill kills the process, which then registers no more. Its last registration stays.
-func (p *replicaProcess) kill() {
+func (p *replicaProcess) kill() { p.stop(syscall.SIGKILL) }
+
+// stop ends the process by a signal. It then registers no more; its last registration stays.
+func (p *replicaProcess) stop(sig syscall.Signal) {
 	p.c.mu.Lock()
 	delete(p.c.registered, p.settings.ID)
 	p.c.mu.Unlock()
-	_ = p.command.Process.Kill()
+	_ = p.command.Process.Signal(sig)
 	_ = p.command.Wait()
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -32,6 +32,8 @@
 	EventInterval time.Duration
 	// CloseDelimited sends responses with neither a length nor chunks; they end with their connection.
 	CloseDelimited bool
+	// SendLength sends the length of a body of pieces.
+	SendLength bool
 	// CrashBody breaks off the response to each request with this body after the header; empty
 	// disables it.
 	CrashBody string
@@ -96,6 +98,11 @@
 	Models      []string
 	// EventsPerStream is the number of events of a stream.
 	EventsPerStream int
+	// Label is added to each piece of a response, with the number of the run and the ID of the request.
+	// With it, responses of a plain service consist of pieces, too.
+	Label string
+	// PaddingBytes is the length of the padding of pieces that have a label.
+	PaddingBytes int
 }
 
 // Replica is a fake backend server.
@@ -267,6 +274,7 @@
 		StartedAt:    time.Now(),
 	}
 	r.runs = append(r.runs, run)
+	number := len(r.runs)
 	crashes := faults.CrashBody != "" && faults.CrashBody == run.Body
 	if run.hasPart(faults.CrashPart) {
 		crashes = true
@@ -290,8 +298,8 @@
 		panic(http.ErrAbortHandler)
 	case faults.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
-	case model != "":
-		r.stream(w, req, run, faults)
+	case model != "" || r.settings.Label != "":
+		r.stream(w, req, run, number, faults)
 	default:
 		fmt.Fprintf(w, "answer of %s to %s", r.settings.ID, req.RequestURI)
 	}
@@ -314,9 +322,24 @@
 	run.Canceled = true
 }
 
-func (r *Replica) stream(w http.ResponseWriter, req *http.Request, run *Run, faults Faults) {
+// piece returns one event of the response to a run.
+func (r *Replica) piece(n int, run *Run, number int) string {
+	if r.settings.Label == "" {
+		return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s/%d for %s %s\n\n", n, n, r.settings.Label, number, run.ID, strings.Repeat(".", r.settings.PaddingBytes))
+}
+
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, run *Run, number int, faults Faults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(run.LastEventID)
+	if faults.SendLength {
+		length := 0
+		for n := first + 1; n <= r.settings.EventsPerStream; n++ {
+			length += len(r.piece(n, run, number))
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
 	flusher := http.NewResponseController(w)
 	for n := first + 1; n <= r.settings.EventsPerStream; n++ {
 		if faults.CutAfter > 0 && n-first > faults.CutAfter {
@@ -324,7 +347,7 @@
 			_ = flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+		_, _ = w.Write([]byte(r.piece(n, run, number)))
 		_ = flusher.Flush()
 		select {
 		case <-req.Context().Done():
