--- a/relay/link.go
+++ b/relay/link.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -16,9 +18,10 @@
 	blackholed atomic.Bool
 }
 
-// copy forwards data in one direction until either end closes. A black-holed connection
-// stays open at both ends, so that neither the client nor the server notices.
+// copy forwards data in one direction until either end closes, and forwards a reset as one. A black-holed
+// connection stays open at both ends, so that neither the client nor the server notices.
 func (c *proxiedConn) copy(to, from net.Conn) error {
+	end := c.close
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buf)
@@ -26,10 +29,14 @@
 			time.Sleep(c.relay.currentDelay())
 			c.relay.forwardedBytes.Add(int64(n))
 			if _, err := to.Write(buf[:n]); err != nil {
+				end = c.reset
 				break
 			}
 		}
 		if err != nil {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+				end = c.reset
+			}
 			break
 		}
 	}
@@ -37,10 +44,20 @@
 		_ = from.Close()
 		return nil
 	}
-	c.close()
+	end()
 	return nil
 }
 
+// reset closes both ends in such a way that neither takes what it has received for complete.
+func (c *proxiedConn) reset() {
+	for _, conn := range []net.Conn{c.downstream, c.upstream} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	c.close()
+}
+
 func (c *proxiedConn) close() {
 	_ = c.downstream.Close()
 	_ = c.upstream.Close()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -122,10 +122,10 @@
 	return r.delay
 }
 
-// CloseConns closes the open connections.
+// CloseConns resets the open connections.
 func (r *Relay) CloseConns() {
 	for _, c := range r.openConns() {
-		c.close()
+		c.reset()
 	}
 }
 
