--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -203,6 +203,7 @@
 	c.started++
 	return settings.Gateway{
 		ID: galenastair.InstanceID(fmt.Sprintf("n%d", c.started)), Region: "r", AvailabilityZone: "z1",
+		Zones:         map[galenastair.AvailabilityZone]galenastair.Region{"z1": "r", "z2": "r2"},
 		CallerAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t), MetricsAddress: freeAddress(c.t),
 		StoreAddress: c.address, MemoryLimit: 1 << 30, Load: c.load,
 		Bounds: settings.Bounds{KeyLife: 5 * time.Second, StopTimeout: 8 * time.Second, ApplyTimeout: 2 * time.Second, LeaveTimeout: 2 * time.Second, FencesChecked: true,
@@ -210,8 +211,9 @@
 	}
 }
 
-func (c *cluster) startNode() *runningNode {
-	s := c.newSettings()
+func (c *cluster) startNode() *runningNode { return c.startNodeWith(c.newSettings()) }
+
+func (c *cluster) startNodeWith(s settings.Gateway) *runningNode {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.t.Context()))
 	r := &runningNode{settings: s, links: newServerLinks(len(c.nodes)), stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- New(s, WithBackendDialer(r.links.dial)).Run(ctx) }()
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -171,6 +171,7 @@
 	if len(update.StreamRecorders) > 0 {
 		c.streams.outbox.SetRecorders(time.Now(), update.StreamRecorders)
 	}
+	c.streams.otherRecorders.Store(&update.OtherRecorders)
 	c.applyUpdate(update)
 	c.applyOwners(update, sent)
 	if !update.LeaseExpired {
--- a/node/recorders.go
+++ b/node/recorders.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,6 +37,32 @@
 	zoneRank int
 }
 
+// otherRecorderCount is the number of recorders of each other region that an instance asks, so that one of
+// them may fail.
+const otherRecorderCount = 2
+
+// otherRecorders returns recorders of the regions that an availability zone is not in. An instance that is
+// a recorder of several regions is named once.
+func (d *instanceDirectory) otherRecorders(now boottime.Time, zone galenastair.AvailabilityZone) []string {
+	own := d.recorders(now, zone)
+	seen := map[galenastair.Region]bool{d.regions[zone]: true}
+	var out []string
+	for _, other := range slices.Sorted(maps.Keys(d.regions)) {
+		region := d.regions[other]
+		if seen[region] {
+			continue
+		}
+		seen[region] = true
+		named := d.recorders(now, other)
+		for _, address := range named[:min(otherRecorderCount, len(named))] {
+			if !slices.Contains(own, address) && !slices.Contains(out, address) {
+				out = append(out, address)
+			}
+		}
+	}
+	return out
+}
+
 // recorders returns the instances that keep where the streams of a region began: the same ones from call
 // to call as long as they report, in as many availability zones as possible.
 func (d *instanceDirectory) recorders(now boottime.Time, zone galenastair.AvailabilityZone) []string {
--- a/node/recorders_test.go
+++ b/node/recorders_test.go
@@ -47,3 +47,25 @@
 	is.Equal(flushInterval(25), 500*time.Millisecond)
 	is.Equal(flushInterval(370), maxFlushInterval)
 }
+
+// Guards against an instance that asks no recorder of another region, or asks an instance twice.
+func TestOtherRecordersAreOfEachOtherRegion(t *testing.T) {
+	is := is.New(t)
+	d := &instanceDirectory{regions: map[galenastair.AvailabilityZone]galenastair.Region{"a": "r1", "b": "r1", "c": "r2", "d": "r3", "e": "r4"}}
+	now := boottime.Time(time.Hour)
+	for i := range 20 {
+		zone := []galenastair.AvailabilityZone{"a", "b", "c", "d"}[i%4]
+		d.record(now, planner.Report{Address: fmt.Sprintf("%s%d", zone, i), Zone: zone})
+	}
+	named := d.otherRecorders(now, "a")
+	for _, zone := range []galenastair.AvailabilityZone{"c", "d"} {
+		for _, address := range d.recorders(now, zone)[:otherRecorderCount] {
+			is.True(slices.Contains(named, address))
+		}
+	}
+	for _, address := range d.recorders(now, "a") {
+		is.True(!slices.Contains(named, address))
+	}
+	is.Equal(len(slices.Compact(slices.Sorted(slices.Values(named)))), len(named))
+	is.Equal(d.otherRecorders(now, "b"), named)
+}
--- a/node/streams.go
+++ b/node/streams.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -36,6 +37,8 @@
 	table       *stream.Table
 	outbox      *stream.Outbox
 	journal     *streamJournal
+	// otherRecorders are those of other regions, while a service has several software versions.
+	otherRecorders atomic.Pointer[[]string]
 	// added is signalled when the outbox gets a record.
 	added    chan struct{}
 	client   *planning.Client
@@ -141,10 +144,20 @@
 		answers = append(answers, others...)
 	}
 	origin, err := stream.Resolve(service, answers, complete)
+	othersComplete := true
+	if err != nil && id != "" {
+		var others []stream.Answer
+		others, othersComplete = s.askOtherRegions(ctx, stream.KeyOf(id), service)
+		answers = append(answers, others...)
+		origin, err = stream.Resolve(service, answers, complete)
+	}
 	if err != nil && complete && !stream.Fresh(answers) {
 		answers = append(answers, s.storedVersions(ctx, service))
 		origin, err = stream.Resolve(service, answers, complete)
 	}
+	if errors.Is(err, stream.ErrUnknown) && !othersComplete {
+		err = stream.ErrPending
+	}
 	return origin, err
 }
 
@@ -158,15 +171,36 @@
 	return stream.Answer{Versions: list.Versions(service), Fresh: true}
 }
 
-// askRecorders returns the answers of the recorders, and whether all of them have answered. It returns as
-// soon as one of them knows the stream.
+// askRecorders asks the recorders of this region.
 func (s *streamOrigins) askRecorders(ctx context.Context, k stream.Key, service galenastair.ServiceName) ([]stream.Answer, bool) {
-	recorders, complete := s.outbox.Recorders()
-	recorders = slices.DeleteFunc(recorders, func(address string) bool { return address == s.self })
+	recorders, named := s.outbox.Recorders()
+	answers, complete := s.ask(ctx, recorders, k, service)
+	return answers, complete && named
+}
+
+// askOtherRegions asks recorders of other regions. Those that have not read the store yet count as missing.
+// Loaded is cleared in the answers, as another region's store topic tells nothing of this region's streams.
+func (s *streamOrigins) askOtherRegions(ctx context.Context, k stream.Key, service galenastair.ServiceName) ([]stream.Answer, bool) {
+	recorders := s.otherRecorders.Load()
+	if recorders == nil {
+		return nil, true
+	}
+	answers, complete := s.ask(ctx, *recorders, k, service)
+	for i := range answers {
+		complete = complete && answers[i].Loaded
+		answers[i].Loaded = false
+	}
+	return answers, complete
+}
+
+// ask asks other instances, and reports whether all have answered. It returns as soon as one of them knows
+// the stream.
+func (s *streamOrigins) ask(ctx context.Context, instances []string, k stream.Key, service galenastair.ServiceName) ([]stream.Answer, bool) {
+	instances = slices.DeleteFunc(slices.Clone(instances), func(address string) bool { return address == s.self })
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan *stream.Answer, len(recorders))
-	for _, address := range recorders {
+	results := make(chan *stream.Answer, len(instances))
+	for _, address := range instances {
 		go func() {
 			a, err := s.client.StreamOrigin(ctx, address, k, service)
 			if err != nil {
@@ -177,7 +211,8 @@
 		}()
 	}
 	var answers []stream.Answer
-	for range recorders {
+	complete := true
+	for range instances {
 		a := <-results
 		if a == nil {
 			complete = false
--- a/node/versions.go
+++ b/node/versions.go
@@ -27,6 +27,8 @@
 	view *stream.VersionView
 	// registered returns the versions of the registered servers, false before they are known.
 	registered func() (map[galenastair.ServiceName][]galenastair.SoftwareVersion, bool)
+	// otherRecorders returns recorders of the regions that an availability zone is not in.
+	otherRecorders func(boottime.Time, galenastair.AvailabilityZone) []string
 	// timeline returns the newest timeline of the store that this instance knows of.
 	timeline func() galenastair.Timeline
 	logger   log.Logger
@@ -91,9 +93,10 @@
 			_, known := n.serverWatcher.follower.Age()
 			return n.pool.SoftwareVersions(), known
 		},
-		timeline: n.storeTimeline,
-		logger:   n.logger,
-		store:    n.store,
+		otherRecorders: n.directory.otherRecorders,
+		timeline:       n.storeTimeline,
+		logger:         n.logger,
+		store:          n.store,
 	}
 }
 
@@ -129,6 +132,9 @@
 	if u.VersionDigest != r.VersionDigest {
 		u.Versions = list
 	}
+	if len(list.Several()) > 0 {
+		u.OtherRecorders = v.otherRecorders(boottime.Now(), r.Zone)
+	}
 }
 
 // apply applies the leader's reply to an exchange that was sent at a time.
--- a/peer/planning/client.go
+++ b/peer/planning/client.go
@@ -161,6 +161,7 @@
 	out := planner.Update{LeaseExpired: r.Lapsed, QuotaAllocation: decodeAllocation(r), Loads: decodeKeyedLoads(r), LastChange: r.Newest}
 	out.Limits, out.Index, out.ForwardTo = decodeLimits(r.Limits), int(r.Index), decodeForwardTargets(r.ForwardTo)
 	out.StreamRecorders, out.Speeds = r.StreamRecorders, decodeSpeeds(r)
+	out.OtherRecorders = r.OtherRecorders
 	out.VersionDigest, out.Versions = stream.VersionDigest(r.VersionsDigest), decodeVersions(r.Versions)
 	for _, l := range r.Loans {
 		out.Loans = append(out.Loans, quota.LoanRequest{Organisation: galenastair.Organisation(l.Organisation), Amount: l.Amount})
--- a/peer/planning/server.go
+++ b/peer/planning/server.go
@@ -87,7 +87,7 @@
 	out := &planningpb.ExchangeReply{Holds: true, Lapsed: n.LeaseExpired, Newest: n.LastChange}
 	encodeKeyedLoads(out, n.Loads)
 	out.Limits, out.Index, out.ForwardTo = encodeLimits(n.Limits), uint32(n.Index), encodeForwardTargets(n.ForwardTo)
-	out.StreamRecorders = n.StreamRecorders
+	out.StreamRecorders, out.OtherRecorders = n.StreamRecorders, n.OtherRecorders
 	encodeSpeeds(out, n.Speeds)
 	out.VersionsDigest, out.Versions = uint64(n.VersionDigest), encodeVersions(n.Versions)
 	out.Renewal, out.RenewalAgeMs = int64(n.Renewal.Offset), uint32(n.Renewal.Age.Milliseconds())
--- a/peer/planning/streams_test.go
+++ b/peer/planning/streams_test.go
@@ -1,6 +1,7 @@
 package planning
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,8 @@
 
 	"galenastair"
 	"galenastair/claim"
+	"galenastair/peer/planningpb"
+	"galenastair/planner"
 	"galenastair/stream"
 )
 
@@ -69,3 +72,20 @@
 	_, err = UnmarshalStreams([]byte{255})
 	is.True(err != nil)
 }
+
+// Guards against recorders of other regions that are lost on the way, or that grow a leader's replies much.
+func TestOtherRecordersArriveAsSent(t *testing.T) {
+	is := is.New(t)
+	empty := proto.Size(encodeUpdate(planner.Update{}))
+	for _, regions := range []int{1, 2, 7} {
+		var sent []string
+		for i := range 2 * (regions - 1) {
+			sent = append(sent, fmt.Sprintf("10.100.200.%d:10000", 100+i))
+		}
+		reply := encodeUpdate(planner.Update{OtherRecorders: sent})
+		is.Equal(decodeUpdate(reply).OtherRecorders, sent)
+		t.Logf("%d regions: %d bytes a reply, %d a question", regions, proto.Size(reply)-empty,
+			proto.Size(&planningpb.StreamQuery{Key: 1<<64 - 1, Service: "text-writer"})+proto.Size(&planningpb.StreamAnswer{Service: "text-writer", Version: "v1.1", Versions: []string{"v1", "v1.1"}, Fresh: true, Loaded: true}))
+		is.True(proto.Size(reply)-empty <= 24*len(sent))
+	}
+}
--- a/planner/message.go
+++ b/planner/message.go
@@ -96,6 +96,8 @@
 	ForwardTo map[galenastair.ServiceName][]string
 	// StreamRecorders are the peer addresses of the instances that keep where streams began.
 	StreamRecorders []string
+	// OtherRecorders are those of other regions, while a service has several software versions.
+	OtherRecorders []string
 	// Speeds are the speed factors of backend servers that have changed.
 	Speeds speed.Update
 	// VersionDigest is the digest of the list of software versions, and Versions is the list if the
