--- a/node/process_replica_test.go
+++ b/node/process_replica_test.go
@@ -93,7 +93,7 @@
 func (c *cluster) startReplica(s processReplicaSettings) *replicaProcess {
 	c.t.Helper()
 	s.Address, s.Zone, s.Slots = freeAddress(c.t), "z1", 64
-	if s.Service == "" {
+	if s.Service == "" || s.Service == "writer" {
 		s.Service, s.MaxModels, s.MaxAdapters, s.Models = "writer", 3, 2, []string{"m1"}
 	}
 	p := &replicaProcess{c: c, settings: s}
