--- a/node/resume_test.go
+++ b/node/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -171,3 +172,37 @@
 		is.Equal(status, http.StatusServiceUnavailable)
 	}
 }
+
+// Guards against a resumed stream that lacks events, or holds some twice, while its first attempt is still
+// being written.
+func TestStreamIsResumedWhileItsFirstAttemptIsWritten(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newVersionedCluster(t, 2)
+	for range resumedStreams {
+		first := newAttemptID()
+		resp, err := http.DefaultClient.Do(c.streamRequest(first, c.nodes[0]))
+		is.NoErr(err)
+		begun := bufio.NewReader(resp.Body)
+		_, err = begun.ReadString('\n')
+		is.NoErr(err)
+		second := newAttemptID()
+		req := c.streamRequest(second, c.nodes[1])
+		req.Header.Set("Last-Event-Id", "1")
+		req.Header.Set("Resumes", first)
+		var body string
+		c.waitFor("the stream to go on", func() bool {
+			var complete bool
+			body, complete = readStream(req.Clone(req.Context()))
+			req.Body, _ = req.GetBody()
+			return complete
+		})
+		_, rest, _ := strings.Cut(completeStream, "\n\n")
+		is.Equal(body, rest)
+		rest2, err := io.ReadAll(begun)
+		resp.Body.Close()
+		is.NoErr(err)
+		is.Equal("id: 1\n"+string(rest2), completeStream)
+		is.Equal(len(c.versionsOf(func(r replica.Run) bool { return r.ID == first || r.ID == second })), 1)
+	}
+}
