--- a/backend.go
+++ b/backend.go
@@ -42,8 +42,10 @@
 	// has taken over the address must decline it.
 	ExpectedServer BackendServerID
 	// Incarnation is the one of ExpectedServer when it was chosen.
-	Incarnation  int64
-	Organisation Organisation
+	Incarnation int64
+	// CheckIncarnation has the request sent only on a connection to that incarnation.
+	CheckIncarnation bool
+	Organisation     Organisation
 	// Timeout is the remaining time until the caller's deadline.
 	Timeout time.Duration
 	// Priority orders queued requests; 0 is the highest priority and a negative value means
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"galenastair"
+	"galenastair/catalog"
 	"galenastair/membudget"
 	"galenastair/pool"
 )
@@ -98,6 +99,8 @@
 func (r *activeRequest) backendRequest(choice pool.Choice, query pool.Query, now time.Time) galenastair.BackendRequest {
 	c := r.outgoingRequest(now)
 	c.ExpectedServer, c.Incarnation = choice.ID, choice.Incarnation
+	// a process that has replaced the registered one may be of another software version
+	c.CheckIncarnation = r.admission.route.Kind == catalog.ResumableStream
 	c.Organisation = r.admission.organisationName()
 	c.ShouldSend = func() bool {
 		now := r.g.clock.Now()
--- a/httpconn/client.go
+++ b/httpconn/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -86,6 +87,8 @@
 	reader  *bufio.Reader
 	// Reused is set if the connection has carried a request before.
 	Reused bool
+	// Incarnation is the start time of the process at the other end, 0 if it has not been asked.
+	Incarnation atomic.Int64
 	// broken is set if a request could not be written completely.
 	broken      bool
 	expiresAt   time.Time
--- a/node/process_replica_test.go
+++ b/node/process_replica_test.go
@@ -54,6 +54,8 @@
 }
 
 func (p *replicaProcess) start() {
+	// the process reports the same start as the registration
+	p.settings.StartedAtMillis = time.Now().UnixMilli()
 	data, err := json.Marshal(p.settings)
 	if err != nil {
 		p.c.t.Fatal(err)
--- a/standin/replica/order.go
+++ b/standin/replica/order.go
@@ -107,7 +107,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.loadedModels(), "busy": false, "sequence": r.sequence, "coming": []string{}})
+	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.loadedModels(), "busy": false, "sequence": r.sequence, "coming": []string{}, "born": r.startedAtMillis})
 }
 
 // RegistrationTopic is the topic of the store that holds the registrations of replicas.
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -96,6 +96,8 @@
 	Models      []string
 	// EventsPerStream is the number of events of a stream.
 	EventsPerStream int
+	// StartedAtMillis is the Unix time at which the replica started; now if it is 0.
+	StartedAtMillis int64
 }
 
 // Replica is a fake backend server.
@@ -121,7 +123,10 @@
 	if s.Version == "" {
 		s.Version = "v1"
 	}
-	r := &Replica{settings: s, startedAtMillis: time.Now().UnixMilli(), models: map[string]map[string]bool{}}
+	if s.StartedAtMillis == 0 {
+		s.StartedAtMillis = time.Now().UnixMilli()
+	}
+	r := &Replica{settings: s, startedAtMillis: s.StartedAtMillis, models: map[string]map[string]bool{}}
 	for _, m := range s.Models {
 		r.models[m] = map[string]bool{}
 	}
