--- a/backend.go
+++ b/backend.go
@@ -43,8 +43,10 @@
 	ExpectedServer BackendServerID
 	// Incarnation is the start of ExpectedServer's process as last registered, as a Unix time in
 	// milliseconds; 0 if it is not known.
-	Incarnation  int64
-	Organisation Organisation
+	Incarnation int64
+	// CheckIncarnation has the request sent only on a connection to that incarnation.
+	CheckIncarnation bool
+	Organisation     Organisation
 	// Timeout is the remaining time until the caller's deadline.
 	Timeout time.Duration
 	// Priority orders queued requests; 0 is the highest priority and a negative value means
