--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -226,3 +226,17 @@
 	is.True(err != nil)
 	is.Equal(len(env.backend.calls), sent)
 }
+
+// Guards against a stream that can't be resumed and goes on at another server, as the error that ended it says
+// that nothing was sent.
+func TestBegunStreamThatCannotBeResumedIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(func(context.Context, galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		body := io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), iotest.ErrReader(fmt.Errorf("%w: %w", galenastair.ErrResponseTruncated, galenastair.ErrNotSent)))
+		return &galenastair.BackendResponse{Status: 200, Header: http.Header{}, Body: io.NopCloser(body)}, nil
+	}, respond(200, "id: 2\ndata: b\n\n"))
+	_, wroteHeader, err := env.serve(t, "/once-stream/1")
+	is.True(wroteHeader)
+	is.True(err != nil)
+	is.Equal(len(env.backend.calls), 1)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -188,11 +188,11 @@
 	}
 	kind := r.admission.route.Kind
 	clean := errors.Is(err, galenastair.ErrNotSent) || errors.Is(err, galenastair.ErrDeclined)
-	if r.wroteHeader && !r.events.resumable() {
+	if r.wroteHeader && (kind != catalog.ResumableStream || !r.events.resumable()) {
 		return err
 	}
 	if !clean {
-		if !kind.Retryable() || r.wroteHeader && kind != catalog.ResumableStream {
+		if !kind.Retryable() {
 			return err
 		}
 		if r.runs >= r.maxAttempts() {
--- a/httpclient/delimited.go
+++ b/httpclient/delimited.go
@@ -38,7 +38,8 @@
 	}
 	b.err = io.EOF
 	if err := b.confirmRunning(); err != nil {
-		b.err = fmt.Errorf("%w: %w: %w", galenastair.ErrResponseTruncated, galenastair.ErrEndUnconfirmed, err)
+		// err may wrap ErrNotSent, which holds for the call to the server and not for the request
+		b.err = fmt.Errorf("%w: %w: %s", galenastair.ErrResponseTruncated, galenastair.ErrEndUnconfirmed, err.Error())
 		if b.ctx.Err() != nil {
 			b.err = context.Cause(b.ctx)
 		}
