gateway: log whether a crash counts for a request's parts, and what clears them

The record of a request with a part that crashes servers doesn't tell why its crashes don't add up: a crash line has no word on what it was counted for, an end that is not confirmed has no crash line at all, and a completion that clears parts is only seen as the remote crash of other instances. The crash line now has counted (no, request or parts) and answered, for how long events had been sent, also for ends that are not confirmed; crashes cleared has the parts. No decision changes; go test ./gateway ./claim passes.

--- a/claim/parts.go
+++ b/claim/parts.go
@@ -78,14 +78,17 @@
 	}
 }
 
-// RecordSuccess clears the parts of a request that a server has completed.
-func (p *PartTracker) RecordSuccess(now time.Time, parts []Part) {
+// RecordSuccess clears the parts of a request that a server has completed, and reports whether crashes were
+// known under any of them.
+func (p *PartTracker) RecordSuccess(now time.Time, parts []Part) (cleared bool) {
 	for _, part := range parts {
 		e := PartEvent{Part: part, At: now}
 		if p.Apply(now, e) {
+			cleared = true
 			p.announce(e)
 		}
 	}
+	return cleared
 }
 
 // Apply applies an event of this or another instance, and reports whether it was news.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 
 	"galenastair"
 	"galenastair/catalog"
+	"galenastair/claim"
 	"galenastair/membudget"
 	"galenastair/pool"
 )
@@ -42,7 +44,7 @@
 	r.lastAttempt, r.moveAt = attempt, time.Time{}
 	r.tried, r.serverVersion = append(r.tried, choice.ID), choice.Version
 	r.sends++
-	r.attemptWrites = 0
+	r.attemptWrites, r.process = 0, claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
 	outgoing := r.backendRequest(choice, query, now)
 	r.g.logger.Log("event", "route", "request", r.req.ID, "server", choice.ID, "server_version", choice.Version, "after", outgoing.LastEventID, "resumes", r.req.Resumes, "zone", choice.AvailabilityZone, "reason", choice.Reason,
 		"candidates", choice.Candidates, "foretold", choice.PredictedLatency, "cached", int64(choice.CachedTokens), "send", r.sends)
@@ -386,6 +388,9 @@
 	r.fixVersion()
 	r.attemptWrites++
 	now := r.g.clock.Now()
+	if r.attemptWrites == 1 {
+		r.attemptBegan = now
+	}
 	if !r.lastWriteAt.IsZero() {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastWriteAt))
 	}
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -9,7 +9,6 @@
 
 	"galenastair"
 	"galenastair/claim"
-	"galenastair/pool"
 )
 
 // checkPoison returns a refusal if identical requests, or requests that share a part of their prompts, have
@@ -27,22 +26,32 @@
 // recordCrash counts a response that broke off, with or without its header, as a crash under
 // the request. A server that ends when it has announced to has not crashed, nor may one have that sent
 // something before its connection ended.
-func (r *activeRequest) recordCrash(ctx context.Context, choice pool.Choice, err error) {
-	sentSome := !r.admission.route.Kind.Streamed() || r.attemptWrites > 0
-	if errors.Is(err, galenastair.ErrEndUnconfirmed) && sentSome {
-		return
-	}
-	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) || r.lastAttempt.ServerEnded(r.g.clock.Now()) {
+func (r *activeRequest) recordCrash(ctx context.Context, err error) {
+	now := r.g.clock.Now()
+	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) || r.lastAttempt.ServerEnded(now) {
 		return
 	}
-	server := claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
-	r.g.poison.RecordCrash(r.g.clock.Now(), claim.Crash{Digest: r.digest, Server: server})
 	parts := r.promptParts()
-	if r.attemptWrites <= 1 {
-		// a server that has answered for some time did not crash because it began to
-		r.g.parts.RecordCrash(r.g.clock.Now(), parts, server)
+	sentSome := !r.admission.route.Kind.Streamed() || r.attemptWrites > 0
+	counted := "no"
+	if !errors.Is(err, galenastair.ErrEndUnconfirmed) || !sentSome {
+		counted = "request"
+		r.g.poison.RecordCrash(now, claim.Crash{Digest: r.digest, Server: r.process})
+		if r.attemptWrites <= 1 {
+			// a server that has answered for some time did not crash because it began to
+			counted = "parts"
+			r.g.parts.RecordCrash(now, parts, r.process)
+		}
 	}
-	r.g.logger.Log("event", "crash", "request", r.req.ID, "server", server, "digest", r.digest, "parts", fmt.Sprint(parts), "writes", r.attemptWrites, "cause", err)
+	r.g.logger.Log("event", "crash", "request", r.req.ID, "server", r.process, "digest", r.digest, "parts", fmt.Sprint(parts), "writes", r.attemptWrites, "answered", r.answeredFor(now), "counted", counted, "cause", err)
+}
+
+// answeredFor returns the time since the first event of the current attempt, 0 if there is none.
+func (r *activeRequest) answeredFor(now time.Time) time.Duration {
+	if r.attemptWrites == 0 {
+		return 0
+	}
+	return now.Sub(r.attemptBegan)
 }
 
 func (r *activeRequest) promptParts() []claim.Part {
@@ -59,7 +68,8 @@
 	if r.g.poison.RecordSuccess(now, r.digest) {
 		r.g.logger.Log("event", "crashes cleared", "request", r.req.ID, "digest", r.digest, "status", r.status)
 	}
-	if r.status < http.StatusMultipleChoices {
-		r.g.parts.RecordSuccess(now, r.promptParts())
+	parts := r.promptParts()
+	if r.status < http.StatusMultipleChoices && r.g.parts.RecordSuccess(now, parts) {
+		r.g.logger.Log("event", "crashes cleared", "request", r.req.ID, "server", r.process, "parts", fmt.Sprint(parts), "writes", r.attemptWrites, "after", r.req.LastEventID)
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -40,8 +40,11 @@
 	// sends counts the attempts; runs counts those that a backend server may have executed.
 	sends int
 	runs  int
-	// attemptWrites counts how often the last attempt has sent events to the caller.
+	// process is the server process of the last attempt. attemptWrites counts how often that has sent events
+	// to the caller, the first time at attemptBegan.
+	process       claim.ServerProcess
 	attemptWrites int
+	attemptBegan  time.Time
 	// wroteHeader reports whether the caller has received a response header.
 	wroteHeader bool
 	firstByteAt time.Time
@@ -171,7 +174,7 @@
 			return nil
 		}
 		r.checkPartition(ctx, err)
-		r.recordCrash(ctx, choice, err)
+		r.recordCrash(ctx, err)
 		if stop := r.checkRetry(ctx, err); stop != nil {
 			return stop
 		}
