node: a failing test of parts that crash server processes after some events

Six servers and three nodes run as processes of their own; a server that gets a request with the part sends some events, then its process ends, by the kernel's FIN or by resets, in chunked responses or in ones that end with their connection.

--- a/node/process_replica_test.go
+++ b/node/process_replica_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -28,6 +29,13 @@
 	SendLength     bool
 	// CloseEach closes each connection after one response.
 	CloseEach bool
+	// CrashPart and CrashAfter are the faults of the same names: the process ends, and its connections end with
+	// a reset if CrashResets is set, or else as the kernel closes them.
+	CrashPart   string
+	CrashAfter  int
+	CrashResets bool
+	// Arrivals receives the parts of the prompt of each request that has any, one request a line.
+	Arrivals io.Writer `json:"-"`
 }
 
 // runReplica serves until the process is killed or, at SIGTERM, until the current responses have ended.
@@ -45,10 +53,27 @@
 		f.EventInterval, f.CloseDelimited, f.SendLength = s.EventInterval, s.CloseDelimited, s.SendLength
 	})
 	var conns sync.Map
+	resetAll := func() {
+		for c := range conns.Range {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.(*net.TCPConn).Close()
+		}
+	}
+	r.UpdateFaults(func(f *replica.Faults) {
+		f.CrashPart, f.CrashAfter, f.Crash = s.CrashPart, s.CrashAfter, func() {
+			if s.CrashResets {
+				resetAll()
+			}
+			os.Exit(3)
+		}
+	})
 	server := &http.Server{Addr: s.Address, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if s.CloseEach {
 			w.Header().Set("Connection", "close")
 		}
+		if prefix := req.Header.Get("Galenastair-Prompt-Prefix"); prefix != "" {
+			fmt.Println(prefix)
+		}
 		r.Handler().ServeHTTP(w, req)
 	}), ConnState: func(c net.Conn, state http.ConnState) {
 		switch state {
@@ -68,10 +93,7 @@
 				_ = server.Shutdown(context.Background())
 				return
 			}
-			for c := range conns.Range {
-				_ = c.(*net.TCPConn).SetLinger(0)
-				_ = c.(*net.TCPConn).Close()
-			}
+			resetAll()
 		}
 	}()
 	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
@@ -88,6 +110,19 @@
 	command  *exec.Cmd
 }
 
+// restartOnExit starts the process again whenever it has ended, until the context is done.
+func (p *replicaProcess) restartOnExit(ctx context.Context, delay time.Duration) {
+	for {
+		_ = p.command.Wait()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+			p.start()
+		}
+	}
+}
+
 // startReplica starts a replica and registers it. It is one of the service writer that holds m1, unless the
 // settings name another service.
 func (c *cluster) startReplica(s processReplicaSettings) *replicaProcess {
@@ -111,6 +146,7 @@
 	}
 	p.command = exec.Command(os.Args[0])
 	p.command.Env = append(os.Environ(), replicaSettings+"="+string(data))
+	p.command.Stdout = p.settings.Arrivals
 	if err := p.command.Start(); err != nil {
 		p.c.t.Fatal(err)
 	}
--- a/node/prompt_test.go
+++ b/node/prompt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -33,7 +34,11 @@
 
 // promptTraffic is requests that share their first part, some of them with the part that crashes servers.
 type promptTraffic struct {
-	c        *cluster
+	c *cluster
+	// crashes returns when requests with the part reached servers; nil if the servers are those of the cluster.
+	crashes  func() []time.Time
+	// readAll has callers read the responses to their ends.
+	readAll  bool
 	sequence atomic.Int64
 	mu       sync.Mutex
 	sound    []soundRequest
@@ -54,6 +59,9 @@
 		return false
 	}
 	defer resp.Body.Close()
+	if p.readAll {
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
 	return resp.StatusCode == http.StatusOK
 }
 
@@ -98,6 +106,13 @@
 	return out
 }
 
+func (p *promptTraffic) crashTimes() []time.Time {
+	if p.crashes != nil {
+		return p.crashes()
+	}
+	return p.c.crashTimes()
+}
+
 // refusalDue returns from when on the part must be refused: some time after the fifth crash, or the last
 // of fewer.
 func refusalDue(t *testing.T, crashes []time.Time) time.Time {
@@ -111,7 +126,7 @@
 // check checks that servers get the part no more, and that the other requests are served.
 func (p *promptTraffic) check() {
 	p.c.t.Helper()
-	crashes := p.c.crashTimes()
+	crashes := p.crashTimes()
 	end := refusalDue(p.c.t, crashes)
 	if late := len(slices.DeleteFunc(slices.Clone(crashes), func(at time.Time) bool { return at.Before(end) })); late > maxPoisonSends {
 		p.c.t.Errorf("%d requests with the part were sent later than %s after the fifth crash", late, poisonTimeout)
@@ -128,6 +143,7 @@
 	if sent == 0 || served < sent/2 {
 		p.c.t.Errorf("%d of %d requests without the part were served", served, sent)
 	}
+	p.c.t.Logf("%d requests with the part reached servers; later, %d of %d without it were served", len(crashes), served, sent)
 }
 
 // Guards against a part of a prompt that crashes one server after the other, in requests that differ
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -37,9 +37,15 @@
 	// CrashBody breaks off the response to each request with this body after the header; empty
 	// disables it.
 	CrashBody string
-	// CrashPart breaks off the response to each request that has this part in its prompt, but not as the
-	// last, and restarts the replica; empty disables it.
+	// CrashPart crashes the replica when it answers a request that has this part in its prompt, but not as
+	// the last; empty disables it.
 	CrashPart string
+	// CrashAfter is the number of events that are sent before such a crash. If the stream is shorter, or its
+	// caller leaves, the replica crashes after its end.
+	CrashAfter int
+	// Crash ends the process of the replica. If it is nil, the response is broken off, and the replica
+	// continues as another process of the same ID.
+	Crash func()
 	// Leaving adds the header Server-Leaving to all responses. The registration stays as it is.
 	Leaving bool
 	// RetryAfter is the time in seconds that responses to declined requests carry in the header
@@ -280,11 +286,7 @@
 	}
 	r.runs = append(r.runs, run)
 	number := len(r.runs)
-	crashes := faults.CrashBody != "" && faults.CrashBody == run.Body
-	if run.hasPart(faults.CrashPart) {
-		crashes = true
-		r.startedAtMillis, r.registrationSequence = time.Now().UnixMilli(), 0
-	}
+	crashes := run.hasPart(faults.CrashPart)
 	r.mu.Unlock()
 	w.Header().Set("Galenastair-Server-Signature", "sig."+r.settings.ID)
 	if faults.CloseDelimited {
@@ -292,9 +294,12 @@
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
 	switch {
-	case crashes:
+	case faults.CrashBody != "" && faults.CrashBody == run.Body, crashes && faults.CrashAfter == 0:
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
+		if crashes {
+			r.crash(faults)
+		}
 		panic(http.ErrAbortHandler)
 	case faults.Hang:
 		<-req.Context().Done()
@@ -304,12 +309,25 @@
 	case faults.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case model != "" || r.settings.Label != "":
-		r.stream(w, req, run, number, faults)
+		r.stream(w, req, run, number, faults, crashes)
 	default:
 		fmt.Fprintf(w, "answer of %s to %s", r.settings.ID, req.RequestURI)
 	}
 }
 
+// crash ends the process of the replica, or has it continue as another one.
+func (r *Replica) crash(faults Faults) {
+	if faults.Crash != nil {
+		faults.Crash()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startedAtMillis, r.registrationSequence = time.Now().UnixMilli(), 0
+}
+
+// crashAfterEnd is the time from the end of a stream that is too short for CrashAfter to the crash.
+const crashAfterEnd = 10 * time.Millisecond
+
 // hasPart reports whether the prompt has a part in any place but the last.
 func (r *Run) hasPart(part string) bool {
 	parts := strings.Split(r.PromptPrefix, ",")
@@ -335,7 +353,7 @@
 	return fmt.Sprintf("id: %d\ndata: piece %d of %s/%d for %s %s\n\n", n, n, r.settings.Label, number, run.ID, strings.Repeat(".", r.settings.PaddingBytes))
 }
 
-func (r *Replica) stream(w http.ResponseWriter, req *http.Request, run *Run, number int, faults Faults) {
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, run *Run, number int, faults Faults, crashes bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(run.LastEventID)
 	if faults.SendLength {
@@ -347,6 +365,10 @@
 	}
 	flusher := http.NewResponseController(w)
 	for n := first + 1; n <= r.settings.EventsPerStream; n++ {
+		if crashes && n-first > faults.CrashAfter {
+			r.crash(faults)
+			panic(http.ErrAbortHandler)
+		}
 		if faults.CutAfter > 0 && n-first > faults.CutAfter {
 			fmt.Fprintf(w, "id: %d\nda", n)
 			_ = flusher.Flush()
@@ -357,6 +379,9 @@
 		select {
 		case <-req.Context().Done():
 			r.markCanceled(run)
+			if crashes {
+				r.crash(faults)
+			}
 			return
 		case <-time.After(faults.EventInterval):
 		}
@@ -364,4 +389,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if crashes {
+		time.AfterFunc(crashAfterEnd, func() { r.crash(faults) })
+	}
 }
