claim, gateway, node: count crashes of servers that had sent some events, and completions once their server has run on

What callers saw: requests with a part of the prompt that crashes servers were sent on to servers, 21 to 36 times later than 3 s after the fifth crash, where servers send two events or more before they end; sound requests of the same route were served in 2 to 9 % of cases meanwhile.

Cause: a crash counted for the parts of the prompt only if its server had sent one event at most, and one completion voided all crashes. A server process sends some events before it ends; a short response, or the rest of a resumed stream, is complete before it does. Class: evidence that is left out, or taken for its opposite, by a limit that the other side does not keep.

Change: claim.CrashTracker decides by the time since the first event (2 s), holds each end of a run until its server has run on for 1.5 s, and then lets a completion clear; a server that crashes within 0.5 s after a run has crashed under its parts. The rest of a resumed stream clears nothing. To keep sound parts from being refused with so much more evidence: a part that was completed in the last 20 s is refused for 1 s at a time, does not explain the crashes of one that was not, and a part explains another only if they share as many crashes as refuse one.

--- /dev/null
+++ b/claim/crashes_test.go
@@ -0,0 +1,125 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newCrashTest returns a tracker, and crashes under parts of several servers, a second apart.
+func newCrashTest() (t *CrashTracker, now time.Time, crash func(first, count int, parts ...Part)) {
+	t = NewCrashTracker(NewPoisonTracker(nil), NewPartTracker(nil), nil)
+	now = time.Unix(1000, 0)
+	return t, now, func(first, count int, parts ...Part) {
+		for n := range count {
+			t.RecordCrash(now.Add(time.Duration(n)*time.Second), Run{Digest: Digest(fmt.Sprint(first, n)), Parts: parts, Server: processNumber(first + n)})
+		}
+	}
+}
+
+// Guards against a part that is cleared by a short response whose server crashes right after its end.
+func TestCompletionBeforeACrashClearsNothing(t *testing.T) {
+	for name, seenBy := range map[string]func(*CrashTracker, time.Time){
+		"seen by this instance":     func(c *CrashTracker, at time.Time) { c.RecordCrash(at, Run{Digest: "other", Server: "s9@1"}) },
+		"seen by another instance":  func(c *CrashTracker, at time.Time) { c.ServerCrashed(at, "s9@1") },
+		"seen before the run ended": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, now, crash := newCrashTest()
+			crash(0, 3, deadly)
+			end := now.Add(3 * time.Second)
+			run := Run{Digest: "d", Parts: []Part{deadly}, Server: "s9@1", AnsweredSince: end.Add(-time.Millisecond)}
+			if seenBy == nil {
+				c.ServerCrashed(end, "s9@1")
+			}
+			c.RecordEnd(end, run, true)
+			if seenBy != nil {
+				seenBy(c, end.Add(100*time.Millisecond))
+			}
+			later := end.Add(time.Minute)
+			is.True(c.AllowParts(later, run.Parts) != nil)
+			is.NoErr(c.AllowParts(later, []Part{other}))
+		})
+	}
+}
+
+// Guards against requests that are refused on and on, as the completions of others like them do not count.
+func TestCompletionCountsOnceItsServerHasRunOn(t *testing.T) {
+	is := is.New(t)
+	var cleared []Run
+	c := NewCrashTracker(NewPoisonTracker(nil), NewPartTracker(nil), func(r Run) { cleared = append(cleared, r) })
+	now := time.Unix(1000, 0)
+	for n := range 4 {
+		c.RecordCrash(now.Add(time.Duration(n)*time.Second), Run{Digest: "d", Parts: []Part{shared}, Server: processNumber(n)})
+	}
+	end := now.Add(4 * time.Second)
+	is.True(c.AllowParts(end, []Part{shared}) != nil)
+	is.True(c.AllowRequest(end, "d") != nil)
+	c.RecordEnd(end, Run{Digest: "d", Parts: []Part{shared}, Server: "s9@1"}, true)
+	is.True(c.AllowParts(end.Add(settleTime-1), []Part{shared}) != nil)
+	is.NoErr(c.AllowParts(end.Add(settleTime), []Part{shared}))
+	is.NoErr(c.AllowRequest(end.Add(settleTime), "d"))
+	is.Equal(len(cleared), 1)
+}
+
+// Guards against a part that is never blamed, as its callers leave, or its responses end, before their servers crash.
+func TestRunThatEndsRightBeforeACrashIsBlamed(t *testing.T) {
+	for _, completed := range []bool{false, true} {
+		is := is.New(t)
+		c, now, _ := newCrashTest()
+		for n := range 4 {
+			end := now.Add(time.Duration(n) * time.Second)
+			c.RecordEnd(end, Run{Parts: []Part{deadly}, Server: processNumber(n)}, completed)
+			c.RecordEnd(end.Add(-lateCrashWindow), Run{Parts: []Part{rare}, Server: processNumber(n)}, completed)
+			c.ServerCrashed(end.Add(10*time.Millisecond), processNumber(n))
+		}
+		is.True(c.AllowParts(now.Add(10*time.Second), []Part{deadly}) != nil)
+		is.NoErr(c.AllowParts(now.Add(10*time.Second), []Part{rare}))
+	}
+}
+
+// Guards against a part that many requests share and that is refused for long, as servers were lost one after the other.
+func TestPartThatWasCompletedLatelyIsRefusedBriefly(t *testing.T) {
+	is := is.New(t)
+	c, now, crash := newCrashTest()
+	c.RecordEnd(now.Add(-settleTime), Run{Parts: []Part{shared}, Server: "s9@1"}, true)
+	c.Settle(now)
+	crash(0, 6, shared)
+	last := now.Add(5 * time.Second)
+	is.True(c.AllowParts(last, []Part{shared}) != nil)
+	is.NoErr(c.AllowParts(last.Add(completedPartRefusal), []Part{shared}))
+	is.Equal(len(c.parts.Suspected(last)), 0)
+}
+
+// Guards against a part that crashes servers and is allowed, as other parts share some of its crashes.
+func TestPartIsRefusedBesideOthersThatShareSomeCrashes(t *testing.T) {
+	is := is.New(t)
+	c, now, crash := newCrashTest()
+	crash(0, 3, deadly, rare)
+	crash(3, 2, deadly)
+	crash(5, 2, rare)
+	is.True(c.AllowParts(now.Add(10*time.Second), []Part{deadly}) != nil)
+
+	c, now, crash = newCrashTest()
+	c.RecordEnd(now.Add(-settleTime), Run{Parts: []Part{shared}, Server: "s9@1"}, true)
+	c.Settle(now)
+	crash(0, 5, deadly, shared)
+	is.True(c.AllowParts(now.Add(5*time.Second), []Part{deadly}) != nil)
+	is.NoErr(c.AllowParts(now.Add(5*time.Second), []Part{shared}))
+}
+
+// Guards against a memory that grows with the runs of the last seconds.
+func TestEndedRunsAreBounded(t *testing.T) {
+	is := is.New(t)
+	c, now, _ := newCrashTest()
+	for n := range 2 * maxEndedRuns {
+		c.RecordEnd(now, Run{Parts: []Part{shared}, Server: processNumber(n)}, true)
+	}
+	is.Equal(len(c.ended), maxEndedRuns)
+	c.ServerCrashed(now, "s1@1")
+	c.Settle(now.Add(settleTime))
+	is.Equal(len(c.ended)+len(c.crashed), 0)
+}
--- a/claim/part.go
+++ b/claim/part.go
@@ -38,6 +38,8 @@
 	servers []ServerProcess
 	// firstAt and lastAt are the times of the first and the last crash.
 	firstAt, lastAt time.Time
+	// completedLately reports that a request with the part was completed shortly before the first crash.
+	completedLately bool
 }
 
 // minCrashSpan is the least time between the first and the last crash under a part that is refused. When
@@ -52,6 +54,15 @@
 // expired reports whether the record has ended.
 func (r *partRecord) expired(now time.Time) bool { return now.Sub(r.lastAt) >= refusalDuration }
 
+// refusedFor returns how long the part is refused after its last crash. One that was completed lately soon gets
+// another try, as only a completion can clear it.
+func (r *partRecord) refusedFor() time.Duration {
+	if r.completedLately {
+		return completedPartRefusal
+	}
+	return refusalDuration
+}
+
 // unexplainedBy returns the number of servers that have not crashed under another part.
 func (r *partRecord) unexplainedBy(o *partRecord) int {
 	n := 0
--- a/claim/parts.go
+++ b/claim/parts.go
@@ -18,6 +18,10 @@
 	// tiedCrashes is the number of a part's crashes that another one which explains all others need not
 	// explain. Some crashes have other causes, or are observed for one of the parts only.
 	tiedCrashes = 2
+	// partCompletionWindow is the time after a completion within which crashes are doubted, as servers may be
+	// lost for other reasons, and completedPartRefusal how long they refuse the part then.
+	partCompletionWindow = 20 * time.Second
+	completedPartRefusal = time.Second
 )
 
 // PartTracker refuses requests with a part in their prompts that crashes backend servers, though no two
@@ -28,6 +32,7 @@
 	records   map[Part]*partRecord
 	announce  func(PartEvent)
 	threshold int
+	completed completions[Part]
 }
 
 // NewPartTracker returns an empty PartTracker. It calls announce with each event that all instances have to
@@ -36,7 +41,7 @@
 	if announce == nil {
 		announce = func(PartEvent) {}
 	}
-	return &PartTracker{records: map[Part]*partRecord{}, announce: announce, threshold: defaultMaxPartCrashes}
+	return &PartTracker{records: map[Part]*partRecord{}, announce: announce, threshold: defaultMaxPartCrashes, completed: completions[Part]{window: partCompletionWindow}}
 }
 
 // Allow returns a refusal if one of the parts crashes servers.
@@ -53,15 +58,19 @@
 
 func (p *PartTracker) suspected(now time.Time, part Part) bool {
 	r := p.records[part]
-	return r != nil && r.suspect(p.threshold) && !r.expired(now)
+	return r != nil && r.suspect(p.threshold) && now.Sub(r.lastAt) < r.refusedFor()
 }
 
 // explained reports whether a suspected part that a request lacks may be the cause of the crashes under
-// one of its parts. Such a request is allowed, as its completion clears the blameless part.
+// one of its parts. Such a request is allowed, as its completion clears the blameless part. A part that was
+// completed lately is no explanation for one that was not.
 func (p *PartTracker) explained(now time.Time, part Part, parts []Part) bool {
 	r := p.records[part]
 	for other, o := range p.records {
-		if !slices.Contains(parts, other) && p.suspected(now, other) && r.unexplainedBy(o) <= tiedCrashes {
+		if slices.Contains(parts, other) || !p.suspected(now, other) || o.completedLately && !r.completedLately {
+			continue
+		}
+		if n := r.unexplainedBy(o); n <= tiedCrashes && len(r.servers)-n >= p.threshold {
 			return true
 		}
 	}
@@ -98,11 +107,12 @@
 	r := p.records[e.Part]
 	if e.IsClear() {
 		delete(p.records, e.Part)
+		p.completed.add(now, e.Part)
 		return r != nil
 	}
 	if r == nil || r.expired(now) {
 		p.makeRoom(now)
-		r = &partRecord{}
+		r = &partRecord{completedLately: p.completed.contains(now, e.Part)}
 		p.records[e.Part] = r
 	}
 	return r.add(e)
@@ -140,13 +150,14 @@
 	}
 }
 
-// Suspected returns the crashes under all parts that are suspected, in a fixed order.
+// Suspected returns the crashes under all parts that are suspected, in a fixed order. Those that were completed
+// lately are left out: who learns only of their crashes would refuse them for long.
 func (p *PartTracker) Suspected(now time.Time) []PartEvent {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []PartEvent
 	for part := range p.records {
-		if p.suspected(now, part) {
+		if p.suspected(now, part) && !p.records[part].completedLately {
 			out = append(out, p.records[part].events(part)...)
 		}
 	}
--- a/claim/poison.go
+++ b/claim/poison.go
@@ -50,7 +50,7 @@
 	crashes    map[Digest]crashRecord
 	announce   func(Crash)
 	maxCrashes int
-	completed  completions
+	completed  completions[Digest]
 }
 
 // PoisonOption configures a PoisonTracker.
@@ -92,7 +92,7 @@
 	if announce == nil {
 		announce = func(Crash) {}
 	}
-	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, completed: completions{window: refusalDuration}}
+	p := &PoisonTracker{crashes: make(map[Digest]crashRecord), announce: announce, maxCrashes: defaultMaxCrashes, completed: completions[Digest]{window: refusalDuration}}
 	for _, o := range opts {
 		o(p)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,8 +44,10 @@
 	r.lastAttempt, r.moveAt = attempt, time.Time{}
 	r.tried, r.serverVersion = append(r.tried, choice.ID), choice.Version
 	r.sends++
-	r.attemptWrites, r.process = 0, claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
+	r.process = claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
+	r.attemptWrites, r.attemptBegan = 0, time.Time{}
 	outgoing := r.backendRequest(choice, query, now)
+	r.attemptResumes = outgoing.LastEventID != ""
 	r.g.logger.Log("event", "route", "request", r.req.ID, "server", choice.ID, "server_version", choice.Version, "after", outgoing.LastEventID, "resumes", r.req.Resumes, "zone", choice.AvailabilityZone, "reason", choice.Reason,
 		"candidates", choice.Candidates, "foretold", choice.PredictedLatency, "cached", int64(choice.CachedTokens), "send", r.sends)
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,8 +89,7 @@
 	placement     Placement
 	limiter       Limiter
 	streams       Streams
-	poison        *claim.PoisonTracker
-	parts         *claim.PartTracker
+	crashes       *claim.CrashTracker
 	clock         galenastair.Clock
 	logger        log.Logger
 	recorder      Recorder
@@ -116,8 +115,7 @@
 	Placement   Placement
 	Limiter     Limiter
 	Streams     Streams
-	Poison      *claim.PoisonTracker
-	Parts       *claim.PartTracker
+	Crashes     *claim.CrashTracker
 }
 
 // Option configures a Gateway.
@@ -151,8 +149,7 @@
 		placement:     d.Placement,
 		limiter:       d.Limiter,
 		streams:       d.Streams,
-		poison:        d.Poison,
-		parts:         d.Parts,
+		crashes:       d.Crashes,
 		clock:         galenastair.SystemClock{},
 		logger:        log.NewNopLogger(),
 		recorder:      noRecorder{},
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -14,44 +14,63 @@
 // checkPoison returns a refusal if identical requests, or requests that share a part of their prompts, have
 // crashed too many backend servers.
 func (r *activeRequest) checkPoison() error {
-	if err := r.g.poison.Allow(r.g.clock.Now(), r.digest); err != nil {
+	now := r.g.clock.Now()
+	if err := r.g.crashes.AllowRequest(now, r.digest); err != nil {
 		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, fmt.Sprintf("identical requests crashed the backend servers, digest %s", r.digest))
 	}
-	if err := r.g.parts.Allow(r.g.clock.Now(), r.promptParts()); err != nil {
+	if err := r.g.crashes.AllowParts(now, r.promptParts()); err != nil {
 		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, "requests with a part of the prompt crashed the backend servers")
 	}
 	return nil
 }
 
-// recordCrash counts a response that broke off, with or without its header, as a crash under
-// the request. A server that ends when it has announced to has not crashed, nor may one have that sent
-// something before its connection ended.
-func (r *activeRequest) recordCrash(ctx context.Context, err error) {
+// lastRun returns the last attempt as the crash tracker knows it.
+func (r *activeRequest) lastRun() claim.Run {
+	return claim.Run{Digest: r.digest, Parts: r.promptParts(), Server: r.process, AnsweredSince: r.attemptBegan}
+}
+
+// recordFailure records what a failed attempt says of its server: that it has crashed, or that the attempt has ended
+// while it may run on.
+func (r *activeRequest) recordFailure(ctx context.Context, err error) {
 	now := r.g.clock.Now()
-	if ctx.Err() != nil || !errors.Is(err, galenastair.ErrResponseTruncated) || r.lastAttempt.ServerEnded(now) {
-		return
-	}
-	parts := r.promptParts()
-	sentSome := !r.admission.route.Kind.Streamed() || r.attemptWrites > 0
-	counted := "no"
-	if !errors.Is(err, galenastair.ErrEndUnconfirmed) || !sentSome {
-		counted = "request"
-		r.g.poison.RecordCrash(now, claim.Crash{Digest: r.digest, Server: r.process})
-		if r.attemptWrites <= 1 {
-			// a server that has answered for some time did not crash because it began to
+	var refused *galenastair.Refusal
+	switch {
+	case errors.As(err, &refused):
+		// the attempt has not begun
+	case errors.Is(err, galenastair.ErrConnectionRefused):
+		r.g.crashes.ServerCrashed(now, r.process)
+	case errors.Is(err, galenastair.ErrNotSent), errors.Is(err, galenastair.ErrDeclined), r.lastAttempt.ServerEnded(now):
+		// the server did not run it, or ended as it had announced
+	case ctx.Err() == nil && r.isCrash(err):
+		counted := "request"
+		if r.g.crashes.RecordCrash(now, r.lastRun()) {
 			counted = "parts"
-			r.g.parts.RecordCrash(now, parts, r.process)
 		}
+		r.logCrash(now, counted, err)
+	default:
+		r.g.crashes.RecordEnd(now, r.lastRun(), false)
+		if errors.Is(err, galenastair.ErrResponseTruncated) {
+			r.logCrash(now, "no", err)
+		}
+	}
+}
+
+// isCrash reports whether the server of a response that broke off, with or without its header, has crashed. If
+// the end of the response is not confirmed and something was sent, the server may be sound.
+func (r *activeRequest) isCrash(err error) bool {
+	if !errors.Is(err, galenastair.ErrResponseTruncated) {
+		return false
 	}
-	r.g.logger.Log("event", "crash", "request", r.req.ID, "server", r.process, "digest", r.digest, "parts", fmt.Sprint(parts), "writes", r.attemptWrites, "answered", r.answeredFor(now), "counted", counted, "cause", err)
+	sentSome := !r.admission.route.Kind.Streamed() || r.attemptWrites > 0
+	return !errors.Is(err, galenastair.ErrEndUnconfirmed) || !sentSome
 }
 
-// answeredFor returns the time since the first event of the current attempt, 0 if there is none.
-func (r *activeRequest) answeredFor(now time.Time) time.Duration {
-	if r.attemptWrites == 0 {
-		return 0
+func (r *activeRequest) logCrash(now time.Time, counted string, err error) {
+	var answered time.Duration
+	if !r.attemptBegan.IsZero() {
+		answered = now.Sub(r.attemptBegan)
 	}
-	return now.Sub(r.attemptBegan)
+	r.g.logger.Log("event", "crash", "request", r.req.ID, "server", r.process, "digest", r.digest, "parts", fmt.Sprint(r.promptParts()), "writes", r.attemptWrites, "answered", answered, "counted", counted, "cause", err)
 }
 
 func (r *activeRequest) promptParts() []claim.Part {
@@ -59,17 +78,16 @@
 }
 
 // recordCompletion records that a backend server has completed the request; one that answers with an
-// error status may not have run it. Of a request that is forwarded, only the other instance knows
-// whether the response is a server's.
+// error status may not have run it. The rest of a resumed stream may be too short to crash a server. Of a
+// request that is forwarded, only the other instance knows whether the response is a server's.
 func (r *activeRequest) recordCompletion(now time.Time) {
-	if r.forwarded || r.status >= http.StatusInternalServerError {
+	if r.forwarded {
 		return
 	}
-	if r.g.poison.RecordSuccess(now, r.digest) {
-		r.g.logger.Log("event", "crashes cleared", "request", r.req.ID, "digest", r.digest, "status", r.status)
-	}
-	parts := r.promptParts()
-	if r.status < http.StatusMultipleChoices && r.g.parts.RecordSuccess(now, parts) {
-		r.g.logger.Log("event", "crashes cleared", "request", r.req.ID, "server", r.process, "parts", fmt.Sprint(parts), "writes", r.attemptWrites, "after", r.req.LastEventID)
+	run := r.lastRun()
+	if r.status >= http.StatusMultipleChoices {
+		run.Parts = nil
 	}
+	whole := !r.attemptResumes && (!r.admission.route.Kind.Streamed() || r.attemptWrites > 0)
+	r.g.crashes.RecordEnd(now, run, whole && r.status < http.StatusInternalServerError)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -41,10 +41,11 @@
 	sends int
 	runs  int
 	// process is the server process of the last attempt. attemptWrites counts how often that has sent events
-	// to the caller, the first time at attemptBegan.
-	process       claim.ServerProcess
-	attemptWrites int
-	attemptBegan  time.Time
+	// to the caller, the first time at attemptBegan; attemptResumes reports whether it continued a stream.
+	process        claim.ServerProcess
+	attemptWrites  int
+	attemptBegan   time.Time
+	attemptResumes bool
 	// wroteHeader reports whether the caller has received a response header.
 	wroteHeader bool
 	firstByteAt time.Time
@@ -174,7 +175,7 @@
 			return nil
 		}
 		r.checkPartition(ctx, err)
-		r.recordCrash(ctx, err)
+		r.recordFailure(ctx, err)
 		if stop := r.checkRetry(ctx, err); stop != nil {
 			return stop
 		}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -54,6 +55,7 @@
 	stopping      func() bool
 	poisonTracker *claim.PoisonTracker
 	partTracker   *claim.PartTracker
+	crashTracker  *claim.CrashTracker
 	logger        log.Logger
 	address       string
 	zone          galenastair.AvailabilityZone
@@ -105,6 +107,7 @@
 	}
 	c.poisonTracker = claim.NewPoisonTracker(c.announceCrash, claim.WithCrashLimit(poisonThreshold), claim.WithCompletionWindow(completionWindow))
 	c.partTracker = claim.NewPartTracker(c.announcePart)
+	c.crashTracker = claim.NewCrashTracker(c.poisonTracker, c.partTracker, c.logCleared)
 	return c
 }
 
@@ -129,6 +132,10 @@
 	c.partEvents = append(c.partEvents, e)
 }
 
+func (c *leaderClient) logCleared(r claim.Run) {
+	c.logger.Log("event", "crashes cleared", "server", r.Server, "digest", r.Digest, "parts", fmt.Sprint(r.Parts))
+}
+
 // run exchanges reports with the leader until the context is done. It starts once the elector
 // has read the previous leader's checkpoint, or after electorStartTimeout if the store does not
 // answer.
@@ -152,6 +159,7 @@
 // exchangeOnce sends one report and applies the reply. It returns whether the next report is due
 // after reportInterval rather than idleReportInterval.
 func (c *leaderClient) exchangeOnce(ctx context.Context) bool {
+	c.crashTracker.Settle(time.Now())
 	r := c.buildReport()
 	sent := boottime.Now()
 	busy := len(r.Loads)+len(r.Demands)+len(r.LoanRequests)+len(r.Crashes)+len(r.PartEvents) > 0
@@ -309,10 +317,16 @@
 	}
 	for _, crash := range u.Crashes {
 		c.poisonTracker.RecordRemoteCrash(now, crash)
+		if !crash.IsClear() {
+			c.crashTracker.ServerCrashed(now, crash.Server)
+		}
 		c.logger.Log("event", "remote crash", "digest", crash.Digest, "server", crash.Server, "cleared", crash.IsClear())
 	}
 	for _, e := range u.PartEvents {
 		c.partTracker.Apply(now, e)
+		if !e.IsClear() {
+			c.crashTracker.ServerCrashed(e.At, e.Server)
+		}
 		c.logger.Log("event", "remote crash", "part", e.Part, "server", e.Server, "cleared", e.IsClear())
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -219,8 +219,7 @@
 		Placement:     n.leaderClient,
 		Limiter:       newLimiter(n.leaderClient, n.metrics),
 		Streams:       n.streams,
-		Poison:        n.leaderClient.poisonTracker,
-		Parts:         n.leaderClient.partTracker,
+		Crashes:       n.leaderClient.crashTracker,
 	}, opts...)
 }
 
--- a/node/process_crash_test.go
+++ b/node/process_crash_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"galenastair/standin/metastore"
 	"galenastair/standin/replica"
 )
 
@@ -119,3 +120,58 @@
 		})
 	}
 }
+
+// Guards against a part that is forgotten, or sound requests that are refused, as a node is killed and the store is
+// silent while servers crash.
+func TestPromptPartIsRefusedAfterANodeWasKilledAndTheStoreWasSilent(t *testing.T) {
+	t.Parallel()
+	for _, form := range []crashForm{{4, false, true}, {3, true, false}} {
+		t.Run(form.String(), func(t *testing.T) {
+			t.Parallel()
+			c := newCrashCluster(t, form)
+			p := c.traffic()
+			var trouble sync.WaitGroup
+			trouble.Go(func() {
+				time.Sleep(poisonTimeout / 6)
+				c.store.UpdateFaults(func(f *metastore.Faults) { f.Hang = true })
+				killAll(c.nodes[:1])
+				time.Sleep(poisonTimeout / 3)
+				c.store.UpdateFaults(func(f *metastore.Faults) { f.Hang = false })
+				restartAll(c.nodes[:1])
+				p.inTouchFrom = time.Now().Add(inTouchAfter)
+			})
+			p.run(c.runningNodes(), 5*poisonTimeout)
+			trouble.Wait()
+			p.check()
+		})
+	}
+}
+
+// Guards against sound requests that are refused, or not served, as their servers are lost one after the other.
+func TestSoundRequestsAreServedWhileServersAreLost(t *testing.T) {
+	t.Parallel()
+	for _, closeDelimited := range []bool{false, true} {
+		t.Run(fmt.Sprint("close-delimited ", closeDelimited), func(t *testing.T) {
+			t.Parallel()
+			c := newCrashCluster(t, crashForm{closeDelimited: closeDelimited})
+			p := c.traffic()
+			var losses sync.WaitGroup
+			losses.Go(func() {
+				for i := range 15 {
+					time.Sleep(600 * time.Millisecond)
+					_ = c.servers[i%len(c.servers)].command.Process.Kill()
+				}
+			})
+			began := time.Now()
+			p.runSound(c.runningNodes(), 5*poisonTimeout)
+			losses.Wait()
+			for _, from := range []time.Time{began, began.Add(4 * poisonTimeout)} {
+				sent, served := p.servedAfter(from)
+				t.Logf("%d of %d requests were served", served, sent)
+				if served < sent/2 {
+					t.Errorf("%d of %d requests were served", served, sent)
+				}
+			}
+		})
+	}
+}
