claim, gateway: weigh ended runs by when their servers were last seen

Change: a run counts as crashed with its server only if they end within 0.1 s, its completion is dropped only if the server crashes within 0.7 s; where nobody saw the crash (the connection is refused later), the server's last run stands for it. A part explains another if it lacks one in four of its crashes at most.

--- a/claim/crashes.go
+++ b/claim/crashes.go
@@ -9,10 +9,11 @@
 const (
 	// crashWindow is how long a server may have answered a request and still have crashed because it began to.
 	crashWindow = 2 * time.Second
-	// lateCrashWindow is how long after a run its server may still crash because of it.
-	lateCrashWindow = 500 * time.Millisecond
-	// settleTime is how long a server must run on after a request before that says something. A server may
-	// crash only after a short response, and other instances tell of it about a second later.
+	// lateCrashWindow is how long after a run its server may still crash because of it, and survivalTime how long
+	// it must run on before that says that it did not.
+	lateCrashWindow = 100 * time.Millisecond
+	survivalTime    = 700 * time.Millisecond
+	// settleTime is survivalTime and the time in which other instances tell of a crash.
 	settleTime = 1500 * time.Millisecond
 	// maxEndedRuns bounds the runs that are remembered for settleTime.
 	maxEndedRuns = 4096
@@ -40,7 +41,8 @@
 }
 
 // CrashTracker decides what the ends of runs say about requests and about parts of prompts. A completed run
-// clears them only once its server has outlived it, and a server that crashes right after a run has crashed under its parts.
+// clears them only if its server outlives it by survivalTime, and a server that crashes right after a run has
+// crashed under its parts.
 type CrashTracker struct {
 	requests *PoisonTracker
 	parts    *PartTracker
@@ -50,6 +52,8 @@
 	// ended holds the runs of the last settleTime, oldest first, and crashed when servers have crashed since.
 	ended   []endedRun
 	crashed map[ServerProcess]time.Time
+	// seen is when runs of servers have last ended.
+	seen map[ServerProcess]time.Time
 }
 
 // NewCrashTracker returns a CrashTracker that records crashes and completions with the trackers. It calls
@@ -58,7 +62,7 @@
 	if cleared == nil {
 		cleared = func(Run) {}
 	}
-	return &CrashTracker{requests: requests, parts: parts, cleared: cleared, crashed: map[ServerProcess]time.Time{}}
+	return &CrashTracker{requests: requests, parts: parts, cleared: cleared, crashed: map[ServerProcess]time.Time{}, seen: map[ServerProcess]time.Time{}}
 }
 
 // AllowRequest returns a refusal if identical requests have crashed too many servers.
@@ -89,6 +93,7 @@
 func (t *CrashTracker) RecordEnd(now time.Time, r Run, completed bool) {
 	t.mu.Lock()
 	_, crashed := t.crashed[r.Server]
+	t.seen[r.Server] = now
 	if !crashed {
 		if len(t.ended) >= maxEndedRuns {
 			t.ended = t.ended[1:]
@@ -101,31 +106,42 @@
 	}
 }
 
-// ServerCrashed records that a server was seen to have crashed, by this or another instance.
+// ServerCrashed records that a server was seen to crash, by this or another instance.
 func (t *CrashTracker) ServerCrashed(at time.Time, s ServerProcess) {
 	for _, r := range t.takeRunsOf(at, s) {
-		if at.Sub(r.endedAt) < lateCrashWindow && r.blamesParts(at) {
+		if at.Sub(r.endedAt).Abs() < lateCrashWindow && r.blamesParts(at) {
 			t.parts.RecordCrash(at, r.Parts, s)
 		}
 	}
 }
 
-// takeRunsOf removes and returns the ended runs of a server that has crashed.
+// ServerGone records that a server does not run any more. It may have crashed at any time since its last run.
+func (t *CrashTracker) ServerGone(s ServerProcess) {
+	t.mu.Lock()
+	at, ok := t.seen[s]
+	t.mu.Unlock()
+	if ok {
+		t.ServerCrashed(at, s)
+	}
+}
+
+// takeRunsOf removes and returns the runs that a server which has crashed did not outlive.
 func (t *CrashTracker) takeRunsOf(at time.Time, s ServerProcess) []endedRun {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.crashed[s] = at
 	var out []endedRun
 	t.ended = slices.DeleteFunc(t.ended, func(r endedRun) bool {
-		if r.Server == s {
-			out = append(out, r)
+		if r.Server != s || at.Sub(r.endedAt) >= survivalTime {
+			return false
 		}
-		return r.Server == s
+		out = append(out, r)
+		return true
 	})
 	return out
 }
 
-// Settle clears the requests, and the parts, of completed runs whose servers have run on since.
+// Settle clears the requests, and the parts, of completed runs that their servers have outlived.
 func (t *CrashTracker) Settle(now time.Time) {
 	for _, r := range t.takeSettled(now) {
 		if !r.completed {
@@ -147,6 +163,11 @@
 			delete(t.crashed, s)
 		}
 	}
+	for s, at := range t.seen {
+		if now.Sub(at) >= settleTime {
+			delete(t.seen, s)
+		}
+	}
 	n := 0
 	for n < len(t.ended) && now.Sub(t.ended[n].endedAt) >= settleTime {
 		n++
--- a/claim/parts.go
+++ b/claim/parts.go
@@ -70,7 +70,7 @@
 		if slices.Contains(parts, other) || !p.suspected(now, other) || o.completedLately && !r.completedLately {
 			continue
 		}
-		if n := r.unexplainedBy(o); n <= tiedCrashes && len(r.servers)-n >= p.threshold {
+		if n := r.unexplainedBy(o); n <= min(tiedCrashes, len(r.servers)/4) && len(r.servers)-n >= p.threshold {
 			return true
 		}
 	}
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -38,7 +38,7 @@
 	case errors.As(err, &refused):
 		// the attempt has not begun
 	case errors.Is(err, galenastair.ErrConnectionRefused):
-		r.g.crashes.ServerCrashed(now, r.process)
+		r.g.crashes.ServerGone(r.process)
 	case errors.Is(err, galenastair.ErrNotSent), errors.Is(err, galenastair.ErrDeclined), r.lastAttempt.ServerEnded(now):
 		// the server did not run it, or ended as it had announced
 	case ctx.Err() == nil && r.isCrash(err):
@@ -56,7 +56,8 @@
 }
 
 // isCrash reports whether the server of a response that broke off, with or without its header, has crashed. If
-// the end of the response is not confirmed and something was sent, the server may be sound.
+// the end of the response is not confirmed and something was sent, the server may be sound, unless it
+// is seen to have ended.
 func (r *activeRequest) isCrash(err error) bool {
 	if !errors.Is(err, galenastair.ErrResponseTruncated) {
 		return false
