httpclient, platform, gateway: a response whose server is gone after its end broke off with a crash

Cause: since an end that isn't confirmed is no crash once something was sent, as a sound server may end right after its last response. But the call that should confirm it often says more than that it failed: nothing listens at the address, or another process does. Class: a known fact dropped on the way to the decision that needs it.

Change: the error of such an end wraps ErrServerEnded, and the gateway counts a crash. An end of which nothing is known still counts for nothing (TestUnconfirmedEndIsNoCrash, unchanged).

--- a/backend.go
+++ b/backend.go
@@ -90,8 +90,9 @@
 // Body returns io.EOF only at the end of the message according to the HTTP framing, and
 // ErrResponseTruncated if the connection ends before. Where the message ends with its
 // connection, it returns io.EOF only if the backend server is seen to run after that, and
-// ErrEndUnconfirmed beside ErrResponseTruncated otherwise. Closing Body early closes the
-// connection, which makes the backend server cancel the request.
+// ErrEndUnconfirmed beside ErrResponseTruncated otherwise, with ErrServerEnded if it has
+// ended. Closing Body early closes the connection, which makes the backend server cancel the
+// request.
 type BackendResponse struct {
 	Status int
 	Header http.Header
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -187,17 +187,22 @@
 // Guards against a part that crashes one server after the other and is never refused, as the servers send some
 // events first.
 func TestPartThatCrashesServersAfterSomeEventsIsRefused(t *testing.T) {
-	is := is.New(t)
-	env := newTestEnv()
-	clock := &stepClock{now: time.Now(), step: 50 * time.Millisecond}
-	env.gateway.clock = clock
-	for range 10 {
-		clock.now = clock.now.Add(300 * time.Millisecond)
-		env.restartServers(clock.now)
-		env.backend.scripts = append(env.backend.scripts[:len(env.backend.calls)], sendPieces(clock, "id: 1\ndata: a\n\n", "id: 2\ndata: a\n\n", "id: 3\ndata: a\n\n"), sendPieces(clock))
-		is.True(env.serveParts(t, "a", "bad") != nil)
+	for name, ends := range map[string]error{"cut": nil, "ended with its connection": fmt.Errorf("%w: %w", galenastair.ErrEndUnconfirmed, galenastair.ErrServerEnded)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv()
+			clock := &stepClock{now: time.Now(), step: 50 * time.Millisecond}
+			env.gateway.clock = clock
+			for range 10 {
+				clock.now = clock.now.Add(300 * time.Millisecond)
+				env.restartServers(clock.now)
+				pieces := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: a\n\n", "id: 3\ndata: a\n\n"}
+				env.backend.scripts = append(env.backend.scripts[:len(env.backend.calls)], breakOff(sendPieces(clock, pieces...), ends), breakOff(sendPieces(clock), ends))
+				is.True(env.serveParts(t, "a", "bad") != nil)
+			}
+			is.True(len(env.backend.calls) <= 5)
+		})
 	}
-	is.True(len(env.backend.calls) <= 5)
 }
 
 // Guards against a part that is cleared by the rest of a stream, which is shorter than what it takes to crash a server.
@@ -220,6 +225,19 @@
 	is.Equal(len(env.backend.calls), 7)
 }
 
+// breakOff has a response that is cut end with a further error, if it is not nil.
+func breakOff(s script, further error) script {
+	if further == nil {
+		return s
+	}
+	return func(ctx context.Context, c galenastair.BackendRequest) (*galenastair.BackendResponse, error) {
+		resp, err := s(ctx, c)
+		resp.CloseDelimited = true
+		resp.Body = io.NopCloser(io.MultiReader(resp.Body.(truncatedBody).Reader, iotest.ErrReader(fmt.Errorf("%w: %w", galenastair.ErrResponseTruncated, further))))
+		return resp, err
+	}
+}
+
 // Guards against sound requests that count as crashes, as their servers ended after the responses, which had
 // neither a length nor chunks.
 func TestUnconfirmedEndIsNoCrash(t *testing.T) {
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -63,7 +63,7 @@
 		return false
 	}
 	sentSome := !r.admission.route.Kind.Streamed() || r.attemptWrites > 0
-	return !errors.Is(err, galenastair.ErrEndUnconfirmed) || !sentSome
+	return !errors.Is(err, galenastair.ErrEndUnconfirmed) || !sentSome || errors.Is(err, galenastair.ErrServerEnded)
 }
 
 func (r *activeRequest) logCrash(now time.Time, counted string, err error) {
--- a/httpclient/delimited.go
+++ b/httpclient/delimited.go
@@ -22,7 +22,8 @@
 
 // CloseDelimitedBody returns a body that ends with its connection. At its end, confirmRunning returns an error
 // unless the process that sent it is seen to run. The body then ends with galenastair.ErrEndUnconfirmed,
-// beside ErrResponseTruncated, or with the cause of the context if that has ended.
+// beside ErrResponseTruncated, or with the cause of the context if that has ended. It ends with ErrServerEnded
+// too if the error wraps that or ErrConnectionRefused.
 func CloseDelimitedBody(ctx context.Context, body io.ReadCloser, confirmRunning func() error) io.ReadCloser {
 	return &closeDelimitedBody{ReadCloser: body, ctx: ctx, confirmRunning: confirmRunning}
 }
@@ -40,6 +41,9 @@
 	if err := b.confirmRunning(); err != nil {
 		// err may wrap ErrNotSent, which holds for the call to the server and not for the request
 		b.err = fmt.Errorf("%w: %w: %s", galenastair.ErrResponseTruncated, galenastair.ErrEndUnconfirmed, err.Error())
+		if errors.Is(err, galenastair.ErrServerEnded) || errors.Is(err, galenastair.ErrConnectionRefused) {
+			b.err = fmt.Errorf("%w: %w", b.err, galenastair.ErrServerEnded)
+		}
 		if b.ctx.Err() != nil {
 			b.err = context.Cause(b.ctx)
 		}
--- a/refusal.go
+++ b/refusal.go
@@ -35,7 +35,9 @@
 	ErrResponseTruncated   = eris.New("the answer was cut before its end")
 	// ErrEndUnconfirmed comes with ErrResponseTruncated if the answer may be whole: it ended with its
 	// connection, and the backend server was not seen to run after that.
-	ErrEndUnconfirmed  = eris.New("the end of the answer is not confirmed")
+	ErrEndUnconfirmed = eris.New("the end of the answer is not confirmed")
+	// ErrServerEnded comes with ErrEndUnconfirmed if the backend server has ended since the answer began.
+	ErrServerEnded     = eris.New("the backend server has ended")
 	ErrTimeout         = eris.New("the request ran out of time")
 	ErrNoConfiguration = eris.New("no configuration is in force yet")
 )
