claim, gateway: name the part that a request is refused for

A refused line did not tell which part of the prompt is blamed, so that a sound request that is refused could not be told from one that crashes servers.

--- a/claim/parts.go
+++ b/claim/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -50,7 +51,7 @@
 	defer p.mu.Unlock()
 	for _, part := range parts {
 		if p.suspected(now, part) && !p.explained(now, part, parts) {
-			return galenastair.NewRefusal(galenastair.ErrPoisonRequest, refusalDuration, "a part of the prompt crashes backend servers")
+			return galenastair.NewRefusal(galenastair.ErrPoisonRequest, refusalDuration, fmt.Sprintf("part %d", part))
 		}
 	}
 	return nil
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -19,7 +19,11 @@
 		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, fmt.Sprintf("identical requests crashed the backend servers, digest %s", r.digest))
 	}
 	if err := r.g.crashes.AllowParts(now, r.promptParts()); err != nil {
-		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, "requests with a part of the prompt crashed the backend servers")
+		detail := "requests with a part of the prompt crashed the backend servers"
+		if refused := (*galenastair.Refusal)(nil); errors.As(err, &refused) {
+			detail += ", " + refused.Detail
+		}
+		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, detail)
 	}
 	return nil
 }
