gateway, node: refuse a request that cannot end before a planned stop

What callers saw: a request whose body arrives late in a planned stop is passed on, and is cancelled with the stop: 502 for a bid that may have run and may not be repeated. Cause: only streams were refused while an instance drains; the time that is left was not looked at, neither when the request was read nor before it was sent.

Change: while the instance drains, a request that is no stream and whose deadline lies after the moment at which requests are cancelled gets 503 (not run) with Retry-After, also if it has waited for a server.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,7 +30,7 @@
 
 // attempt sends the request to one backend server and forwards the response.
 func (r *activeRequest) attempt(ctx context.Context, choice pool.Choice) error {
-	// While the request waited, its key may have been withdrawn, this process suspended, or
+	// While the request waited, its key may have been withdrawn, this process suspended or told to stop, or
 	// servers crashed by identical requests.
 	if _, err := r.g.authorise(&r.req); err != nil {
 		return err
@@ -38,6 +38,9 @@
 	if err := r.checkPoison(); err != nil {
 		return err
 	}
+	if err := r.checkShutdown(); err != nil {
+		return err
+	}
 	now := r.g.clock.Now()
 	query := r.poolQuery()
 	attempt := r.g.pool.Begin(now, choice.ID, query)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,9 @@
 	LoadsCurrent func() bool
 	// Draining reports whether this instance shuts down within seconds.
 	Draining func() bool
+	// StopsAt returns when this instance cancels the requests that it still serves, zero if it does not
+	// shut down; nil if it never does.
+	StopsAt func() time.Time
 }
 
 // retryBudgetUse is the share of the platform's retry limits that the instances use
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -107,6 +107,9 @@
 		return err
 	}
 	r.deadline = r.startedAt.Add(r.timeout())
+	if err := r.checkShutdown(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
 	if r.req.Streamed != nil {
@@ -128,6 +131,17 @@
 	return r.serveWithRetries(ctx)
 }
 
+// checkShutdown refuses a request that is no stream if this instance may shut down before its response.
+func (r *activeRequest) checkShutdown() error {
+	if r.g.settings.StopsAt == nil || !r.g.settings.Draining() || r.admission.route.Kind.Streamed() || r.runs > 0 || r.bodySent() {
+		return nil
+	}
+	if r.deadline.After(r.g.settings.StopsAt()) {
+		return galenastair.NewRefusal(galenastair.ErrStopping, minRetryAfter, "this instance may shut down before the response")
+	}
+	return nil
+}
+
 // charge deducts the cost of the request, unless the instance that forwarded it has.
 func (r *activeRequest) charge(ctx context.Context) error {
 	if !r.req.Charged {
--- a/node/listen.go
+++ b/node/listen.go
@@ -135,6 +135,8 @@
 	n.logger.Log("event", "stopping", "timeout", n.settings.Bounds.StopTimeout)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.Bounds.StopTimeout-shutdownMargin)
 	defer cancel()
+	stopsAt, _ := ctx.Deadline()
+	n.stopsAt.Store(&stopsAt)
 	timer.Wait(ctx, drainDelay)
 	n.draining.Store(true)
 	if err := n.callerListener.Close(); err != nil {
@@ -150,3 +152,11 @@
 	n.logger.Log("event", "stopped", "left", remaining)
 	return nil
 }
+
+// shutdownEnd returns when the requests in progress are cancelled, zero if the instance does not shut down.
+func (n *Node) shutdownEnd() time.Time {
+	if at := n.stopsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -82,8 +82,10 @@
 	// budget bounds the memory that requests hold; nil without a bound.
 	budget *membudget.Budget
 	// stopping is set on the signal to stop, draining once no new connections are accepted.
-	stopping       atomic.Bool
-	draining       atomic.Bool
+	stopping atomic.Bool
+	draining atomic.Bool
+	// stopsAt is when a shutdown cancels the requests in progress.
+	stopsAt        atomic.Pointer[time.Time]
 	callerListener net.Listener
 	// callerServerDone is closed once the server of the callers' port has stopped accepting.
 	callerServerDone <-chan struct{}
@@ -209,6 +211,7 @@
 		FleetSize:     n.borrower.FleetSize,
 		LoadsCurrent:  n.leaderClient.loadsCurrent,
 		Draining:      n.draining.Load,
+		StopsAt:       n.shutdownEnd,
 	}, gateway.Dependencies{
 		CatalogSource: n.catalogSource,
 		Pool:          n.pool,
