httpconn, service: a status that HTTP does not have is no response

What callers saw (on the product's own interface): status 0, 99, 600 or 999 of a plain service as an answer, and one with X-Outcome: NotRun as a promise that the request was not run; net/http panics on a status under 100. On the platform's, a head with a status of 000 to 099 was skipped like an interim response, so that its body, if it looked like a response, was taken for one; 101 and 600 to 999 were passed on.

Cause: only 1xx was told from the rest, by 'under 200'. Class: a range that is open at its end. Change: httpconn takes 100 to 599 without 101, package service 200 to 599 (net/http handles interim responses); all else is ErrInvalidResponse, which promises nothing. Engines and the log service compare with single values already.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -176,8 +176,11 @@
 	return eris.Wrapf(galenastair.ErrResponseTruncated, "write: %v", writeErr)
 }
 
-// readResponse reads the next final response. It skips informational (1xx) responses
-// except 101 Switching Protocols.
+// errInvalidStatus reports a status that HTTP does not have, or that no request has asked for.
+var errInvalidStatus = eris.New("invalid status")
+
+// readResponse reads the next final response. It skips interim (1xx) responses; 101 Switching Protocols is
+// invalid, as no request asks for another protocol.
 func (c *Conn) readResponse(method string) (*http.Response, error) {
 	c.head.limit(maxHeadBytes)
 	defer c.head.unlimit()
@@ -190,7 +193,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case resp.StatusCode < 100, resp.StatusCode == http.StatusSwitchingProtocols, resp.StatusCode > 599:
+			return nil, eris.Wrapf(errInvalidStatus, "%03d", resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
@@ -200,7 +206,7 @@
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
-	if errors.Is(err, errHeadTooLarge) {
+	if errors.Is(err, errHeadTooLarge) || errors.Is(err, errInvalidStatus) {
 		return eris.Wrap(galenastair.ErrInvalidResponse, err.Error())
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
--- a/service/client.go
+++ b/service/client.go
@@ -17,6 +17,8 @@
 	outcomeNotRun   = "NotRun"
 	// maxErrorDetailBytes bounds the text of an error response that is kept.
 	maxErrorDetailBytes = 4 << 10
+	// maxStatus is the highest status that HTTP has.
+	maxStatus = 599
 )
 
 // Client sends requests to plain services.
@@ -44,6 +46,10 @@
 	if err != nil {
 		return galenastair.ServiceResponse{}, c.pool.ClassifyError(ctx, server, sending, err)
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		_ = resp.Body.Close()
+		return galenastair.ServiceResponse{}, eris.Wrapf(galenastair.ErrInvalidResponse, "status %03d", resp.StatusCode)
+	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(headerOutcome) == outcomeNotRun {
 		defer resp.Body.Close()
 		detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorDetailBytes))
