httpclient: bound the heads of all responses, and the bodies of other instances' responses

What was reported: a faulty server sent bytes without end in a head or in a body; the machine that had called it kept them all and ran out of memory.

Cause: the path to backend servers on the platform is bounded (httpconn), but all other clients use net/http, which keeps 10 MB of a head for each request, in buffers that cost up to 160 MB to allocate; twirp reads the bodies of other instances to their ends. Class: a bound on one path and not on the others that do the same.

Change: 64 KB for the heads of all transports (services, engines, the log, the store, peers); 32 MB for the body of a peer's response. Other bodies had limits or are passed on without being kept.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/go-kit/log"
@@ -101,7 +100,7 @@
 	}
 	e.limiter = limiter
 	e.claims = claim.New(claimAssignment{e.members},
-		claim.WithHTTPClient(&http.Client{Transport: httpclient.NewTransport()}), claim.WithMetrics(e.metrics.Registry()))
+		claim.WithHTTPClient(httpclient.NewPeerClient(httpclient.NewTransport())), claim.WithMetrics(e.metrics.Registry()))
 	e.server = request.NewServer(request.Dependencies{
 		Configuration: e.follower,
 		Lease:         e,
@@ -119,7 +118,7 @@
 
 func (e *Entry) newLimiter() (*rate.Limiter, error) {
 	opts := []rate.Option{
-		rate.WithHTTPClient(&http.Client{Transport: httpclient.NewTransport()}),
+		rate.WithHTTPClient(httpclient.NewPeerClient(httpclient.NewTransport())),
 		rate.WithMetrics(e.metrics.Registry()),
 	}
 	h, err := openGrantHistory(e.settings.Instance.HistoryPath)
--- a/entry/place.go
+++ b/entry/place.go
@@ -82,7 +82,7 @@
 
 // reportDemand periodically reports the demand of this instance to the leader.
 func (e *Entry) reportDemand(ctx context.Context) error {
-	client := &http.Client{Transport: httpclient.NewTransport()}
+	client := httpclient.NewPeerClient(httpclient.NewTransport())
 	for {
 		s := e.members.Status()
 		if !timer.Wait(ctx, demand.Period(len(s.View.Ring))) {
--- a/httpclient/transport.go
+++ b/httpclient/transport.go
@@ -16,6 +16,11 @@
 	idleConnTimeout = 15 * time.Second
 	// maxIdleConnsPerServer allows 10,000 short requests per second to reuse connections to one server.
 	maxIdleConnsPerServer = 512
+	// MaxHeadBytes bounds the head of a response. A server in trouble may send bytes without end, and net/http
+	// accepts 10 MB for each request.
+	MaxHeadBytes = 64 << 10
+	// maxPeerBodyBytes bounds the body of another instance's response.
+	maxPeerBodyBytes = 32 << 20
 )
 
 // NewTransport returns a transport that pools connections and tracks the writes on them.
@@ -29,9 +34,10 @@
 			}
 			return &conn{Conn: c}, nil
 		},
-		MaxIdleConnsPerHost: maxIdleConnsPerServer,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
@@ -41,3 +47,23 @@
 	t.DisableKeepAlives = true
 	return t
 }
+
+// limitedTransport is a transport whose response bodies end with an error after limit bytes.
+type limitedTransport struct {
+	*http.Transport
+	limit int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, t.limit)
+	}
+	return resp, err
+}
+
+// NewPeerClient returns a client of other instances, whose responses are read to their ends.
+func NewPeerClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: limitedTransport{t, maxPeerBodyBytes}}
+}
--- a/member/peers.go
+++ b/member/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"galenastair/httpclient"
 	"galenastair/peer/memberpb"
 )
 
@@ -17,7 +18,7 @@
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1,
-		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 	}
 }
 
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -88,7 +87,7 @@
 	c := &leaderClient{
 		self:          n.settings.ID,
 		elector:       n.elector,
-		client:        planning.NewClient(&http.Client{Transport: httpclient.NewTransport()}),
+		client:        planning.NewClient(httpclient.NewPeerClient(httpclient.NewTransport())),
 		localPlanner:  n.planner,
 		partition:     n.partition,
 		versions:      n.versions,
--- a/peer/record/client.go
+++ b/peer/record/client.go
@@ -40,7 +40,7 @@
 func NewClient(members func() []config.Peer) *Client {
 	// Connections are not reused: outages of the log are rare, and an idle connection
 	// that has been lost meanwhile would cost a whole timeout.
-	c := &Client{members: members, http: &http.Client{Transport: httpclient.NewUnpooledTransport()}}
+	c := &Client{members: members, http: httpclient.NewPeerClient(httpclient.NewUnpooledTransport())}
 	// Up to 370 instances query members in the same order, so each starts at a random one.
 	c.round.Store(rand.Uint64N(1 << 20))
 	return c
--- a/report/reporter.go
+++ b/report/reporter.go
@@ -72,7 +72,7 @@
 func New(p Dependencies, opts ...Option) *Reporter {
 	r := &Reporter{
 		deps:        p,
-		client:      &http.Client{Transport: httpclient.NewTransport(), Timeout: sendTimeout},
+		client:      httpclient.NewPeerClient(httpclient.NewTransport()),
 		logger:      log.NewNopLogger(),
 		clock:       galenastair.SystemClock{},
 		minInterval: defaultMinInterval,
@@ -80,6 +80,7 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.client.Timeout = sendTimeout
 	r.tracker = NewTracker(r.minInterval)
 	return r
 }
