node: the soak of prompt parts draws the event at which servers crash, and the framing

Each seed now draws 0 to 5 events and chunks or a response that ends with its connection, and callers read to the end.

--- a/claim/crashes_load_test.go
+++ b/claim/crashes_load_test.go
@@ -218,6 +218,7 @@
 					continue
 				}
 				t.Run(fmt.Sprintf("%g bad, crash after %s, a loss each %s", bad, delay, loss), func(t *testing.T) {
+					t.Parallel()
 					is := is.New(t)
 					late, worst, sent, refused := 0, 0, 0, 0
 					for seed := range uint64(20) {
--- a/node/soak_prompt_test.go
+++ b/node/soak_prompt_test.go
@@ -20,10 +20,17 @@
 
 func newPromptSoak(t *testing.T, seed uint64) *promptSoak {
 	c := newCluster(t, 4, "e3", "e4", "e5", "e6")
+	form := rand.New(rand.NewPCG(seed, 8))
+	// a crash after the end of a response can only be seen of a process
+	after, closeDelimited := form.IntN(6), form.IntN(2) == 0
+	t.Logf("servers crash after %d events, close-delimited %t", after, closeDelimited)
 	for _, r := range c.replicas {
-		r.UpdateFaults(func(f *replica.Faults) { f.CrashPart, f.EventInterval = crashPart, 5*time.Millisecond })
+		r.UpdateFaults(func(f *replica.Faults) {
+			f.CrashPart, f.EventInterval = crashPart, 5*time.Millisecond
+			f.CrashAfter, f.CloseDelimited = after, closeDelimited
+		})
 	}
-	return &promptSoak{soak: newSoakOf(c, rand.New(rand.NewPCG(seed, 2))), traffic: promptTraffic{c: c}}
+	return &promptSoak{soak: newSoakOf(c, rand.New(rand.NewPCG(seed, 2))), traffic: promptTraffic{c: c, readAll: true}}
 }
 
 // callers sends both kinds of requests until the context ends.
