--- a/node/process_crash_test.go
+++ b/node/process_crash_test.go
@@ -123,6 +123,20 @@
 	}
 }
 
+// Guards against a part that is not refused, or sound requests that are, as none was completed before the first crash.
+func TestPromptPartThatCrashesServersFromTheStartIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, form := range []crashForm{{1, false, true}, {2, false, true}, {12, false, true}, {1, true, false}, {12, true, false}} {
+		t.Run(form.String(), func(t *testing.T) {
+			t.Parallel()
+			c := newCrashCluster(t, form)
+			p := c.traffic()
+			p.run(c.runningNodes(), 5*poisonTimeout)
+			p.check()
+		})
+	}
+}
+
 // Guards against a part that is forgotten, or sound requests that are refused, as a node is killed and the store is
 // silent while servers crash.
 func TestPromptPartIsRefusedAfterANodeWasKilledAndTheStoreWasSilent(t *testing.T) {
