claim: a completion counts once its server was seen to run on, and the part with the most crashes is blamed first

Change: a sign of life of the server (a response's head, the end of a run) 0.7 s after a completed run or later lets it clear; silence does not. Of two parts the one with fewer crashes explains the other only for 2 s after its last crash, and again each 30 s, so that a sound part that is suspected alone gets a trial. A server that goes on after a crash was reported counts its runs again: a connection that was cut is no crash for good.

Tests: a data race of the new tests, which restart servers' processes while they kill them; and a server that answered before it was asked.

--- a/claim/crashes.go
+++ b/claim/crashes.go
@@ -13,10 +13,10 @@
 	// it must run on before that says that it did not.
 	lateCrashWindow = 100 * time.Millisecond
 	survivalTime    = 700 * time.Millisecond
-	// settleTime is survivalTime and the time in which other instances tell of a crash.
-	settleTime = 1500 * time.Millisecond
-	// maxEndedRuns bounds the runs that are remembered for settleTime.
-	maxEndedRuns = 4096
+	// maxServerSilence is how long a server is remembered after its last sign of life.
+	maxServerSilence = 30 * time.Second
+	// maxEndedRuns bounds the runs of a server that it has not outlived yet.
+	maxEndedRuns = 256
 )
 
 // Run is an attempt of a request at one process of a backend server.
@@ -40,20 +40,24 @@
 	completed bool
 }
 
+// serverRuns is what is known of one process of a server.
+type serverRuns struct {
+	// ended holds the runs that the server has not been seen to outlive, oldest first.
+	ended []endedRun
+	// seenAt is its last sign of life, and crashedAt when it was seen to crash.
+	seenAt, crashedAt time.Time
+}
+
 // CrashTracker decides what the ends of runs say about requests and about parts of prompts. A completed run
-// clears them only if its server outlives it by survivalTime, and a server that crashes right after a run has
-// crashed under its parts.
+// clears them once its server is seen to have outlived it by survivalTime, and a server that crashes right after a
+// run has crashed under its parts.
 type CrashTracker struct {
 	requests *PoisonTracker
 	parts    *PartTracker
 	cleared  func(Run)
 
-	mu sync.Mutex
-	// ended holds the runs of the last settleTime, oldest first, and crashed when servers have crashed since.
-	ended   []endedRun
-	crashed map[ServerProcess]time.Time
-	// seen is when runs of servers have last ended.
-	seen map[ServerProcess]time.Time
+	mu      sync.Mutex
+	servers map[ServerProcess]*serverRuns
 }
 
 // NewCrashTracker returns a CrashTracker that records crashes and completions with the trackers. It calls
@@ -62,18 +66,24 @@
 	if cleared == nil {
 		cleared = func(Run) {}
 	}
-	return &CrashTracker{requests: requests, parts: parts, cleared: cleared, crashed: map[ServerProcess]time.Time{}, seen: map[ServerProcess]time.Time{}}
+	return &CrashTracker{requests: requests, parts: parts, cleared: cleared, servers: map[ServerProcess]*serverRuns{}}
 }
 
-// AllowRequest returns a refusal if identical requests have crashed too many servers.
-func (t *CrashTracker) AllowRequest(now time.Time, d Digest) error {
-	t.Settle(now)
-	return t.requests.Allow(now, d)
+// server returns what is known of a process; t.mu is held.
+func (t *CrashTracker) server(p ServerProcess) *serverRuns {
+	s := t.servers[p]
+	if s == nil {
+		s = &serverRuns{}
+		t.servers[p] = s
+	}
+	return s
 }
 
+// AllowRequest returns a refusal if identical requests have crashed too many servers.
+func (t *CrashTracker) AllowRequest(now time.Time, d Digest) error { return t.requests.Allow(now, d) }
+
 // AllowParts returns a refusal if one of the parts crashes servers.
 func (t *CrashTracker) AllowParts(now time.Time, parts []Part) error {
-	t.Settle(now)
 	return t.parts.Allow(now, parts)
 }
 
@@ -91,14 +101,12 @@
 
 // RecordEnd records that a run has ended, completed or not, while its server ran on.
 func (t *CrashTracker) RecordEnd(now time.Time, r Run, completed bool) {
+	t.ServerSeen(now, r.Server)
 	t.mu.Lock()
-	_, crashed := t.crashed[r.Server]
-	t.seen[r.Server] = now
-	if !crashed {
-		if len(t.ended) >= maxEndedRuns {
-			t.ended = t.ended[1:]
-		}
-		t.ended = append(t.ended, endedRun{r, now, completed})
+	s := t.server(r.Server)
+	crashed := now.Sub(s.crashedAt).Abs() < lateCrashWindow
+	if !crashed && len(s.ended) < maxEndedRuns {
+		s.ended = append(s.ended, endedRun{r, now, completed})
 	}
 	t.mu.Unlock()
 	if crashed && r.blamesParts(now) {
@@ -106,73 +114,76 @@
 	}
 }
 
-// ServerCrashed records that a server was seen to crash, by this or another instance.
-func (t *CrashTracker) ServerCrashed(at time.Time, s ServerProcess) {
-	for _, r := range t.takeRunsOf(at, s) {
-		if at.Sub(r.endedAt).Abs() < lateCrashWindow && r.blamesParts(at) {
-			t.parts.RecordCrash(at, r.Parts, s)
+// ServerSeen records a sign of life of a server. The completed runs that it has outlived clear their requests and
+// parts.
+func (t *CrashTracker) ServerSeen(now time.Time, p ServerProcess) {
+	for _, r := range t.takeOutlived(now, p) {
+		if !r.completed {
+			continue
+		}
+		clearedRequest := t.requests.RecordSuccess(now, r.Digest)
+		clearedParts := t.parts.RecordSuccess(now, r.Parts)
+		if clearedRequest || clearedParts {
+			t.cleared(r.Run)
 		}
 	}
 }
 
-// ServerGone records that a server does not run any more. It may have crashed at any time since its last run.
-func (t *CrashTracker) ServerGone(s ServerProcess) {
+// takeOutlived records a sign of life, and removes and returns the runs that the server has outlived.
+func (t *CrashTracker) takeOutlived(now time.Time, p ServerProcess) []endedRun {
 	t.mu.Lock()
-	at, ok := t.seen[s]
-	t.mu.Unlock()
-	if ok {
-		t.ServerCrashed(at, s)
+	defer t.mu.Unlock()
+	s := t.server(p)
+	if now.After(s.seenAt) {
+		s.seenAt = now
+	}
+	n := 0
+	for n < len(s.ended) && now.Sub(s.ended[n].endedAt) >= survivalTime {
+		n++
+	}
+	outlived := slices.Clone(s.ended[:n])
+	s.ended = slices.Delete(s.ended, 0, n)
+	return outlived
+}
+
+// ServerCrashed records that a server was seen to crash, by this or another instance.
+func (t *CrashTracker) ServerCrashed(at time.Time, p ServerProcess) {
+	t.ServerSeen(at, p)
+	for _, r := range t.takeAll(at, p) {
+		if at.Sub(r.endedAt).Abs() < lateCrashWindow && r.blamesParts(at) {
+			t.parts.RecordCrash(at, r.Parts, p)
+		}
 	}
 }
 
-// takeRunsOf removes and returns the runs that a server which has crashed did not outlive.
-func (t *CrashTracker) takeRunsOf(at time.Time, s ServerProcess) []endedRun {
+// takeAll records that a server has crashed, and removes and returns its runs.
+func (t *CrashTracker) takeAll(at time.Time, p ServerProcess) []endedRun {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.crashed[s] = at
-	var out []endedRun
-	t.ended = slices.DeleteFunc(t.ended, func(r endedRun) bool {
-		if r.Server != s || at.Sub(r.endedAt) >= survivalTime {
-			return false
-		}
-		out = append(out, r)
-		return true
-	})
-	return out
+	s := t.server(p)
+	s.crashedAt = at
+	ended := s.ended
+	s.ended = nil
+	return ended
 }
 
-// Settle clears the requests, and the parts, of completed runs that their servers have outlived.
-func (t *CrashTracker) Settle(now time.Time) {
-	for _, r := range t.takeSettled(now) {
-		if !r.completed {
-			continue
-		}
-		clearedRequest := t.requests.RecordSuccess(now, r.Digest)
-		clearedParts := t.parts.RecordSuccess(now, r.Parts)
-		if clearedRequest || clearedParts {
-			t.cleared(r.Run)
-		}
-	}
+// ServerGone records that a server does not run any more. It may have crashed at any time since its last sign of
+// life.
+func (t *CrashTracker) ServerGone(p ServerProcess) {
+	t.mu.Lock()
+	seenAt := t.server(p).seenAt
+	t.mu.Unlock()
+	t.ServerCrashed(seenAt, p)
 }
 
-func (t *CrashTracker) takeSettled(now time.Time) []endedRun {
+// ForgetSilent forgets servers that have shown no sign of life for long, with the runs that they may not have
+// outlived.
+func (t *CrashTracker) ForgetSilent(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for s, at := range t.crashed {
-		if now.Sub(at) >= settleTime {
-			delete(t.crashed, s)
+	for p, s := range t.servers {
+		if now.Sub(s.seenAt) >= maxServerSilence {
+			delete(t.servers, p)
 		}
 	}
-	for s, at := range t.seen {
-		if now.Sub(at) >= settleTime {
-			delete(t.seen, s)
-		}
-	}
-	n := 0
-	for n < len(t.ended) && now.Sub(t.ended[n].endedAt) >= settleTime {
-		n++
-	}
-	out := slices.Clone(t.ended[:n])
-	t.ended = slices.Delete(t.ended, 0, n)
-	return out
 }
--- a/claim/crashes_load_test.go
+++ b/claim/crashes_load_test.go
@@ -141,6 +141,7 @@
 			return
 		}
 		r.run.AnsweredSince = l.now
+		l.trackers[r.instance].ServerSeen(l.now, r.run.Server)
 		l.after(r.left, func() {
 			if runs() {
 				s.running = slices.DeleteFunc(s.running, func(o *loadRequest) bool { return o == r })
--- a/claim/crashes_test.go
+++ b/claim/crashes_test.go
@@ -59,9 +59,11 @@
 	is.True(c.AllowParts(end, []Part{shared}) != nil)
 	is.True(c.AllowRequest(end, "d") != nil)
 	c.RecordEnd(end, Run{Digest: "d", Parts: []Part{shared}, Server: "s9@1"}, true)
-	is.True(c.AllowParts(end.Add(settleTime-1), []Part{shared}) != nil)
-	is.NoErr(c.AllowParts(end.Add(settleTime), []Part{shared}))
-	is.NoErr(c.AllowRequest(end.Add(settleTime), "d"))
+	c.ServerSeen(end.Add(survivalTime-1), "s9@1")
+	is.True(c.AllowParts(end.Add(survivalTime), []Part{shared}) != nil)
+	c.ServerSeen(end.Add(survivalTime), "s9@1")
+	is.NoErr(c.AllowParts(end.Add(survivalTime), []Part{shared}))
+	is.NoErr(c.AllowRequest(end.Add(survivalTime), "d"))
 	is.Equal(len(cleared), 1)
 }
 
@@ -73,13 +75,13 @@
 	end := now.Add(4 * time.Second)
 	c.RecordEnd(end, Run{Parts: []Part{shared}, Server: "s9@1"}, true)
 	c.ServerCrashed(end.Add(survivalTime), "s9@1")
-	is.NoErr(c.AllowParts(end.Add(settleTime), []Part{shared}))
+	is.NoErr(c.AllowParts(end.Add(survivalTime), []Part{shared}))
 
 	c, _, crash = newCrashTest()
 	crash(0, 4, deadly)
 	c.RecordEnd(end, Run{Parts: []Part{deadly}, Server: "s9@1"}, true)
 	c.ServerCrashed(end.Add(survivalTime-1), "s9@1")
-	is.True(c.AllowParts(end.Add(settleTime), []Part{deadly}) != nil)
+	is.True(c.AllowParts(end.Add(time.Minute), []Part{deadly}) != nil)
 }
 
 // Guards against a part that is never blamed, as its callers leave, or its responses end, before their servers crash.
@@ -102,8 +104,8 @@
 func TestPartThatWasCompletedLatelyIsRefusedBriefly(t *testing.T) {
 	is := is.New(t)
 	c, now, crash := newCrashTest()
-	c.RecordEnd(now.Add(-settleTime), Run{Parts: []Part{shared}, Server: "s9@1"}, true)
-	c.Settle(now)
+	c.RecordEnd(now.Add(-survivalTime), Run{Parts: []Part{shared}, Server: "s9@1"}, true)
+	c.ServerSeen(now, "s9@1")
 	crash(0, 6, shared)
 	last := now.Add(5 * time.Second)
 	is.True(c.AllowParts(last, []Part{shared}) != nil)
@@ -121,8 +123,8 @@
 	is.True(c.AllowParts(now.Add(10*time.Second), []Part{deadly}) != nil)
 
 	c, now, crash = newCrashTest()
-	c.RecordEnd(now.Add(-settleTime), Run{Parts: []Part{shared}, Server: "s9@1"}, true)
-	c.Settle(now)
+	c.RecordEnd(now.Add(-survivalTime), Run{Parts: []Part{shared}, Server: "s9@1"}, true)
+	c.ServerSeen(now, "s9@1")
 	crash(0, 5, deadly, shared)
 	is.True(c.AllowParts(now.Add(5*time.Second), []Part{deadly}) != nil)
 	is.NoErr(c.AllowParts(now.Add(5*time.Second), []Part{shared}))
@@ -139,21 +141,36 @@
 	c.RecordEnd(end, run(deadly), true)
 	c.ServerGone("s9@1")
 	c.ServerGone("s8@1")
-	c.Settle(end.Add(settleTime))
 	is.Equal(len(c.parts.records[deadly].servers), 5)
-	is.True(c.parts.completed.contains(end.Add(settleTime), shared))
-	is.True(!c.parts.completed.contains(end.Add(settleTime), deadly))
+	is.True(c.parts.completed.contains(end, shared))
+	is.True(!c.parts.completed.contains(end, deadly))
 }
 
-// Guards against a memory that grows with the runs of the last seconds.
+// Guards against a part that is cleared by a response after which nobody has seen its server.
+func TestCompletionOfAServerThatIsNotSeenAgainClearsNothing(t *testing.T) {
+	is := is.New(t)
+	c, now, crash := newCrashTest()
+	crash(0, 4, deadly)
+	end := now.Add(4 * time.Second)
+	c.RecordEnd(end, Run{Parts: []Part{deadly}, Server: "s9@1"}, true)
+	c.RecordEnd(end.Add(time.Minute), Run{Parts: []Part{shared}, Server: "s9@2"}, true)
+	c.ForgetSilent(end.Add(time.Minute))
+	c.ServerSeen(end.Add(time.Minute), "s9@1")
+	is.True(c.AllowParts(end.Add(time.Minute), []Part{deadly}) != nil)
+}
+
+// Guards against a memory that grows with the runs and the restarts of servers.
 func TestEndedRunsAreBounded(t *testing.T) {
 	is := is.New(t)
 	c, now, _ := newCrashTest()
 	for n := range 2 * maxEndedRuns {
-		c.RecordEnd(now, Run{Parts: []Part{shared}, Server: processNumber(n)}, true)
+		c.RecordEnd(now, Run{Parts: []Part{shared}, Server: "s1@1"}, true)
+		c.RecordEnd(now, Run{Parts: []Part{shared}, Server: processNumber(n + 10)}, true)
 	}
-	is.Equal(len(c.ended), maxEndedRuns)
+	is.Equal(len(c.servers["s1@1"].ended), maxEndedRuns)
 	c.ServerCrashed(now, "s1@1")
-	c.Settle(now.Add(settleTime))
-	is.Equal(len(c.ended)+len(c.crashed)+len(c.seen), 0)
+	c.RecordEnd(now, Run{Parts: []Part{shared}, Server: "s1@1"}, true)
+	is.Equal(len(c.servers["s1@1"].ended), 0)
+	c.ForgetSilent(now.Add(maxServerSilence))
+	is.Equal(len(c.servers), 0)
 }
--- a/claim/parts.go
+++ b/claim/parts.go
@@ -19,6 +19,10 @@
 	// tiedCrashes is the number of a part's crashes that another one which explains all others need not
 	// explain. Some crashes have other causes, or are observed for one of the parts only.
 	tiedCrashes = 2
+	// trialWindow is how long after its last crash, and each trialInterval later, a part may be tried that another
+	// one with fewer crashes explains.
+	trialWindow   = 2 * time.Second
+	trialInterval = 30 * time.Second
 	// partCompletionWindow is the time after a completion within which crashes are doubted, as servers may be
 	// lost for other reasons, and completedPartRefusal how long they refuse the part then.
 	partCompletionWindow = 20 * time.Second
@@ -71,7 +75,11 @@
 		if slices.Contains(parts, other) || !p.suspected(now, other) || o.completedLately && !r.completedLately {
 			continue
 		}
-		if n := r.unexplainedBy(o); n <= min(tiedCrashes, len(r.servers)/4) && len(r.servers)-n >= p.threshold {
+		if n := r.unexplainedBy(o); n > min(tiedCrashes, len(r.servers)/4) || len(r.servers)-n < p.threshold {
+			continue
+		}
+		// the part with the most crashes is the likeliest cause, unless a trial shows otherwise
+		if len(o.servers) >= len(r.servers) || now.Sub(r.lastAt)%trialInterval < trialWindow {
 			return true
 		}
 	}
--- a/httpclient/endless_test.go
+++ b/httpclient/endless_test.go
@@ -38,6 +38,10 @@
 			}
 			go func() {
 				defer c.Close()
+				// a response that precedes its request closes the connection
+				if _, err := c.Read(make([]byte, 1)); err != nil {
+					return
+				}
 				_, err := io.WriteString(c, prefix)
 				for err == nil {
 					_, err = c.Write(block)
--- a/node/process_crash_test.go
+++ b/node/process_crash_test.go
@@ -65,7 +65,7 @@
 	t.Cleanup(func() {
 		cancel()
 		for _, s := range c.servers {
-			_ = s.command.Process.Kill()
+			_ = s.running().Process.Kill()
 		}
 		supervisors.Wait()
 	})
@@ -176,7 +176,7 @@
 			losses.Go(func() {
 				for i := range 15 {
 					time.Sleep(600 * time.Millisecond)
-					_ = c.servers[i%len(c.servers)].command.Process.Kill()
+					_ = c.servers[i%len(c.servers)].running().Process.Kill()
 				}
 			})
 			began := time.Now()
--- a/node/process_replica_test.go
+++ b/node/process_replica_test.go
@@ -107,13 +107,22 @@
 type replicaProcess struct {
 	c        *cluster
 	settings processReplicaSettings
-	command  *exec.Cmd
+	// mu guards command while the process is restarted.
+	mu      sync.Mutex
+	command *exec.Cmd
+}
+
+// running returns the command of the current process.
+func (p *replicaProcess) running() *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command
 }
 
 // restartOnExit starts the process again whenever it has ended, until the context is done.
 func (p *replicaProcess) restartOnExit(ctx context.Context, delay time.Duration) {
 	for {
-		_ = p.command.Wait()
+		_ = p.running().Wait()
 		select {
 		case <-ctx.Done():
 			return
@@ -144,12 +153,15 @@
 	if err != nil {
 		p.c.t.Fatal(err)
 	}
-	p.command = exec.Command(os.Args[0])
-	p.command.Env = append(os.Environ(), replicaSettings+"="+string(data))
-	p.command.Stdout = p.settings.Arrivals
-	if err := p.command.Start(); err != nil {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), replicaSettings+"="+string(data))
+	command.Stdout = p.settings.Arrivals
+	if err := command.Start(); err != nil {
 		p.c.t.Fatal(err)
 	}
+	p.mu.Lock()
+	p.command = command
+	p.mu.Unlock()
 	p.c.waitFor("the replica to listen", func() bool {
 		conn, err := net.Dial("tcp", p.settings.Address)
 		if err != nil {
@@ -173,6 +185,6 @@
 	p.c.mu.Lock()
 	delete(p.c.registered, p.settings.ID)
 	p.c.mu.Unlock()
-	_ = p.command.Process.Signal(sig)
-	_ = p.command.Wait()
+	_ = p.running().Process.Signal(sig)
+	_ = p.running().Wait()
 }
