claim, gateway: only a response is a sign of life, and a brief refusal says when to come back

Found in the read-through. A run that was given up (its caller left, the server was silent) counted as a sign of life of its server, so that a server that had gone silent let earlier completions clear. A part that is refused for a second at a time sent callers away for 5 s. Now a response's head or a completed run is a sign of life, and Retry-After is what is left of the refusal, 5 s at most.

--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -38,8 +38,8 @@
 	b.ReportMetric(float64(proto.Size(m)), "bytes/message")
 }
 
-// BenchmarkCrashMemory reports the memory of a request and of a prompt part that have crashed servers, the
-// difference between full and half-full trackers.
+// BenchmarkCrashMemory reports the memory of a request and of a prompt part that have crashed servers, and of a run
+// that its server has not outlived yet: the difference between full and half-full trackers.
 func BenchmarkCrashMemory(b *testing.B) {
 	now := time.Unix(1000, 0)
 	server := func(i int) ServerProcess { return ServerProcess(fmt.Sprintf("i-%010x@%d", i, 1)) }
@@ -68,7 +68,20 @@
 		runtime.KeepAlive(p)
 		return float64(after) - float64(before)
 	}
+	runs := func(servers int) float64 {
+		before := heap()
+		t := NewCrashTracker(nil, nil, nil)
+		for i := range servers {
+			for n := range 64 {
+				t.RecordEnd(now, Run{Digest: DigestOf("Furnir", "/bids", fmt.Append(nil, i, n)), Parts: []Part{Part(i), Part(n)}, Server: server(i)}, true)
+			}
+		}
+		after := heap()
+		runtime.KeepAlive(t)
+		return float64(after) - float64(before)
+	}
 	for b.Loop() {
+		b.ReportMetric((runs(128)-runs(64))/64/64, "bytes/ended-run")
 		for _, n := range []int{1, 3} {
 			b.ReportMetric((poison(4096, n)-poison(2048, n))/2048, fmt.Sprintf("bytes/request-of-%d", n))
 		}
--- a/claim/crashes.go
+++ b/claim/crashes.go
@@ -33,7 +33,7 @@
 	return r.AnsweredSince.IsZero() || crashedAt.Sub(r.AnsweredSince) < crashWindow
 }
 
-// endedRun is a run that ended while its server ran on.
+// endedRun is a run that ended without a crash of its server.
 type endedRun struct {
 	Run
 	endedAt   time.Time
@@ -99,11 +99,16 @@
 	return countsForParts
 }
 
-// RecordEnd records that a run has ended, completed or not, while its server ran on.
+// RecordEnd records that a run has ended, completed or not, and its server was not seen to crash.
 func (t *CrashTracker) RecordEnd(now time.Time, r Run, completed bool) {
-	t.ServerSeen(now, r.Server)
+	if completed {
+		t.ServerSeen(now, r.Server)
+	}
 	t.mu.Lock()
 	s := t.server(r.Server)
+	if s.seenAt.IsZero() {
+		s.seenAt = now
+	}
 	crashed := now.Sub(s.crashedAt).Abs() < lateCrashWindow
 	if !crashed && len(s.ended) < maxEndedRuns {
 		s.ended = append(s.ended, endedRun{r, now, completed})
@@ -171,9 +176,11 @@
 // life.
 func (t *CrashTracker) ServerGone(p ServerProcess) {
 	t.mu.Lock()
-	seenAt := t.server(p).seenAt
+	s := *t.server(p)
 	t.mu.Unlock()
-	t.ServerCrashed(seenAt, p)
+	if !s.seenAt.IsZero() {
+		t.ServerCrashed(s.seenAt, p)
+	}
 }
 
 // ForgetSilent forgets servers that have shown no sign of life for long, with the runs that they may not have
--- a/claim/crashes_test.go
+++ b/claim/crashes_test.go
@@ -1,11 +1,14 @@
 package claim
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"galenastair"
 )
 
 // newCrashTest returns a tracker, and crashes under parts of several servers, a second apart.
@@ -108,7 +111,9 @@
 	c.ServerSeen(now, "s9@1")
 	crash(0, 6, shared)
 	last := now.Add(5 * time.Second)
-	is.True(c.AllowParts(last, []Part{shared}) != nil)
+	var refused *galenastair.Refusal
+	is.True(errors.As(c.AllowParts(last, []Part{shared}), &refused))
+	is.Equal(refused.RetryAfter, completedPartRefusal)
 	is.NoErr(c.AllowParts(last.Add(completedPartRefusal), []Part{shared}))
 	is.Equal(len(c.parts.Suspected(last)), 0)
 }
@@ -157,6 +162,37 @@
 	c.ForgetSilent(end.Add(time.Minute))
 	c.ServerSeen(end.Add(time.Minute), "s9@1")
 	is.True(c.AllowParts(end.Add(time.Minute), []Part{deadly}) != nil)
+
+	// a run that was given up is no sign of life
+	c.RecordEnd(end, Run{Parts: []Part{deadly}, Server: "s8@1"}, true)
+	c.RecordEnd(end.Add(time.Second), Run{Parts: []Part{shared}, Server: "s8@1"}, false)
+	is.True(c.AllowParts(end.Add(time.Second), []Part{deadly}) != nil)
+}
+
+// Guards against a part that is sent on, as another one lies in nearly all of its crashes, and against that one's refusal.
+func TestPartWithTheMostCrashesIsRefused(t *testing.T) {
+	is := is.New(t)
+	c, now, crash := newCrashTest()
+	crash(0, 4, rare, deadly)
+	crash(4, 1, deadly)
+	last := now.Add(3 * time.Second)
+	is.NoErr(c.AllowParts(last.Add(trialWindow-1), []Part{deadly}))
+	is.True(c.AllowParts(last.Add(trialWindow), []Part{deadly}) != nil)
+	is.NoErr(c.AllowParts(last.Add(trialWindow), []Part{rare}))
+	// a trial lets a part be cleared that is blamed wrongly
+	is.NoErr(c.AllowParts(last.Add(trialInterval), []Part{deadly}))
+}
+
+// Guards against runs that count as crashes because a connection of their server was once cut.
+func TestServerThatRunsOnAfterAReportedCrashIsNotBlamed(t *testing.T) {
+	is := is.New(t)
+	c, now, crash := newCrashTest()
+	crash(0, 4, shared)
+	end := now.Add(10 * time.Second)
+	c.ServerCrashed(end.Add(-time.Second), "s9@1")
+	c.RecordEnd(end, Run{Parts: []Part{shared}, Server: "s9@1"}, true)
+	c.ServerSeen(end.Add(survivalTime), "s9@1")
+	is.NoErr(c.AllowParts(end.Add(survivalTime), []Part{shared}))
 }
 
 // Guards against a memory that grows with the runs and the restarts of servers.
--- a/claim/parts.go
+++ b/claim/parts.go
@@ -37,6 +37,7 @@
 	records   map[Part]*partRecord
 	announce  func(PartEvent)
 	threshold int
+	// completed holds the parts of the requests that were completed lately.
 	completed completions[Part]
 }
 
@@ -55,7 +56,8 @@
 	defer p.mu.Unlock()
 	for _, part := range parts {
 		if p.suspected(now, part) && !p.explained(now, part, parts) {
-			return galenastair.NewRefusal(galenastair.ErrPoisonRequest, refusalDuration, fmt.Sprintf("part %d", part))
+			r := p.records[part]
+			return galenastair.NewRefusal(galenastair.ErrPoisonRequest, r.refusedFor()-now.Sub(r.lastAt), fmt.Sprintf("part %d", part))
 		}
 	}
 	return nil
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,7 +62,9 @@
 		return r.handleFailure(attempt, err)
 	}
 	defer resp.Body.Close()
-	r.g.crashes.ServerSeen(r.g.clock.Now(), r.process)
+	if !resp.Misdirected {
+		r.g.crashes.ServerSeen(r.g.clock.Now(), r.process)
+	}
 	r.recordAnnouncements(choice, resp, now)
 	if resp.Declined {
 		return r.handleDecline(attempt, choice, resp)
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -18,14 +18,11 @@
 	if err := r.g.crashes.AllowRequest(now, r.digest); err != nil {
 		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, fmt.Sprintf("identical requests crashed the backend servers, digest %s", r.digest))
 	}
-	if err := r.g.crashes.AllowParts(now, r.promptParts()); err != nil {
-		detail := "requests with a part of the prompt crashed the backend servers"
-		if refused := (*galenastair.Refusal)(nil); errors.As(err, &refused) {
-			detail += ", " + refused.Detail
-		}
-		return galenastair.NewRefusal(galenastair.ErrOverloaded, maxRetryAfter, detail)
+	err := r.g.crashes.AllowParts(now, r.promptParts())
+	if refused := (*galenastair.Refusal)(nil); errors.As(err, &refused) {
+		return galenastair.NewRefusal(galenastair.ErrOverloaded, clampRetryAfter(refused.RetryAfter), "requests with a part of the prompt crashed the backend servers, "+refused.Detail)
 	}
-	return nil
+	return err
 }
 
 // lastRun returns the last attempt as the crash tracker knows it.
