claim: a completion of a server that falls silent counts after 3 s

By reading: where all servers crash before any completion is confirmed, the part that all requests share is refused; and with all requests refused no server gives another sign of life, for which the completions wait, so that nothing is cleared.

Now a server of which nothing is seen any more, neither a crash nor a refused connection, counts as running on 3 s after a run. This also bounds the wait where an instance seldom uses a server.

--- a/claim/crashes.go
+++ b/claim/crashes.go
@@ -13,8 +13,9 @@
 	// it must run on before that says that it did not.
 	lateCrashWindow = 100 * time.Millisecond
 	survivalTime    = 700 * time.Millisecond
-	// maxServerSilence is how long a server is remembered after its last sign of life.
-	maxServerSilence = 30 * time.Second
+	// silenceTime is how long after a run a server of which nothing is seen any more counts as running on: without
+	// requests there are no signs of life, and refused parts would never be cleared.
+	silenceTime = 3 * time.Second
 	// maxEndedRuns bounds the runs of a server that it has not outlived yet.
 	maxEndedRuns = 256
 )
@@ -122,7 +123,12 @@
 // ServerSeen records a sign of life of a server. The completed runs that it has outlived clear their requests and
 // parts.
 func (t *CrashTracker) ServerSeen(now time.Time, p ServerProcess) {
-	for _, r := range t.takeOutlived(now, p) {
+	t.clear(now, t.takeOutlived(now, p))
+}
+
+// clear records the completed runs among those that their servers have outlived.
+func (t *CrashTracker) clear(now time.Time, outlived []endedRun) {
+	for _, r := range outlived {
 		if !r.completed {
 			continue
 		}
@@ -142,13 +148,18 @@
 	if now.After(s.seenAt) {
 		s.seenAt = now
 	}
+	return s.takeEndedBefore(now.Add(-survivalTime))
+}
+
+// takeEndedBefore removes and returns the runs that ended at a time or before.
+func (s *serverRuns) takeEndedBefore(at time.Time) []endedRun {
 	n := 0
-	for n < len(s.ended) && now.Sub(s.ended[n].endedAt) >= survivalTime {
+	for n < len(s.ended) && !s.ended[n].endedAt.After(at) {
 		n++
 	}
-	outlived := slices.Clone(s.ended[:n])
+	out := slices.Clone(s.ended[:n])
 	s.ended = slices.Delete(s.ended, 0, n)
-	return outlived
+	return out
 }
 
 // ServerCrashed records that a server was seen to crash, by this or another instance.
@@ -183,14 +194,20 @@
 	}
 }
 
-// ForgetSilent forgets servers that have shown no sign of life for long, with the runs that they may not have
-// outlived.
-func (t *CrashTracker) ForgetSilent(now time.Time) {
+// Settle has the runs of silent servers count as outlived, and forgets servers of which nothing is left to know.
+func (t *CrashTracker) Settle(now time.Time) {
+	t.clear(now, t.takeSilent(now))
+}
+
+func (t *CrashTracker) takeSilent(now time.Time) []endedRun {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var out []endedRun
 	for p, s := range t.servers {
-		if now.Sub(s.seenAt) >= maxServerSilence {
+		out = append(out, s.takeEndedBefore(now.Add(-silenceTime))...)
+		if len(s.ended) == 0 && now.Sub(s.seenAt) >= silenceTime {
 			delete(t.servers, p)
 		}
 	}
+	return out
 }
--- a/claim/crashes_load_test.go
+++ b/claim/crashes_load_test.go
@@ -19,6 +19,7 @@
 	restartTime    = 3 * time.Second
 	announceTime   = 450 * time.Millisecond
 	firstEventTime = 300 * time.Millisecond
+	settleInterval = 300 * time.Millisecond
 	// Servers crash or are lost from troubleStart on; servers are lost until lossEnd.
 	troubleStart = 4 * time.Second
 	lossEnd      = 14 * time.Second
@@ -185,8 +186,17 @@
 	l.after(l.lossInterval, func() { l.loseServers(n + 1) })
 }
 
+// settle has the instances look for silent servers, as their exchanges with the leader do.
+func (l *crashLoad) settle() {
+	l.after(settleInterval, l.settle)
+	for _, t := range l.trackers {
+		t.Settle(l.now)
+	}
+}
+
 func (l *crashLoad) play(length time.Duration) {
 	l.arrive()
+	l.settle()
 	if l.lossInterval > 0 {
 		l.after(troubleStart, func() { l.loseServers(0) })
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -158,7 +158,7 @@
 // exchangeOnce sends one report and applies the reply. It returns whether the next report is due
 // after reportInterval rather than idleReportInterval.
 func (c *leaderClient) exchangeOnce(ctx context.Context) bool {
-	c.crashTracker.ForgetSilent(time.Now())
+	c.crashTracker.Settle(time.Now())
 	r := c.buildReport()
 	sent := boottime.Now()
 	busy := len(r.Loads)+len(r.Demands)+len(r.LoanRequests)+len(r.Crashes)+len(r.PartEvents) > 0
