--- a/node/out_of_step_test.go
+++ b/node/out_of_step_test.go
@@ -10,7 +10,7 @@
 	"galenastair/standin/replica"
 )
 
-// signal sends a signal to the processes.
+// signalAll sends a signal to the processes.
 func signalAll(processes []*nodeProcess, sig syscall.Signal) {
 	for _, p := range processes {
 		_ = p.command.Process.Signal(sig)
--- a/node/process_crash_test.go
+++ b/node/process_crash_test.go
@@ -86,7 +86,7 @@
 	return len(lines), nil
 }
 
-// traffic returns requests of which about one in twenty has the part. Their arrivals at servers are those that the
+// traffic returns requests of which about one in four has the part. Their arrivals at servers are those that the
 // servers have reported.
 func (c *crashCluster) traffic() *promptTraffic {
 	return &promptTraffic{c: c.cluster, readAll: true, crashInterval: 600 * time.Millisecond, soundAfter: poisonTimeout, crashes: func() []time.Time {
