--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,7 +48,7 @@
 	r.tried, r.serverVersion = append(r.tried, choice.ID), choice.Version
 	r.sends++
 	r.process = claim.ServerProcess(fmt.Sprintf("%s@%d", choice.ID, choice.Incarnation))
-	r.attemptWrites, r.attemptBegan = 0, time.Time{}
+	r.attemptWrites = 0
 	outgoing := r.backendRequest(choice, query, now)
 	r.attemptResumes = outgoing.LastEventID != ""
 	r.g.logger.Log("event", "route", "request", r.req.ID, "server", choice.ID, "server_version", choice.Version, "after", outgoing.LastEventID, "resumes", r.req.Resumes, "zone", choice.AvailabilityZone, "reason", choice.Reason,
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -25,9 +25,10 @@
 	return err
 }
 
-// lastRun returns the last attempt as the crash tracker knows it.
+// lastRun returns the last attempt as the crash tracker knows it. A stream that goes on at another server has been
+// answered since its first event.
 func (r *activeRequest) lastRun() claim.Run {
-	return claim.Run{Digest: r.digest, Parts: r.promptParts(), Server: r.process, AnsweredSince: r.attemptBegan}
+	return claim.Run{Digest: r.digest, Parts: r.promptParts(), Server: r.process, AnsweredSince: r.firstByteAt}
 }
 
 // recordFailure records what a failed attempt says of its server: that it has crashed, or that the attempt has ended
@@ -69,8 +70,8 @@
 
 func (r *activeRequest) logCrash(now time.Time, counted string, err error) {
 	var answered time.Duration
-	if !r.attemptBegan.IsZero() {
-		answered = now.Sub(r.attemptBegan)
+	if !r.firstByteAt.IsZero() {
+		answered = now.Sub(r.firstByteAt)
 	}
 	r.g.logger.Log("event", "crash", "request", r.req.ID, "server", r.process, "digest", r.digest, "parts", fmt.Sprint(r.promptParts()), "writes", r.attemptWrites, "answered", answered, "counted", counted, "cause", err)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -41,10 +41,9 @@
 	sends int
 	runs  int
 	// process is the server process of the last attempt. attemptWrites counts how often that has sent events
-	// to the caller, the first time at attemptBegan; attemptResumes reports whether it continued a stream.
+	// to the caller, and attemptResumes reports whether it continued a stream.
 	process        claim.ServerProcess
 	attemptWrites  int
-	attemptBegan   time.Time
 	attemptResumes bool
 	// wroteHeader reports whether the caller has received a response header.
 	wroteHeader bool
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -110,9 +110,6 @@
 	r.fixVersion()
 	r.attemptWrites++
 	now := r.g.clock.Now()
-	if r.attemptWrites == 1 {
-		r.attemptBegan = now
-	}
 	if !r.lastWriteAt.IsZero() {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastWriteAt))
 	}
