claim: requests that share a part with ones that crash servers are not refused for a tie

Their shared part has as many crashes as the one that crashes servers, and was tried for 3 s only. That rule is taken back: parts with as many crashes explain each other as before.

--- a/claim/parts.go
+++ b/claim/parts.go
@@ -20,8 +20,8 @@
 	// explain. Some crashes have other causes, or are observed for one of the parts only.
 	tiedCrashes = 2
 	// trialWindow is how long after its last crash, and each trialInterval later, a part may be tried that another
-	// one without more crashes explains.
-	trialWindow   = 3 * time.Second
+	// one with fewer crashes explains.
+	trialWindow   = 2 * time.Second
 	trialInterval = 30 * time.Second
 	// partCompletionWindow is the time after a completion within which crashes are doubted, as servers may be
 	// lost for other reasons, and completedPartRefusal how long they refuse the part then.
@@ -81,7 +81,7 @@
 			continue
 		}
 		// the part with the most crashes is the likeliest cause, unless a trial shows otherwise
-		if len(o.servers) > len(r.servers) || now.Sub(r.lastAt)%trialInterval < trialWindow {
+		if len(o.servers) >= len(r.servers) || now.Sub(r.lastAt)%trialInterval < trialWindow {
 			return true
 		}
 	}
