--- /dev/null
+++ b/review/stand2/replica.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const heartbeat = 1200 * time.Millisecond
+
+// replica is a stand-in of a backend server. Its behaviour is that of a sound one unless a case sets more.
+type replica struct {
+	w                          *world
+	service, zone, version, id string
+	models                     []string
+	slots, queue               int
+	// first is the time to the first event or to the answer, and gap that between events.
+	first, gap time.Duration
+	// streams has a replica without models answer with streams.
+	streams bool
+	// extra adds headers to every answer.
+	extra func(http.Header)
+	// declined is called with each request that is rejected for want of room.
+	declined func(*replica)
+
+	mu       sync.Mutex
+	born     int64
+	address  string
+	server   *http.Server
+	running  int
+	waiting  int
+	free     chan struct{}
+	sequence int64
+	stop     chan struct{}
+	up       bool
+}
+
+// open starts a new incarnation with a new id at a new address.
+func (r *replica) open() error {
+	address, err := freePort()
+	if err != nil {
+		return err
+	}
+	return r.openAt("i-"+newID(), address)
+}
+
+// restart ends the process at once and starts it again under the same id and address, with another version.
+func (r *replica) restart(version string, down time.Duration) error {
+	r.mu.Lock()
+	r.up = false
+	server, stop := r.server, r.stop
+	r.mu.Unlock()
+	close(stop)
+	_ = server.Close()
+	time.Sleep(down)
+	r.mu.Lock()
+	r.version = version
+	r.mu.Unlock()
+	return r.openAt(r.id, r.address)
+}
+
+func (r *replica) openAt(id, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.id, r.born, r.address, r.sequence = id, time.Now().UnixMilli(), address, 0
+	r.running, r.waiting, r.free, r.stop, r.up = 0, 0, make(chan struct{}, r.slots), make(chan struct{}), true
+	for range r.slots {
+		r.free <- struct{}{}
+	}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	server, stop := r.server, r.stop
+	r.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	if err := r.register("ready"); err != nil {
+		return err
+	}
+	go func() {
+		t := time.NewTicker(heartbeat)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				_ = r.register("ready")
+			case <-stop:
+				return
+			}
+		}
+	}()
+	r.w.logf("replica %s (%s %s) starts at %s", r.id, r.service, r.version, r.address)
+	return nil
+}
+
+// crash closes all connections at once. The registration ends after three heartbeats.
+func (r *replica) crash() {
+	r.mu.Lock()
+	if !r.up {
+		r.mu.Unlock()
+		return
+	}
+	r.up = false
+	server, stop, id := r.server, r.stop, r.id
+	r.mu.Unlock()
+	close(stop)
+	_ = server.Close()
+	r.w.logf("replica %s falls over", id)
+	time.AfterFunc(3*heartbeat, func() { _ = r.w.put("keyed.servers", id, nil) })
+}
+
+func (r *replica) register(state string) error {
+	r.mu.Lock()
+	r.sequence++
+	e := map[string]any{"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": state,
+		"cold-left-ms": 0, "sequence": r.sequence, "born": r.born}
+	if len(r.models) > 0 {
+		e["stage"], e["models"] = "both", r.modelList()
+	}
+	id := r.id
+	r.mu.Unlock()
+	data, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	return r.w.put("keyed.servers", id, data)
+}
+
+func (r *replica) modelList() []any {
+	out := []any{}
+	for _, m := range r.models {
+		out = append(out, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+	}
+	return out
+}
+
+func (r *replica) head(w http.ResponseWriter, req *http.Request) {
+	if id := req.Header.Get("Galenastair-Attempt-Id"); id != "" {
+		w.Header().Set("Galenastair-Attempt-Id", id)
+	}
+	w.Header().Set("Galenastair-Instance-Id", r.id)
+	if r.extra != nil {
+		r.extra(w.Header())
+	}
+}
+
+func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
+	r.head(w, req)
+	if e := req.Header.Get("Galenastair-Expect-Instance"); e != "" && e != r.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch req.URL.Path {
+	case "/v1/report":
+		if len(r.models) == 0 {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		r.mu.Lock()
+		v := map[string]any{"stage": "both", "models": r.modelList(), "busy": false, "sequence": 0, "waiting": r.waiting, "running": r.running, "kv-used": 0, "kv-total": 140000, "handles": 0, "born": r.born}
+		r.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v)
+		return
+	case "/v1/order":
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	if !r.enter(req) {
+		w.Header().Set("Galenastair-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		if r.declined != nil {
+			r.declined(r)
+		}
+		return
+	}
+	defer r.leave()
+	r.w.logf("run %s at %s %s after %q", req.Header.Get("Galenastair-Attempt-Id"), r.id, r.version, req.Header.Get("Last-Event-Id"))
+	w.Header().Set("Galenastair-Server-Signature", "sig-"+r.id)
+	if len(r.models) > 0 || r.streams {
+		r.stream(w, req)
+		return
+	}
+	if !wait(req, r.first) {
+		return
+	}
+	fmt.Fprintf(w, "answer of %s to %s\n", r.id, req.Header.Get("Galenastair-Attempt-Id"))
+}
+
+// enter takes a slot, or waits for one; false if there is no room or the caller has left.
+func (r *replica) enter(req *http.Request) bool {
+	r.mu.Lock()
+	free := r.free
+	select {
+	case <-free:
+		r.running++
+		r.mu.Unlock()
+		return true
+	default:
+	}
+	if r.waiting >= r.queue {
+		r.mu.Unlock()
+		return false
+	}
+	r.waiting++
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.waiting--
+		r.mu.Unlock()
+	}()
+	select {
+	case <-free:
+		r.mu.Lock()
+		r.running++
+		r.mu.Unlock()
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
+
+func (r *replica) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+	select {
+	case r.free <- struct{}{}:
+	default:
+	}
+}
+
+func wait(req *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
+
+// tokensPerEvent is the number of tokens in an event of a stream.
+const tokensPerEvent = 2
+
+// stream sends the events after Last-Event-Id; their number follows from the tokens that the caller asks for.
+func (r *replica) stream(w http.ResponseWriter, req *http.Request) {
+	_, out, _ := strings.Cut(req.Header.Get("Galenastair-Token-Usage"), ",")
+	tokens, _ := strconv.Atoi(out)
+	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	_ = flush.Flush()
+	delay := r.first
+	r.mu.Lock()
+	version := r.version
+	r.mu.Unlock()
+	for i := from + 1; i <= tokens/tokensPerEvent; i++ {
+		if !wait(req, delay) {
+			return
+		}
+		delay = r.gap
+		fmt.Fprintf(w, "id: %d\ndata: %s of %s\n\n", i, version, r.id)
+		if flush.Flush() != nil {
+			return
+		}
+	}
+}
