--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -21,7 +21,9 @@
 	last     int
 	versions map[string]bool
 	complete bool
-	err      error
+	// retryAfter is what a refusal asks for.
+	retryAfter time.Duration
+	err        error
 }
 
 type streamRequest struct {
@@ -71,6 +73,8 @@
 	defer resp.Body.Close()
 	out := streamResult{status: resp.StatusCode, last: s.last, versions: map[string]bool{}}
 	if resp.StatusCode != http.StatusOK {
+		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		out.retryAfter = time.Duration(seconds * float64(time.Second))
 		return out
 	}
 	lines := bufio.NewScanner(resp.Body)
--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,8 +19,11 @@
 type replica struct {
 	w                          *world
 	service, zone, version, id string
-	models                     []string
-	slots, queue               int
+	// models are those that it holds, loadTime the time of a load, and room how many models fit.
+	models       []string
+	loadTime     time.Duration
+	room         int
+	slots, queue int
 	// first is the time to the first event or to the answer, and gap that between events.
 	first, gap time.Duration
 	// streams has a replica without models answer with streams.
@@ -37,6 +41,9 @@
 	waiting  int
 	free     chan struct{}
 	sequence int64
+	orders   int64
+	fence    int64
+	busy     bool
 	stop     chan struct{}
 	up       bool
 }
@@ -72,6 +79,7 @@
 	}
 	r.mu.Lock()
 	r.id, r.born, r.address, r.sequence = id, time.Now().UnixMilli(), address, 0
+	r.orders, r.fence, r.busy = 0, 0, false
 	r.running, r.waiting, r.free, r.stop, r.up = 0, 0, make(chan struct{}, r.slots), make(chan struct{}), true
 	for range r.slots {
 		r.free <- struct{}{}
@@ -120,7 +128,7 @@
 	r.sequence++
 	e := map[string]any{"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": state,
 		"cold-left-ms": 0, "sequence": r.sequence, "born": r.born}
-	if len(r.models) > 0 {
+	if r.isEngine() {
 		e["stage"], e["models"] = "both", r.modelList()
 	}
 	id := r.id
@@ -140,6 +148,64 @@
 	return out
 }
 
+func (r *replica) isEngine() bool { return r.room > 0 }
+
+func (r *replica) holds(model string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.models, model)
+}
+
+// order carries out an order to load or unload a model, and returns the status of the answer.
+func (r *replica) order(req *http.Request) int {
+	var o struct {
+		Op, Model, Adapter, Holder string
+		Expected                   *int64
+		Fence                      int64
+	}
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 || o.Adapter != "" {
+		return http.StatusBadRequest
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := slices.Contains(r.models, o.Model)
+	status := http.StatusAccepted
+	switch {
+	case o.Fence < r.fence:
+		status = http.StatusPreconditionFailed
+	case held == (o.Op == "load"):
+		status = http.StatusOK
+	case r.busy, o.Expected != nil && *o.Expected != r.orders:
+		status = http.StatusConflict
+	case o.Op == "load":
+		r.orders++
+		r.busy = true
+		if len(r.models) >= r.room {
+			r.w.logf("replica %s is ordered to load more than it holds", r.id)
+		}
+		born := r.born
+		time.AfterFunc(r.loadTime, func() { r.loaded(born, o.Model) })
+	default:
+		r.orders++
+		r.models = slices.DeleteFunc(r.models, func(m string) bool { return m == o.Model })
+	}
+	r.fence = max(r.fence, o.Fence)
+	r.w.logf("order %s %s to %s (%s) by %s, fence %d: %d", o.Op, o.Model, r.id, r.version, o.Holder, o.Fence, status)
+	return status
+}
+
+func (r *replica) loaded(born int64, model string) {
+	r.mu.Lock()
+	if r.born != born || !r.up {
+		r.mu.Unlock()
+		return
+	}
+	r.busy = false
+	r.models = append(r.models, model)
+	r.mu.Unlock()
+	_ = r.register("ready")
+}
+
 func (r *replica) head(w http.ResponseWriter, req *http.Request) {
 	if id := req.Header.Get("Galenastair-Attempt-Id"); id != "" {
 		w.Header().Set("Galenastair-Attempt-Id", id)
@@ -158,18 +224,22 @@
 	}
 	switch req.URL.Path {
 	case "/v1/report":
-		if len(r.models) == 0 {
+		if !r.isEngine() {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
 		r.mu.Lock()
-		v := map[string]any{"stage": "both", "models": r.modelList(), "busy": false, "sequence": 0, "waiting": r.waiting, "running": r.running, "kv-used": 0, "kv-total": 140000, "handles": 0, "born": r.born}
+		v := map[string]any{"stage": "both", "models": r.modelList(), "busy": r.busy, "sequence": r.orders, "waiting": r.waiting, "running": r.running, "kv-used": 0, "kv-total": 140000, "handles": 0, "born": r.born}
 		r.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(v)
 		return
 	case "/v1/order":
-		w.WriteHeader(http.StatusOK)
+		w.WriteHeader(r.order(req))
+		return
+	}
+	if m := req.Header.Get("Galenastair-Model"); m != "" && !r.holds(m) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
@@ -184,7 +254,7 @@
 	defer r.leave()
 	r.w.logf("run %s at %s %s after %q", req.Header.Get("Galenastair-Attempt-Id"), r.id, r.version, req.Header.Get("Last-Event-Id"))
 	w.Header().Set("Galenastair-Server-Signature", "sig-"+r.id)
-	if len(r.models) > 0 || r.streams {
+	if r.isEngine() || r.streams {
 		r.stream(w, req)
 		return
 	}
--- a/review/stand2/resume.go
+++ b/review/stand2/resume.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-var cases = map[string]caseFunc{"resume": resumeCase, "brittle": brittleCase, "inplace": inplaceCase}
+var cases = map[string]caseFunc{"resume": resumeCase, "brittle": brittleCase, "inplace": inplaceCase, "lastcopy": lastCopyCase}
 
 const (
 	resumeGateways = 24
@@ -24,7 +24,7 @@
 		return false, err
 	}
 	for i := range 8 {
-		r := &replica{w: w, service: "writer", zone: "zone-1", version: []string{"v1", "v2"}[i%2], models: []string{"m1"}, slots: 64, queue: 134, first: 80 * time.Millisecond, gap: 20200 * time.Microsecond}
+		r := &replica{w: w, service: "writer", zone: "zone-1", version: []string{"v1", "v2"}[i%2], models: []string{"m1"}, room: 3, loadTime: 2400 * time.Millisecond, slots: 64, queue: 134, first: 80 * time.Millisecond, gap: 20200 * time.Microsecond}
 		r.zone = []string{"zone-1", "zone-2", "zone-3", "zone-4"}[i/2]
 		if err := r.open(); err != nil {
 			return false, err
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -48,12 +48,19 @@
 	fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// allotted are the ports that freePort has returned.
+var allotted sync.Map
+
 // freePort returns a port that no process listens on, below those that outgoing connections get.
 func freePort() (string, error) {
 	var err error
 	for range 100 {
+		port := 10000 + mathrand.IntN(20000)
+		if _, known := allotted.LoadOrStore(port, true); known {
+			continue
+		}
 		var l net.Listener
-		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10000+mathrand.IntN(20000)))
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			defer l.Close()
 			return l.Addr().String(), nil
