--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -28,6 +28,9 @@
 	first, gap time.Duration
 	// streams has a replica without models answer with streams.
 	streams bool
+	// pieces, if not 0, has a replica without models send answers of so many pieces, gap apart, that have
+	// neither a length nor chunks and end with their connection.
+	pieces int
 	// extra adds headers to every answer.
 	extra func(http.Header)
 	// declined is called with each request that is rejected for want of room.
@@ -44,6 +47,7 @@
 	orders   int64
 	fence    int64
 	busy     bool
+	unframed map[net.Conn]bool
 	stop     chan struct{}
 	up       bool
 }
@@ -64,7 +68,13 @@
 	server, stop := r.server, r.stop
 	r.mu.Unlock()
 	close(stop)
+	// nothing may be accepted any more when the first answer breaks off
 	_ = server.Close()
+	r.mu.Lock()
+	for c := range r.unframed {
+		_ = c.Close()
+	}
+	r.mu.Unlock()
 	time.Sleep(down)
 	r.mu.Lock()
 	r.version = version
@@ -79,7 +89,7 @@
 	}
 	r.mu.Lock()
 	r.id, r.born, r.address, r.sequence = id, time.Now().UnixMilli(), address, 0
-	r.orders, r.fence, r.busy = 0, 0, false
+	r.orders, r.fence, r.busy, r.unframed = 0, 0, false, map[net.Conn]bool{}
 	r.running, r.waiting, r.free, r.stop, r.up = 0, 0, make(chan struct{}, r.slots), make(chan struct{}), true
 	for range r.slots {
 		r.free <- struct{}{}
@@ -258,12 +268,57 @@
 		r.stream(w, req)
 		return
 	}
+	if r.pieces > 0 {
+		r.sendUnframed(w, req)
+		return
+	}
 	if !wait(req, r.first) {
 		return
 	}
 	fmt.Fprintf(w, "answer of %s to %s\n", r.id, req.Header.Get("Galenastair-Attempt-Id"))
 }
 
+// lastPiece ends each answer of pieces.
+const lastPiece = "the last piece\n"
+
+func (r *replica) sendUnframed(w http.ResponseWriter, req *http.Request) {
+	head := "HTTP/1.1 200 OK\r\n"
+	for name := range w.Header() {
+		head += name + ": " + w.Header().Get(name) + "\r\n"
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	r.mu.Lock()
+	if !r.up {
+		r.mu.Unlock()
+		return
+	}
+	r.unframed[c] = true
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.unframed, c)
+		r.mu.Unlock()
+	}()
+	time.Sleep(r.first)
+	if _, err := io.WriteString(c, head+"\r\n"); err != nil {
+		return
+	}
+	for i := range r.pieces {
+		piece := fmt.Sprintf("piece %d of %s\n", i+1, req.Header.Get("Galenastair-Attempt-Id"))
+		if i == r.pieces-1 {
+			piece = lastPiece
+		}
+		if _, err := io.WriteString(c, piece); err != nil {
+			return
+		}
+		time.Sleep(r.gap)
+	}
+}
+
 // enter takes a slot, or waits for one; false if there is no room or the caller has left.
 func (r *replica) enter(req *http.Request) bool {
 	r.mu.Lock()
--- a/review/stand2/resume.go
+++ b/review/stand2/resume.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-var cases = map[string]caseFunc{"resume": resumeCase, "brittle": brittleCase, "inplace": inplaceCase, "lastcopy": lastCopyCase}
+var cases = map[string]caseFunc{"resume": resumeCase, "brittle": brittleCase, "inplace": inplaceCase, "lastcopy": lastCopyCase, "frozen": frozenCase}
 
 const (
 	resumeGateways = 24
