--- a/review/stand2/frozen.go
+++ b/review/stand2/frozen.go
@@ -13,9 +13,9 @@
 
 const (
 	frozenGateways = 3
-	frozenReplicas = 2
+	frozenReplicas = 4
 	// frozenRate is the number of requests a second at each machine.
-	frozenRate     = 30
+	frozenRate     = 45
 	frozenDeadline = 4 * time.Second
 	// frozenFor is how long a machine stands still, and frozenDown how long the replica is away that crashes
 	// meanwhile.
@@ -31,7 +31,7 @@
 	}
 	var replicas []*replica
 	for i := range frozenReplicas {
-		r := &replica{w: w, service: "app", zone: fmt.Sprintf("zone-%d", i+1), version: "v1", slots: 64, queue: 24, first: 20 * time.Millisecond, gap: 80 * time.Millisecond, pieces: 8}
+		r := &replica{w: w, service: "app", zone: fmt.Sprintf("zone-%d", i%2+1), version: "v1", slots: 64, queue: 24, first: 20 * time.Millisecond, gap: 80 * time.Millisecond, pieces: 8}
 		if err := r.open(); err != nil {
 			return false, err
 		}
