--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -197,13 +197,31 @@
 		time.AfterFunc(r.loadTime, func() { r.loaded(born, o.Model) })
 	default:
 		r.orders++
-		r.models = slices.DeleteFunc(r.models, func(m string) bool { return m == o.Model })
+		r.busy = true
+		go r.unload(r.born, o.Model)
 	}
 	r.fence = max(r.fence, o.Fence)
 	r.w.logf("order %s %s to %s (%s) by %s, fence %d: %d", o.Op, o.Model, r.id, r.version, o.Holder, o.Fence, status)
 	return status
 }
 
+// unload drops a model once nothing runs.
+func (r *replica) unload(born int64, model string) {
+	for {
+		r.mu.Lock()
+		if r.born != born || !r.up || r.running == 0 {
+			break
+		}
+		r.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+	defer r.mu.Unlock()
+	if r.born == born {
+		r.busy = false
+		r.models = slices.DeleteFunc(r.models, func(m string) bool { return m == model })
+	}
+}
+
 func (r *replica) loaded(born int64, model string) {
 	r.mu.Lock()
 	if r.born != born || !r.up {
@@ -253,7 +271,12 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
-	if !r.enter(req) {
+	entered, left := r.enter(req)
+	if left {
+		// a caller that has left was not turned away for want of room
+		panic(http.ErrAbortHandler)
+	}
+	if !entered {
 		w.Header().Set("Galenastair-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		if r.declined != nil {
@@ -319,20 +342,20 @@
 	}
 }
 
-// enter takes a slot, or waits for one; false if there is no room or the caller has left.
-func (r *replica) enter(req *http.Request) bool {
+// enter takes a slot, or waits for one. It reports whether the request has one, and whether the caller has left.
+func (r *replica) enter(req *http.Request) (entered, left bool) {
 	r.mu.Lock()
 	free := r.free
 	select {
 	case <-free:
 		r.running++
 		r.mu.Unlock()
-		return true
+		return true, false
 	default:
 	}
 	if r.waiting >= r.queue {
 		r.mu.Unlock()
-		return false
+		return false, false
 	}
 	r.waiting++
 	r.mu.Unlock()
@@ -346,9 +369,9 @@
 		r.mu.Lock()
 		r.running++
 		r.mu.Unlock()
-		return true
+		return true, false
 	case <-req.Context().Done():
-		return false
+		return false, true
 	}
 }
 
